--- /dev/null
+++ b/components/daemon/src/lib.rs
@@ -0,0 +1,1 @@
+//! Not yet written.
--- /dev/null
+++ b/components/errors/src/reason.rs
@@ -0,0 +1,80 @@
+//! Reasons for refusing, retrying or dropping something.
+
+use std::fmt;
+use std::str::FromStr;
+
+/// Declares [`Reason`] together with its names and explanations, so that none can lack either.
+macro_rules! reasons {
+    ($($variant:ident $name:literal $summary:literal)*) => {
+        /// Why something was refused, retried or dropped.
+        #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+        pub enum Reason {
+            $(#[doc = $summary] $variant,)*
+        }
+
+        impl Reason {
+            /// All reasons.
+            pub const ALL: &[Self] = &[$(Self::$variant,)*];
+
+            /// Value of the `reason` label and of the `medlar-reason` header.
+            pub fn name(self) -> &'static str {
+                match self {
+                    $(Self::$variant => $name,)*
+                }
+            }
+
+            /// One sentence for operators.
+            pub fn summary(self) -> &'static str {
+                match self {
+                    $(Self::$variant => $summary,)*
+                }
+            }
+        }
+    };
+}
+
+reasons! {
+    NoConfiguration "no-configuration" "The node holds no configuration yet."
+    NoRoute "no-route" "No route matches the method and path."
+    NoEndpoint "no-endpoint" "No endpoint of the service can take requests."
+    QueueFull "queue-full" "The queue of the rank is full."
+    Displaced "displaced" "A more urgent request took the place in the queue."
+    DeadlineTooShort "deadline-too-short" "The request cannot finish before its deadline."
+    DeadlinePassed "deadline-passed" "The deadline passed."
+    ShedEarly "shed-early" "The owners report that they refuse work of this rank."
+    Draining "draining" "The endpoint is leaving and takes no new work."
+    Warming "warming" "The endpoint is not ready yet."
+    CallerLeft "caller-left" "The caller closed its connection."
+    Fenced "fenced" "An outcome query fenced the request before it arrived."
+    Duplicate "duplicate" "A request with the same id was already accepted."
+    ConnectFailed "connect-failed" "No connection could be opened."
+    ConnectionBroken "connection-broken" "The connection broke before the answer was complete."
+    ConnectionSilent "connection-silent" "Nothing arrived on the connection within the bound."
+    UpstreamRefused "upstream-refused" "The upstream answered with a status that means not run."
+    BudgetSpent "budget-spent" "The retry budget of the service is spent."
+    NotRepeatable "not-repeatable" "The route is not idempotent and the request may have run."
+    AttemptsSpent "attempts-spent" "The request has been tried as often as allowed."
+    OuterRetries "outer-retries" "A level further out retries this request."
+    TooLarge "too-large" "The request or answer exceeds a size bound."
+    Malformed "malformed" "The message breaks its protocol."
+    QueueOverflow "queue-overflow" "A bounded channel inside the node was full."
+    OutcomeUnknown "outcome-unknown" "The owner could not say whether the request ran."
+}
+
+impl fmt::Display for Reason {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.name())
+    }
+}
+
+impl FromStr for Reason {
+    type Err = ();
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        Self::ALL
+            .iter()
+            .copied()
+            .find(|reason| reason.name() == text)
+            .ok_or(())
+    }
+}
