Add one path from the operator's text to a served request

Seen by hand with three nodes, three stand-in upstreams and the stand-in store: a text applied once came into force on all three nodes and requests to any of them were served by the right service (debug build).

--- /dev/null
+++ b/components/admin/src/upstream.rs
@@ -0,0 +1,65 @@
+//! Announcement of an upstream.
+
+use std::sync::Arc;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use control::Input;
+use member::Stage;
+use member::Upstream;
+
+/// Body of `PUT /upstream`.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Announcement {
+    /// Service of the upstream.
+    pub service: String,
+    /// Stage.
+    pub state: State,
+    /// Requests that it runs at once, 1 to 10000.
+    pub slots: u32,
+    /// Connections that it accepts, 1 to 100000.
+    pub connections: u32,
+}
+
+/// Stage as an upstream names it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum State {
+    /// Not ready for requests.
+    Warming,
+    /// Takes requests.
+    Ready,
+    /// Takes no new requests.
+    Draining,
+    /// Has left.
+    Gone,
+}
+
+impl Announcement {
+    /// The input for the control machine; an error says which value is out of range.
+    pub(crate) fn into_input(self) -> Result<Input, &'static str> {
+        if self.service.is_empty() || self.service.len() > 100 {
+            return Err("service must have 1 to 100 bytes");
+        }
+        if !(1..=10_000).contains(&self.slots) {
+            return Err("slots must be 1 to 10000");
+        }
+        if !(1..=100_000).contains(&self.connections) {
+            return Err("connections must be 1 to 100000");
+        }
+        let stage = match self.state {
+            State::Warming => Stage::Warming,
+            State::Ready => Stage::Ready,
+            State::Draining => Stage::Draining,
+            State::Gone => Stage::Gone,
+        };
+        let upstream = Upstream {
+            service: Arc::from(self.service),
+            slots: self.slots,
+            connections: self.connections,
+        };
+        Ok(Input::Announced { stage, upstream })
+    }
+}
--- /dev/null
+++ b/components/admit/src/fifo.rs
@@ -0,0 +1,120 @@
+//! One bounded queue in order of arrival, blind to rank.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use linkme::distributed_slice;
+
+use errors::Reason;
+use ids::Rank;
+use kernel::Plugin;
+use kernel::Time;
+use kernel::plugin::Error;
+use kernel::plugin::Params;
+use policy::ADMISSIONS;
+use policy::Admission;
+use policy::Decision;
+use policy::Finish;
+use policy::Job;
+use policy::Load;
+use policy::Ticket;
+
+const DEFAULT_QUEUE: u64 = 128;
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
+#[distributed_slice(ADMISSIONS)]
+static PLUGIN: Plugin<dyn Admission> = Plugin {
+    name: "fifo",
+    make: |params| Ok(Box::new(Fifo::from_params(params)?)),
+};
+
+/// Plain bounded queue.
+#[derive(Debug)]
+pub struct Fifo {
+    bound: usize,
+    slots: u32,
+    running: u32,
+    queue: VecDeque<Job>,
+}
+
+impl Fifo {
+    /// Reads `queue`, the bound on waiting requests.
+    pub fn from_params(params: &Params) -> Result<Self, Error> {
+        params.check_names(&["queue"])?;
+        let bound = usize::try_from(params.number("queue", DEFAULT_QUEUE)?).unwrap_or(usize::MAX);
+        Ok(Self {
+            bound,
+            slots: 0,
+            running: 0,
+            queue: VecDeque::new(),
+        })
+    }
+
+    fn fill(&mut self, now: Time, decisions: &mut Vec<Decision>) {
+        while self.running < self.slots {
+            let Some(job) = self.queue.pop_front() else {
+                return;
+            };
+            if job.expires <= now {
+                decisions.push(refuse(job.ticket, Reason::DeadlinePassed));
+                continue;
+            }
+            self.running += 1;
+            decisions.push(Decision::Start(job.ticket));
+        }
+    }
+}
+
+fn refuse(ticket: Ticket, reason: Reason) -> Decision {
+    Decision::Refuse {
+        ticket,
+        reason,
+        retry_after: RETRY_AFTER,
+    }
+}
+
+impl Admission for Fifo {
+    fn set_slots(&mut self, now: Time, slots: u32, decisions: &mut Vec<Decision>) {
+        self.slots = slots;
+        self.fill(now, decisions);
+    }
+
+    fn offer(&mut self, now: Time, job: Job, decisions: &mut Vec<Decision>) {
+        if self.queue.len() >= self.bound {
+            decisions.push(refuse(job.ticket, Reason::QueueFull));
+            return;
+        }
+        self.queue.push_back(job);
+        self.fill(now, decisions);
+    }
+
+    fn finish(&mut self, now: Time, _: Ticket, _: Finish, decisions: &mut Vec<Decision>) {
+        self.running = self.running.saturating_sub(1);
+        self.fill(now, decisions);
+    }
+
+    fn cancel(&mut self, _: Time, ticket: Ticket) -> bool {
+        let before = self.queue.len();
+        self.queue.retain(|job| job.ticket != ticket);
+        self.queue.len() < before
+    }
+
+    fn wake(&mut self, now: Time, decisions: &mut Vec<Decision>) {
+        let expired = self.queue.iter().filter(|job| job.expires <= now);
+        decisions.extend(expired.map(|job| refuse(job.ticket, Reason::DeadlinePassed)));
+        self.queue.retain(|job| job.expires > now);
+    }
+
+    fn next_wake(&self) -> Option<Time> {
+        self.queue.iter().map(|job| job.expires).min()
+    }
+
+    fn load(&self) -> Load {
+        Load {
+            running: self.running,
+            queued: u32::try_from(self.queue.len()).unwrap_or(u32::MAX),
+            limit: self.slots,
+            accepted: Rank(u8::MAX),
+        }
+    }
+}
--- /dev/null
+++ b/components/config/src/snapshot.rs
@@ -0,0 +1,134 @@
+//! What nodes route by.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::Pattern;
+use ids::Digest;
+use ids::Rank;
+use ids::RouteId;
+use ids::ServiceId;
+use ids::Version;
+use kernel::Arena;
+use kernel::Key;
+
+/// Address of a service in a snapshot.
+pub type ServiceKey = Key<Service>;
+/// Address of a route in a snapshot.
+pub type RouteKey = Key<Route>;
+
+/// A service of the configuration.
+#[derive(Clone, Debug)]
+pub struct Service {
+    /// Identity across versions.
+    pub id: ServiceId,
+    /// Name, unique in the snapshot.
+    pub name: Arc<str>,
+    /// Services that it calls.
+    pub depends: Vec<ServiceKey>,
+    /// Upstream statuses that mean that the request did not run, sorted.
+    pub not_run_statuses: Vec<u16>,
+}
+
+/// A route of the configuration.
+#[derive(Clone, Debug)]
+pub struct Route {
+    /// Identity across versions.
+    pub id: RouteId,
+    /// The service that serves it.
+    pub service: ServiceKey,
+    /// HTTP method in capitals.
+    pub method: String,
+    /// Paths that it covers.
+    pub pattern: Pattern,
+    /// The pattern as written.
+    pub path: String,
+    /// Urgency.
+    pub rank: Rank,
+    /// Longest time from arrival to answer.
+    pub deadline: Duration,
+    /// Whether a request can run more than once without harm.
+    pub idempotent: bool,
+    /// Share among the routes of its rank.
+    pub weight: u32,
+}
+
+/// An immutable compiled configuration.
+#[derive(Clone, Debug)]
+pub struct Snapshot {
+    pub(crate) version: Version,
+    pub(crate) digest: Digest,
+    pub(crate) services: Arena<Service>,
+    pub(crate) routes: Arena<Route>,
+    /// Services sorted by name.
+    pub(crate) by_name: Vec<ServiceKey>,
+    /// Routes sorted by method, then by order of match.
+    pub(crate) by_match: Vec<RouteKey>,
+    /// Routes sorted by identity.
+    pub(crate) by_id: Vec<(RouteId, RouteKey)>,
+}
+
+impl Snapshot {
+    /// Version of the text.
+    pub fn version(&self) -> Version {
+        self.version
+    }
+
+    /// Hash of the text.
+    pub fn digest(&self) -> Digest {
+        self.digest
+    }
+
+    /// The service at `key`, if the key is of this snapshot.
+    pub fn service(&self, key: ServiceKey) -> Option<&Service> {
+        self.services.get(key)
+    }
+
+    /// The route at `key`, if the key is of this snapshot.
+    pub fn route(&self, key: RouteKey) -> Option<&Route> {
+        self.routes.get(key)
+    }
+
+    /// All services, in the order of the text.
+    pub fn services(&self) -> impl Iterator<Item = (ServiceKey, &Service)> {
+        self.services.iter()
+    }
+
+    /// All routes, in the order of the text.
+    pub fn routes(&self) -> impl Iterator<Item = (RouteKey, &Route)> {
+        self.routes.iter()
+    }
+
+    /// Looks a route up by its identity.
+    pub fn find_route_by_id(&self, id: RouteId) -> Option<RouteKey> {
+        let at = self.by_id.binary_search_by_key(&id, |(known, _)| *known);
+        at.ok().map(|at| self.by_id[at].1)
+    }
+
+    /// Looks a service up by name.
+    pub fn find_service(&self, name: &str) -> Option<ServiceKey> {
+        let at = self.by_name.binary_search_by(|key| {
+            self.services
+                .get(*key)
+                .map_or("", |service| &service.name)
+                .cmp(name)
+        });
+        at.ok().map(|at| self.by_name[at])
+    }
+
+    /// The route that takes a request; `path` is without query.
+    pub fn find_route(&self, method: &str, path: &str) -> Option<RouteKey> {
+        let first = self.by_match.partition_point(|key| {
+            self.routes
+                .get(*key)
+                .is_some_and(|route| route.method.as_str() < method)
+        });
+        self.by_match[first..]
+            .iter()
+            .copied()
+            .map_while(|key| Some((key, self.routes.get(key)?)))
+            .take_while(|(_, route)| route.method == method)
+            .find(|(_, route)| route.pattern.matches(path))
+            .map(|(key, _)| key)
+    }
+}
--- /dev/null
+++ b/components/control/src/picture.rs
@@ -0,0 +1,118 @@
+//! What traffic threads route by.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use crate::Life;
+use config::ServiceKey;
+use config::Snapshot;
+use ids::Domain;
+use ids::NodeId;
+use kernel::Arena;
+use kernel::Key;
+use member::Stage;
+use member::Table;
+use member::Upstream;
+
+/// Address of an endpoint in a picture.
+pub type EndpointKey = Key<Endpoint>;
+
+/// A live endpoint of a service that the configuration lists.
+#[derive(Clone, Debug)]
+pub struct Endpoint {
+    /// Its node.
+    pub node: NodeId,
+    /// HTTP requests of other nodes.
+    pub requests: SocketAddr,
+    /// Control calls.
+    pub peer: SocketAddr,
+    /// Its failure domain.
+    pub domain: Domain,
+    /// Stage of its upstream.
+    pub stage: Stage,
+    /// Requests that its upstream runs at once.
+    pub slots: u32,
+}
+
+/// Immutable view of configuration and membership.
+#[derive(Clone, Debug)]
+pub struct Picture {
+    /// The node itself.
+    pub me: NodeId,
+    /// Its failure domain.
+    pub domain: Domain,
+    /// Stage of its life.
+    pub life: Life,
+    /// Configuration in force; `None` before the first.
+    pub snapshot: Option<Arc<Snapshot>>,
+    /// The node's own upstream, once announced.
+    pub own: Option<(Stage, Upstream)>,
+    endpoints: Arena<Endpoint>,
+    /// Sorted by service.
+    by_service: Vec<(ServiceKey, EndpointKey)>,
+}
+
+impl Picture {
+    /// A picture of these members; `generation` differs from that of the picture before.
+    pub fn new(
+        me: NodeId,
+        domain: Domain,
+        life: Life,
+        snapshot: Option<Arc<Snapshot>>,
+        table: &Table,
+        generation: u32,
+    ) -> Self {
+        let mut endpoints = Arena::new(generation);
+        let mut by_service = Vec::new();
+        for member in table.members().iter().filter(|member| member.is_live()) {
+            let service = member.upstream.as_ref().and_then(|upstream| {
+                let key = snapshot.as_ref()?.find_service(&upstream.service)?;
+                Some((key, upstream.slots))
+            });
+            let Some((service, slots)) = service else {
+                continue;
+            };
+            let endpoint = endpoints.insert(Endpoint {
+                node: member.id,
+                requests: member.address.requests,
+                peer: member.address.peer,
+                domain: member.domain.clone(),
+                stage: member.stage,
+                slots,
+            });
+            by_service.push((service, endpoint));
+        }
+        by_service.sort_unstable();
+        let own = table
+            .get(me)
+            .and_then(|member| Some((member.stage, member.upstream.clone()?)));
+        Self {
+            me,
+            domain,
+            life,
+            snapshot,
+            own,
+            endpoints,
+            by_service,
+        }
+    }
+
+    /// The endpoint at `key`, if the key is of this picture.
+    pub fn endpoint(&self, key: EndpointKey) -> Option<&Endpoint> {
+        self.endpoints.get(key)
+    }
+
+    /// Endpoints of a service, in a fixed order.
+    pub fn endpoints_of(
+        &self,
+        service: ServiceKey,
+    ) -> impl Iterator<Item = (EndpointKey, &Endpoint)> {
+        let first = self
+            .by_service
+            .partition_point(|(known, _)| *known < service);
+        self.by_service[first..]
+            .iter()
+            .take_while(move |(known, _)| *known == service)
+            .filter_map(|(_, key)| Some((*key, self.endpoints.get(*key)?)))
+    }
+}
--- /dev/null
+++ b/components/daemon/src/build.rs
@@ -0,0 +1,55 @@
+//! Building of plug-ins by the names in the settings.
+
+use crate::Error;
+use front::FRONTS;
+use front::Front;
+use kernel::Plugin;
+use kernel::plugin;
+use policy::ADMISSIONS;
+use policy::Admission;
+use policy::BALANCES;
+use policy::Balance;
+use policy::HEALTHS;
+use policy::Health;
+use policy::RETRIES;
+use policy::Retry;
+use settings::Plugged;
+use settings::Settings;
+use store::STORES;
+use store::Store;
+use transport::TRANSPORTS;
+use transport::Transport;
+
+/// One plug-in of each extension point.
+pub(crate) struct Plugins {
+    pub(crate) store: Box<dyn Store>,
+    pub(crate) front: Box<dyn Front>,
+    pub(crate) transport: Box<dyn Transport>,
+    pub(crate) admission: Box<dyn Admission>,
+    pub(crate) balance: Box<dyn Balance>,
+    pub(crate) retry: Box<dyn Retry>,
+    pub(crate) health: Box<dyn Health>,
+}
+
+impl Plugins {
+    pub(crate) fn from_settings(settings: &Settings) -> Result<Self, Error> {
+        Ok(Self {
+            store: build("store", &STORES, &settings.store)?,
+            front: build("front", &FRONTS, &settings.front)?,
+            transport: build("transport", &TRANSPORTS, &settings.transport)?,
+            admission: build("admission", &ADMISSIONS, &settings.admission)?,
+            balance: build("balance", &BALANCES, &settings.balance)?,
+            retry: build("retry", &RETRIES, &settings.retry)?,
+            health: build("health", &HEALTHS, &settings.health)?,
+        })
+    }
+}
+
+fn build<T: ?Sized>(
+    key: &'static str,
+    plugins: &[Plugin<T>],
+    plugged: &Plugged,
+) -> Result<Box<T>, Error> {
+    plugin::build(key, plugins, &plugged.plugin, &plugged.params())
+        .map_err(|error| Error::Plugin { key, error })
+}
--- a/components/daemon/src/lib.rs
+++ b/components/daemon/src/lib.rs
@@ -1,1 +1,49 @@
-//! Not yet written.
+//! The node process: wires settings, plug-ins, the control thread and the traffic threads.
+//!
+//! The calling thread becomes the control thread: it alone steps the control machine. The traffic
+//! threads run the front end and read the published pictures.
+
+mod build;
+mod executor;
+mod peer;
+mod run;
+
+use std::io;
+
+use quick_error::quick_error;
+
+use kernel::plugin;
+
+pub use run::run;
+
+// Without these the linker would drop the plug-ins with their registrations.
+use admit as _;
+use balance as _;
+use health as _;
+use http1 as _;
+use retry as _;
+
+quick_error! {
+    /// Why a node cannot run.
+    #[derive(Debug)]
+    pub enum Error {
+        /// A plug-in cannot be built.
+        Plugin { key: &'static str, error: plugin::Error } {
+            display("{key}: {error}")
+        }
+        /// An address cannot be listened on.
+        Listen { key: &'static str, error: io::Error } {
+            display("{key}: {error}")
+        }
+        /// A thread or runtime cannot be started.
+        Start(error: io::Error) {
+            from()
+            display("cannot start: {error}")
+        }
+        /// Counters cannot be set up.
+        Counters(error: telemetry::Error) {
+            from()
+            display("{error}")
+        }
+    }
+}
--- /dev/null
+++ b/components/front/src/desk.rs
@@ -0,0 +1,296 @@
+//! The shared traffic state of a node.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use tokio::sync::Notify;
+use tokio::sync::oneshot;
+use tokio_util::sync::CancellationToken;
+
+use crate::Permit;
+use control::Picture;
+use ids::NodeId;
+use kernel::Clock;
+use kernel::Machine;
+use kernel::Time;
+use kernel::clock::Monotonic;
+use kernel::random::Seeded;
+use policy::Load;
+use telemetry::Counters;
+use traffic::Refusal;
+use traffic::entry;
+use traffic::ledger::Outcome;
+use traffic::owner;
+
+/// Longest sleep of the timer task.
+const LONGEST_SLEEP: Duration = Duration::from_secs(1);
+
+/// What a desk is made of.
+pub struct Parts {
+    /// The node itself.
+    pub me: NodeId,
+    /// Clock of the process.
+    pub clock: Monotonic,
+    /// View published by the control thread.
+    pub picture: Arc<ArcSwap<Picture>>,
+    /// Entry machine.
+    pub entry: entry::Machine,
+    /// Owner machine.
+    pub owner: owner::Machine,
+    /// Counters.
+    pub counters: Arc<Counters>,
+}
+
+struct Entry {
+    machine: entry::Machine,
+    random: Seeded,
+}
+
+/// A sender that waits for a decision of the owner machine.
+enum Waiter {
+    Admission(oneshot::Sender<Result<CancellationToken, Refusal>>),
+    Running(CancellationToken),
+    Query(oneshot::Sender<Outcome>),
+}
+
+struct Owner {
+    machine: owner::Machine,
+    random: Seeded,
+    /// Sorted by tag.
+    waiters: Vec<(u64, Waiter)>,
+}
+
+/// Runs the traffic machines of a node.
+pub struct Desk {
+    me: NodeId,
+    clock: Monotonic,
+    picture: Arc<ArcSwap<Picture>>,
+    entry: Mutex<Entry>,
+    owner: Mutex<Owner>,
+    owner_changed: Notify,
+    drained: CancellationToken,
+    counters: Arc<Counters>,
+    next_tag: AtomicU64,
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    // Steps do not panic halfway through a change that matters.
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl Desk {
+    /// A desk of these parts.
+    pub fn new(parts: Parts) -> Self {
+        let entry = Entry {
+            machine: parts.entry,
+            random: Seeded::from_system(),
+        };
+        let owner = Owner {
+            machine: parts.owner,
+            random: Seeded::from_system(),
+            waiters: Vec::new(),
+        };
+        Self {
+            me: parts.me,
+            clock: parts.clock,
+            picture: parts.picture,
+            entry: Mutex::new(entry),
+            owner: Mutex::new(owner),
+            owner_changed: Notify::new(),
+            drained: CancellationToken::new(),
+            counters: parts.counters,
+            next_tag: AtomicU64::new(1),
+        }
+    }
+
+    /// Identity of the node.
+    pub fn me(&self) -> NodeId {
+        self.me
+    }
+
+    /// Clock of the process.
+    pub fn clock(&self) -> &Monotonic {
+        &self.clock
+    }
+
+    /// The present time.
+    pub fn now(&self) -> Time {
+        self.clock.now()
+    }
+
+    /// The present view of the fleet.
+    pub fn picture(&self) -> Arc<Picture> {
+        self.picture.load_full()
+    }
+
+    /// Counters of the node.
+    pub fn counters(&self) -> &Counters {
+        &self.counters
+    }
+
+    /// Fires when a drain is complete.
+    pub fn drained(&self) -> &CancellationToken {
+        &self.drained
+    }
+
+    /// Steps the entry machine.
+    pub fn step_entry(&self, input: entry::Input) -> Vec<entry::Effect> {
+        let mut effects = Vec::new();
+        let mut entry = lock(&self.entry);
+        let Entry { machine, random } = &mut *entry;
+        machine.step(self.now(), input, random, &mut effects);
+        effects
+    }
+
+    /// Calls that have not ended.
+    pub fn open_calls(&self) -> usize {
+        lock(&self.entry).machine.open_calls()
+    }
+
+    /// The present load of the owner.
+    pub fn load(&self) -> Load {
+        lock(&self.owner).machine.load()
+    }
+
+    /// Waits for admission; the request is cancelled if the future is dropped.
+    pub async fn admit(self: &Arc<Self>, mut offer: owner::Offer) -> Result<Permit, Refusal> {
+        offer.tag = self.next_tag.fetch_add(1, Ordering::Relaxed);
+        let (sender, receiver) = oneshot::channel();
+        let pending = Permit::new(Arc::clone(self), offer.tag);
+        {
+            let mut owner = lock(&self.owner);
+            // Tags rise, so the new one goes last.
+            owner.waiters.push((offer.tag, Waiter::Admission(sender)));
+            self.step_locked(&mut owner, owner::Input::Offered(offer));
+        }
+        match receiver.await {
+            Ok(Ok(cancelled)) => Ok(pending.start(cancelled)),
+            Ok(Err(refusal)) => {
+                pending.forget();
+                Err(refusal)
+            }
+            Err(_) => Err(Refusal {
+                reason: errors::Reason::QueueOverflow,
+                verdict: errors::Verdict::MayHaveRun,
+                retry_after: LONGEST_SLEEP,
+            }),
+        }
+    }
+
+    /// Answers an outcome query of another node.
+    pub async fn tell_outcome(&self, id: ids::RequestId, expires: Time) -> Outcome {
+        let tag = self.next_tag.fetch_add(1, Ordering::Relaxed);
+        let (sender, receiver) = oneshot::channel();
+        {
+            let mut owner = lock(&self.owner);
+            owner.waiters.push((tag, Waiter::Query(sender)));
+            self.step_locked(&mut owner, owner::Input::Asked { tag, id, expires });
+        }
+        receiver.await.unwrap_or(Outcome::Unknown)
+    }
+
+    /// Steps the owner machine and wakes those that waited for its effects.
+    pub fn step_owner(&self, input: owner::Input) {
+        let mut owner = lock(&self.owner);
+        self.step_locked(&mut owner, input);
+    }
+
+    /// Does what is due at the owner until the future is dropped.
+    pub async fn run_timers(&self) {
+        loop {
+            let due = {
+                let mut owner = lock(&self.owner);
+                let Owner {
+                    machine, random, ..
+                } = &mut *owner;
+                let mut effects = Vec::new();
+                machine.wake(self.now(), random, &mut effects);
+                self.deliver(&mut owner, effects);
+                owner.machine.next_wake()
+            };
+            let sleep = due.map_or(LONGEST_SLEEP, |due| self.now().until(due));
+            let sleep = sleep.clamp(Duration::from_millis(1), LONGEST_SLEEP);
+            tokio::select! {
+                () = tokio::time::sleep(sleep) => {}
+                () = self.owner_changed.notified() => {}
+            }
+        }
+    }
+
+    fn step_locked(&self, owner: &mut Owner, input: owner::Input) {
+        let before = owner.machine.next_wake();
+        let mut effects = Vec::new();
+        let Owner {
+            machine, random, ..
+        } = owner;
+        machine.step(self.now(), input, random, &mut effects);
+        self.deliver(owner, effects);
+        if owner.machine.next_wake() < before {
+            self.owner_changed.notify_one();
+        }
+    }
+
+    fn deliver(&self, owner: &mut Owner, effects: Vec<owner::Effect>) {
+        for effect in effects {
+            match effect {
+                owner::Effect::Start { tag } => self.start(owner, tag),
+                owner::Effect::Refuse { tag, refusal } => {
+                    self.counters.count_refusal("owner", refusal.reason);
+                    if let Some(Waiter::Admission(sender)) = owner.take(tag) {
+                        // The sender has left if nobody receives this.
+                        let _ = sender.send(Err(refusal));
+                    }
+                }
+                owner::Effect::Abort { tag } => {
+                    if let Ok(at) = owner.position(tag)
+                        && let (_, Waiter::Running(cancelled)) = &owner.waiters[at]
+                    {
+                        cancelled.cancel();
+                    }
+                }
+                owner::Effect::Tell { tag, outcome } => {
+                    if let Some(Waiter::Query(sender)) = owner.take(tag) {
+                        let _ = sender.send(outcome);
+                    }
+                }
+                owner::Effect::Drained => self.drained.cancel(),
+            }
+        }
+    }
+
+    fn start(&self, owner: &mut Owner, tag: u64) {
+        let Ok(at) = owner.position(tag) else {
+            return;
+        };
+        let cancelled = CancellationToken::new();
+        let running = Waiter::Running(cancelled.clone());
+        let waiter = std::mem::replace(&mut owner.waiters[at].1, running);
+        if let Waiter::Admission(sender) = waiter {
+            // If nobody receives this, the dropped permit cancels the request.
+            let _ = sender.send(Ok(cancelled));
+        }
+    }
+
+    /// Removes what is kept for a request that has ended.
+    pub(crate) fn end(&self, tag: u64, input: owner::Input) {
+        let mut owner = lock(&self.owner);
+        self.step_locked(&mut owner, input);
+        owner.take(tag);
+    }
+}
+
+impl Owner {
+    fn position(&self, tag: u64) -> Result<usize, usize> {
+        self.waiters.binary_search_by_key(&tag, |(known, _)| *known)
+    }
+
+    fn take(&mut self, tag: u64) -> Option<Waiter> {
+        self.position(tag).ok().map(|at| self.waiters.remove(at).1)
+    }
+}
--- a/components/front/src/lib.rs
+++ b/components/front/src/lib.rs
@@ -1,1 +1,61 @@
-//! Not yet written.
+//! Traffic side of a node, below any protocol.
+//!
+//! [`Desk`] runs the pure entry and owner machines under short locks and turns their effects into
+//! futures. [`Front`] is the extension point of the front ends that speak a protocol with callers,
+//! nodes and the upstream; each is a crate of its own.
+
+mod desk;
+mod permit;
+mod query;
+
+use std::io;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::Arc;
+
+use linkme::distributed_slice;
+use tokio_util::sync::CancellationToken;
+
+use kernel::Plugin;
+use kernel::plugin;
+use kernel::plugin::EXTENSIONS;
+use kernel::plugin::Extension;
+
+pub use desk::Desk;
+pub use desk::Parts;
+pub use permit::Permit;
+pub use query::query_outcome;
+
+/// Registered front ends.
+#[distributed_slice]
+pub static FRONTS: [Plugin<dyn Front>];
+
+#[distributed_slice(EXTENSIONS)]
+static EXTENSION: Extension = Extension {
+    kind: "front",
+    names: || plugin::list_names(&FRONTS),
+};
+
+/// Addresses that a front end works with.
+#[derive(Clone, Copy, Debug)]
+pub struct Addresses {
+    /// Listens for callers and for onward calls of the upstream.
+    pub callers: SocketAddr,
+    /// Listens for requests of other nodes.
+    pub requests: SocketAddr,
+    /// The upstream.
+    pub upstream: SocketAddr,
+}
+
+/// Future of a front end; ends when all connections have ended after `stop`.
+pub type Serving = Pin<Box<dyn Future<Output = ()> + Send>>;
+
+/// Future of starting a front end.
+pub type Starting<'a> = Pin<Box<dyn Future<Output = io::Result<Serving>> + Send + 'a>>;
+
+/// Speaks a protocol with callers, nodes and the upstream.
+pub trait Front: Send + Sync {
+    /// Listens on the addresses; the inner future serves until `stop`.
+    fn start(&self, addresses: Addresses, desk: Arc<Desk>, stop: CancellationToken)
+    -> Starting<'_>;
+}
--- /dev/null
+++ b/components/health/src/none.rs
@@ -0,0 +1,28 @@
+//! No ejection.
+
+use linkme::distributed_slice;
+
+use ids::NodeId;
+use kernel::Plugin;
+use kernel::Time;
+use policy::HEALTHS;
+use policy::Health;
+
+#[distributed_slice(HEALTHS)]
+static PLUGIN: Plugin<dyn Health> = Plugin {
+    name: "none",
+    make: |params| {
+        params.check_names(&[])?;
+        Ok(Box::new(Never))
+    },
+};
+
+/// Ejects nobody.
+#[derive(Clone, Copy, Debug)]
+pub struct Never;
+
+impl Health for Never {
+    fn record(&mut self, _: Time, _: NodeId, _: bool) {}
+
+    fn retain_healthy(&mut self, _: Time, _: &mut Vec<NodeId>) {}
+}
--- /dev/null
+++ b/components/http1/src/clock.rs
@@ -0,0 +1,22 @@
+//! Clock of another node, as its hello told it.
+
+use ids::NodeId;
+use kernel::Time;
+
+/// What a connection knows of the node at its other end.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Remote {
+    /// Identity of the node.
+    pub(crate) node: NodeId,
+    /// Its time when it answered.
+    pub(crate) its_time: Time,
+    /// Our time when the answer had arrived; an earlier one would let a late request start.
+    pub(crate) our_time: Time,
+}
+
+impl Remote {
+    /// Our `time` on the clock of the other node; never later than that clock shows.
+    pub(crate) fn translate(&self, time: Time) -> Time {
+        self.its_time + time.since(self.our_time)
+    }
+}
--- /dev/null
+++ b/components/http1/src/lib.rs
@@ -0,0 +1,79 @@
+//! Front end `http1`: HTTP/1.1 with callers, other nodes and the upstream.
+//!
+//! Translates between HTTP and the machines that [`front::Desk`] runs; it makes no decision about
+//! routing, admission or retries itself.
+
+mod answer;
+mod body;
+mod caller;
+mod clock;
+mod listen;
+mod node;
+mod pool;
+mod upstream;
+
+use std::io;
+use std::sync::Arc;
+
+use linkme::distributed_slice;
+use tokio::net::TcpListener;
+use tokio_util::sync::CancellationToken;
+
+use front::Addresses;
+use front::Desk;
+use front::FRONTS;
+use front::Front;
+use front::Serving;
+use front::Starting;
+use kernel::Plugin;
+
+#[distributed_slice(FRONTS)]
+static PLUGIN: Plugin<dyn Front> = Plugin {
+    name: "http1",
+    make: |params| {
+        params.check_names(&[])?;
+        Ok(Box::new(Http1))
+    },
+};
+
+#[derive(Clone, Copy, Debug)]
+struct Http1;
+
+/// State that all connections of the front end share.
+struct Shared {
+    desk: Arc<Desk>,
+    nodes: pool::Pool,
+    upstream: upstream::Client,
+}
+
+impl Front for Http1 {
+    fn start(
+        &self,
+        addresses: Addresses,
+        desk: Arc<Desk>,
+        stop: CancellationToken,
+    ) -> Starting<'_> {
+        Box::pin(async move {
+            let callers = bind(addresses.callers).await?;
+            let requests = bind(addresses.requests).await?;
+            let shared = Arc::new(Shared {
+                desk,
+                nodes: pool::Pool::default(),
+                upstream: upstream::Client::new(addresses.upstream),
+            });
+            let serving: Serving = Box::pin(async move {
+                tokio::join!(
+                    listen::serve(callers, Arc::clone(&shared), stop.clone(), caller::handle),
+                    listen::serve(requests, shared, stop, node::handle),
+                );
+            });
+            Ok(serving)
+        })
+    }
+}
+
+async fn bind(address: std::net::SocketAddr) -> io::Result<TcpListener> {
+    TcpListener::bind(address)
+        .await
+        .map_err(|error| io::Error::new(error.kind(), format!("{address}: {error}")))
+}
--- a/components/ids/src/lib.rs
+++ b/components/ids/src/lib.rs
@@ -87,6 +87,42 @@
     }
 }
 
+/// Identity of a service, the same in each version that lists it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ServiceId(pub u64);
+
+impl ServiceId {
+    /// The identity of the service called `name`.
+    pub fn from_name(name: &str) -> Self {
+        Self(xxh3_64(name.as_bytes()))
+    }
+}
+
+/// Identity of a route, the same in each version that lists it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct RouteId(pub u64);
+
+impl RouteId {
+    /// The identity of a route by its method and its path pattern.
+    pub fn from_parts(method: &str, path: &str) -> Self {
+        Self(xxh3_64(format!("{method} {path}").as_bytes()))
+    }
+}
+
+impl fmt::Display for RouteId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
+impl FromStr for RouteId {
+    type Err = ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        u64::from_str_radix(text, 16).map(Self)
+    }
+}
+
 /// Urgency of a route; 0 is the most urgent.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Rank(pub u8);
--- a/components/kernel/tests/arena.rs
+++ b/components/kernel/tests/arena.rs
@@ -1,8 +1,9 @@
 //! Guards the key rules of the arena.
 
-use kernel::Arena;
 use rstest::rstest;
 
+use kernel::Arena;
+
 /// Guards against a stale key that finds the item now in its slot.
 #[rstest]
 fn get_reused_slot() {
--- /dev/null
+++ b/components/policy/src/balance.rs
@@ -0,0 +1,42 @@
+//! Choice of an endpoint.
+
+use linkme::distributed_slice;
+
+use crate::Load;
+use ids::NodeId;
+use kernel::Plugin;
+use kernel::Random;
+use kernel::plugin;
+use kernel::plugin::EXTENSIONS;
+use kernel::plugin::Extension;
+
+/// Registered balancing plug-ins.
+#[distributed_slice]
+pub static BALANCES: [Plugin<dyn Balance>];
+
+#[distributed_slice(EXTENSIONS)]
+static EXTENSION: Extension = Extension {
+    kind: "balance",
+    names: || plugin::list_names(&BALANCES),
+};
+
+/// An endpoint that can be chosen.
+#[derive(Clone, Copy, Debug)]
+pub struct Candidate {
+    /// Its node.
+    pub node: NodeId,
+    /// Whether it is in the sender's failure domain.
+    pub near: bool,
+    /// Requests of this sender that it has not answered.
+    pub in_flight: u32,
+    /// Requests that its upstream runs at once.
+    pub slots: u32,
+    /// Load that it reported, if that is recent.
+    pub load: Option<Load>,
+}
+
+/// Chooses among endpoints.
+pub trait Balance: Send {
+    /// Position of the choice; `None` only if there are no candidates.
+    fn choose(&mut self, candidates: &[Candidate], random: &mut dyn Random) -> Option<usize>;
+}
--- /dev/null
+++ b/components/policy/src/retry.rs
@@ -0,0 +1,60 @@
+//! Decision to try a request again.
+
+use std::time::Duration;
+
+use linkme::distributed_slice;
+
+use errors::Reason;
+use errors::Verdict;
+use ids::ServiceId;
+use kernel::Plugin;
+use kernel::Random;
+use kernel::Time;
+use kernel::plugin;
+use kernel::plugin::EXTENSIONS;
+use kernel::plugin::Extension;
+
+/// Registered retry plug-ins.
+#[distributed_slice]
+pub static RETRIES: [Plugin<dyn Retry>];
+
+#[distributed_slice(EXTENSIONS)]
+static EXTENSION: Extension = Extension {
+    kind: "retry",
+    names: || plugin::list_names(&RETRIES),
+};
+
+/// An attempt that failed.
+#[derive(Clone, Copy, Debug)]
+pub struct Failure {
+    /// Service of the request.
+    pub service: ServiceId,
+    /// What is known of its execution.
+    pub verdict: Verdict,
+    /// Why it failed.
+    pub reason: Reason,
+    /// Whether the route is idempotent.
+    pub idempotent: bool,
+    /// Attempts so far, this one included.
+    pub attempts: u32,
+    /// Time until the deadline.
+    pub left: Duration,
+    /// Whether a level further out retries.
+    pub outer_retries: bool,
+    /// Whether the body can be sent again.
+    pub replayable: bool,
+}
+
+/// Decides on retries.
+pub trait Retry: Send {
+    /// A request is tried for the first time.
+    fn count_first(&mut self, now: Time, service: ServiceId);
+
+    /// The wait before the next attempt, or why there is none.
+    fn allow(
+        &mut self,
+        now: Time,
+        failure: Failure,
+        random: &mut dyn Random,
+    ) -> Result<Duration, Reason>;
+}
--- /dev/null
+++ b/components/retry/src/none.rs
@@ -0,0 +1,35 @@
+//! No retries.
+
+use std::time::Duration;
+
+use linkme::distributed_slice;
+
+use errors::Reason;
+use ids::ServiceId;
+use kernel::Plugin;
+use kernel::Random;
+use kernel::Time;
+use policy::Failure;
+use policy::RETRIES;
+use policy::Retry;
+
+#[distributed_slice(RETRIES)]
+static PLUGIN: Plugin<dyn Retry> = Plugin {
+    name: "none",
+    make: |params| {
+        params.check_names(&[])?;
+        Ok(Box::new(Never))
+    },
+};
+
+/// Refuses each retry.
+#[derive(Clone, Copy, Debug)]
+pub struct Never;
+
+impl Retry for Never {
+    fn count_first(&mut self, _: Time, _: ServiceId) {}
+
+    fn allow(&mut self, _: Time, _: Failure, _: &mut dyn Random) -> Result<Duration, Reason> {
+        Err(Reason::AttemptsSpent)
+    }
+}
--- /dev/null
+++ b/components/spread/src/watcher.rs
@@ -0,0 +1,30 @@
+//! Choice of the nodes that watch the store.
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use ids::NodeId;
+use member::Table;
+
+/// Nodes that watch in each failure domain.
+const WATCHERS_PER_DOMAIN: usize = 2;
+
+/// Whether `id` is among the watchers of its failure domain, by rendezvous hashing over the live
+/// members. Members that disagree about the table may choose too many or too few for a while, which
+/// costs calls or delay and nothing else.
+pub fn is_watcher(table: &Table, id: NodeId) -> bool {
+    let Some(me) = table.get(id) else {
+        return false;
+    };
+    let own = score(id);
+    let better = table
+        .members()
+        .iter()
+        .filter(|member| member.domain == me.domain && member.is_live())
+        .filter(|member| (score(member.id), member.id) > (own, id))
+        .count();
+    better < WATCHERS_PER_DOMAIN
+}
+
+fn score(id: NodeId) -> u64 {
+    xxh3_64_with_seed(&id.0.to_le_bytes(), 0)
+}
--- a/components/store/src/lib.rs
+++ b/components/store/src/lib.rs
@@ -1,1 +1,84 @@
-//! Not yet written.
+//! The platform's key-value service.
+//!
+//! Declares the extension point [`Store`] and holds the plug-in `etcd-json`, which speaks the JSON
+//! form of the etcd v3 protocol over HTTP. Also encodes the records that are kept there.
+
+mod etcd;
+mod record;
+
+use std::pin::Pin;
+
+use linkme::distributed_slice;
+use quick_error::quick_error;
+
+use kernel::Plugin;
+use kernel::plugin;
+use kernel::plugin::EXTENSIONS;
+use kernel::plugin::Extension;
+use spread::Revision;
+
+pub use record::CONFIG_KEY;
+pub use record::decode_record;
+pub use record::encode_record;
+
+/// Registered store plug-ins.
+#[distributed_slice]
+pub static STORES: [Plugin<dyn Store>];
+
+#[distributed_slice(EXTENSIONS)]
+static EXTENSION: Extension = Extension {
+    kind: "store",
+    names: || plugin::list_names(&STORES),
+};
+
+quick_error! {
+    /// Why a call failed.
+    #[derive(Debug, Clone, PartialEq, Eq)]
+    pub enum Error {
+        /// The store was not reached; the call had no effect.
+        Unreachable { message: String } {
+            display("store is unreachable: {message}")
+        }
+        /// The store refused the call; it had no effect.
+        Refused { message: String } {
+            display("store refused the call: {message}")
+        }
+        /// No usable answer came; a write may have taken effect.
+        Unknown { message: String } {
+            display("no usable answer from the store: {message}")
+        }
+    }
+}
+
+/// Value of a key.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Entry {
+    /// The value.
+    pub value: Vec<u8>,
+    /// Revision of the last change of the key.
+    pub revision: Revision,
+}
+
+/// What a compare-and-swap did.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Swap {
+    /// The value was written.
+    Done,
+    /// The key had another revision; nothing was written.
+    Conflict(Option<Entry>),
+}
+
+/// Future of a call.
+pub type Call<'a, T> = Pin<Box<dyn Future<Output = Result<T, Error>> + Send + 'a>>;
+
+/// A key-value service with compare-and-swap and watches.
+pub trait Store: Send + Sync {
+    /// Reads a key.
+    fn read<'a>(&'a self, key: &'a str) -> Call<'a, Option<Entry>>;
+
+    /// Writes a key if its revision is `expected`; revision 0 means that the key does not exist.
+    fn swap<'a>(&'a self, key: &'a str, expected: Revision, value: Vec<u8>) -> Call<'a, Swap>;
+
+    /// Waits for the first change of a key after a revision; `None` if it was deleted.
+    fn watch<'a>(&'a self, key: &'a str, after: Revision) -> Call<'a, Option<Entry>>;
+}
--- a/components/telemetry/src/lib.rs
+++ b/components/telemetry/src/lib.rs
@@ -1,1 +1,11 @@
-//! Not yet written.
+//! Counters and logs of a process.
+//!
+//! Counters go through `opentelemetry` and are given out in the Prometheus text format; logs are
+//! JSON lines on standard error.
+
+mod counters;
+mod logs;
+
+pub use counters::Counters;
+pub use counters::Error;
+pub use logs::init_logs;
--- /dev/null
+++ b/components/wire/src/control.rs
@@ -0,0 +1,207 @@
+//! Control calls between nodes, over tarpc.
+
+use std::sync::Arc;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use config::Delta;
+use config::Piece;
+use errors::Verdict;
+use ids::Digest;
+use ids::Version;
+
+/// Longest message of a control call: the longest text with some room.
+pub const MAX_FRAME_BYTES: usize = 1_100_000;
+
+/// Calls that a node answers.
+#[tarpc::service]
+pub trait Peer {
+    /// Gives the configuration to a node that has `version` with hash `digest`.
+    async fn pull(version: u64, digest: u64) -> Offer;
+
+    /// Tells what became of a request, and fences it if it never arrived. `expires_us` is on the
+    /// clock of the node that is asked.
+    async fn outcome(id: u128, expires_us: u64) -> Outcome;
+}
+
+/// A record as it is encoded.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Record {
+    version: u64,
+    edit: u128,
+    parent: u64,
+    digest: u64,
+    format: u32,
+    text: String,
+}
+
+/// A [`Piece`] as it is encoded.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum Step {
+    /// Keep lines.
+    Keep { start: u32, count: u32 },
+    /// Insert lines.
+    Insert(String),
+}
+
+/// A [`spread::Offer`] as it is encoded.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum Offer {
+    /// Nothing newer.
+    Same,
+    /// The whole record.
+    Whole(Record),
+    /// The record without its text, and the delta to it.
+    Changes {
+        record: Record,
+        base: u64,
+        steps: Vec<Step>,
+    },
+}
+
+/// A [`traffic::ledger::Outcome`] as it is encoded.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+pub enum Outcome {
+    /// It never arrived, and will be refused if it does.
+    Fenced,
+    /// It was waiting and has been cancelled.
+    Cancelled,
+    /// It waits or runs.
+    Running,
+    /// It ended without running.
+    DoneNotRun,
+    /// It ended and may have run.
+    DoneMayHaveRun,
+    /// It ran.
+    DoneRan { stored: bool },
+    /// The node cannot tell.
+    Unknown,
+}
+
+impl From<&config::Record> for Record {
+    fn from(record: &config::Record) -> Self {
+        Self {
+            version: record.version.0,
+            edit: record.edit,
+            parent: record.parent.0,
+            digest: record.digest.0,
+            format: record.format,
+            text: record.text.as_ref().to_owned(),
+        }
+    }
+}
+
+impl From<Record> for config::Record {
+    fn from(record: Record) -> Self {
+        Self {
+            version: Version(record.version),
+            edit: record.edit,
+            parent: Digest(record.parent),
+            digest: Digest(record.digest),
+            format: record.format,
+            text: Arc::from(record.text),
+        }
+    }
+}
+
+impl From<&spread::Offer> for Offer {
+    fn from(offer: &spread::Offer) -> Self {
+        match offer {
+            spread::Offer::Same => Self::Same,
+            spread::Offer::Whole(record) => Self::Whole(record.into()),
+            spread::Offer::Changes { record, delta } => Self::Changes {
+                record: record.into(),
+                base: delta.base.0,
+                steps: delta
+                    .pieces
+                    .iter()
+                    .map(|piece| match piece {
+                        Piece::Keep { start, count } => Step::Keep {
+                            start: *start,
+                            count: *count,
+                        },
+                        Piece::Insert(text) => Step::Insert(text.clone()),
+                    })
+                    .collect(),
+            },
+        }
+    }
+}
+
+impl From<Offer> for spread::Offer {
+    fn from(offer: Offer) -> Self {
+        match offer {
+            Offer::Same => Self::Same,
+            Offer::Whole(record) => Self::Whole(record.into()),
+            Offer::Changes {
+                record,
+                base,
+                steps,
+            } => {
+                let pieces = steps
+                    .into_iter()
+                    .map(|step| match step {
+                        Step::Keep { start, count } => Piece::Keep { start, count },
+                        Step::Insert(text) => Piece::Insert(text),
+                    })
+                    .collect();
+                let delta = Delta {
+                    base: Digest(base),
+                    pieces,
+                };
+                Self::Changes {
+                    record: record.into(),
+                    delta,
+                }
+            }
+        }
+    }
+}
+
+impl From<traffic::ledger::Outcome> for Outcome {
+    fn from(outcome: traffic::ledger::Outcome) -> Self {
+        use traffic::ledger::Outcome as Known;
+        match outcome {
+            Known::Fenced => Self::Fenced,
+            Known::Cancelled => Self::Cancelled,
+            Known::Running => Self::Running,
+            Known::Done {
+                verdict: Verdict::NotRun,
+                ..
+            } => Self::DoneNotRun,
+            Known::Done {
+                verdict: Verdict::MayHaveRun,
+                ..
+            } => Self::DoneMayHaveRun,
+            Known::Done {
+                verdict: Verdict::Ran,
+                stored,
+            } => Self::DoneRan { stored },
+            Known::Unknown => Self::Unknown,
+        }
+    }
+}
+
+impl From<Outcome> for traffic::ledger::Outcome {
+    fn from(outcome: Outcome) -> Self {
+        match outcome {
+            Outcome::Fenced => Self::Fenced,
+            Outcome::Cancelled => Self::Cancelled,
+            Outcome::Running => Self::Running,
+            Outcome::DoneNotRun => Self::Done {
+                verdict: Verdict::NotRun,
+                stored: false,
+            },
+            Outcome::DoneMayHaveRun => Self::Done {
+                verdict: Verdict::MayHaveRun,
+                stored: false,
+            },
+            Outcome::DoneRan { stored } => Self::Done {
+                verdict: Verdict::Ran,
+                stored,
+            },
+            Outcome::Unknown => Self::Unknown,
+        }
+    }
+}
--- /dev/null
+++ b/components/wire/src/member_entry.rs
@@ -0,0 +1,86 @@
+//! Encoding of a member table entry.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use ids::Domain;
+use ids::Incarnation;
+use ids::NodeId;
+use member::Address;
+use member::Member;
+use member::Stage;
+use member::Status;
+use member::Upstream;
+
+/// Longest accepted name of a service or failure domain, in bytes.
+const MAX_NAME_BYTES: usize = 100;
+
+/// A [`Member`] as it is encoded.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Entry {
+    id: u64,
+    peer: SocketAddr,
+    requests: SocketAddr,
+    admin: SocketAddr,
+    domain: String,
+    incarnation: u64,
+    status: u8,
+    stage: u8,
+    upstream: Option<(String, u32, u32)>,
+}
+
+const STATUSES: [Status; 4] = [Status::Alive, Status::Suspect, Status::Dead, Status::Left];
+const STAGES: [Stage; 4] = [Stage::Warming, Stage::Ready, Stage::Draining, Stage::Gone];
+
+impl From<&Member> for Entry {
+    fn from(member: &Member) -> Self {
+        Self {
+            id: member.id.0,
+            peer: member.address.peer,
+            requests: member.address.requests,
+            admin: member.address.admin,
+            domain: member.domain.as_str().to_owned(),
+            incarnation: member.incarnation.0,
+            status: member.status as u8,
+            stage: member.stage as u8,
+            upstream: member
+                .upstream
+                .as_ref()
+                .map(|it| (it.service.as_ref().to_owned(), it.slots, it.connections)),
+        }
+    }
+}
+
+impl Entry {
+    /// The member; `None` if a field is out of its range.
+    pub fn into_member(self) -> Option<Member> {
+        if self.domain.len() > MAX_NAME_BYTES {
+            return None;
+        }
+        let upstream = match self.upstream {
+            Some((service, ..)) if service.len() > MAX_NAME_BYTES => return None,
+            Some((service, slots, connections)) => Some(Upstream {
+                service: Arc::from(service),
+                slots,
+                connections,
+            }),
+            None => None,
+        };
+        Some(Member {
+            id: NodeId(self.id),
+            address: Address {
+                peer: self.peer,
+                requests: self.requests,
+                admin: self.admin,
+            },
+            domain: Domain::new(&self.domain),
+            incarnation: Incarnation(self.incarnation),
+            status: *STATUSES.get(usize::from(self.status))?,
+            stage: *STAGES.get(usize::from(self.stage))?,
+            upstream,
+        })
+    }
+}
--- /dev/null
+++ b/lab/src/cmd/mod.rs
@@ -0,0 +1,4 @@
+//! One module a verb.
+
+pub(crate) mod store;
+pub(crate) mod upstream;
