Relay bodies by stream and close what was abandoned

The thin front end buffered up to 1 MB of each request, never reused a connection after an answer with a length (hyper drops such a body unread at its last byte, which counted as broken off), let a slow or broken body pass without bound, and relied on the task of a client connection to notice that an answer was abandoned.

Requests of up to 64 KB are held and can be tried again; larger ones are streamed within 16 MB and sent once. A client connection has no task of its own any more: its user polls it, and dropping it closes the socket at once. Answers break off at their deadline, and writes that stall for 10 s end the connection. Answers without length or chunks are refused, since their end cannot be told from a break; for the same reason HTTP/1.0 callers are refused.

Idle connections between nodes are checked by a hello or closed within 1 s, at most 8 checks a second, and not kept after 10 s without requests. The upstream never sees more connections than it declared.

The owner runs a request that may not be repeated to its end even if the sender leaves, keeps its answer until the entry sends something more on the connection or the request expires, and gives it out under /medlar/answer/<id>. Each attempt has an id of its own: a retry at the same owner was refused as a duplicate, which reported "not run" for a request whose first attempt had run.

Content-Length with Transfer-Encoding cannot be seen after hyper's parser, which drops the length; such requests are framed anew, and the connection is closed after each chunked request.

--- a/components/front/src/desk.rs
+++ b/components/front/src/desk.rs
@@ -14,6 +14,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::Permit;
+use control::Life;
 use control::Picture;
 use ids::NodeId;
 use kernel::Clock;
@@ -129,6 +130,11 @@
         self.picture.load_full()
     }
 
+    /// Whether the node finishes what runs and takes no new requests.
+    pub fn is_leaving(&self) -> bool {
+        self.picture.load().life == Life::Leaving
+    }
+
     /// Counters of the node.
     pub fn counters(&self) -> &Counters {
         &self.counters
--- a/components/http1/src/answer.rs
+++ b/components/http1/src/answer.rs
@@ -23,7 +23,7 @@
     match (refusal.reason, refusal.verdict) {
         (Reason::NoRoute, _) => StatusCode::NOT_FOUND,
         (Reason::TooLarge, _) => StatusCode::PAYLOAD_TOO_LARGE,
-        (Reason::Malformed, _) => StatusCode::BAD_REQUEST,
+        (Reason::Malformed, Verdict::NotRun) => StatusCode::BAD_REQUEST,
         (Reason::DeadlinePassed | Reason::ConnectionSilent, Verdict::MayHaveRun) => {
             StatusCode::GATEWAY_TIMEOUT
         }
--- /dev/null
+++ b/components/http1/src/attempt.rs
@@ -0,0 +1,293 @@
+//! Sending of one attempt, at this node's upstream or to another node.
+
+use std::pin::Pin;
+use std::pin::pin;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hyper::Method;
+use hyper::Request;
+use hyper::Response;
+use hyper::header::HeaderValue;
+use hyper::http::request::Parts;
+use tokio::time::Instant;
+
+use crate::Shared;
+use crate::answer::parse_header;
+use crate::body::End;
+use crate::body::Payload;
+use crate::body::Relay;
+use crate::body::Source;
+use crate::body::full;
+use crate::intake::Intake;
+use crate::pool::Idle;
+use crate::run::Work;
+use crate::run::run;
+use crate::upstream::judge;
+use errors::Reason;
+use errors::Verdict;
+use front::query_outcome;
+use ids::RequestId;
+use kernel::Time;
+use policy::Load;
+use traffic::entry::Attempt;
+use traffic::entry::CallKey;
+use traffic::entry::Effect;
+use traffic::entry::Input;
+use traffic::entry::Report;
+use traffic::entry::Way;
+use traffic::ledger::Outcome;
+use traffic::owner::Offer;
+use wire::header;
+
+/// Longest wait for the head of an answer before the owner is asked.
+const FIRST_SILENCE: Duration = Duration::from_millis(250);
+const NEXT_SILENCE: Duration = Duration::from_millis(500);
+
+/// A request in a form that can be sent more than once if its body is small.
+pub(crate) struct Saved {
+    /// Identity of the first attempt.
+    pub(crate) id: RequestId,
+    /// Without headers of the system and of one connection.
+    pub(crate) parts: Parts,
+    pub(crate) body: Intake,
+}
+
+impl Saved {
+    /// Identity of one attempt. Each has its own, since an owner refuses an id that it has seen, and
+    /// an attempt may go to the owner that failed the one before.
+    fn attempt_id(&self, attempt: Attempt) -> RequestId {
+        RequestId(self.id.0.wrapping_add(u128::from(attempt.number - 1)))
+    }
+}
+
+/// An answer whose head is in hand.
+pub(crate) struct Begun {
+    pub(crate) response: Response<Payload>,
+    pub(crate) report: Report,
+}
+
+/// What came of one attempt.
+pub(crate) enum Sent {
+    /// An answer or a failure to report to the entry machine.
+    Begun(Begun),
+    /// The entry machine has gone on without an answer.
+    Decided(Vec<Effect>),
+}
+
+/// Sends one attempt and asks the owner about it while nothing comes back.
+pub(crate) async fn send(
+    shared: &Arc<Shared>,
+    saved: &mut Saved,
+    call: CallKey,
+    way: Way,
+    attempt: Attempt,
+) -> Sent {
+    if attempt.node == shared.desk.me() {
+        return Sent::Begun(send_local(shared, saved, way, attempt).await);
+    }
+    let idle = match shared
+        .nodes
+        .take(attempt.requests, attempt.node, shared.desk.clock())
+        .await
+    {
+        Ok(idle) => idle,
+        Err(reason) => return Sent::Begun(failed(Verdict::NotRun, reason)),
+    };
+    let expires = idle.remote.translate(attempt.deadline);
+    let id = saved.attempt_id(attempt);
+    let mut answer = pin!(send_remote(shared, saved, way, attempt, idle, expires));
+    let deadline = Instant::from_std(shared.desk.clock().instant(attempt.deadline));
+    let mut asking = pin!(None);
+    let mut due = (Instant::now() + FIRST_SILENCE).min(deadline);
+    loop {
+        let idle = asking.is_none();
+        tokio::select! {
+            biased;
+            begun = answer.as_mut() => return Sent::Begun(begun),
+            sent = wait_for(asking.as_mut()) => {
+                let Sent::Decided(effects) = &sent else {
+                    return sent;
+                };
+                if !effects.iter().any(|effect| matches!(effect, Effect::Wait { .. })) {
+                    return sent;
+                }
+                asking.set(None);
+                due = (Instant::now() + NEXT_SILENCE).min(deadline);
+            }
+            () = tokio::time::sleep_until(if idle { due } else { deadline }) => {
+                if Instant::now() >= deadline {
+                    return Sent::Begun(failed(Verdict::MayHaveRun, Reason::DeadlinePassed));
+                }
+                asking.set(Some(ask(shared, id, call, attempt, expires)));
+            }
+        }
+    }
+}
+
+/// Waits for the future that may be there; forever if there is none.
+async fn wait_for<F>(future: Pin<&mut Option<F>>) -> Sent
+where
+    F: Future<Output = Sent>,
+{
+    match future.as_pin_mut() {
+        Some(asking) => asking.await,
+        None => std::future::pending().await,
+    }
+}
+
+/// Asks the owner what became of an attempt, and fetches its answer if the owner keeps it.
+async fn ask(
+    shared: &Shared,
+    id: RequestId,
+    call: CallKey,
+    attempt: Attempt,
+    expires: Time,
+) -> Sent {
+    shared.desk.step_entry(Input::Silent { call });
+    let outcome = query_outcome(attempt.peer, id, expires).await;
+    if let Outcome::Done { stored: true, .. } = outcome {
+        let fetched = shared
+            .nodes
+            .fetch(attempt.requests, attempt.node, id, shared.desk.clock());
+        if let Some(response) = fetched.await {
+            return Sent::Begun(begun(response));
+        }
+    }
+    let picture = shared.desk.picture();
+    Sent::Decided(shared.desk.step_entry(Input::Told {
+        call,
+        picture,
+        outcome,
+    }))
+}
+
+/// Runs an attempt at this node's own upstream.
+async fn send_local(shared: &Arc<Shared>, saved: &mut Saved, way: Way, attempt: Attempt) -> Begun {
+    let Some(request) = copy(saved) else {
+        return failed(Verdict::MayHaveRun, Reason::ConnectionBroken);
+    };
+    let picture = shared.desk.picture();
+    let snapshot = picture.snapshot.as_ref();
+    let weight = snapshot
+        .and_then(|it| it.route(it.find_route_by_id(way.route)?))
+        .map_or(1, |route| route.weight);
+    let offer = Offer {
+        tag: 0,
+        id: saved.attempt_id(attempt),
+        meant_for: attempt.node,
+        expires: attempt.deadline,
+        route: way.route,
+        rank: way.rank,
+        weight,
+    };
+    let work = Work {
+        offer,
+        idempotent: way.idempotent,
+        head_only: saved.parts.method == Method::HEAD,
+        request,
+    };
+    match run(shared, work).await {
+        Ok(done) => begun(done.response),
+        Err(refusal) => Begun {
+            response: Response::new(full("")),
+            report: Report {
+                verdict: refusal.verdict,
+                reason: Some(saved.body.failure().unwrap_or(refusal.reason)),
+                retry_after: refusal.retry_after,
+                load: Some(shared.desk.load()),
+            },
+        },
+    }
+}
+
+/// Sends an attempt to another node.
+async fn send_remote(
+    shared: &Arc<Shared>,
+    saved: &mut Saved,
+    way: Way,
+    attempt: Attempt,
+    idle: Idle,
+    expires: Time,
+) -> Begun {
+    let Some(mut request) = copy(saved) else {
+        return failed(Verdict::MayHaveRun, Reason::ConnectionBroken);
+    };
+    let values = [
+        (header::REQUEST_ID, saved.attempt_id(attempt).to_string()),
+        (header::ROUTE, way.route.to_string()),
+        (header::OWNER, attempt.node.to_string()),
+        (header::EXPIRES, expires.0.to_string()),
+        (header::ATTEMPT, attempt.number.to_string()),
+    ];
+    for (name, value) in values {
+        if let Ok(value) = HeaderValue::from_str(&value) {
+            request.headers_mut().insert(name, value);
+        }
+    }
+    let Idle { mut link, remote } = idle;
+    match link.send(request).await {
+        Ok(response) => {
+            let (parts, body) = response.into_parts();
+            let source = Source::Link {
+                prefix: None,
+                body,
+                link,
+            };
+            let shared = Arc::clone(shared);
+            let deadline = Instant::from_std(shared.desk.clock().instant(attempt.deadline));
+            let on_end = move |end| {
+                if let End::Whole(Some(link)) = end {
+                    let idle = Idle { link, remote };
+                    shared.nodes.keep(attempt.requests, idle, shared.desk.now());
+                }
+            };
+            let payload = Payload::Relay(Box::new(Relay::new(source, deadline, on_end)));
+            begun(Response::from_parts(parts, payload))
+        }
+        Err(mut error) => {
+            let reason = saved.body.failure().unwrap_or(Reason::ConnectionBroken);
+            failed(judge(&mut error), reason)
+        }
+    }
+}
+
+/// The request for one attempt; `None` if its body cannot be sent again.
+fn copy(saved: &mut Saved) -> Option<Request<Payload>> {
+    let payload = saved.body.payload()?;
+    Some(Request::from_parts(saved.parts.clone(), payload))
+}
+
+/// Reads what an owner's answer says of the request.
+pub(crate) fn begun(response: Response<Payload>) -> Begun {
+    let headers = response.headers();
+    let verdict = parse_header::<Verdict>(headers, header::VERDICT).unwrap_or(Verdict::MayHaveRun);
+    let reason = parse_header::<Reason>(headers, header::REASON);
+    let load: Option<Load> = headers
+        .get(header::LOAD)
+        .and_then(|value| header::parse_load(value.to_str().ok()?));
+    let retry_after =
+        parse_header(headers, "retry-after").map_or(Duration::ZERO, Duration::from_secs);
+    Begun {
+        response,
+        report: Report {
+            verdict,
+            reason,
+            retry_after,
+            load,
+        },
+    }
+}
+
+fn failed(verdict: Verdict, reason: Reason) -> Begun {
+    let report = Report {
+        verdict,
+        reason: Some(reason),
+        retry_after: Duration::ZERO,
+        load: None,
+    };
+    Begun {
+        response: Response::new(full("")),
+        report,
+    }
+}
--- /dev/null
+++ b/components/http1/src/headers.rs
@@ -0,0 +1,101 @@
+//! Headers that are not passed on, and the check of a request's head.
+
+use hyper::HeaderMap;
+use hyper::Method;
+use hyper::Request;
+use hyper::Uri;
+use hyper::Version;
+use hyper::header::CONNECTION;
+use hyper::header::CONTENT_LENGTH;
+use hyper::header::EXPECT;
+use hyper::header::HOST;
+use hyper::header::HeaderName;
+use hyper::header::HeaderValue;
+use hyper::header::TRANSFER_ENCODING;
+use hyper::header::UPGRADE;
+use hyper::http::uri::PathAndQuery;
+
+use errors::Reason;
+use wire::header;
+
+/// Headers that are about one connection.
+const HOP: [&str; 8] = [
+    "connection",
+    "expect",
+    "keep-alive",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// Checks the head of a caller's request and brings its target into origin form.
+pub(crate) fn check_head<B>(request: &mut Request<B>) -> Result<(), Reason> {
+    // An HTTP/1.0 caller could not tell an answer that broke off from a short one.
+    if request.version() != Version::HTTP_11 || request.method() == Method::CONNECT {
+        return Err(Reason::Malformed);
+    }
+    let headers = request.headers();
+    let hosts = headers.get_all(HOST).iter().count();
+    let codings: Vec<_> = headers.get_all(TRANSFER_ENCODING).iter().collect();
+    let chunked = codings.is_empty()
+        || codings.len() == 1 && codings[0].as_bytes().eq_ignore_ascii_case(b"chunked");
+    let expected = headers
+        .get(EXPECT)
+        .is_none_or(|it| it.as_bytes().eq_ignore_ascii_case(b"100-continue"));
+    if hosts != 1 || !chunked || !expected || headers.contains_key(UPGRADE) {
+        return Err(Reason::Malformed);
+    }
+    let path = request.uri().path_and_query().cloned();
+    let path = path.filter(|path| path.as_str().starts_with('/'));
+    let path = path.ok_or(Reason::Malformed)?;
+    if let Some(authority) = request.uri().authority() {
+        // The target overrides the Host header.
+        let host = HeaderValue::from_str(authority.as_str()).map_err(|_| Reason::Malformed)?;
+        request.headers_mut().insert(HOST, host);
+    }
+    *request.uri_mut() = origin_form(path);
+    Ok(())
+}
+
+fn origin_form(path: PathAndQuery) -> Uri {
+    Uri::from(path)
+}
+
+/// Removes the headers that are the system's own.
+pub(crate) fn remove_own_headers(headers: &mut HeaderMap) {
+    let is_own = |name: &HeaderName| name.as_str().starts_with(header::PREFIX);
+    while let Some(name) = headers.keys().find(|name| is_own(name)).cloned() {
+        headers.remove(name);
+    }
+}
+
+/// Removes the headers that are about one connection, and those that `Connection` lists.
+pub(crate) fn remove_hop_headers(headers: &mut HeaderMap) {
+    if headers.contains_key(CONNECTION) {
+        let listed: Vec<String> = headers
+            .get_all(CONNECTION)
+            .iter()
+            .filter_map(|value| value.to_str().ok())
+            .flat_map(|value| value.split(','))
+            .map(|name| name.trim().to_ascii_lowercase())
+            .collect();
+        for name in listed {
+            // A message without its host or length would not be the same message.
+            if name != HOST.as_str() && name != CONTENT_LENGTH.as_str() {
+                headers.remove(name.as_str());
+            }
+        }
+    }
+    for name in HOP {
+        headers.remove(name);
+    }
+}
+
+/// Removes what must not go on with a request; its length follows from its body.
+pub(crate) fn clean_request(headers: &mut HeaderMap) {
+    remove_own_headers(headers);
+    remove_hop_headers(headers);
+    headers.remove(CONTENT_LENGTH);
+}
--- a/components/http1/src/lib.rs
+++ b/components/http1/src/lib.rs
@@ -4,12 +4,19 @@
 //! routing, admission or retries itself.
 
 mod answer;
+mod attempt;
 mod body;
 mod caller;
 mod clock;
+mod headers;
+mod intake;
+mod link;
 mod listen;
 mod node;
 mod pool;
+mod run;
+mod stall;
+mod stored;
 mod upstream;
 
 use std::io;
@@ -42,8 +49,22 @@
 /// State that all connections of the front end share.
 struct Shared {
     desk: Arc<Desk>,
-    nodes: pool::Pool,
+    nodes: Arc<pool::Pool>,
     upstream: upstream::Client,
+    answers: stored::Answers,
+}
+
+impl Shared {
+    /// Closes and forgets what is old until the future is dropped.
+    async fn sweep(&self) {
+        loop {
+            tokio::time::sleep(pool::SWEEP_PERIOD).await;
+            let now = self.desk.now();
+            self.nodes.sweep(self.desk.clock());
+            self.upstream.sweep(now);
+            self.answers.sweep(now);
+        }
+    }
 }
 
 impl Front for Http1 {
@@ -58,14 +79,21 @@
             let requests = bind(addresses.requests).await?;
             let shared = Arc::new(Shared {
                 desk,
-                nodes: pool::Pool::default(),
+                nodes: Arc::default(),
                 upstream: upstream::Client::new(addresses.upstream),
+                answers: stored::Answers::default(),
             });
             let serving: Serving = Box::pin(async move {
-                tokio::join!(
-                    listen::serve(callers, Arc::clone(&shared), stop.clone(), caller::handle),
-                    listen::serve(requests, shared, stop, node::handle),
-                );
+                let listening = async {
+                    tokio::join!(
+                        listen::serve(callers, Arc::clone(&shared), stop.clone(), caller::handle),
+                        listen::serve(requests, Arc::clone(&shared), stop, node::handle),
+                    )
+                };
+                tokio::select! {
+                    _ = listening => {}
+                    () = shared.sweep() => {}
+                }
             });
             Ok(serving)
         })
--- /dev/null
+++ b/components/http1/src/link.rs
@@ -0,0 +1,168 @@
+//! One client connection that carries one request at a time.
+//!
+//! The connection has no task of its own: whoever uses it polls it along with the answer. Dropping a
+//! link closes its socket at once, so an abandoned answer can never reach another request.
+
+use std::future::poll_fn;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::pin::pin;
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::task::Context;
+use std::task::Poll;
+
+use bytes::Bytes;
+use bytes::BytesMut;
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Body;
+use hyper::body::Frame;
+use hyper::body::Incoming;
+use hyper::client::conn::TrySendError;
+use hyper::client::conn::http1;
+use hyper::client::conn::http1::SendRequest;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::sync::Notify;
+
+use crate::body::Payload;
+
+/// Longest head of an answer, in bytes.
+const MAX_HEAD_BYTES: usize = 64 * 1024;
+
+/// Count of open connections that are limited together.
+#[derive(Debug, Default)]
+pub(crate) struct Bound {
+    open: AtomicUsize,
+    /// Notified when a connection is closed.
+    pub(crate) freed: Notify,
+}
+
+impl Bound {
+    /// Takes a place if fewer than `limit` are taken.
+    pub(crate) fn take(self: &Arc<Self>, limit: usize) -> Option<Slot> {
+        self.open
+            .fetch_update(Ordering::AcqRel, Ordering::Acquire, |open| {
+                (open < limit).then_some(open + 1)
+            })
+            .ok()?;
+        Some(Slot(Arc::clone(self)))
+    }
+
+    /// Places that are taken.
+    pub(crate) fn open(&self) -> usize {
+        self.open.load(Ordering::Acquire)
+    }
+}
+
+/// The place of one connection under a bound.
+#[derive(Debug)]
+pub(crate) struct Slot(Arc<Bound>);
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        self.0.open.fetch_sub(1, Ordering::AcqRel);
+        self.0.freed.notify_one();
+    }
+}
+
+/// An open connection.
+pub(crate) struct Link {
+    sender: SendRequest<Payload>,
+    connection: Pin<Box<http1::Connection<TokioIo<TcpStream>, Payload>>>,
+    ended: bool,
+    // Given back after the socket is closed, since fields are dropped in order.
+    _slots: (Slot, Option<Slot>),
+}
+
+impl Link {
+    /// Connects to `address`.
+    pub(crate) async fn open(address: SocketAddr, slots: (Slot, Option<Slot>)) -> Option<Self> {
+        let stream = TcpStream::connect(address).await.ok()?;
+        stream.set_nodelay(true).ok()?;
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(MAX_HEAD_BYTES)
+            .handshake(TokioIo::new(stream))
+            .await
+            .ok()?;
+        Some(Self {
+            sender,
+            connection: Box::pin(connection),
+            ended: false,
+            _slots: slots,
+        })
+    }
+
+    /// Sends a request and waits for the head of its answer.
+    pub(crate) async fn send(
+        &mut self,
+        request: Request<Payload>,
+    ) -> Result<Response<Incoming>, TrySendError<Request<Payload>>> {
+        let Self {
+            sender,
+            connection,
+            ended,
+            ..
+        } = self;
+        let mut answer = pin!(sender.try_send_request(request));
+        poll_fn(|context| {
+            drive(connection, ended, context);
+            answer.as_mut().poll(context)
+        })
+        .await
+    }
+
+    /// Polls the body of the answer and, while it has nothing, the connection.
+    pub(crate) fn poll_body(
+        &mut self,
+        body: &mut Incoming,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<hyper::Result<Frame<Bytes>>>> {
+        if let Poll::Ready(part) = Pin::new(&mut *body).poll_frame(context) {
+            return Poll::Ready(part);
+        }
+        drive(&mut self.connection, &mut self.ended, context);
+        Pin::new(body).poll_frame(context)
+    }
+
+    /// Reads the rest of an answer; `None` if it breaks off or has more than `limit` bytes.
+    pub(crate) async fn collect(&mut self, mut body: Incoming, limit: usize) -> Option<Bytes> {
+        let mut read = BytesMut::new();
+        while !body.is_end_stream() {
+            match poll_fn(|context| self.poll_body(&mut body, context)).await {
+                None => break,
+                Some(part) => {
+                    if let Ok(bytes) = part.ok()?.into_data() {
+                        read.extend_from_slice(&bytes);
+                    }
+                }
+            }
+            if read.len() > limit {
+                return None;
+            }
+        }
+        Some(read.freeze())
+    }
+
+    /// Whether the connection can carry another request; false if the other end has closed it or
+    /// sent something that nobody asked for.
+    pub(crate) async fn is_usable(&mut self) -> bool {
+        poll_fn(|context| {
+            drive(&mut self.connection, &mut self.ended, context);
+            if self.ended {
+                return Poll::Ready(false);
+            }
+            // A connection that is not ready after its last answer was read is not worth a wait.
+            Poll::Ready(self.sender.is_ready())
+        })
+        .await
+    }
+}
+
+fn drive<F: Future>(connection: &mut Pin<Box<F>>, ended: &mut bool, context: &mut Context<'_>) {
+    if !*ended {
+        *ended = connection.as_mut().poll(context).is_ready();
+    }
+}
--- a/components/http1/src/listen.rs
+++ b/components/http1/src/listen.rs
@@ -2,22 +2,30 @@
 
 use std::convert::Infallible;
 use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
 use std::time::Duration;
 
 use hyper::Request;
 use hyper::Response;
 use hyper::body::Incoming;
+use hyper::header::CONNECTION;
+use hyper::header::HeaderValue;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
 use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::OwnedSemaphorePermit;
 use tokio::sync::Semaphore;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
 use crate::Shared;
 use crate::body::Payload;
+use crate::stall::Stall;
+use errors::Reason;
+use ids::RequestId;
 
 /// Connections that one listener serves at once.
 const MAX_CONNECTIONS: usize = 4_096;
@@ -28,6 +36,25 @@
 /// Pause after a failed accept, such as when file descriptors run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
+/// What is remembered from one request of a connection to the next.
+#[derive(Debug, Default)]
+pub(crate) struct Session {
+    stored: Mutex<Option<RequestId>>,
+}
+
+impl Session {
+    /// Remembers that the answer to this request is kept.
+    pub(crate) fn set_stored(&self, id: RequestId) {
+        *self.stored.lock().unwrap_or_else(PoisonError::into_inner) = Some(id);
+    }
+
+    /// The request before, if its answer is kept.
+    pub(crate) fn take_stored(&self) -> Option<RequestId> {
+        let mut stored = self.stored.lock().unwrap_or_else(PoisonError::into_inner);
+        stored.take()
+    }
+}
+
 /// Serves connections until `stop`, then lets each finish its request.
 pub(crate) async fn serve<H, F>(
     listener: TcpListener,
@@ -35,7 +62,7 @@
     stop: CancellationToken,
     handle: H,
 ) where
-    H: Fn(Arc<Shared>, Request<Incoming>) -> F + Copy + Send + Sync + 'static,
+    H: Fn(Arc<Shared>, Arc<Session>, Request<Incoming>) -> F + Copy + Send + Sync + 'static,
     F: Future<Output = Response<Payload>> + Send + 'static,
 {
     let tracker = TaskTracker::new();
@@ -53,34 +80,66 @@
         let stop = stop.clone();
         tracker.spawn(async move {
             let _slot = slot;
-            let service = service_fn(move |request| {
-                let answer = handle(Arc::clone(&shared), request);
-                async move { Ok::<_, Infallible>(answer.await) }
-            });
-            let connection = http1::Builder::new()
-                .timer(TokioTimer::new())
-                .header_read_timeout(HEAD_LIMIT)
-                .max_buf_size(MAX_HEAD_BYTES)
-                .serve_connection(TokioIo::new(stream), service);
-            tokio::pin!(connection);
-            tokio::select! {
-                // Errors are those of the other end; what they mean for a request shows there.
-                _ = connection.as_mut() => {}
-                () = stop.cancelled() => {
-                    connection.as_mut().graceful_shutdown();
-                    let _ = connection.await;
-                }
-            }
+            serve_connection(stream, shared, stop, handle).await;
         });
     }
     tracker.close();
     tracker.wait().await;
 }
 
+async fn serve_connection<H, F>(
+    stream: TcpStream,
+    shared: Arc<Shared>,
+    stop: CancellationToken,
+    handle: H,
+) where
+    H: Fn(Arc<Shared>, Arc<Session>, Request<Incoming>) -> F + Copy + Send + Sync + 'static,
+    F: Future<Output = Response<Payload>> + Send + 'static,
+{
+    let session = Arc::new(Session::default());
+    let counters = Arc::clone(&shared);
+    let service = service_fn(move |request| {
+        let shared = Arc::clone(&shared);
+        let answer = handle(Arc::clone(&shared), Arc::clone(&session), request);
+        async move {
+            let mut response = answer.await;
+            if shared.desk.is_leaving() {
+                let headers = response.headers_mut();
+                headers.insert(CONNECTION, HeaderValue::from_static("close"));
+            }
+            Ok::<_, Infallible>(response)
+        }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEAD_LIMIT)
+        .max_buf_size(MAX_HEAD_BYTES)
+        .serve_connection(Stall::new(stream), service);
+    tokio::pin!(connection);
+    let ended = tokio::select! {
+        ended = connection.as_mut() => ended,
+        () = stop.cancelled() => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    // Other errors are those of the other end; what they mean for a request shows there.
+    if let Err(error) = ended
+        && error.is_parse()
+    {
+        let reason = if error.is_parse_too_large() {
+            Reason::TooLarge
+        } else {
+            Reason::Malformed
+        };
+        counters.desk.counters().count_refusal("listener", reason);
+    }
+}
+
 async fn accept(
     listener: &TcpListener,
     free: &Arc<Semaphore>,
-) -> Option<(tokio::net::TcpStream, tokio::sync::OwnedSemaphorePermit)> {
+) -> Option<(TcpStream, OwnedSemaphorePermit)> {
     let slot = Arc::clone(free).acquire_owned().await.ok()?;
     let (stream, _) = listener.accept().await.ok()?;
     stream.set_nodelay(true).ok()?;
--- /dev/null
+++ b/components/http1/src/run.rs
@@ -0,0 +1,309 @@
+//! Running of admitted requests at the node's own upstream.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use bytes::BytesMut;
+use hyper::HeaderMap;
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::body::Body;
+use hyper::body::Incoming;
+use hyper::header::CONTENT_LENGTH;
+use hyper::header::HeaderValue;
+use hyper::header::TRANSFER_ENCODING;
+use hyper::http::response::Parts;
+use tokio::time::Instant;
+
+use crate::Shared;
+use crate::body::End;
+use crate::body::Payload;
+use crate::body::Relay;
+use crate::body::Source;
+use crate::body::full;
+use crate::headers::remove_hop_headers;
+use crate::headers::remove_own_headers;
+use crate::link::Link;
+use crate::stored;
+use crate::upstream::Failure;
+use errors::Reason;
+use errors::Verdict;
+use front::Permit;
+use ids::RouteId;
+use traffic::Refusal;
+use traffic::owner::Offer;
+use wire::header;
+
+/// Time after which a sender may try again when the upstream failed.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// A request for the upstream.
+pub(crate) struct Work {
+    pub(crate) offer: Offer,
+    /// Whether it can run more than once.
+    pub(crate) idempotent: bool,
+    /// Whether it is a HEAD request.
+    pub(crate) head_only: bool,
+    /// Without headers of the system and of one connection.
+    pub(crate) request: Request<Payload>,
+}
+
+/// An answer of the upstream.
+pub(crate) struct Done {
+    pub(crate) response: Response<Payload>,
+    /// Whether a copy is kept for the entry.
+    pub(crate) stored: bool,
+}
+
+/// The head of the upstream's answer.
+struct Begun {
+    parts: Parts,
+    body: Incoming,
+    link: Link,
+    shed: bool,
+    deadline: Instant,
+}
+
+/// Runs a request once it is admitted. If the future is dropped, a queued request is cancelled; a
+/// running one is cancelled only if it is idempotent, since otherwise its answer may be asked for.
+pub(crate) async fn run(shared: &Arc<Shared>, work: Work) -> Result<Done, Refusal> {
+    let permit = shared.desk.admit(work.offer).await?;
+    if work.idempotent {
+        return run_repeatable(shared, permit, work).await;
+    }
+    let shared = Arc::clone(shared);
+    let task = tokio::spawn(async move { run_once(&shared, permit, work).await });
+    task.await
+        .unwrap_or_else(|_| Err(may_have_run(Reason::OutcomeUnknown)))
+}
+
+async fn run_repeatable(shared: &Arc<Shared>, permit: Permit, work: Work) -> Result<Done, Refusal> {
+    let (begun, permit) = begin(shared, permit, work).await?;
+    let Begun {
+        parts,
+        body,
+        link,
+        shed,
+        deadline,
+    } = begun;
+    let source = Source::Link {
+        prefix: None,
+        body,
+        link,
+    };
+    let payload = relay(shared, permit, source, shed, deadline);
+    Ok(Done {
+        response: Response::from_parts(parts, payload),
+        stored: false,
+    })
+}
+
+/// Reads a small answer whole before any of it goes out, so that it can be fetched later.
+async fn run_once(shared: &Arc<Shared>, permit: Permit, work: Work) -> Result<Done, Refusal> {
+    let offer = work.offer;
+    let (begun, permit) = begin(shared, permit, work).await?;
+    let Begun {
+        parts,
+        mut body,
+        mut link,
+        shed,
+        deadline,
+    } = begun;
+    let read = tokio::time::timeout_at(deadline, read_small(&mut link, &mut body)).await;
+    let (bytes, whole) = match read {
+        Ok(Some(read)) => read,
+        Ok(None) => {
+            return Err(give_up(
+                permit,
+                (Verdict::MayHaveRun, Reason::ConnectionBroken),
+            ));
+        }
+        Err(_) => {
+            return Err(give_up(
+                permit,
+                (Verdict::MayHaveRun, Reason::DeadlinePassed),
+            ));
+        }
+    };
+    if !whole {
+        let source = Source::Link {
+            prefix: Some(bytes),
+            body,
+            link,
+        };
+        let payload = relay(shared, permit, source, shed, deadline);
+        return Ok(Done {
+            response: Response::from_parts(parts, payload),
+            stored: false,
+        });
+    }
+    let stored = !shed
+        && shared.answers.keep(
+            offer.id,
+            offer.expires,
+            parts.status,
+            &parts.headers,
+            &bytes,
+        );
+    permit.finish(verdict(shed), shed, stored);
+    shared.upstream.keep(link, shared.desk.now());
+    Ok(Done {
+        response: Response::from_parts(parts, full(bytes)),
+        stored,
+    })
+}
+
+/// Sends a request to the upstream and waits for the head of its answer.
+async fn begin(
+    shared: &Arc<Shared>,
+    permit: Permit,
+    work: Work,
+) -> Result<(Begun, Permit), Refusal> {
+    let offer = work.offer;
+    let now = shared.desk.now();
+    let deadline = Instant::from_std(shared.desk.clock().instant(offer.expires));
+    let request = prepare(work.request, &offer, now.until(offer.expires));
+    let cancelled = permit.cancelled();
+    let sent = tokio::select! {
+        biased;
+        sent = shared.upstream.send(request, connections(shared), now) => sent,
+        () = tokio::time::sleep_until(deadline) => {
+            Err((Verdict::MayHaveRun, Reason::DeadlinePassed))
+        }
+        () = cancelled.cancelled() => Err((Verdict::MayHaveRun, Reason::CallerLeft)),
+    };
+    let (response, link) = match sent {
+        Ok(sent) => sent,
+        Err(failure) => return Err(give_up(permit, failure)),
+    };
+    let (mut parts, body) = response.into_parts();
+    if !is_framed(&parts, work.head_only) {
+        return Err(give_up(permit, (Verdict::MayHaveRun, Reason::Malformed)));
+    }
+    let shed = is_not_run_status(shared, offer.route, parts.status.as_u16());
+    mark(&mut parts.headers, shed);
+    let begun = Begun {
+        parts,
+        body,
+        link,
+        shed,
+        deadline,
+    };
+    Ok((begun, permit))
+}
+
+fn relay(
+    shared: &Arc<Shared>,
+    permit: Permit,
+    source: Source,
+    shed: bool,
+    deadline: Instant,
+) -> Payload {
+    let shared = Arc::clone(shared);
+    let on_end = move |end| match end {
+        End::Whole(link) => {
+            permit.finish(verdict(shed), shed, false);
+            if let Some(link) = link {
+                shared.upstream.keep(link, shared.desk.now());
+            }
+        }
+        End::Broken(_) | End::Dropped => permit.finish(Verdict::MayHaveRun, shed, false),
+    };
+    Payload::Relay(Box::new(Relay::new(source, deadline, on_end)))
+}
+
+async fn read_small(link: &mut Link, body: &mut Incoming) -> Option<(Bytes, bool)> {
+    let mut read = BytesMut::new();
+    while !body.is_end_stream() {
+        let Some(part) = std::future::poll_fn(|context| link.poll_body(body, context)).await else {
+            break;
+        };
+        if let Ok(bytes) = part.ok()?.into_data() {
+            read.extend_from_slice(&bytes);
+        }
+        if read.len() > stored::MAX_BODY_BYTES {
+            return Some((read.freeze(), false));
+        }
+    }
+    Some((read.freeze(), true))
+}
+
+fn verdict(shed: bool) -> Verdict {
+    if shed { Verdict::NotRun } else { Verdict::Ran }
+}
+
+fn give_up(permit: Permit, (verdict, reason): Failure) -> Refusal {
+    permit.finish(verdict, false, false);
+    Refusal {
+        reason,
+        verdict,
+        retry_after: RETRY_AFTER,
+    }
+}
+
+fn may_have_run(reason: Reason) -> Refusal {
+    Refusal {
+        reason,
+        verdict: Verdict::MayHaveRun,
+        retry_after: RETRY_AFTER,
+    }
+}
+
+/// Whether the end of an answer can be told from a connection that broke off.
+fn is_framed(parts: &Parts, head_only: bool) -> bool {
+    let bodiless = [StatusCode::NO_CONTENT, StatusCode::NOT_MODIFIED].contains(&parts.status);
+    parts.status != StatusCode::SWITCHING_PROTOCOLS
+        && (bodiless
+            || head_only
+            || parts.headers.contains_key(CONTENT_LENGTH)
+            || parts.headers.contains_key(TRANSFER_ENCODING))
+}
+
+fn mark(headers: &mut HeaderMap, shed: bool) {
+    remove_own_headers(headers);
+    remove_hop_headers(headers);
+    let verdict = HeaderValue::from_static(verdict(shed).name());
+    headers.insert(header::VERDICT, verdict);
+    if shed {
+        let reason = HeaderValue::from_static(Reason::UpstreamRefused.name());
+        headers.insert(header::REASON, reason);
+    }
+}
+
+fn prepare(mut request: Request<Payload>, offer: &Offer, left: Duration) -> Request<Payload> {
+    let headers = request.headers_mut();
+    let values = [
+        (header::REQUEST_ID, offer.id.to_string()),
+        (header::DEADLINE, left.as_micros().to_string()),
+    ];
+    for (name, value) in values {
+        if let Ok(value) = HeaderValue::from_str(&value) {
+            headers.insert(name, value);
+        }
+    }
+    headers.insert(header::RETRY_OWNER, HeaderValue::from_static("1"));
+    request
+}
+
+/// Connections that the upstream accepts.
+fn connections(shared: &Shared) -> usize {
+    let picture = shared.desk.picture();
+    let own = picture.own.as_ref();
+    own.map_or(1, |(_, upstream)| {
+        usize::try_from(upstream.connections).unwrap_or(usize::MAX)
+    })
+}
+
+fn is_not_run_status(shared: &Shared, route: RouteId, status: u16) -> bool {
+    let picture = shared.desk.picture();
+    let Some(snapshot) = picture.snapshot.as_ref() else {
+        return false;
+    };
+    let route = snapshot
+        .find_route_by_id(route)
+        .and_then(|key| snapshot.route(key));
+    let service = route.and_then(|route| snapshot.service(route.service));
+    service.is_some_and(|service| service.not_run_statuses.binary_search(&status).is_ok())
+}
--- /dev/null
+++ b/components/http1/src/stall.rs
@@ -0,0 +1,92 @@
+//! Bound on the time that a receiver takes none of an answer.
+
+use std::io;
+use std::pin::Pin;
+use std::task::Context;
+use std::task::Poll;
+use std::time::Duration;
+
+use hyper::rt::Read;
+use hyper::rt::ReadBufCursor;
+use hyper::rt::Write;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::time::Sleep;
+
+/// Longest wait for a receiver that takes nothing.
+const STALL_LIMIT: Duration = Duration::from_secs(10);
+
+/// A stream whose writes fail once they have stalled for too long.
+pub(crate) struct Stall {
+    stream: TokioIo<TcpStream>,
+    timer: Option<Pin<Box<Sleep>>>,
+}
+
+impl Stall {
+    pub(crate) fn new(stream: TcpStream) -> Self {
+        Self {
+            stream: TokioIo::new(stream),
+            timer: None,
+        }
+    }
+
+    fn watch<T>(
+        &mut self,
+        context: &mut Context<'_>,
+        wrote: Poll<io::Result<T>>,
+    ) -> Poll<io::Result<T>> {
+        if wrote.is_ready() {
+            self.timer = None;
+            return wrote;
+        }
+        let timer = self
+            .timer
+            .get_or_insert_with(|| Box::pin(tokio::time::sleep(STALL_LIMIT)));
+        timer
+            .as_mut()
+            .poll(context)
+            .map(|()| Err(io::ErrorKind::TimedOut.into()))
+    }
+}
+
+impl Read for Stall {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: ReadBufCursor<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_read(context, buffer)
+    }
+}
+
+impl Write for Stall {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let wrote = Pin::new(&mut self.stream).poll_write(context, bytes);
+        self.watch(context, wrote)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        parts: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let wrote = Pin::new(&mut self.stream).poll_write_vectored(context, parts);
+        self.watch(context, wrote)
+    }
+}
--- a/components/http1/src/upstream.rs
+++ b/components/http1/src/upstream.rs
@@ -1,6 +1,7 @@
-//! Client of the node's own upstream.
+//! Connections to the node's own upstream.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::PoisonError;
 use std::time::Duration;
@@ -9,21 +10,20 @@
 use hyper::Response;
 use hyper::body::Incoming;
 use hyper::client::conn::TrySendError;
-use hyper::client::conn::http1;
-use hyper::client::conn::http1::SendRequest;
-use hyper_util::rt::TokioIo;
-use tokio::net::TcpStream;
 use tokio::time::timeout;
 
 use crate::body::Payload;
+use crate::link::Bound;
+use crate::link::Link;
 use errors::Reason;
 use errors::Verdict;
 use kernel::Time;
 
 /// Longest wait for a connection.
 const CONNECT_LIMIT: Duration = Duration::from_secs(1);
-/// Age after which an idle connection is closed.
-const MAX_IDLE: Duration = Duration::from_secs(5);
+/// Age after which an idle connection is closed; common servers close theirs after 5 s, and a
+/// request that crosses that close may have run.
+const MAX_IDLE: Duration = Duration::from_secs(3);
 
 /// A failed request with what is known of its execution.
 pub(crate) type Failure = (Verdict, Reason);
@@ -37,63 +37,76 @@
     }
 }
 
-/// Connections to the upstream. Admission bounds the requests that run, and so the connections.
+/// Connections to the upstream, never more than it declared.
 pub(crate) struct Client {
     address: SocketAddr,
-    idle: Mutex<Vec<(SendRequest<Payload>, Time)>>,
+    bound: Arc<Bound>,
+    /// The most recent last.
+    idle: Mutex<Vec<(Link, Time)>>,
 }
 
 impl Client {
     pub(crate) fn new(address: SocketAddr) -> Self {
         Self {
             address,
+            bound: Arc::default(),
             idle: Mutex::new(Vec::new()),
         }
     }
 
-    /// Sends a request; the connection goes back with [`Client::keep`].
+    /// Sends a request over one of at most `limit` connections; the connection goes back with
+    /// [`Client::keep`].
     pub(crate) async fn send(
         &self,
         request: Request<Payload>,
+        limit: usize,
         now: Time,
-    ) -> Result<(Response<Incoming>, SendRequest<Payload>), Failure> {
-        let mut sender = self.connect(now).await?;
-        match sender.try_send_request(request).await {
-            Ok(response) => Ok((response, sender)),
+    ) -> Result<(Response<Incoming>, Link), Failure> {
+        let mut link = self.connect(limit, now).await?;
+        match link.send(request).await {
+            Ok(response) => Ok((response, link)),
             Err(mut error) => Err((judge(&mut error), Reason::ConnectionBroken)),
         }
     }
 
     /// Keeps a connection whose answer was read to its end.
-    pub(crate) fn keep(&self, sender: SendRequest<Payload>, now: Time) {
-        if !sender.is_closed() {
-            let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-            idle.push((sender, now));
-        }
+    pub(crate) fn keep(&self, link: Link, now: Time) {
+        self.lock().push((link, now));
+        self.bound.freed.notify_one();
+    }
+
+    /// Closes the connections that have been idle for too long.
+    pub(crate) fn sweep(&self, now: Time) {
+        self.lock()
+            .retain(|(_, since)| now.since(*since) < MAX_IDLE);
     }
 
-    async fn connect(&self, now: Time) -> Result<SendRequest<Payload>, Failure> {
-        while let Some(mut sender) = self.pop(now) {
-            if sender.ready().await.is_ok() {
-                return Ok(sender);
+    async fn connect(&self, limit: usize, now: Time) -> Result<Link, Failure> {
+        loop {
+            while let Some(mut link) = self.pop(now) {
+                if link.is_usable().await {
+                    return Ok(link);
+                }
             }
-        }
-        let open = async {
-            let stream = TcpStream::connect(self.address).await.ok()?;
-            stream.set_nodelay(true).ok()?;
-            let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
-            tokio::spawn(connection);
-            Some(sender)
-        };
-        match timeout(CONNECT_LIMIT, open).await {
-            Ok(Some(sender)) => Ok(sender),
-            _ => Err((Verdict::NotRun, Reason::ConnectFailed)),
+            if let Some(slot) = self.bound.take(limit) {
+                let open = Link::open(self.address, (slot, None));
+                return match timeout(CONNECT_LIMIT, open).await {
+                    Ok(Some(link)) => Ok(link),
+                    _ => Err((Verdict::NotRun, Reason::ConnectFailed)),
+                };
+            }
+            // The deadline of the request bounds the wait.
+            self.bound.freed.notified().await;
         }
     }
 
-    fn pop(&self, now: Time) -> Option<SendRequest<Payload>> {
-        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+    fn pop(&self, now: Time) -> Option<Link> {
+        let mut idle = self.lock();
         idle.retain(|(_, since)| now.since(*since) < MAX_IDLE);
-        idle.pop().map(|(sender, _)| sender)
+        idle.pop().map(|(link, _)| link)
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, Vec<(Link, Time)>> {
+        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- /dev/null
+++ b/components/http1/tests/support/mod.rs
@@ -0,0 +1,230 @@
+//! A node's traffic side in this process, with a stand-in upstream.
+
+// Each test program uses a part of this.
+#![allow(dead_code)]
+// The linter knows only test functions as tests.
+#![allow(clippy::unwrap_used)]
+
+pub(crate) mod raw;
+pub(crate) mod upstream;
+
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU8;
+use std::sync::atomic::Ordering;
+
+use arc_swap::ArcSwap;
+use tarpc::context::Context;
+use tokio_util::sync::CancellationToken;
+
+use admit as _;
+use balance as _;
+use config::Snapshot;
+use control::Life;
+use control::Picture;
+use front::Addresses;
+use front::Desk;
+use front::FRONTS;
+use front::Parts;
+
+use health as _;
+use http1 as _;
+use ids::Domain;
+use ids::Incarnation;
+use ids::NodeId;
+use ids::RequestId;
+use ids::Version;
+use kernel::Time;
+use kernel::clock::Monotonic;
+use kernel::plugin::Params;
+use kernel::plugin::build;
+use member::Address;
+use member::Member;
+use member::Stage;
+use member::Status;
+use member::Table;
+use member::Upstream as Announced;
+use policy::ADMISSIONS;
+use policy::BALANCES;
+use policy::HEALTHS;
+use policy::RETRIES;
+
+use retry as _;
+use telemetry::Counters;
+use wire::control::Offer;
+use wire::control::Outcome;
+use wire::control::Peer;
+
+/// Routes of all tests: GET may be repeated, POST may not.
+pub(crate) const TEXT: &str = r#"
+services:
+  - name: s
+    not_run_statuses: [503]
+    routes:
+      - { method: GET, path: "/**", rank: 0, deadline_ms: 3000 }
+      - { method: HEAD, path: "/**", rank: 0, deadline_ms: 3000, idempotent: true }
+      - { method: POST, path: "/**", rank: 1, deadline_ms: 3000 }
+      - { method: PUT, path: "/**", rank: 1, deadline_ms: 700, idempotent: true }
+"#;
+
+static NEXT_HOST: AtomicU8 = AtomicU8::new(1);
+
+/// An address that nothing else uses.
+pub(crate) fn free_address() -> SocketAddr {
+    let process = u8::try_from(std::process::id() % 250).unwrap() + 1;
+    let host = NEXT_HOST.fetch_add(1, Ordering::Relaxed);
+    let listener = TcpListener::bind((Ipv4Addr::new(127, 34, process, host), 0)).unwrap();
+    listener.local_addr().unwrap()
+}
+
+#[derive(Clone)]
+struct Handler(Arc<Desk>);
+
+impl Peer for Handler {
+    async fn pull(self, _: Context, _: u64, _: u64) -> Offer {
+        Offer::Same
+    }
+
+    async fn outcome(self, _: Context, id: u128, expires_us: u64) -> Outcome {
+        let outcome = self.0.tell_outcome(RequestId(id), Time(expires_us));
+        outcome.await.into()
+    }
+}
+
+/// One node.
+pub(crate) struct Node {
+    pub(crate) id: NodeId,
+    pub(crate) callers: SocketAddr,
+    pub(crate) requests: SocketAddr,
+    pub(crate) peer: SocketAddr,
+    pub(crate) desk: Arc<Desk>,
+    pub(crate) stop: CancellationToken,
+    pub(crate) serving: tokio::task::JoinHandle<()>,
+    picture: Arc<ArcSwap<Picture>>,
+}
+
+impl Node {
+    /// A node that owns `upstream` with this many slots and connections.
+    pub(crate) async fn start(upstream: SocketAddr, slots: u32, connections: u32) -> Self {
+        let id = NodeId(rand::random());
+        let clock = Monotonic::new();
+        let counters = Arc::new(Counters::new().unwrap());
+        let domain = Domain::new("d");
+        let first = Picture::new(id, domain, Life::Joining, None, &Table::default(), 0);
+        let picture = Arc::new(ArcSwap::from_pointee(first));
+        let none = Params::default();
+        let admission = build("admission", &ADMISSIONS, "fifo", &none).unwrap();
+        let entry = traffic::entry::Machine::new(
+            build("balance", &BALANCES, "p2c", &none).unwrap(),
+            build("retry", &RETRIES, "budget", &none).unwrap(),
+            build("health", &HEALTHS, "none", &none).unwrap(),
+        );
+        let desk = Arc::new(Desk::new(Parts {
+            me: id,
+            clock,
+            picture: Arc::clone(&picture),
+            entry,
+            owner: traffic::owner::Machine::new(id, admission),
+            counters,
+        }));
+        let (callers, requests, peer) = (free_address(), free_address(), free_address());
+        let stop = CancellationToken::new();
+        let front = build("front", &FRONTS, "http1", &none).unwrap();
+        let addresses = Addresses {
+            callers,
+            requests,
+            upstream,
+        };
+        let starting = front.start(addresses, Arc::clone(&desk), stop.clone());
+        let serving = tokio::spawn(starting.await.unwrap());
+        let handler = Handler(Arc::clone(&desk));
+        tokio::spawn(transport::calls::listen(peer, handler).await.unwrap());
+        let timers = Arc::clone(&desk);
+        tokio::spawn(async move { timers.run_timers().await });
+        let node = Self {
+            id,
+            callers,
+            requests,
+            peer,
+            desk,
+            stop,
+            serving,
+            picture,
+        };
+        node.set_stage(Stage::Ready, slots);
+        node.know(&[(&node, slots, connections)], Life::Serving);
+        node
+    }
+
+    /// Tells the owner of its upstream's stage.
+    pub(crate) fn set_stage(&self, stage: Stage, slots: u32) {
+        let input = traffic::owner::Input::Upstream { stage, slots };
+        self.desk.step_owner(input);
+    }
+
+    /// Publishes a picture of these nodes with their slots and connections.
+    pub(crate) fn know(&self, nodes: &[(&Node, u32, u32)], life: Life) {
+        let mut table = Table::default();
+        for (node, slots, connections) in nodes {
+            table.merge(node.member(*slots, *connections));
+        }
+        self.publish(&table, life);
+    }
+
+    /// Publishes a picture of these members.
+    pub(crate) fn publish(&self, table: &Table, life: Life) {
+        let snapshot: Arc<Snapshot> = Arc::new(config::compile(TEXT, Version(1)).unwrap());
+        let domain = Domain::new("d");
+        let picture = Picture::new(self.id, domain, life, Some(snapshot), table, 1);
+        self.picture.store(Arc::new(picture));
+    }
+
+    /// The node as a member that owns a ready upstream.
+    pub(crate) fn member(&self, slots: u32, connections: u32) -> Member {
+        member(self.id, self.requests, self.peer, slots, connections)
+    }
+
+    /// Value of the counter with these labels; 0 if it was never counted.
+    pub(crate) fn counter(&self, line: &str) -> u64 {
+        let text = self.desk.counters().encode().unwrap();
+        let found = text.lines().find(|it| it.starts_with(line));
+        found.map_or(0, |it| it.rsplit(' ').next().unwrap().parse().unwrap())
+    }
+}
+
+/// A member that owns a ready upstream.
+pub(crate) fn member(
+    id: NodeId,
+    requests: SocketAddr,
+    peer: SocketAddr,
+    slots: u32,
+    connections: u32,
+) -> Member {
+    Member {
+        id,
+        address: Address {
+            peer,
+            requests,
+            admin: peer,
+        },
+        domain: Domain::new("d"),
+        incarnation: Incarnation(1),
+        status: Status::Alive,
+        stage: Stage::Ready,
+        upstream: Some(Announced {
+            service: Arc::from("s"),
+            slots,
+            connections,
+        }),
+    }
+}
+
+/// An entry node that knows one owner, which has this upstream.
+pub(crate) async fn start_pair(upstream: SocketAddr, slots: u32, connections: u32) -> (Node, Node) {
+    let owner = Node::start(upstream, slots, connections).await;
+    let entry = Node::start(free_address(), 1, 1).await;
+    entry.know(&[(&owner, slots, connections)], Life::Serving);
+    (entry, owner)
+}
