--- a/components/http1/tests/heads.rs
+++ b/components/http1/tests/heads.rs
@@ -5,7 +5,6 @@
 use std::time::Duration;
 
 use rstest::rstest;
-
 use support::Node;
 use support::raw::Caller;
 use support::raw::ask;
--- a/components/http1/tests/support/mod.rs
+++ b/components/http1/tests/support/mod.rs
@@ -5,6 +5,7 @@
 // The linter knows only test functions as tests.
 #![allow(clippy::unwrap_used)]
 
+pub(crate) mod proxy;
 pub(crate) mod raw;
 pub(crate) mod upstream;
 
