--- a/components/balance/src/two.rs
+++ b/components/balance/src/two.rs
@@ -1,4 +1,4 @@
-//! The better of two random choices.
+//! The better of two random choices, own failure domain first.
 
 use linkme::distributed_slice;
 
@@ -7,6 +7,15 @@
 use policy::BALANCES;
 use policy::Balance;
 use policy::Candidate;
+use policy::FULL_WEIGHT;
+
+/// Pressure up to which the own failure domain takes all, in thousandths of the slots. Spilling over
+/// starts before requests have to wait.
+const SPILL_PRESSURE: u64 = 750;
+/// How much lower the pressure elsewhere has to be, in thousandths of the slots, to be worth the way.
+const SPILL_GAIN: u64 = 250;
+/// Draws after which an endpoint with a low weight is taken nevertheless.
+const MAX_DRAWS: usize = 8;
 
 #[distributed_slice(BALANCES)]
 static PLUGIN: Plugin<dyn Balance> = Plugin {
@@ -21,30 +30,64 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Two;
 
-/// Work ahead of a new request, in thousandths of the endpoint's slots.
+/// Work at the endpoint with one more request, in thousandths of what it takes at once.
 fn pressure(candidate: &Candidate) -> u64 {
-    let reported = candidate.load.map_or(0, |load| load.running + load.queued);
-    let ahead = u64::from(reported.max(candidate.in_flight));
-    ahead * 1_000 / u64::from(candidate.slots.max(1))
+    let (reported, limit) = candidate.load.map_or((0, 0), |load| {
+        (load.running.saturating_add(load.queued), load.limit)
+    });
+    let capacity = match limit {
+        0 => candidate.slots,
+        limit => limit.min(candidate.slots),
+    };
+    let ahead = u64::from(reported.max(candidate.in_flight)) + 1;
+    let share = u64::from(candidate.ramp.clamp(1, FULL_WEIGHT));
+    ahead * 1_000 * u64::from(FULL_WEIGHT) / (u64::from(capacity.max(1)) * share)
+}
+
+/// A random position in `pool`; an endpoint with a low weight is drawn less often.
+fn draw(pool: &[usize], candidates: &[Candidate], random: &mut dyn Random) -> usize {
+    let mut at = random.below(pool.len());
+    for _ in 1..MAX_DRAWS {
+        let ramp = candidates[pool[at]].ramp;
+        if ramp >= FULL_WEIGHT || random.below(FULL_WEIGHT as usize) < ramp as usize {
+            break;
+        }
+        at = random.below(pool.len());
+    }
+    at
+}
+
+/// The better of two different endpoints of `pool`.
+fn choose_from(pool: &[usize], candidates: &[Candidate], random: &mut dyn Random) -> Option<usize> {
+    if pool.len() < 2 {
+        return pool.first().copied();
+    }
+    let first = draw(pool, candidates, random);
+    let mut second = draw(pool, candidates, random);
+    if second == first {
+        second = (first + 1 + random.below(pool.len() - 1)) % pool.len();
+    }
+    let (first, second) = (pool[first], pool[second]);
+    let better = pressure(&candidates[second]) < pressure(&candidates[first]);
+    Some(if better { second } else { first })
 }
 
 impl Balance for Two {
     fn choose(&mut self, candidates: &[Candidate], random: &mut dyn Random) -> Option<usize> {
-        let near: Vec<usize> = (0..candidates.len())
-            .filter(|at| candidates[*at].near)
-            .collect();
-        let free = near.iter().any(|at| pressure(&candidates[*at]) < 1_000);
-        let pool = if free {
-            near
-        } else {
-            (0..candidates.len()).collect()
+        let (near, far): (Vec<usize>, Vec<usize>) =
+            (0..candidates.len()).partition(|at| candidates[*at].near);
+        let near = choose_from(&near, candidates, random);
+        let home = near.map_or(u64::MAX, |at| pressure(&candidates[at]));
+        if home <= SPILL_PRESSURE {
+            return near;
+        }
+        let Some(away) = choose_from(&far, candidates, random) else {
+            return near;
         };
-        if pool.is_empty() {
-            return None;
+        if pressure(&candidates[away]).saturating_add(SPILL_GAIN) < home {
+            Some(away)
+        } else {
+            near
         }
-        let first = pool[random.below(pool.len())];
-        let second = pool[random.below(pool.len())];
-        let better = pressure(&candidates[second]) < pressure(&candidates[first]);
-        Some(if better { second } else { first })
     }
 }
--- a/components/daemon/src/peer.rs
+++ b/components/daemon/src/peer.rs
@@ -11,13 +11,12 @@
 use control::Input;
 use front::Desk;
 use ids::Digest;
-use ids::RequestId;
 use ids::Version;
-use kernel::Time;
 use member::Stamp;
 use wire::control::Offer;
 use wire::control::Outcome;
 use wire::control::Peer;
+use wire::control::Question;
 
 /// Handler of one connection.
 #[derive(Clone)]
@@ -44,10 +43,7 @@
             .map_or(Offer::Same, |offer| Offer::from(&offer))
     }
 
-    async fn outcome(self, _: Context, id: u128, expires_us: u64) -> Outcome {
-        self.desk
-            .tell_outcome(RequestId(id), Time(expires_us))
-            .await
-            .into()
+    async fn outcome(self, _: Context, question: Question) -> Outcome {
+        self.desk.tell_outcome(question.into()).await.into()
     }
 }
--- a/components/front/src/desk.rs
+++ b/components/front/src/desk.rs
@@ -184,13 +184,13 @@
     }
 
     /// Answers an outcome query of another node.
-    pub async fn tell_outcome(&self, id: ids::RequestId, expires: Time) -> Outcome {
+    pub async fn tell_outcome(&self, question: owner::Question) -> Outcome {
         let tag = self.next_tag.fetch_add(1, Ordering::Relaxed);
         let (sender, receiver) = oneshot::channel();
         {
             let mut owner = lock(&self.owner);
             owner.waiters.push((tag, Waiter::Query(sender)));
-            self.step_locked(&mut owner, owner::Input::Asked { tag, id, expires });
+            self.step_locked(&mut owner, owner::Input::Asked { tag, question });
         }
         receiver.await.unwrap_or(Outcome::Unknown)
     }
@@ -231,7 +231,8 @@
         } = owner;
         machine.step(self.now(), input, random, &mut effects);
         self.deliver(owner, effects);
-        if owner.machine.next_wake() < before {
+        let after = owner.machine.next_wake();
+        if after.is_some_and(|after| before.is_none_or(|before| after < before)) {
             self.owner_changed.notify_one();
         }
     }
--- a/components/http1/src/caller.rs
+++ b/components/http1/src/caller.rs
@@ -40,6 +40,7 @@
 use traffic::entry::Report;
 use traffic::entry::Way;
 use traffic::owner::Offer;
+use traffic::owner::Question;
 use wire::header;
 
 /// Longest wait for the head of an answer before the owner is asked.
@@ -147,6 +148,7 @@
         for effect in effects.drain(..) {
             match effect {
                 Effect::Retrying { reason } => shared.desk.counters().count_retry(reason),
+                Effect::Denied { reason } => shared.desk.counters().count_refusal("retry", reason),
                 Effect::Refuse { refusal } => return Err(refusal),
                 Effect::Forward {
                     call,
@@ -156,7 +158,10 @@
                     guard.call = Some(call);
                     forward = Some((call, route, attempt));
                 }
-                Effect::Query { .. } | Effect::Wait { .. } | Effect::Deliver { .. } => {}
+                Effect::Query { .. }
+                | Effect::Fetch { .. }
+                | Effect::Wait { .. }
+                | Effect::Deliver { .. } => {}
             }
         }
         let Some((call, way, attempt)) = forward else {
@@ -247,13 +252,35 @@
     attempt: Attempt,
     expires: Time,
 ) -> Vec<Effect> {
-    shared.desk.step_entry(Input::Silent { call });
-    let outcome = query_outcome(attempt.peer, id, expires).await;
+    let effects = shared.desk.step_entry(Input::Silent { call });
+    let given_up = effects
+        .iter()
+        .any(|effect| matches!(effect, Effect::Query { give_up: true, .. }));
+    let question = Question {
+        id,
+        attempt: attempt.number,
+        expires,
+        given_up,
+    };
+    let outcome = query_outcome(attempt.peer, question).await;
     let picture = shared.desk.picture();
-    shared.desk.step_entry(Input::Told {
+    let effects = shared.desk.step_entry(Input::Told {
         call,
         picture,
         outcome,
+    });
+    if !effects
+        .iter()
+        .any(|effect| matches!(effect, Effect::Fetch { .. }))
+    {
+        return effects;
+    }
+    // Stored answers cannot be fetched yet.
+    let picture = shared.desk.picture();
+    shared.desk.step_entry(Input::Fetched {
+        call,
+        picture,
+        found: false,
     })
 }
 
@@ -267,11 +294,13 @@
     let offer = Offer {
         tag: 0,
         id: saved.id,
+        attempt: attempt.number,
         meant_for: attempt.node,
         expires: attempt.deadline,
         route: way.route,
         rank: way.rank,
         weight,
+        idempotent: way.idempotent,
     };
     match node::run(shared, offer, copy(saved)).await {
         Ok(response) => begun(response),
--- a/components/http1/src/node.rs
+++ b/components/http1/src/node.rs
@@ -78,11 +78,14 @@
     Some(Offer {
         tag: 0,
         id: parse_header::<RequestId>(headers, header::REQUEST_ID)?,
+        attempt: parse_header(headers, header::ATTEMPT)?,
         meant_for: parse_header::<NodeId>(headers, header::OWNER)?,
         expires: Time(parse_header(headers, header::EXPIRES)?),
         route,
         rank: known.map_or(ids::Rank(u8::MAX), |route| route.rank),
         weight: known.map_or(1, |route| route.weight),
+        // A route that this node does not know yet runs at most once.
+        idempotent: known.is_some_and(|route| route.idempotent),
     })
 }
 
--- a/components/policy/src/balance.rs
+++ b/components/policy/src/balance.rs
@@ -31,8 +31,11 @@
     pub in_flight: u32,
     /// Requests that its upstream runs at once.
     pub slots: u32,
-    /// Load that it reported, if that is recent.
+    /// Load that it reported, reduced with the age of the report; `None` without a recent report.
     pub load: Option<Load>,
+    /// Share of a full endpoint's work that it should get, in thousandths; lower while it is new or
+    /// has just returned.
+    pub ramp: u32,
 }
 
 /// Chooses among endpoints.
--- a/components/policy/src/health.rs
+++ b/components/policy/src/health.rs
@@ -19,6 +19,9 @@
     names: || plugin::list_names(&HEALTHS),
 };
 
+/// Weight of an endpoint that nothing speaks against, in thousandths.
+pub const FULL_WEIGHT: u32 = 1_000;
+
 /// Judges endpoints.
 pub trait Health: Send {
     /// A request to `node` went well or failed for a reason that lies with the node.
@@ -26,4 +29,20 @@
 
     /// Takes out of `nodes` (sorted) those that are ejected, within the bound on ejections.
     fn retain_healthy(&mut self, now: Time, nodes: &mut Vec<NodeId>);
+
+    /// A request goes to `node`.
+    fn note_sent(&mut self, _now: Time, _node: NodeId) {}
+
+    /// Whether the next request to `node` decides if it returns from ejection.
+    fn is_on_trial(&self, _now: Time, _node: NodeId) -> bool {
+        false
+    }
+
+    /// Share of a healthy endpoint's work that `node` should get, in thousandths.
+    fn weigh(&self, _now: Time, _node: NodeId) -> u32 {
+        FULL_WEIGHT
+    }
+
+    /// Forgets all nodes but these (sorted).
+    fn retain_known(&mut self, _nodes: &[NodeId]) {}
 }
--- a/components/policy/src/lib.rs
+++ b/components/policy/src/lib.rs
@@ -18,6 +18,7 @@
 pub use balance::BALANCES;
 pub use balance::Balance;
 pub use balance::Candidate;
+pub use health::FULL_WEIGHT;
 pub use health::HEALTHS;
 pub use health::Health;
 pub use retry::Failure;
--- a/components/policy/src/retry.rs
+++ b/components/policy/src/retry.rs
@@ -43,6 +43,10 @@
     pub outer_retries: bool,
     /// Whether the body can be sent again.
     pub replayable: bool,
+    /// When the owner that refused it allows another try.
+    pub retry_after: Duration,
+    /// Whether an endpoint is left that has not been tried.
+    pub elsewhere: bool,
 }
 
 /// Decides on retries.
@@ -57,4 +61,7 @@
         failure: Failure,
         random: &mut dyn Random,
     ) -> Result<Duration, Reason>;
+
+    /// Whether `allow` would permit a retry now; spends nothing.
+    fn would_allow(&self, now: Time, failure: Failure) -> bool;
 }
--- a/components/retry/src/budget.rs
+++ b/components/retry/src/budget.rs
@@ -1,4 +1,8 @@
 //! Retries as a bounded share of first tries.
+//!
+//! Each service counts its first tries and its retries; both counts are halved every few seconds, so
+//! that a quiet time saves up nothing and a past burst is forgotten. A service whose counts have
+//! decayed to zero is dropped, which bounds the state by the services in use.
 
 use std::time::Duration;
 
@@ -18,11 +22,17 @@
 
 const DEFAULT_PERCENT: u64 = 10;
 const DEFAULT_ATTEMPTS: u64 = 3;
-/// Hundredths of a retry that a service can save up; allows ten retries after a quiet time.
-const MAX_CREDIT: u64 = 1_000;
-const RETRY_COST: u64 = 100;
+/// Retries that a service may make whatever its first tries; without them a service with few
+/// requests could never retry.
+const DEFAULT_RESERVE: u64 = 3;
+/// Time after which the counts are halved.
+const HALF_LIFE: Duration = Duration::from_secs(5);
+/// Counts are kept in hundredths of a request.
+const ONE: u64 = 100;
 /// Upper bound of the random wait before the first retry; doubles with each attempt.
 const FIRST_WAIT: Duration = Duration::from_millis(5);
+/// Upper bound of the random part of any wait.
+const LONGEST_JITTER: Duration = Duration::from_millis(100);
 
 #[distributed_slice(RETRIES)]
 static PLUGIN: Plugin<dyn Retry> = Plugin {
@@ -30,55 +40,101 @@
     make: |params| Ok(Box::new(Budget::from_params(params)?)),
 };
 
+#[derive(Clone, Copy, Debug)]
+struct Tally {
+    service: ServiceId,
+    firsts: u64,
+    retries: u64,
+    halved: Time,
+}
+
+impl Tally {
+    fn decay(&mut self, now: Time) {
+        let halvings = now.since(self.halved).as_micros() / HALF_LIFE.as_micros();
+        let halvings = u32::try_from(halvings).unwrap_or(u32::MAX);
+        if halvings > 0 {
+            self.halved = self.halved + HALF_LIFE.saturating_mul(halvings);
+            self.firsts = self.firsts.checked_shr(halvings).unwrap_or(0);
+            self.retries = self.retries.checked_shr(halvings).unwrap_or(0);
+        }
+    }
+}
+
 /// Budget of each service.
 #[derive(Debug)]
 pub struct Budget {
     percent: u64,
     attempts: u32,
+    reserve: u64,
     /// Sorted by service.
-    credits: Vec<(ServiceId, u64)>,
+    tallies: Vec<Tally>,
 }
 
 impl Budget {
-    /// Reads `percent` (retries as a share of first tries) and `attempts` (tries of one request).
+    /// Reads `percent` (retries as a share of first tries), `attempts` (tries of one request) and
+    /// `reserve` (retries that do not depend on first tries).
     pub fn from_params(params: &Params) -> Result<Self, Error> {
-        params.check_names(&["attempts", "percent"])?;
+        params.check_names(&["attempts", "percent", "reserve"])?;
         let attempts = params.number("attempts", DEFAULT_ATTEMPTS)?;
+        let reserve = params.number("reserve", DEFAULT_RESERVE)?;
         Ok(Self {
-            percent: params.number("percent", DEFAULT_PERCENT)?,
+            percent: params.number("percent", DEFAULT_PERCENT)?.min(100),
             attempts: u32::try_from(attempts).unwrap_or(u32::MAX),
-            credits: Vec::new(),
+            reserve: reserve.saturating_mul(ONE),
+            tallies: Vec::new(),
         })
     }
 
-    fn credit(&mut self, service: ServiceId) -> &mut u64 {
-        let at = match self
-            .credits
-            .binary_search_by_key(&service, |(known, _)| *known)
-        {
+    /// Services that the budget holds counts of.
+    pub fn services(&self) -> usize {
+        self.tallies.len()
+    }
+
+    fn tally(&mut self, now: Time, service: ServiceId) -> &mut Tally {
+        let at = match self.position(service) {
             Ok(at) => at,
-            Err(at) => {
-                self.credits.insert(at, (service, MAX_CREDIT));
+            Err(_) => {
+                self.drop_idle(now);
+                let at = self.position(service).unwrap_or_else(|at| at);
+                let tally = Tally {
+                    service,
+                    firsts: 0,
+                    retries: 0,
+                    halved: now,
+                };
+                self.tallies.insert(at, tally);
                 at
             }
         };
-        &mut self.credits[at].1
+        let tally = &mut self.tallies[at];
+        tally.decay(now);
+        tally
     }
-}
 
-impl Retry for Budget {
-    fn count_first(&mut self, _: Time, service: ServiceId) {
-        let percent = self.percent;
-        let credit = self.credit(service);
-        *credit = (*credit + percent).min(MAX_CREDIT);
+    fn drop_idle(&mut self, now: Time) {
+        for tally in &mut self.tallies {
+            tally.decay(now);
+        }
+        self.tallies
+            .retain(|tally| tally.firsts > 0 || tally.retries > 0);
     }
 
-    fn allow(
-        &mut self,
-        _: Time,
-        failure: Failure,
-        random: &mut dyn Random,
-    ) -> Result<Duration, Reason> {
+    fn position(&self, service: ServiceId) -> Result<usize, usize> {
+        self.tallies
+            .binary_search_by_key(&service, |tally| tally.service)
+    }
+
+    fn has_credit(&self, now: Time, service: ServiceId) -> bool {
+        let mut tally = match self.position(service) {
+            Ok(at) => self.tallies[at],
+            Err(_) => return self.reserve >= ONE,
+        };
+        tally.decay(now);
+        tally.retries + ONE <= tally.firsts * self.percent / 100 + self.reserve
+    }
+
+    /// The shortest wait before the next attempt, or why there is none.
+    fn check(&self, now: Time, failure: &Failure) -> Result<Duration, Reason> {
         if failure.verdict != Verdict::NotRun && !failure.idempotent {
             return Err(Reason::NotRepeatable);
         }
@@ -88,17 +144,47 @@
         if failure.attempts >= self.attempts || !failure.replayable {
             return Err(Reason::AttemptsSpent);
         }
-        let bound = FIRST_WAIT * 2_u32.saturating_pow(failure.attempts.saturating_sub(1));
-        let micros = random.below(usize::try_from(bound.as_micros()).unwrap_or(usize::MAX));
-        let wait = Duration::from_micros(micros as u64);
+        // The owner's wait is about that owner; another one can be tried at once.
+        let wait = if failure.elsewhere {
+            Duration::ZERO
+        } else {
+            failure.retry_after
+        };
         if wait >= failure.left {
             return Err(Reason::DeadlineTooShort);
         }
-        let credit = self.credit(failure.service);
-        if *credit < RETRY_COST {
+        if !self.has_credit(now, failure.service) {
             return Err(Reason::BudgetSpent);
         }
-        *credit -= RETRY_COST;
         Ok(wait)
     }
 }
+
+impl Retry for Budget {
+    fn count_first(&mut self, now: Time, service: ServiceId) {
+        let tally = self.tally(now, service);
+        tally.firsts = tally.firsts.saturating_add(ONE);
+    }
+
+    fn allow(
+        &mut self,
+        now: Time,
+        failure: Failure,
+        random: &mut dyn Random,
+    ) -> Result<Duration, Reason> {
+        let wait = self.check(now, &failure)?;
+        let doublings = failure.attempts.saturating_sub(1);
+        let jitter = FIRST_WAIT
+            .saturating_mul(2_u32.saturating_pow(doublings))
+            .min(LONGEST_JITTER)
+            // At most half of the time left is spent on waiting by chance.
+            .min((failure.left - wait) / 2);
+        let micros = random.below(usize::try_from(jitter.as_micros()).unwrap_or(usize::MAX));
+        self.tally(now, failure.service).retries += ONE;
+        Ok(wait + Duration::from_micros(micros as u64))
+    }
+
+    fn would_allow(&self, now: Time, failure: Failure) -> bool {
+        self.check(now, &failure).is_ok()
+    }
+}
--- a/components/retry/src/none.rs
+++ b/components/retry/src/none.rs
@@ -32,4 +32,8 @@
     fn allow(&mut self, _: Time, _: Failure, _: &mut dyn Random) -> Result<Duration, Reason> {
         Err(Reason::AttemptsSpent)
     }
+
+    fn would_allow(&self, _: Time, _: Failure) -> bool {
+        false
+    }
 }
--- a/components/traffic/src/entry.rs
+++ b/components/traffic/src/entry.rs
@@ -1,162 +1,59 @@
-//! The entry's side: route, choice of endpoint, retries, outcome queries.
+//! The entry's side: route, early shedding, choice of endpoint, retries, outcome queries.
+
+mod call;
+mod message;
+mod pick;
+mod pool;
+mod seen;
+mod shed;
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
+use pool::Pool;
+use seen::Memory;
+use shed::Refused;
+
 use crate::Refusal;
 use crate::ledger::Outcome;
-use config::RouteKey;
-use control::EndpointKey;
-use control::Life;
 use control::Picture;
 use errors::Reason;
 use errors::Verdict;
-use ids::NodeId;
-use ids::Rank;
-use ids::RequestId;
-use ids::RouteId;
-use ids::ServiceId;
 use kernel::Arena;
 use kernel::Key;
 use kernel::Random;
 use kernel::Time;
-use member::Stage;
 use policy::Balance;
-use policy::Candidate;
-use policy::Failure;
 use policy::Health;
-use policy::Load;
 use policy::Retry;
 
-/// Age at which a reported load is no longer used.
-const LOAD_AGE: Duration = Duration::from_secs(1);
+pub use call::Call;
+pub use message::Attempt;
+pub use message::Effect;
+pub use message::Head;
+pub use message::Input;
+pub use message::Report;
+pub use message::Way;
+
 /// Time after which a refused caller may try again.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
+/// Silences after which the entry would rather try another endpoint than wait in a queue.
+const GIVE_UP_SILENCES: u32 = 2;
+/// Times that the owner has to say that an attempt has ended without a stored answer: at the first
+/// one the answer can still be on its way.
+const ENDED_LIMIT: u32 = 2;
+/// Fetches of a stored answer.
+const MAX_FETCHES: u32 = 2;
 
 /// Address of a call in the entry machine.
 pub type CallKey = Key<Call>;
 
-/// What the entry needs to know of a request's head.
-#[derive(Clone, Debug)]
-pub struct Head {
-    /// Identity.
-    pub id: RequestId,
-    /// HTTP method in capitals.
-    pub method: String,
-    /// Path without query.
-    pub path: String,
-    /// Time that an outer level leaves; `None` from a caller that sets no deadline.
-    pub left: Option<Duration>,
-    /// Whether a level further out retries.
-    pub outer_retries: bool,
-    /// Whether the body can be sent again.
-    pub replayable: bool,
-}
-
-/// Where to send a request and with what.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Attempt {
-    /// Number of the attempt, from 1.
-    pub number: u32,
-    /// Node of the endpoint.
-    pub node: NodeId,
-    /// Its address for requests.
-    pub requests: SocketAddr,
-    /// Its address for control calls.
-    pub peer: SocketAddr,
-    /// When the answer is no longer of use.
-    pub deadline: Time,
-    /// Wait before sending.
-    pub wait: Duration,
-}
-
-/// What can happen to a call.
-#[derive(Clone, Debug)]
-pub enum Input {
-    /// A caller's request arrived.
-    Arrived { picture: Arc<Picture>, head: Head },
-    /// The answer to an attempt has begun.
-    Answered {
-        call: CallKey,
-        picture: Arc<Picture>,
-        report: Report,
-    },
-    /// Nothing has come back for the silence bound.
-    Silent { call: CallKey },
-    /// The owner told what became of the attempt.
-    Told {
-        call: CallKey,
-        picture: Arc<Picture>,
-        outcome: Outcome,
-    },
-    /// The caller left, or the answer has been relayed to its end or broke off.
-    Ended { call: CallKey },
-}
-
-/// How an attempt ended.
-#[derive(Clone, Copy, Debug)]
-pub struct Report {
-    /// What is known of the execution.
-    pub verdict: Verdict,
-    /// Why there is no answer to relay; `None` if there is one.
-    pub reason: Option<Reason>,
-    /// When the owner allows another try.
-    pub retry_after: Duration,
-    /// Load that the owner reported.
-    pub load: Option<Load>,
-}
-
-/// What a call needs.
-#[derive(Clone, Debug)]
-pub enum Effect {
-    /// Send the request.
-    Forward {
-        call: CallKey,
-        route: Way,
-        attempt: Attempt,
-    },
-    /// Ask the owner what became of the attempt.
-    Query { call: CallKey, attempt: Attempt },
-    /// Wait on for the answer.
-    Wait { call: CallKey },
-    /// Relay the answer that has begun.
-    Deliver { call: CallKey },
-    /// Answer with a refusal; the call is closed.
-    Refuse { refusal: Refusal },
-    /// A retry was decided on.
-    Retrying { reason: Reason },
-}
-
-/// What a route asks of each attempt.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Way {
-    /// Identity of the route.
-    pub route: RouteId,
-    /// Urgency.
-    pub rank: Rank,
-    /// Whether the request can run more than once.
-    pub idempotent: bool,
-}
-
-/// A request that the entry works on.
-#[derive(Debug)]
-pub struct Call {
-    way: Way,
-    service: ServiceId,
-    service_name: Arc<str>,
-    deadline: Time,
-    outer_retries: bool,
-    replayable: bool,
-    attempt: Option<Attempt>,
-    tried: Vec<NodeId>,
-}
-
-#[derive(Clone, Copy, Debug)]
-struct Seen {
-    node: NodeId,
-    in_flight: u32,
-    load: Option<(Load, Time)>,
+/// Surroundings of one step.
+struct Scene<'a> {
+    now: Time,
+    picture: &'a Picture,
+    random: &'a mut dyn Random,
+    effects: &'a mut Vec<Effect>,
 }
 
 /// The entry's side of one node.
@@ -165,8 +62,9 @@
     retry: Box<dyn Retry>,
     health: Box<dyn Health>,
     calls: Arena<Call>,
-    /// Sorted by node.
-    seen: Vec<Seen>,
+    memory: Memory,
+    pool: Pool,
+    refused: Refused,
 }
 
 impl Machine {
@@ -177,7 +75,9 @@
             retry,
             health,
             calls: Arena::default(),
-            seen: Vec::new(),
+            memory: Memory::default(),
+            pool: Pool::default(),
+            refused: Refused::default(),
         }
     }
 
@@ -186,245 +86,186 @@
         self.calls.len()
     }
 
-    fn arrive(
-        &mut self,
-        now: Time,
-        picture: &Picture,
-        head: &Head,
-        random: &mut dyn Random,
-        effects: &mut Vec<Effect>,
-    ) {
-        match find_call(now, picture, head) {
-            Ok(call) => {
-                self.retry.count_first(now, call.service);
-                let key = self.calls.insert(call);
-                self.forward(now, picture, key, Duration::ZERO, random, effects);
-            }
-            Err(reason) => effects.push(Effect::Refuse {
-                refusal: not_run(reason),
-            }),
-        }
+    /// Nodes of which the entry remembers something.
+    pub fn known_nodes(&self) -> usize {
+        self.memory.len()
     }
 
-    fn forward(
-        &mut self,
-        now: Time,
-        picture: &Picture,
-        key: CallKey,
-        wait: Duration,
-        random: &mut dyn Random,
-        effects: &mut Vec<Effect>,
-    ) {
-        let Some(call) = self.calls.get(key) else {
-            return;
+    fn arrive(&mut self, scene: &mut Scene<'_>, head: &Head) {
+        let call = match Call::find(scene.now, scene.picture, head) {
+            Ok(call) => call,
+            Err(reason) => return refuse(scene, not_run(reason)),
         };
-        let Some(endpoint) = self.choose(now, picture, call_service(picture, call), key, random)
-        else {
+        if self.sheds(scene, &call) {
+            return refuse(scene, not_run(Reason::ShedEarly));
+        }
+        self.retry.count_first(scene.now, call.service);
+        let key = self.calls.insert(call);
+        self.forward(scene, key, Duration::ZERO);
+    }
+
+    fn forward(&mut self, scene: &mut Scene<'_>, key: CallKey, wait: Duration) {
+        let chosen = self.choose(scene, key);
+        let endpoint = chosen.and_then(|chosen| scene.picture.endpoint(chosen));
+        let Some((endpoint, call)) = endpoint.zip(self.calls.get_mut(key)) else {
             self.calls.remove(key);
-            effects.push(Effect::Refuse {
-                refusal: not_run(Reason::NoEndpoint),
-            });
-            return;
-        };
-        let Some((endpoint, call)) = picture.endpoint(endpoint).zip(self.calls.get_mut(key)) else {
-            return;
+            return refuse(scene, not_run(Reason::NoEndpoint));
         };
-        let number = call.attempt.map_or(1, |before| before.number + 1);
         let attempt = Attempt {
-            number,
+            number: call.attempt.map_or(1, |before| before.number + 1),
             node: endpoint.node,
             requests: endpoint.requests,
             peer: endpoint.peer,
             deadline: call.deadline,
             wait,
         };
-        call.attempt = Some(attempt);
-        call.tried.push(endpoint.node);
+        call.begin(attempt);
         let route = call.way;
-        self.seen(attempt.node).in_flight += 1;
-        effects.push(Effect::Forward {
+        self.memory.get_mut(attempt.node).in_flight += 1;
+        self.health.note_sent(scene.now, attempt.node);
+        scene.effects.push(Effect::Forward {
             call: key,
             route,
             attempt,
         });
     }
 
-    fn choose(
-        &mut self,
-        now: Time,
-        picture: &Picture,
-        service: Option<config::ServiceKey>,
-        key: CallKey,
-        random: &mut dyn Random,
-    ) -> Option<EndpointKey> {
-        let ready: Vec<_> = picture
-            .endpoints_of(service?)
-            .filter(|(_, endpoint)| endpoint.stage == Stage::Ready)
-            .collect();
-        let mut nodes: Vec<NodeId> = ready.iter().map(|(_, endpoint)| endpoint.node).collect();
-        nodes.sort_unstable();
-        self.health.retain_healthy(now, &mut nodes);
-        let tried = self
-            .calls
-            .get(key)
-            .map(|call| call.tried.as_slice())
-            .unwrap_or_default();
-        let fresh = nodes.iter().any(|node| !tried.contains(node));
-        let mut keys = Vec::new();
-        let mut candidates = Vec::new();
-        for (key, endpoint) in ready {
-            let healthy = nodes.binary_search(&endpoint.node).is_ok();
-            if !healthy || (fresh && tried.contains(&endpoint.node)) {
-                continue;
-            }
-            let seen = self.find_seen(endpoint.node);
-            keys.push(key);
-            candidates.push(Candidate {
-                node: endpoint.node,
-                near: endpoint.domain == picture.domain,
-                in_flight: seen.map_or(0, |seen| seen.in_flight),
-                slots: endpoint.slots,
-                load: seen
-                    .and_then(|seen| seen.load)
-                    .filter(|(_, at)| now.since(*at) < LOAD_AGE)
-                    .map(|(load, _)| load),
-            });
-        }
-        self.balance.choose(&candidates, random).map(|at| keys[at])
-    }
-
-    fn answered(
-        &mut self,
-        now: Time,
-        picture: &Picture,
-        key: CallKey,
-        report: Report,
-        random: &mut dyn Random,
-        effects: &mut Vec<Effect>,
-    ) {
+    fn answered(&mut self, scene: &mut Scene<'_>, key: CallKey, report: Report) {
         let Some(call) = self.calls.get(key) else {
             return;
         };
         let Some(attempt) = call.attempt else {
             return;
         };
+        let (now, node) = (scene.now, attempt.node);
         if let Some(load) = report.load {
-            self.seen(attempt.node).load = Some((load, now));
+            self.memory.note_load(now, node, load);
+        }
+        if let Some(reason) = report.reason {
+            self.refused.note(now, call.way.route, reason);
+            if is_away(reason) {
+                let time = report.retry_after.max(RETRY_AFTER);
+                self.memory.note_away(now, node, time);
+            }
         }
-        self.health
-            .record(now, attempt.node, !is_node_fault(report.reason));
+        self.health.record(now, node, !is_node_fault(report.reason));
         match report.reason {
-            None => effects.push(Effect::Deliver { call: key }),
-            Some(reason) => self.fail(now, picture, key, reason, report, random, effects),
+            None => scene.effects.push(Effect::Deliver { call: key }),
+            Some(reason) => self.fail(scene, key, reason, report),
         }
     }
 
-    #[expect(
-        clippy::too_many_arguments,
-        reason = "one failed attempt with its surroundings"
-    )]
-    fn fail(
-        &mut self,
-        now: Time,
-        picture: &Picture,
-        key: CallKey,
-        reason: Reason,
-        report: Report,
-        random: &mut dyn Random,
-        effects: &mut Vec<Effect>,
-    ) {
+    /// Tries a failed attempt again or refuses the call.
+    fn fail(&mut self, scene: &mut Scene<'_>, key: CallKey, reason: Reason, report: Report) {
+        let elsewhere = self.has_other(scene.now, scene.picture, key);
         let Some(call) = self.calls.get(key) else {
             return;
         };
-        let failure = Failure {
-            service: call.service,
-            verdict: report.verdict,
-            reason,
-            idempotent: call.way.idempotent,
-            attempts: call.attempt.map_or(0, |attempt| attempt.number),
-            left: now.until(call.deadline),
-            outer_retries: call.outer_retries,
-            replayable: call.replayable,
-        };
+        let failure = call.failure(scene.now, reason, &report, elsewhere);
         self.release(key);
-        match self.retry.allow(now, failure, random) {
+        match self.retry.allow(scene.now, failure, scene.random) {
             Ok(wait) => {
-                effects.push(Effect::Retrying { reason });
-                self.forward(now, picture, key, wait, random, effects);
+                scene.effects.push(Effect::Retrying { reason });
+                self.forward(scene, key, wait);
             }
-            Err(_) => {
+            Err(denied) => {
                 self.calls.remove(key);
-                effects.push(Effect::Refuse {
-                    refusal: Refusal {
+                scene.effects.push(Effect::Denied { reason: denied });
+                refuse(
+                    scene,
+                    Refusal {
                         reason,
                         verdict: report.verdict,
                         retry_after: report.retry_after.max(RETRY_AFTER),
                     },
-                });
+                );
             }
         }
     }
 
-    fn told(
-        &mut self,
-        now: Time,
-        picture: &Picture,
-        key: CallKey,
-        outcome: Outcome,
-        random: &mut dyn Random,
-        effects: &mut Vec<Effect>,
-    ) {
+    fn silent(&mut self, now: Time, key: CallKey, effects: &mut Vec<Effect>) {
+        let Some(call) = self.calls.get_mut(key) else {
+            return;
+        };
+        call.silences += 1;
+        let Some(attempt) = call.attempt else {
+            return;
+        };
+        effects.push(Effect::Query {
+            call: key,
+            attempt,
+            give_up: self.gives_up(now, key),
+        });
+    }
+
+    /// Whether a queued attempt is better tried elsewhere. A route that is not idempotent waits on:
+    /// if the answer to the query were lost, a request that would have run becomes unknown.
+    fn gives_up(&mut self, now: Time, key: CallKey) -> bool {
+        let Some(picture) = self.pool.picture() else {
+            return false;
+        };
+        let elsewhere = self.has_other(now, &picture, key);
+        self.calls.get(key).is_some_and(|call| {
+            let report = silent_report(Verdict::NotRun);
+            let failure = call.failure(now, Reason::ConnectionSilent, &report, elsewhere);
+            call.way.idempotent
+                && call.silences >= GIVE_UP_SILENCES
+                && elsewhere
+                && self.retry.would_allow(now, failure)
+        })
+    }
+
+    fn told(&mut self, scene: &mut Scene<'_>, key: CallKey, outcome: Outcome) {
+        let Some(call) = self.calls.get_mut(key) else {
+            return;
+        };
         let verdict = match outcome {
-            Outcome::Running => {
-                effects.push(Effect::Wait { call: key });
-                return;
+            Outcome::Running => return scene.effects.push(Effect::Wait { call: key }),
+            Outcome::Done { stored: true, .. } => return self.fetch(scene, key),
+            Outcome::Done {
+                verdict: Verdict::Ran,
+                ..
+            } if call.ended_told + 1 < ENDED_LIMIT => {
+                call.ended_told += 1;
+                return scene.effects.push(Effect::Wait { call: key });
+            }
+            // The owner is reachable and was merely busy.
+            Outcome::Cancelled => {
+                let report = silent_report(Verdict::NotRun);
+                return self.fail(scene, key, Reason::ConnectionSilent, report);
             }
-            Outcome::Fenced | Outcome::Cancelled => Verdict::NotRun,
+            Outcome::Fenced => Verdict::NotRun,
             Outcome::Done { verdict, .. } => verdict,
             Outcome::Unknown => Verdict::MayHaveRun,
         };
-        let report = Report {
-            verdict,
-            reason: Some(Reason::ConnectionSilent),
-            retry_after: RETRY_AFTER,
-            load: None,
-        };
-        self.answered(now, picture, key, report, random, effects);
+        self.answered(scene, key, silent_report(verdict));
     }
 
-    fn release(&mut self, key: CallKey) {
-        let node = self
-            .calls
-            .get(key)
-            .and_then(|call| call.attempt)
-            .map(|attempt| attempt.node);
-        if let Some(node) = node {
-            let seen = self.seen(node);
-            seen.in_flight = seen.in_flight.saturating_sub(1);
-        }
+    fn fetch(&mut self, scene: &mut Scene<'_>, key: CallKey) {
+        let attempt = self.calls.get(key).and_then(|call| call.attempt);
+        let effect = attempt.map(|attempt| Effect::Fetch { call: key, attempt });
+        scene.effects.extend(effect);
     }
 
-    fn find_seen(&self, node: NodeId) -> Option<&Seen> {
-        let at = self.seen.binary_search_by_key(&node, |seen| seen.node);
-        at.ok().map(|at| &self.seen[at])
+    fn fetched(&mut self, scene: &mut Scene<'_>, key: CallKey, found: bool) {
+        let Some(call) = self.calls.get_mut(key) else {
+            return;
+        };
+        if found {
+            return scene.effects.push(Effect::Deliver { call: key });
+        }
+        call.fetches += 1;
+        if call.fetches < MAX_FETCHES && scene.now < call.deadline {
+            return self.fetch(scene, key);
+        }
+        self.answered(scene, key, silent_report(Verdict::Ran));
     }
 
-    fn seen(&mut self, node: NodeId) -> &mut Seen {
-        let at = match self.seen.binary_search_by_key(&node, |seen| seen.node) {
-            Ok(at) => at,
-            Err(at) => {
-                self.seen.insert(
-                    at,
-                    Seen {
-                        node,
-                        in_flight: 0,
-                        load: None,
-                    },
-                );
-                at
-            }
-        };
-        &mut self.seen[at]
+    fn release(&mut self, key: CallKey) {
+        let attempt = self.calls.get(key).and_then(|call| call.attempt);
+        if let Some(attempt) = attempt {
+            self.memory.release(attempt.node);
+        }
     }
 }
 
@@ -439,30 +280,31 @@
         random: &mut dyn Random,
         effects: &mut Vec<Effect>,
     ) {
-        match input {
-            Input::Arrived { picture, head } => self.arrive(now, &picture, &head, random, effects),
-            Input::Answered {
-                call,
-                picture,
-                report,
-            } => {
-                self.answered(now, &picture, call, report, random, effects);
-            }
-            Input::Silent { call } => {
-                let attempt = self.calls.get(call).and_then(|call| call.attempt);
-                effects.extend(attempt.map(|attempt| Effect::Query { call, attempt }));
-            }
-            Input::Told {
-                call,
-                picture,
-                outcome,
-            } => {
-                self.told(now, &picture, call, outcome, random, effects);
-            }
+        let picture = match &input {
+            Input::Arrived { picture, .. }
+            | Input::Answered { picture, .. }
+            | Input::Told { picture, .. }
+            | Input::Fetched { picture, .. } => Arc::clone(picture),
+            Input::Silent { call } => return self.silent(now, *call, effects),
             Input::Ended { call } => {
-                self.release(call);
-                self.calls.remove(call);
+                self.release(*call);
+                self.calls.remove(*call);
+                return;
             }
+        };
+        self.observe(now, &picture);
+        let scene = &mut Scene {
+            now,
+            picture: &picture,
+            random,
+            effects,
+        };
+        match input {
+            Input::Arrived { head, .. } => self.arrive(scene, &head),
+            Input::Answered { call, report, .. } => self.answered(scene, call, report),
+            Input::Told { call, outcome, .. } => self.told(scene, call, outcome),
+            Input::Fetched { call, found, .. } => self.fetched(scene, call, found),
+            Input::Silent { .. } | Input::Ended { .. } => {}
         }
     }
 
@@ -473,6 +315,10 @@
     }
 }
 
+fn refuse(scene: &mut Scene<'_>, refusal: Refusal) {
+    scene.effects.push(Effect::Refuse { refusal });
+}
+
 fn not_run(reason: Reason) -> Refusal {
     Refusal {
         reason,
@@ -481,6 +327,15 @@
     }
 }
 
+fn silent_report(verdict: Verdict) -> Report {
+    Report {
+        verdict,
+        reason: Some(Reason::ConnectionSilent),
+        retry_after: Duration::ZERO,
+        load: None,
+    }
+}
+
 /// Whether a failure speaks against the node rather than for a full or leaving one.
 fn is_node_fault(reason: Option<Reason>) -> bool {
     matches!(
@@ -489,38 +344,10 @@
     )
 }
 
-fn call_service(picture: &Picture, call: &Call) -> Option<config::ServiceKey> {
-    picture.snapshot.as_ref()?.find_service(&call.service_name)
-}
-
-fn find_call(now: Time, picture: &Picture, head: &Head) -> Result<Call, Reason> {
-    if picture.life == Life::Leaving {
-        return Err(Reason::Draining);
-    }
-    let snapshot = picture.snapshot.as_ref().ok_or(Reason::NoConfiguration)?;
-    let key: RouteKey = snapshot
-        .find_route(&head.method, &head.path)
-        .ok_or(Reason::NoRoute)?;
-    let route = snapshot.route(key).ok_or(Reason::NoRoute)?;
-    let service = snapshot.service(route.service).ok_or(Reason::NoRoute)?;
-    let left = head
-        .left
-        .map_or(route.deadline, |left| left.min(route.deadline));
-    if left.is_zero() {
-        return Err(Reason::DeadlinePassed);
-    }
-    Ok(Call {
-        way: Way {
-            route: route.id,
-            rank: route.rank,
-            idempotent: route.idempotent,
-        },
-        service: service.id,
-        service_name: Arc::clone(&service.name),
-        deadline: now + left,
-        outer_retries: head.outer_retries,
-        replayable: head.replayable,
-        attempt: None,
-        tried: Vec::new(),
-    })
+/// Whether a refusal means that the node takes no request at all for a while.
+fn is_away(reason: Reason) -> bool {
+    matches!(
+        reason,
+        Reason::Draining | Reason::Warming | Reason::NoEndpoint
+    )
 }
--- /dev/null
+++ b/components/traffic/src/entry/call.rs
@@ -0,0 +1,109 @@
+//! One request at the entry, from its arrival to its end.
+
+use std::sync::Arc;
+
+use crate::entry::Attempt;
+use crate::entry::Head;
+use crate::entry::Report;
+use crate::entry::Way;
+use config::ServiceKey;
+use control::Life;
+use control::Picture;
+use errors::Reason;
+use ids::NodeId;
+use ids::ServiceId;
+use kernel::Time;
+use policy::Failure;
+
+/// A request that the entry works on.
+#[derive(Debug)]
+pub struct Call {
+    pub(crate) way: Way,
+    pub(crate) service: ServiceId,
+    pub(crate) deadline: Time,
+    service_name: Arc<str>,
+    outer_retries: bool,
+    replayable: bool,
+    pub(crate) attempt: Option<Attempt>,
+    pub(crate) tried: Vec<NodeId>,
+    /// Times that the silence bound has passed for the attempt.
+    pub(crate) silences: u32,
+    /// Times that the owner said the attempt has ended while no answer had come.
+    pub(crate) ended_told: u32,
+    /// Failed fetches of the stored answer.
+    pub(crate) fetches: u32,
+}
+
+impl Call {
+    /// Finds the route of a request that arrived.
+    pub(crate) fn find(now: Time, picture: &Picture, head: &Head) -> Result<Self, Reason> {
+        if picture.life == Life::Leaving {
+            return Err(Reason::Draining);
+        }
+        let snapshot = picture.snapshot.as_ref().ok_or(Reason::NoConfiguration)?;
+        let key = snapshot
+            .find_route(&head.method, &head.path)
+            .ok_or(Reason::NoRoute)?;
+        let route = snapshot.route(key).ok_or(Reason::NoRoute)?;
+        let service = snapshot.service(route.service).ok_or(Reason::NoRoute)?;
+        let left = head
+            .left
+            .map_or(route.deadline, |left| left.min(route.deadline));
+        if left.is_zero() {
+            return Err(Reason::DeadlinePassed);
+        }
+        Ok(Self {
+            way: Way {
+                route: route.id,
+                rank: route.rank,
+                idempotent: route.idempotent,
+            },
+            service: service.id,
+            service_name: Arc::clone(&service.name),
+            deadline: now + left,
+            outer_retries: head.outer_retries,
+            replayable: head.replayable,
+            attempt: None,
+            tried: Vec::new(),
+            silences: 0,
+            ended_told: 0,
+            fetches: 0,
+        })
+    }
+
+    /// The service in this picture, which can be newer than the one that the call began with.
+    pub(crate) fn service_in(&self, picture: &Picture) -> Option<ServiceKey> {
+        picture.snapshot.as_ref()?.find_service(&self.service_name)
+    }
+
+    /// Notes that an attempt begins.
+    pub(crate) fn begin(&mut self, attempt: Attempt) {
+        self.attempt = Some(attempt);
+        self.tried.push(attempt.node);
+        self.silences = 0;
+        self.ended_told = 0;
+        self.fetches = 0;
+    }
+
+    /// The failure of the present attempt, as the retry policy sees it.
+    pub(crate) fn failure(
+        &self,
+        now: Time,
+        reason: Reason,
+        report: &Report,
+        elsewhere: bool,
+    ) -> Failure {
+        Failure {
+            service: self.service,
+            verdict: report.verdict,
+            reason,
+            idempotent: self.way.idempotent,
+            attempts: self.attempt.map_or(0, |attempt| attempt.number),
+            left: now.until(self.deadline),
+            outer_retries: self.outer_retries,
+            replayable: self.replayable,
+            retry_after: report.retry_after,
+            elsewhere,
+        }
+    }
+}
--- /dev/null
+++ b/components/traffic/src/entry/message.rs
@@ -0,0 +1,136 @@
+//! What the entry takes in and what it asks for.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::Refusal;
+use crate::entry::CallKey;
+use crate::ledger::Outcome;
+use control::Picture;
+use errors::Reason;
+use errors::Verdict;
+use ids::NodeId;
+use ids::Rank;
+use ids::RequestId;
+use ids::RouteId;
+use kernel::Time;
+use policy::Load;
+
+/// What the entry needs to know of a request's head.
+#[derive(Clone, Debug)]
+pub struct Head {
+    /// Identity.
+    pub id: RequestId,
+    /// HTTP method in capitals.
+    pub method: String,
+    /// Path without query.
+    pub path: String,
+    /// Time that an outer level leaves; `None` from a caller that sets no deadline.
+    pub left: Option<Duration>,
+    /// Whether a level further out retries.
+    pub outer_retries: bool,
+    /// Whether the body can be sent again.
+    pub replayable: bool,
+}
+
+/// Where to send a request and with what.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Attempt {
+    /// Number of the attempt, from 1.
+    pub number: u32,
+    /// Node of the endpoint.
+    pub node: NodeId,
+    /// Its address for requests.
+    pub requests: SocketAddr,
+    /// Its address for control calls.
+    pub peer: SocketAddr,
+    /// When the answer is no longer of use.
+    pub deadline: Time,
+    /// Wait before sending.
+    pub wait: Duration,
+}
+
+/// What can happen to a call. All inputs but the first are about its latest attempt; the shell drops
+/// what comes back from an earlier one.
+#[derive(Clone, Debug)]
+pub enum Input {
+    /// A caller's request arrived.
+    Arrived { picture: Arc<Picture>, head: Head },
+    /// The answer to an attempt has begun.
+    Answered {
+        call: CallKey,
+        picture: Arc<Picture>,
+        report: Report,
+    },
+    /// Nothing has come back for the silence bound.
+    Silent { call: CallKey },
+    /// The owner told what became of the attempt.
+    Told {
+        call: CallKey,
+        picture: Arc<Picture>,
+        outcome: Outcome,
+    },
+    /// The owner gave the stored answer, which the shell holds, or could not.
+    Fetched {
+        call: CallKey,
+        picture: Arc<Picture>,
+        found: bool,
+    },
+    /// The caller left, or the answer has been relayed to its end or broke off.
+    Ended { call: CallKey },
+}
+
+/// How an attempt ended.
+#[derive(Clone, Copy, Debug)]
+pub struct Report {
+    /// What is known of the execution.
+    pub verdict: Verdict,
+    /// Why there is no answer to relay; `None` if there is one.
+    pub reason: Option<Reason>,
+    /// When the owner allows another try.
+    pub retry_after: Duration,
+    /// Load that the owner reported.
+    pub load: Option<Load>,
+}
+
+/// What a call needs.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Effect {
+    /// Send the request.
+    Forward {
+        call: CallKey,
+        route: Way,
+        attempt: Attempt,
+    },
+    /// Ask the owner what became of the attempt; with `give_up` it cancels the attempt if that has
+    /// not started.
+    Query {
+        call: CallKey,
+        attempt: Attempt,
+        give_up: bool,
+    },
+    /// Fetch the stored answer of the attempt from its owner over another connection.
+    Fetch { call: CallKey, attempt: Attempt },
+    /// Wait on for the answer.
+    Wait { call: CallKey },
+    /// Relay the answer that has begun.
+    Deliver { call: CallKey },
+    /// Answer with a refusal; the call is closed.
+    Refuse { refusal: Refusal },
+    /// A retry was decided on.
+    Retrying { reason: Reason },
+    /// A failed attempt is not retried, for this reason; the refusal follows.
+    Denied { reason: Reason },
+}
+
+/// What a route asks of each attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Way {
+    /// Identity of the route.
+    pub route: RouteId,
+    /// Urgency.
+    pub rank: Rank,
+    /// Whether the request can run more than once.
+    pub idempotent: bool,
+}
--- /dev/null
+++ b/components/traffic/src/entry/pick.rs
@@ -0,0 +1,116 @@
+//! Choice of an endpoint for an attempt, and whether to look for one at all.
+
+use std::sync::Arc;
+
+use crate::entry::Call;
+use crate::entry::CallKey;
+use crate::entry::Machine;
+use crate::entry::Scene;
+use crate::entry::pool;
+use control::EndpointKey;
+use control::Picture;
+use ids::NodeId;
+use kernel::Time;
+use policy::Candidate;
+
+impl Machine {
+    /// Takes in a changed picture: forgets nodes that left it.
+    pub(super) fn observe(&mut self, now: Time, picture: &Arc<Picture>) {
+        if !self.pool.change(picture) {
+            return;
+        }
+        let Some(snapshot) = picture.snapshot.as_ref() else {
+            return;
+        };
+        let mut ready = Vec::new();
+        for (service, _) in snapshot.services() {
+            let nodes = pool::ready_nodes(picture, service);
+            self.memory.note_ready(now, &nodes);
+            ready.extend(nodes);
+        }
+        ready.sort_unstable();
+        self.memory.retain_ready(&ready);
+        self.health.retain_known(&ready);
+    }
+
+    /// Whether all owners refuse the call's rank and its route.
+    pub(super) fn sheds(&mut self, scene: &mut Scene<'_>, call: &Call) -> bool {
+        let Some(service) = call.service_in(scene.picture) else {
+            return false;
+        };
+        let subset = self.pool.subset(service);
+        let refuses = |key: &EndpointKey| {
+            let endpoint = scene.picture.endpoint(*key);
+            let seen = endpoint.and_then(|endpoint| self.memory.get(endpoint.node));
+            seen.is_some_and(|seen| seen.refuses(scene.now, call.way.rank))
+        };
+        !subset.is_empty()
+            && subset.iter().all(refuses)
+            && self.refused.sheds(scene.now, call.way.route, scene.random)
+    }
+
+    pub(super) fn choose(&mut self, scene: &mut Scene<'_>, key: CallKey) -> Option<EndpointKey> {
+        let now = scene.now;
+        let call = self.calls.get(key)?;
+        let service = call.service_in(scene.picture)?;
+        let mut options = Vec::new();
+        for key in self.pool.subset(service) {
+            let Some(endpoint) = scene.picture.endpoint(*key) else {
+                continue;
+            };
+            let seen = self.memory.get(endpoint.node);
+            let ramp = seen.map_or(policy::FULL_WEIGHT, |seen| seen.ramp(now));
+            let candidate = Candidate {
+                node: endpoint.node,
+                near: endpoint.domain == scene.picture.domain,
+                in_flight: seen.map_or(0, |seen| seen.in_flight),
+                slots: endpoint.slots,
+                load: seen.and_then(|seen| seen.aged_load(now)),
+                ramp: ramp.min(self.health.weigh(now, endpoint.node)),
+            };
+            options.push((*key, candidate));
+        }
+        let mut healthy: Vec<NodeId> = options.iter().map(|(_, it)| it.node).collect();
+        healthy.sort_unstable();
+        self.health.retain_healthy(now, &mut healthy);
+        options.retain(|(_, it)| healthy.binary_search(&it.node).is_ok());
+        prefer(&mut options, |node| !self.is_away(now, node));
+        prefer(&mut options, |node| !call.tried.contains(&node));
+        if !call.way.idempotent {
+            prefer(&mut options, |node| !self.health.is_on_trial(now, node));
+        }
+        let (keys, candidates): (Vec<_>, Vec<_>) = options.into_iter().unzip();
+        let at = self.balance.choose(&candidates, scene.random)?;
+        keys.get(at).copied()
+    }
+
+    fn is_away(&self, now: Time, node: NodeId) -> bool {
+        self.memory.get(node).is_some_and(|seen| seen.is_away(now))
+    }
+
+    /// Whether an endpoint is left that the call has not tried and that takes requests.
+    pub(super) fn has_other(&mut self, now: Time, picture: &Picture, key: CallKey) -> bool {
+        let Some(call) = self.calls.get(key) else {
+            return false;
+        };
+        let Some(service) = call.service_in(picture) else {
+            return false;
+        };
+        let memory = &self.memory;
+        self.pool.subset(service).iter().any(|key| {
+            picture.endpoint(*key).is_some_and(|endpoint| {
+                let away = memory
+                    .get(endpoint.node)
+                    .is_some_and(|seen| seen.is_away(now));
+                !away && !call.tried.contains(&endpoint.node)
+            })
+        })
+    }
+}
+
+/// Keeps the options that `good` holds for, if there are any.
+fn prefer(options: &mut Vec<(EndpointKey, Candidate)>, good: impl Fn(NodeId) -> bool) {
+    if options.iter().any(|(_, it)| good(it.node)) {
+        options.retain(|(_, it)| good(it.node));
+    }
+}
--- /dev/null
+++ b/components/traffic/src/entry/pool.rs
@@ -0,0 +1,101 @@
+//! Which endpoints of a service this entry uses.
+
+use std::sync::Arc;
+
+use config::ServiceKey;
+use control::EndpointKey;
+use control::Picture;
+use ids::NodeId;
+use member::Stage;
+
+/// Endpoints of one service that an entry uses at most, which bounds its connections.
+pub(crate) const SUBSET: usize = 20;
+/// Endpoints of the subset that come from the entry's own failure domain, where it has that many.
+const NEAR: usize = 10;
+
+/// The ready endpoints of each service in one picture, cut to subsets.
+#[derive(Debug, Default)]
+pub(crate) struct Pool {
+    picture: Option<Arc<Picture>>,
+    /// Sorted by service.
+    subsets: Vec<(ServiceKey, Vec<EndpointKey>)>,
+}
+
+impl Pool {
+    /// Changes to another picture; tells whether it is another one.
+    pub(crate) fn change(&mut self, picture: &Arc<Picture>) -> bool {
+        if self
+            .picture
+            .as_ref()
+            .is_some_and(|known| Arc::ptr_eq(known, picture))
+        {
+            return false;
+        }
+        self.picture = Some(Arc::clone(picture));
+        self.subsets.clear();
+        true
+    }
+
+    /// The picture in use.
+    pub(crate) fn picture(&self) -> Option<Arc<Picture>> {
+        self.picture.clone()
+    }
+
+    /// The endpoints that this entry uses for a service.
+    pub(crate) fn subset(&mut self, service: ServiceKey) -> &[EndpointKey] {
+        let at = match self
+            .subsets
+            .binary_search_by_key(&service, |(known, _)| *known)
+        {
+            Ok(at) => at,
+            Err(at) => {
+                let subset = self
+                    .picture
+                    .as_ref()
+                    .map_or(Vec::new(), |picture| cut(picture, service));
+                self.subsets.insert(at, (service, subset));
+                at
+            }
+        };
+        &self.subsets[at].1
+    }
+}
+
+/// Nodes of the ready endpoints of a service.
+pub(crate) fn ready_nodes(picture: &Picture, service: ServiceKey) -> Vec<NodeId> {
+    picture
+        .endpoints_of(service)
+        .filter(|(_, endpoint)| endpoint.stage == Stage::Ready)
+        .map(|(_, endpoint)| endpoint.node)
+        .collect()
+}
+
+/// Chooses by rendezvous hashing, so that the subsets of all entries cover the endpoints evenly and
+/// an endpoint that leaves changes only the subsets that it was in.
+fn cut(picture: &Picture, service: ServiceKey) -> Vec<EndpointKey> {
+    let mut ready: Vec<_> = picture
+        .endpoints_of(service)
+        .filter(|(_, endpoint)| endpoint.stage == Stage::Ready)
+        .map(|(key, endpoint)| {
+            let near = endpoint.domain == picture.domain;
+            (score(picture.me, endpoint.node), near, key)
+        })
+        .collect();
+    if ready.len() > SUBSET {
+        ready.sort_unstable();
+        let near: Vec<_> = ready.iter().copied().filter(|it| it.1).take(NEAR).collect();
+        let kept = near.len();
+        ready.retain(|it| !near.contains(it));
+        ready.truncate(SUBSET - kept);
+        ready.extend(near);
+    }
+    ready.into_iter().map(|(_, _, key)| key).collect()
+}
+
+/// Mixes two ids (finalizer of SplitMix64).
+fn score(me: NodeId, node: NodeId) -> u64 {
+    let mut mixed = me.0.rotate_left(32) ^ node.0;
+    mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    mixed ^ (mixed >> 31)
+}
--- /dev/null
+++ b/components/traffic/src/entry/seen.rs
@@ -0,0 +1,148 @@
+//! What the entry has seen of each endpoint's node.
+
+use std::time::Duration;
+
+use ids::NodeId;
+use ids::Rank;
+use kernel::Time;
+use policy::FULL_WEIGHT;
+use policy::Load;
+
+/// Age at which a reported load counts for nothing.
+const LOAD_AGE: Duration = Duration::from_secs(1);
+/// Age up to which a report can lead to early shedding; owners under load report every few
+/// milliseconds, so an older report says little.
+const SHED_AGE: Duration = Duration::from_millis(250);
+/// Time over which a new endpoint gets up to its full share of work.
+const RAMP: Duration = Duration::from_secs(5);
+/// Weight of an endpoint at the start of its ramp, in thousandths.
+const FIRST_WEIGHT: u32 = 100;
+/// Longest time for which a refusal keeps requests away from a node.
+const MAX_AWAY: Duration = Duration::from_secs(5);
+
+/// Memory of one node.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Seen {
+    node: NodeId,
+    /// When it became ready; `None` if it was ready before the entry knew the service, or if it has
+    /// left the picture.
+    ready_since: Option<Time>,
+    pub(crate) in_flight: u32,
+    load: Option<(Load, Time)>,
+    away_until: Time,
+}
+
+impl Seen {
+    fn new(node: NodeId) -> Self {
+        Self {
+            node,
+            ready_since: None,
+            in_flight: 0,
+            load: None,
+            away_until: Time::default(),
+        }
+    }
+
+    /// The reported load, reduced with its age.
+    pub(crate) fn aged_load(&self, now: Time) -> Option<Load> {
+        let (load, at) = self.load?;
+        let left = LOAD_AGE.checked_sub(now.since(at))?;
+        let age = |count: u32| {
+            let scaled = u128::from(count) * left.as_micros() / LOAD_AGE.as_micros();
+            u32::try_from(scaled).unwrap_or(u32::MAX)
+        };
+        Some(Load {
+            running: age(load.running),
+            queued: age(load.queued),
+            ..load
+        })
+    }
+
+    /// Whether a recent report says that the node refuses this rank.
+    pub(crate) fn refuses(&self, now: Time, rank: Rank) -> bool {
+        self.load
+            .is_some_and(|(load, at)| now.since(at) < SHED_AGE && load.accepted < rank)
+    }
+
+    /// Whether the node has said that it takes no requests for a while.
+    pub(crate) fn is_away(&self, now: Time) -> bool {
+        self.away_until > now
+    }
+
+    /// Share of work, in thousandths, by the time since the node became ready.
+    pub(crate) fn ramp(&self, now: Time) -> u32 {
+        let Some(since) = self.ready_since else {
+            return FULL_WEIGHT;
+        };
+        let part = now.since(since).min(RAMP).as_millis() * u128::from(FULL_WEIGHT - FIRST_WEIGHT)
+            / RAMP.as_millis();
+        FIRST_WEIGHT + u32::try_from(part).unwrap_or(0)
+    }
+}
+
+/// Memory of all nodes in the picture.
+#[derive(Debug, Default)]
+pub(crate) struct Memory {
+    /// Sorted by node.
+    seen: Vec<Seen>,
+}
+
+impl Memory {
+    pub(crate) fn get(&self, node: NodeId) -> Option<&Seen> {
+        self.position(node).ok().map(|at| &self.seen[at])
+    }
+
+    pub(crate) fn get_mut(&mut self, node: NodeId) -> &mut Seen {
+        let at = match self.position(node) {
+            Ok(at) => at,
+            Err(at) => {
+                self.seen.insert(at, Seen::new(node));
+                at
+            }
+        };
+        &mut self.seen[at]
+    }
+
+    /// Number of nodes that it remembers.
+    pub(crate) fn len(&self) -> usize {
+        self.seen.len()
+    }
+
+    pub(crate) fn note_load(&mut self, now: Time, node: NodeId, load: Load) {
+        self.get_mut(node).load = Some((load, now));
+    }
+
+    pub(crate) fn note_away(&mut self, now: Time, node: NodeId, time: Duration) {
+        self.get_mut(node).away_until = now + time.min(MAX_AWAY);
+    }
+
+    pub(crate) fn release(&mut self, node: NodeId) {
+        if let Ok(at) = self.position(node) {
+            let seen = &mut self.seen[at];
+            seen.in_flight = seen.in_flight.saturating_sub(1);
+        }
+    }
+
+    /// Takes in which nodes of a service are ready. One that becomes ready beside others that were
+    /// ready before starts with a small share of work.
+    pub(crate) fn note_ready(&mut self, now: Time, nodes: &[NodeId]) {
+        let established = nodes.iter().any(|node| self.position(*node).is_ok());
+        for node in nodes {
+            if let Err(at) = self.position(*node) {
+                let mut seen = Seen::new(*node);
+                seen.ready_since = established.then_some(now);
+                self.seen.insert(at, seen);
+            }
+        }
+    }
+
+    /// Forgets nodes that are not ready (`ready` is sorted) and have no request in flight.
+    pub(crate) fn retain_ready(&mut self, ready: &[NodeId]) {
+        self.seen
+            .retain(|seen| seen.in_flight > 0 || ready.binary_search(&seen.node).is_ok());
+    }
+
+    fn position(&self, node: NodeId) -> Result<usize, usize> {
+        self.seen.binary_search_by_key(&node, |seen| seen.node)
+    }
+}
--- a/components/traffic/src/ledger.rs
+++ b/components/traffic/src/ledger.rs
@@ -1,8 +1,27 @@
 //! Ledger of an owner: what became of each request until it expires.
+//!
+//! The owner machine records each request that it takes in or fences. Entries lie in buckets, each a
+//! sorted vector, so that an insertion moves about a hundred entries instead of all. Expiries lie in
+//! a heap, so that nothing scans the entries.
 
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::time::Duration;
+
+use errors::Verdict;
 use ids::RequestId;
 use kernel::Time;
 
+/// Time for which an entry outlives its request, so that a query that comes just after the expiry
+/// still finds it.
+pub const KEEP: Duration = Duration::from_secs(5);
+/// Buckets; with 100,000 entries each holds about a hundred.
+const BUCKETS: usize = 1_024;
+/// Spreads ids that differ in few bits (odd constant from the golden ratio).
+const SPREAD: u64 = 0x9e37_79b9_7f4a_7c15;
+/// Entries that one clean-up drops at most, which bounds the time under the lock.
+const MAX_DROPS: usize = 512;
+
 /// What the owner knows of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
@@ -13,10 +32,7 @@
     /// It waits or runs.
     Running,
     /// It ended; `stored` tells whether the answer can be fetched.
-    Done {
-        verdict: errors::Verdict,
-        stored: bool,
-    },
+    Done { verdict: Verdict, stored: bool },
     /// The owner cannot tell.
     Unknown,
 }
@@ -29,24 +45,41 @@
     /// It waits or runs under this tag.
     Open { tag: u64 },
     /// It ended.
-    Done {
-        verdict: errors::Verdict,
-        stored: bool,
-    },
+    Done { verdict: Verdict, stored: bool },
+}
+
+/// One request as the ledger knows it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Record {
+    /// The request.
+    pub id: RequestId,
+    /// Number of the latest attempt seen here; earlier ones never run any more.
+    pub attempt: u32,
+    /// When its answer is no longer of use.
+    pub expires: Time,
+    /// Whether it can run more than once; false if that is not known.
+    pub idempotent: bool,
+    /// What became of the attempt.
+    pub state: State,
 }
 
 #[derive(Clone, Copy, Debug)]
 struct Entry {
-    id: RequestId,
-    expires: Time,
-    state: State,
+    record: Record,
+    /// Its time has passed while it was open; it goes once it has ended.
+    lapsed: bool,
 }
 
-/// Entries sorted by request id; none is dropped before it expires.
+/// Entries by request id; none is dropped before it expires.
 #[derive(Debug)]
 pub struct Ledger {
     bound: usize,
-    entries: Vec<Entry>,
+    len: usize,
+    idempotent: usize,
+    buckets: Vec<Vec<Entry>>,
+    drops: BinaryHeap<Reverse<(Time, RequestId)>>,
+    /// Latest expiry of an idempotent request that ran without an entry.
+    unrecorded_until: Time,
 }
 
 impl Ledger {
@@ -54,37 +87,137 @@
     pub fn new(bound: usize) -> Self {
         Self {
             bound,
-            entries: Vec::new(),
+            len: 0,
+            idempotent: 0,
+            buckets: vec![Vec::new(); BUCKETS],
+            drops: BinaryHeap::new(),
+            unrecorded_until: Time::default(),
         }
     }
 
-    /// Whether no further entry fits.
-    pub fn is_full(&self) -> bool {
-        self.entries.len() >= self.bound
+    /// Number of entries.
+    pub fn len(&self) -> usize {
+        self.len
+    }
+
+    /// Whether there is no entry.
+    pub fn is_empty(&self) -> bool {
+        self.len == 0
     }
 
-    /// State of a request.
-    pub fn get(&self, id: RequestId) -> Option<State> {
-        self.position(id).ok().map(|at| self.entries[at].state)
+    /// Whether no further entry fits; idempotent requests may take three quarters of the room, so
+    /// that a flood of them does not stop those that depend on the ledger.
+    pub fn is_full(&self, idempotent: bool) -> bool {
+        self.len >= self.bound || (idempotent && self.idempotent >= self.bound / 4 * 3)
     }
 
-    /// Adds or changes an entry; false if it is new and the ledger is full.
-    pub fn set(&mut self, id: RequestId, expires: Time, state: State) -> bool {
-        match self.position(id) {
-            Ok(at) => self.entries[at].state = state,
-            Err(_) if self.is_full() => return false,
-            Err(at) => self.entries.insert(at, Entry { id, expires, state }),
+    /// The record of a request.
+    pub fn get(&self, id: RequestId) -> Option<Record> {
+        let bucket = &self.buckets[bucket_of(id)];
+        let at = bucket.binary_search_by_key(&id, |entry| entry.record.id);
+        at.ok().map(|at| bucket[at].record)
+    }
+
+    /// Adds a record or replaces the one of the same request; false if it is new and does not fit.
+    pub fn put(&mut self, record: Record) -> bool {
+        let full = self.is_full(record.idempotent);
+        let bucket = &mut self.buckets[bucket_of(record.id)];
+        match bucket.binary_search_by_key(&record.id, |entry| entry.record.id) {
+            Ok(at) => {
+                let entry = &mut bucket[at];
+                let expires = entry.record.expires.max(record.expires);
+                // The class stays, because it was counted when the entry was made.
+                let idempotent = entry.record.idempotent;
+                let id = record.id;
+                let again = entry.lapsed || expires > entry.record.expires;
+                entry.lapsed = false;
+                entry.record = Record {
+                    expires,
+                    idempotent,
+                    ..record
+                };
+                if again {
+                    self.drops.push(Reverse((expires + KEEP, id)));
+                }
+            }
+            Err(_) if full => return false,
+            Err(at) => {
+                let lapsed = false;
+                bucket.insert(at, Entry { record, lapsed });
+                self.len += 1;
+                self.idempotent += usize::from(record.idempotent);
+                self.drops.push(Reverse((record.expires + KEEP, record.id)));
+            }
         }
         true
     }
 
-    /// Drops entries whose request has expired and has ended.
+    /// Ends the open request that has this tag; one that another attempt replaced is left alone.
+    pub fn close(&mut self, id: RequestId, tag: u64, state: State) {
+        let bucket = &mut self.buckets[bucket_of(id)];
+        let Ok(at) = bucket.binary_search_by_key(&id, |entry| entry.record.id) else {
+            return;
+        };
+        if bucket[at].record.state != (State::Open { tag }) {
+            return;
+        }
+        bucket[at].record.state = state;
+        if bucket[at].lapsed {
+            self.remove_at(id, at);
+        }
+    }
+
+    /// Notes that an idempotent request runs without an entry because none fits.
+    pub fn skip(&mut self, expires: Time) {
+        self.unrecorded_until = self.unrecorded_until.max(expires);
+    }
+
+    /// Whether the lack of an entry proves that a request which expires then was never taken in.
+    pub fn proves_absence(&self, now: Time, expires: Time) -> bool {
+        now < expires + KEEP && expires > self.unrecorded_until
+    }
+
+    /// Drops entries whose time has passed and whose request has ended, a bounded number at once.
     pub fn expire(&mut self, now: Time) {
-        self.entries
-            .retain(|entry| entry.expires > now || matches!(entry.state, State::Open { .. }));
+        for _ in 0..MAX_DROPS {
+            match self.drops.peek() {
+                Some(Reverse((due, _))) if *due <= now => {}
+                _ => return,
+            }
+            if let Some(Reverse((due, id))) = self.drops.pop() {
+                self.drop_due(due, id);
+            }
+        }
     }
 
-    fn position(&self, id: RequestId) -> Result<usize, usize> {
-        self.entries.binary_search_by_key(&id, |entry| entry.id)
+    /// When [`Ledger::expire`] has something to do.
+    pub fn next_expiry(&self) -> Option<Time> {
+        self.drops.peek().map(|Reverse((due, _))| *due)
     }
+
+    fn drop_due(&mut self, due: Time, id: RequestId) {
+        let bucket = &mut self.buckets[bucket_of(id)];
+        let Ok(at) = bucket.binary_search_by_key(&id, |entry| entry.record.id) else {
+            return;
+        };
+        let entry = &mut bucket[at];
+        if entry.record.expires + KEEP > due {
+            return;
+        }
+        match entry.record.state {
+            State::Open { .. } => entry.lapsed = true,
+            State::Fenced | State::Done { .. } => self.remove_at(id, at),
+        }
+    }
+
+    fn remove_at(&mut self, id: RequestId, at: usize) {
+        let entry = self.buckets[bucket_of(id)].remove(at);
+        self.len -= 1;
+        self.idempotent -= usize::from(entry.record.idempotent);
+    }
+}
+
+fn bucket_of(id: RequestId) -> usize {
+    let folded = (id.0 as u64) ^ ((id.0 >> 64) as u64);
+    (folded.wrapping_mul(SPREAD) >> 54) as usize % BUCKETS
 }
--- a/components/traffic/src/owner.rs
+++ b/components/traffic/src/owner.rs
@@ -1,5 +1,8 @@
 //! The owner's side: admission, dispatch and the ledger.
 
+mod known;
+mod message;
+
 use std::time::Duration;
 
 use crate::Dispatched;
@@ -12,9 +15,6 @@
 use errors::Reason;
 use errors::Verdict;
 use ids::NodeId;
-use ids::Rank;
-use ids::RequestId;
-use ids::RouteId;
 use kernel::Random;
 use kernel::Time;
 use member::Stage;
@@ -25,77 +25,18 @@
 use policy::Load;
 use policy::Ticket;
 
+pub use message::Effect;
+pub use message::Input;
+pub use message::Offer;
+pub use message::Question;
+
 /// Requests that the ledger remembers.
 const LEDGER_BOUND: usize = 100_000;
-/// Time between two clean-ups of the ledger.
-const CLEAN_PERIOD: Duration = Duration::from_secs(1);
+/// Shortest time between two clean-ups of the ledger, so that each one drops many entries.
+const CLEAN_PERIOD: Duration = Duration::from_millis(250);
 /// Time after which a refused sender may try again while the endpoint leaves or is not ready.
 const AWAY_RETRY_AFTER: Duration = Duration::from_secs(1);
 
-/// A request as it arrives at the owner.
-#[derive(Clone, Copy, Debug)]
-pub struct Offer {
-    /// Name by which the effects refer to it.
-    pub tag: u64,
-    /// Identity.
-    pub id: RequestId,
-    /// The node that it was sent to.
-    pub meant_for: NodeId,
-    /// When its answer is no longer of use, on this node's clock.
-    pub expires: Time,
-    /// Its route.
-    pub route: RouteId,
-    /// Its urgency.
-    pub rank: Rank,
-    /// Share of its route among the routes of its rank.
-    pub weight: u32,
-}
-
-/// What can happen at the owner.
-#[derive(Clone, Copy, Debug)]
-pub enum Input {
-    /// A request arrived.
-    Offered(Offer),
-    /// The upstream has ended a started request, or its connection broke.
-    Finished {
-        /// The request.
-        tag: u64,
-        /// What is known of its execution.
-        verdict: Verdict,
-        /// Whether the upstream shed it.
-        shed: bool,
-        /// Whether the shell keeps its answer.
-        stored: bool,
-    },
-    /// The sender left or no longer needs the answer.
-    Cancelled { tag: u64 },
-    /// A sender asks what became of a request; answered by [`Effect::Tell`].
-    Asked {
-        tag: u64,
-        id: RequestId,
-        expires: Time,
-    },
-    /// The upstream announced itself.
-    Upstream { stage: Stage, slots: u32 },
-    /// The node leaves.
-    Drain,
-}
-
-/// What the owner asks for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Effect {
-    /// Give the request to the upstream.
-    Start { tag: u64 },
-    /// Refuse the request.
-    Refuse { tag: u64, refusal: Refusal },
-    /// Cancel the request at the upstream.
-    Abort { tag: u64 },
-    /// Answer an outcome query.
-    Tell { tag: u64, outcome: Outcome },
-    /// All that was accepted before the drain has ended.
-    Drained,
-}
-
 enum Phase {
     Queued(Request<Queued>),
     Dispatched(Request<Dispatched>),
@@ -134,16 +75,19 @@
 
     fn offer(&mut self, now: Time, offer: Offer, effects: &mut Vec<Effect>) {
         let request = Request::new(offer.id, offer.expires);
-        if let Err(reason) = self.check(now, &offer) {
-            let refusal = request.refuse(reason, AWAY_RETRY_AFTER);
+        if let Err(refusal) = self.check(now, &offer, request) {
             effects.push(Effect::Refuse {
                 tag: offer.tag,
                 refusal,
             });
             return;
         }
-        self.ledger
-            .set(offer.id, offer.expires, State::Open { tag: offer.tag });
+        if !self
+            .ledger
+            .put(known::record(&offer, State::Open { tag: offer.tag }))
+        {
+            self.ledger.skip(offer.expires);
+        }
         if let Err(at) = self.position(offer.tag) {
             self.open.insert(at, (offer.tag, Phase::Queued(request)));
         }
@@ -159,26 +103,40 @@
         self.carry_out(now, decisions, effects);
     }
 
-    fn check(&self, now: Time, offer: &Offer) -> Result<(), Reason> {
+    /// Whether the request can be offered for admission.
+    fn check(&mut self, now: Time, offer: &Offer, request: Request<Queued>) -> Result<(), Refusal> {
+        let not_run = |reason| Err(request.refuse(reason, AWAY_RETRY_AFTER));
         if offer.meant_for != self.me {
-            return Err(Reason::NoEndpoint);
+            return not_run(Reason::NoEndpoint);
         }
         if offer.expires <= now {
-            return Err(Reason::DeadlinePassed);
+            return not_run(Reason::DeadlinePassed);
         }
-        match self.ledger.get(offer.id) {
-            Some(State::Fenced) => return Err(Reason::Fenced),
-            Some(State::Open { .. } | State::Done { .. }) => return Err(Reason::Duplicate),
-            None => {}
+        if let Some(known) = self.ledger.get(offer.id) {
+            known::check(offer, known, request)?;
         }
         match self.stage {
-            Stage::Ready if self.ledger.is_full() => Err(Reason::QueueFull),
+            Stage::Ready if !offer.idempotent && !self.has_room(offer) => {
+                not_run(Reason::QueueFull)
+            }
             Stage::Ready => Ok(()),
-            Stage::Warming => Err(Reason::Warming),
-            Stage::Draining | Stage::Gone => Err(Reason::Draining),
+            Stage::Warming => {
+                // A copy that arrives once the upstream is ready must not run after this answer.
+                let refused = State::Done {
+                    verdict: Verdict::NotRun,
+                    stored: false,
+                };
+                self.ledger.put(known::record(offer, refused));
+                not_run(Reason::Warming)
+            }
+            Stage::Draining | Stage::Gone => not_run(Reason::Draining),
         }
     }
 
+    fn has_room(&self, offer: &Offer) -> bool {
+        !self.ledger.is_full(offer.idempotent) || self.ledger.get(offer.id).is_some()
+    }
+
     fn carry_out(&mut self, now: Time, decisions: Vec<Decision>, effects: &mut Vec<Effect>) {
         for decision in decisions {
             match decision {
@@ -213,7 +171,7 @@
                 verdict: Verdict::NotRun,
                 stored: false,
             };
-            self.ledger.set(request.id(), request.expires(), done);
+            self.ledger.close(request.id(), tag, done);
             effects.push(Effect::Refuse {
                 tag,
                 refusal: request.refuse(reason, after),
@@ -231,14 +189,17 @@
         let Ok(at) = self.position(tag) else {
             return;
         };
-        if let (_, Phase::Dispatched(request)) = self.open.remove(at) {
+        // A request that still waits is ended by a cancellation, which also takes it out of the queue.
+        if let Phase::Dispatched(request) = &self.open[at].1 {
+            let request = *request;
+            self.open.remove(at);
             let latency = now.since(request.state().since);
             let ended = request.answer(verdict);
             let done = State::Done {
                 verdict: ended.state().verdict,
                 stored,
             };
-            self.ledger.set(ended.id(), ended.expires(), done);
+            self.ledger.close(ended.id(), tag, done);
             let mut decisions = Vec::new();
             self.admission
                 .finish(now, Ticket(tag), Finish { latency, shed }, &mut decisions);
@@ -259,15 +220,61 @@
         }
     }
 
-    fn tell(&mut self, now: Time, id: RequestId, expires: Time) -> Outcome {
-        match self.ledger.get(id) {
-            None if expires <= now => Outcome::Fenced,
-            None if self.ledger.set(id, expires, State::Fenced) => Outcome::Fenced,
-            None => Outcome::Unknown,
-            Some(State::Fenced) => Outcome::Fenced,
-            Some(State::Open { .. }) => Outcome::Running,
-            Some(State::Done { verdict, stored }) => Outcome::Done { verdict, stored },
+    fn tell(&mut self, now: Time, question: Question, effects: &mut Vec<Effect>) -> Outcome {
+        let Some(known) = self.ledger.get(question.id) else {
+            return self.fence_unseen(now, question);
+        };
+        if question.attempt < known.attempt {
+            // A later attempt is only taken in after this one, which then has not run, unless the
+            // request can run more than once.
+            return if known.idempotent {
+                Outcome::Unknown
+            } else {
+                Outcome::Fenced
+            };
         }
+        match known.state {
+            State::Open { tag } => self.tell_open(now, tag, question.given_up, effects),
+            State::Fenced
+            | State::Done {
+                verdict: Verdict::NotRun,
+                ..
+            } if question.attempt > known.attempt => {
+                self.ledger.put(known::fence(question));
+                Outcome::Fenced
+            }
+            State::Fenced => Outcome::Fenced,
+            State::Done { verdict, stored } => Outcome::Done { verdict, stored },
+        }
+    }
+
+    fn fence_unseen(&mut self, now: Time, question: Question) -> Outcome {
+        if !self.ledger.proves_absence(now, question.expires) {
+            return Outcome::Unknown;
+        }
+        // An expired request is refused without a fence.
+        if question.expires <= now || self.ledger.put(known::fence(question)) {
+            Outcome::Fenced
+        } else {
+            Outcome::Unknown
+        }
+    }
+
+    fn tell_open(
+        &mut self,
+        now: Time,
+        tag: u64,
+        given_up: bool,
+        effects: &mut Vec<Effect>,
+    ) -> Outcome {
+        let queued = self
+            .position(tag)
+            .is_ok_and(|at| matches!(self.open[at].1, Phase::Queued(_)));
+        if !queued || !given_up {
+            return Outcome::Running;
+        }
+        self.cancel(now, tag, effects);
+        Outcome::Cancelled
     }
 
     fn set_stage(&mut self, now: Time, stage: Stage, slots: u32, effects: &mut Vec<Effect>) {
@@ -275,7 +282,12 @@
             return;
         }
         self.stage = stage;
-        let slots = if stage == Stage::Warming { 0 } else { slots };
+        let slots = match stage {
+            Stage::Warming => 0,
+            // What was accepted is finished, even if the upstream no longer announces slots.
+            Stage::Draining | Stage::Gone if slots == 0 => return,
+            Stage::Ready | Stage::Draining | Stage::Gone => slots,
+        };
         let mut decisions = Vec::new();
         self.admission.set_slots(now, slots, &mut decisions);
         self.carry_out(now, decisions, effects);
@@ -315,12 +327,12 @@
                 self.finish(now, tag, (verdict, shed, stored), effects);
             }
             Input::Cancelled { tag } => self.cancel(now, tag, effects),
-            Input::Asked { tag, id, expires } => {
-                let outcome = self.tell(now, id, expires);
+            Input::Asked { tag, question } => {
+                let outcome = self.tell(now, question, effects);
                 effects.push(Effect::Tell { tag, outcome });
             }
             Input::Upstream { stage, slots } => self.set_stage(now, stage, slots, effects),
-            Input::Drain => self.stage = Stage::Draining,
+            Input::Drain => self.stage = self.stage.max(Stage::Draining),
         }
         self.report_drained(effects);
     }
@@ -337,10 +349,13 @@
     }
 
     fn next_wake(&self) -> Option<Time> {
-        Some(
-            self.admission
-                .next_wake()
-                .map_or(self.next_clean, |due| due.min(self.next_clean)),
-        )
+        let clean = self
+            .ledger
+            .next_expiry()
+            .map(|due| due.max(self.next_clean));
+        [clean, self.admission.next_wake()]
+            .into_iter()
+            .flatten()
+            .min()
     }
 }
--- /dev/null
+++ b/components/traffic/tests/ledger.rs
@@ -0,0 +1,122 @@
+//! Guards the ledger against forgetting, against growth, and against work that grows with it.
+
+use proptest::collection::vec;
+use proptest::prelude::ProptestConfig;
+use proptest::prop_assert;
+use proptest::prop_assert_eq;
+use proptest::proptest;
+use rstest::rstest;
+
+use errors::Verdict;
+use ids::RequestId;
+use kernel::Random;
+use kernel::Time;
+use kernel::random::Seeded;
+use traffic::ledger::KEEP;
+use traffic::ledger::Ledger;
+use traffic::ledger::Record;
+use traffic::ledger::State;
+
+const DONE: State = State::Done {
+    verdict: Verdict::Ran,
+    stored: false,
+};
+
+fn record(id: u128, expires: u64, idempotent: bool, state: State) -> Record {
+    Record {
+        id: RequestId(id),
+        attempt: 1,
+        expires: Time(expires),
+        idempotent,
+        state,
+    }
+}
+
+/// Guards against idempotent requests that take the room of those that depend on the ledger.
+#[rstest]
+fn put_full() {
+    let mut ledger = Ledger::new(8);
+    let taken = (0..8).filter(|id| ledger.put(record(*id, 10, true, DONE)));
+    assert_eq!(taken.count(), 6);
+    assert!(ledger.put(record(10, 10, false, DONE)));
+    assert!(ledger.put(record(11, 10, false, DONE)));
+    assert!(!ledger.put(record(12, 10, false, DONE)));
+    assert!(ledger.put(record(11, 20, false, DONE)));
+}
+
+/// Guards against an entry of a running request that goes with its expiry, and one that never goes.
+#[rstest]
+fn expire_open() {
+    let mut ledger = Ledger::new(8);
+    let open = State::Open { tag: 3 };
+    ledger.put(record(1, 10, false, open));
+    ledger.expire(Time(11) + KEEP);
+    assert_eq!(ledger.get(RequestId(1)).map(|it| it.state), Some(open));
+    ledger.close(RequestId(1), 3, DONE);
+    assert!(ledger.is_empty());
+}
+
+/// Guards against a false proof that an idempotent request, which found no room, never arrived.
+#[rstest]
+fn skip_unrecorded() {
+    let mut ledger = Ledger::new(4);
+    ledger.skip(Time(100));
+    assert!(!ledger.proves_absence(Time(50), Time(100)));
+    assert!(ledger.proves_absence(Time(50), Time(101)));
+}
+
+/// Guards against a clean-up that holds the lock for all entries at once.
+#[rstest]
+fn expire_many() {
+    const COUNT: usize = 100_000;
+    let mut random = Seeded::new(5);
+    let mut ledger = Ledger::new(COUNT);
+    for _ in 0..COUNT {
+        let id = u128::from(random.next()) << 64 | u128::from(random.next());
+        assert!(ledger.put(record(id, 1_000, false, DONE)));
+    }
+    let before = ledger.len();
+    ledger.expire(Time(1_000_000) + KEEP);
+    assert_eq!(before - ledger.len(), 512);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(128))]
+
+    /// Guards against entries dropped before they expire or kept for ever, against a plain list.
+    #[rstest]
+    fn expire_any(steps in vec((0_u128..24, 0_u64..400, 0_u8..4), 1..200)) {
+        let mut ledger = Ledger::new(16);
+        let mut model: Vec<Record> = Vec::new();
+        let keep = u64::try_from(KEEP.as_micros()).unwrap();
+        let mut now = 0;
+        for (id, span, kind) in steps {
+            now += span * keep / 400;
+            let state = if kind == 0 { State::Open { tag: 1 } } else { DONE };
+            let added = record(id, now + span, false, state);
+            let known = model.iter().position(|it| it.id == added.id);
+            if kind == 3 {
+                ledger.close(added.id, 1, DONE);
+                if let Some(at) = known {
+                    model[at].state = DONE;
+                }
+            } else if ledger.put(added) {
+                match known {
+                    Some(at) => {
+                        let expires = model[at].expires.max(added.expires);
+                        model[at] = Record { expires, ..added };
+                    }
+                    None => model.push(added),
+                }
+            } else {
+                prop_assert!(known.is_none() && model.len() >= 16);
+            }
+            ledger.expire(Time(now));
+            model.retain(|it| it.state != DONE || it.expires + KEEP > Time(now));
+            prop_assert_eq!(ledger.len(), model.len());
+            for it in &model {
+                prop_assert_eq!(ledger.get(it.id), Some(*it));
+            }
+        }
+    }
+}
--- a/components/wire/src/control.rs
+++ b/components/wire/src/control.rs
@@ -9,7 +9,9 @@
 use config::Piece;
 use errors::Verdict;
 use ids::Digest;
+use ids::RequestId;
 use ids::Version;
+use kernel::Time;
 
 /// Longest message of a control call: the longest text with some room.
 pub const MAX_FRAME_BYTES: usize = 1_100_000;
@@ -20,9 +22,18 @@
     /// Gives the configuration to a node that has `version` with hash `digest`.
     async fn pull(version: u64, digest: u64) -> Offer;
 
-    /// Tells what became of a request, and fences it if it never arrived. `expires_us` is on the
-    /// clock of the node that is asked.
-    async fn outcome(id: u128, expires_us: u64) -> Outcome;
+    /// Tells what became of a request, and fences it if it never arrived.
+    async fn outcome(question: Question) -> Outcome;
+}
+
+/// A [`traffic::owner::Question`] as it is encoded.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+pub struct Question {
+    id: u128,
+    attempt: u32,
+    /// On the clock of the node that is asked.
+    expires_us: u64,
+    given_up: bool,
 }
 
 /// A record as it is encoded.
@@ -159,6 +170,28 @@
     }
 }
 
+impl From<traffic::owner::Question> for Question {
+    fn from(question: traffic::owner::Question) -> Self {
+        Self {
+            id: question.id.0,
+            attempt: question.attempt,
+            expires_us: question.expires.0,
+            given_up: question.given_up,
+        }
+    }
+}
+
+impl From<Question> for traffic::owner::Question {
+    fn from(question: Question) -> Self {
+        Self {
+            id: RequestId(question.id),
+            attempt: question.attempt,
+            expires: Time(question.expires_us),
+            given_up: question.given_up,
+        }
+    }
+}
+
 impl From<traffic::ledger::Outcome> for Outcome {
     fn from(outcome: traffic::ledger::Outcome) -> Self {
         use traffic::ledger::Outcome as Known;
