--- a/components/http1/src/attempt.rs
+++ b/components/http1/src/attempt.rs
@@ -36,8 +36,8 @@
 use traffic::entry::Input;
 use traffic::entry::Report;
 use traffic::entry::Way;
-use traffic::ledger::Outcome;
 use traffic::owner::Offer;
+use traffic::owner::Question;
 use wire::header;
 
 /// Longest wait for the head of an answer before the owner is asked.
@@ -46,21 +46,12 @@
 
 /// A request in a form that can be sent more than once if its body is small.
 pub(crate) struct Saved {
-    /// Identity of the first attempt.
     pub(crate) id: RequestId,
     /// Without headers of the system and of one connection.
     pub(crate) parts: Parts,
     pub(crate) body: Intake,
 }
 
-impl Saved {
-    /// Identity of one attempt. Each has its own, since an owner refuses an id that it has seen, and
-    /// an attempt may go to the owner that failed the one before.
-    fn attempt_id(&self, attempt: Attempt) -> RequestId {
-        RequestId(self.id.0.wrapping_add(u128::from(attempt.number - 1)))
-    }
-}
-
 /// An answer whose head is in hand.
 pub(crate) struct Begun {
     pub(crate) response: Response<Payload>,
@@ -71,6 +62,8 @@
 pub(crate) enum Sent {
     /// An answer or a failure to report to the entry machine.
     Begun(Begun),
+    /// A stored answer, which the entry machine knows of.
+    Fetched(Response<Payload>, Vec<Effect>),
     /// The entry machine has gone on without an answer.
     Decided(Vec<Effect>),
 }
@@ -95,7 +88,12 @@
         Err(reason) => return Sent::Begun(failed(Verdict::NotRun, reason)),
     };
     let expires = idle.remote.translate(attempt.deadline);
-    let id = saved.attempt_id(attempt);
+    let question = Question {
+        id: saved.id,
+        attempt: attempt.number,
+        expires,
+        given_up: false,
+    };
     let mut answer = pin!(send_remote(shared, saved, way, attempt, idle, expires));
     let deadline = Instant::from_std(shared.desk.clock().instant(attempt.deadline));
     let mut asking = pin!(None);
@@ -119,7 +117,7 @@
                 if Instant::now() >= deadline {
                     return Sent::Begun(failed(Verdict::MayHaveRun, Reason::DeadlinePassed));
                 }
-                asking.set(Some(ask(shared, id, call, attempt, expires)));
+                asking.set(Some(ask(shared, question, call, attempt)));
             }
         }
     }
@@ -136,30 +134,44 @@
     }
 }
 
-/// Asks the owner what became of an attempt, and fetches its answer if the owner keeps it.
-async fn ask(
-    shared: &Shared,
-    id: RequestId,
-    call: CallKey,
-    attempt: Attempt,
-    expires: Time,
-) -> Sent {
-    shared.desk.step_entry(Input::Silent { call });
-    let outcome = query_outcome(attempt.peer, id, expires).await;
-    if let Outcome::Done { stored: true, .. } = outcome {
-        let fetched = shared
-            .nodes
-            .fetch(attempt.requests, attempt.node, id, shared.desk.clock());
-        if let Some(response) = fetched.await {
-            return Sent::Begun(begun(response));
-        }
-    }
+/// Asks the owner what became of an attempt, and fetches its stored answer if need be.
+async fn ask(shared: &Shared, question: Question, call: CallKey, attempt: Attempt) -> Sent {
+    let effects = shared.desk.step_entry(Input::Silent { call });
+    let given_up = effects
+        .iter()
+        .any(|effect| matches!(effect, Effect::Query { give_up: true, .. }));
+    let question = Question {
+        given_up,
+        ..question
+    };
+    let outcome = query_outcome(attempt.peer, question).await;
     let picture = shared.desk.picture();
-    Sent::Decided(shared.desk.step_entry(Input::Told {
+    let mut effects = shared.desk.step_entry(Input::Told {
         call,
         picture,
         outcome,
-    }))
+    });
+    while effects
+        .iter()
+        .any(|effect| matches!(effect, Effect::Fetch { .. }))
+    {
+        let (address, clock) = (attempt.requests, shared.desk.clock());
+        let fetched = shared
+            .nodes
+            .fetch(address, attempt.node, question.id, clock);
+        let fetched = fetched.await;
+        let picture = shared.desk.picture();
+        let found = fetched.is_some();
+        effects = shared.desk.step_entry(Input::Fetched {
+            call,
+            picture,
+            found,
+        });
+        if let Some(response) = fetched {
+            return Sent::Fetched(response, effects);
+        }
+    }
+    Sent::Decided(effects)
 }
 
 /// Runs an attempt at this node's own upstream.
@@ -174,16 +186,17 @@
         .map_or(1, |route| route.weight);
     let offer = Offer {
         tag: 0,
-        id: saved.attempt_id(attempt),
+        id: saved.id,
+        attempt: attempt.number,
         meant_for: attempt.node,
         expires: attempt.deadline,
         route: way.route,
         rank: way.rank,
         weight,
+        idempotent: way.idempotent,
     };
     let work = Work {
         offer,
-        idempotent: way.idempotent,
         head_only: saved.parts.method == Method::HEAD,
         request,
     };
@@ -214,7 +227,7 @@
         return failed(Verdict::MayHaveRun, Reason::ConnectionBroken);
     };
     let values = [
-        (header::REQUEST_ID, saved.attempt_id(attempt).to_string()),
+        (header::REQUEST_ID, saved.id.to_string()),
         (header::ROUTE, way.route.to_string()),
         (header::OWNER, attempt.node.to_string()),
         (header::EXPIRES, expires.0.to_string()),
--- a/components/http1/src/caller.rs
+++ b/components/http1/src/caller.rs
@@ -172,6 +172,7 @@
         for effect in effects.drain(..) {
             match effect {
                 Effect::Retrying { reason } => shared.desk.counters().count_retry(reason),
+                Effect::Denied { reason } => shared.desk.counters().count_refusal("retry", reason),
                 Effect::Refuse { refusal } => return Err(refusal),
                 Effect::Forward {
                     call,
@@ -181,7 +182,10 @@
                     guard.call = Some(call);
                     forward = Some((call, route, attempt));
                 }
-                Effect::Query { .. } | Effect::Wait { .. } | Effect::Deliver { .. } => {}
+                Effect::Query { .. }
+                | Effect::Fetch { .. }
+                | Effect::Wait { .. }
+                | Effect::Deliver { .. } => {}
             }
         }
         let Some((call, way, attempt)) = forward else {
@@ -203,14 +207,21 @@
                     picture,
                     report,
                 });
-                if effects
-                    .iter()
-                    .any(|effect| matches!(effect, Effect::Deliver { .. }))
-                {
+                if delivers(&effects) {
                     return Ok((begun.response, way, attempt));
                 }
             }
+            Sent::Fetched(response, next) if delivers(&next) => {
+                return Ok((response, way, attempt));
+            }
+            Sent::Fetched(_, next) => effects = next,
             Sent::Decided(next) => effects = next,
         }
     }
 }
+
+fn delivers(effects: &[Effect]) -> bool {
+    effects
+        .iter()
+        .any(|effect| matches!(effect, Effect::Deliver { .. }))
+}
--- a/components/http1/src/node.rs
+++ b/components/http1/src/node.rs
@@ -69,14 +69,12 @@
     session: &Session,
     request: Request<Incoming>,
 ) -> Result<Response<Payload>, Refusal> {
-    let (offer, idempotent) =
-        read_offer(shared, request.headers()).ok_or_else(|| not_run(Reason::Malformed))?;
+    let offer = read_offer(shared, request.headers()).ok_or_else(|| not_run(Reason::Malformed))?;
     let (mut parts, body) = request.into_parts();
     let payload = Intake::read(body).await.map_err(not_run)?.payload();
     clean_request(&mut parts.headers);
     let work = Work {
         offer,
-        idempotent,
         head_only: parts.method == Method::HEAD,
         request: Request::from_parts(parts, payload.unwrap_or_else(|| full(""))),
     };
@@ -114,7 +112,7 @@
     })
 }
 
-fn read_offer(shared: &Shared, headers: &HeaderMap) -> Option<(Offer, bool)> {
+fn read_offer(shared: &Shared, headers: &HeaderMap) -> Option<Offer> {
     let route: RouteId = parse_header(headers, header::ROUTE)?;
     let expires = Time(parse_header(headers, header::EXPIRES)?);
     if expires > shared.desk.now() + MAX_EXPIRY {
@@ -122,17 +120,18 @@
     }
     let picture = shared.desk.picture();
     let snapshot = picture.snapshot.as_ref();
-    // A route that this node does not know yet is served at the least urgent rank, and taken to be
-    // one whose requests may not be repeated.
+    // A route that this node does not know yet is served at the least urgent rank.
     let known = snapshot.and_then(|it| it.route(it.find_route_by_id(route)?));
-    let offer = Offer {
+    Some(Offer {
         tag: 0,
         id: parse_header::<RequestId>(headers, header::REQUEST_ID)?,
+        attempt: parse_header(headers, header::ATTEMPT)?,
         meant_for: parse_header::<NodeId>(headers, header::OWNER)?,
         expires,
         route,
         rank: known.map_or(ids::Rank(u8::MAX), |route| route.rank),
         weight: known.map_or(1, |route| route.weight),
-    };
-    Some((offer, known.is_some_and(|route| route.idempotent)))
+        // A route that this node does not know yet runs at most once.
+        idempotent: known.is_some_and(|route| route.idempotent),
+    })
 }
--- a/components/http1/src/run.rs
+++ b/components/http1/src/run.rs
@@ -42,8 +42,6 @@
 /// A request for the upstream.
 pub(crate) struct Work {
     pub(crate) offer: Offer,
-    /// Whether it can run more than once.
-    pub(crate) idempotent: bool,
     /// Whether it is a HEAD request.
     pub(crate) head_only: bool,
     /// Without headers of the system and of one connection.
@@ -70,7 +68,7 @@
 /// running one is cancelled only if it is idempotent, since otherwise its answer may be asked for.
 pub(crate) async fn run(shared: &Arc<Shared>, work: Work) -> Result<Done, Refusal> {
     let permit = shared.desk.admit(work.offer).await?;
-    if work.idempotent {
+    if work.offer.idempotent {
         return run_repeatable(shared, permit, work).await;
     }
     let shared = Arc::clone(shared);
--- a/components/http1/tests/connections.rs
+++ b/components/http1/tests/connections.rs
@@ -203,7 +203,7 @@
     let expires = owner.desk.now().0 + 3_000_000;
     let id = ids::RequestId(77);
     let headers = format!(
-        "medlar-request-id: {id}\r\nmedlar-route: {route}\r\nmedlar-owner: {}\r\nmedlar-expires-us: {expires}",
+        "medlar-request-id: {id}\r\nmedlar-attempt: 1\r\nmedlar-route: {route}\r\nmedlar-owner: {}\r\nmedlar-expires-us: {expires}",
         owner.id
     );
     let request =
--- a/components/http1/tests/support/mod.rs
+++ b/components/http1/tests/support/mod.rs
@@ -35,9 +35,7 @@
 use ids::Domain;
 use ids::Incarnation;
 use ids::NodeId;
-use ids::RequestId;
 use ids::Version;
-use kernel::Time;
 use kernel::clock::Monotonic;
 use kernel::plugin::Params;
 use kernel::plugin::build;
@@ -57,6 +55,7 @@
 use wire::control::Offer;
 use wire::control::Outcome;
 use wire::control::Peer;
+use wire::control::Question;
 
 /// Routes of all tests: GET may be repeated, POST may not.
 pub(crate) const TEXT: &str = r#"
@@ -88,9 +87,8 @@
         Offer::Same
     }
 
-    async fn outcome(self, _: Context, id: u128, expires_us: u64) -> Outcome {
-        let outcome = self.0.tell_outcome(RequestId(id), Time(expires_us));
-        outcome.await.into()
+    async fn outcome(self, _: Context, question: Question) -> Outcome {
+        self.0.tell_outcome(question.into()).await.into()
     }
 }
 
--- a/components/transport/examples/probe_cost.rs
+++ b/components/transport/examples/probe_cost.rs
@@ -15,6 +15,7 @@
 use wire::control::Offer;
 use wire::control::Outcome;
 use wire::control::Peer;
+use wire::control::Question;
 
 const PROBES: u32 = 2_000;
 const RUNS: u32 = 5;
@@ -32,7 +33,7 @@
         Offer::Same
     }
 
-    async fn outcome(self, _: Context, _: u128, _: u64) -> Outcome {
+    async fn outcome(self, _: Context, _: Question) -> Outcome {
         Outcome::Unknown
     }
 }
@@ -85,14 +86,14 @@
         let (cpu, started) = (processor_seconds(), Instant::now());
         for _ in 0..PROBES {
             let client = calls::connect(tarpc_address, LIMIT).await?;
-            client.outcome(calls::limit_call(LIMIT), 1, 1).await?;
+            client.pull(calls::limit_call(LIMIT), 1, 1).await?;
         }
         report("tarpc, new connection", run, cpu, started);
 
         let (cpu, started) = (processor_seconds(), Instant::now());
         let client = calls::connect(tarpc_address, LIMIT).await?;
         for _ in 0..PROBES {
-            client.outcome(calls::limit_call(LIMIT), 1, 1).await?;
+            client.pull(calls::limit_call(LIMIT), 1, 1).await?;
         }
         report("tarpc, kept connection", run, cpu, started);
     }
