Take the tag of a request under the owner's lock

About one request in some hundreds waited for admission until its deadline when 20 callers asked at once. The owner said "running", yet nothing was sent to the upstream. The tag was taken before the lock, so two requests could enter the list of waiters out of order; the binary search then missed one, and its start was lost. The tag is now taken under the lock.

A lost wake-up of those that wait for a connection to the upstream was suspected first: only one notice is kept while nobody is registered. They now register before they look; the test failed without this change and with it alone, so the fault was not this one.

--- a/components/front/src/desk.rs
+++ b/components/front/src/desk.rs
@@ -4,8 +4,6 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
-use std::sync::atomic::AtomicU64;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
@@ -65,6 +63,7 @@
     random: Seeded,
     /// Sorted by tag.
     waiters: Vec<(u64, Waiter)>,
+    last_tag: u64,
 }
 
 /// Runs the traffic machines of a node.
@@ -77,7 +76,6 @@
     owner_changed: Notify,
     drained: CancellationToken,
     counters: Arc<Counters>,
-    next_tag: AtomicU64,
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -96,6 +94,7 @@
             machine: parts.owner,
             random: Seeded::from_system(),
             waiters: Vec::new(),
+            last_tag: 0,
         };
         Self {
             me: parts.me,
@@ -106,7 +105,6 @@
             owner_changed: Notify::new(),
             drained: CancellationToken::new(),
             counters: parts.counters,
-            next_tag: AtomicU64::new(1),
         }
     }
 
@@ -166,15 +164,13 @@
 
     /// Waits for admission; the request is cancelled if the future is dropped.
     pub async fn admit(self: &Arc<Self>, mut offer: owner::Offer) -> Result<Permit, Refusal> {
-        offer.tag = self.next_tag.fetch_add(1, Ordering::Relaxed);
         let (sender, receiver) = oneshot::channel();
-        let pending = Permit::new(Arc::clone(self), offer.tag);
-        {
+        let pending = {
             let mut owner = lock(&self.owner);
-            // Tags rise, so the new one goes last.
-            owner.waiters.push((offer.tag, Waiter::Admission(sender)));
+            offer.tag = owner.add(Waiter::Admission(sender));
             self.step_locked(&mut owner, owner::Input::Offered(offer));
-        }
+            Permit::new(Arc::clone(self), offer.tag)
+        };
         match receiver.await {
             Ok(Ok(cancelled)) => Ok(pending.start(cancelled)),
             Ok(Err(refusal)) => {
@@ -191,11 +187,10 @@
 
     /// Answers an outcome query of another node.
     pub async fn tell_outcome(&self, question: owner::Question) -> Outcome {
-        let tag = self.next_tag.fetch_add(1, Ordering::Relaxed);
         let (sender, receiver) = oneshot::channel();
         {
             let mut owner = lock(&self.owner);
-            owner.waiters.push((tag, Waiter::Query(sender)));
+            let tag = owner.add(Waiter::Query(sender));
             self.step_locked(&mut owner, owner::Input::Asked { tag, question });
         }
         receiver.await.unwrap_or(Outcome::Unknown)
@@ -293,6 +288,13 @@
 }
 
 impl Owner {
+    /// Adds a waiter under a new tag. The tag is taken under the lock, so the list stays sorted.
+    fn add(&mut self, waiter: Waiter) -> u64 {
+        self.last_tag += 1;
+        self.waiters.push((self.last_tag, waiter));
+        self.last_tag
+    }
+
     fn position(&self, tag: u64) -> Result<usize, usize> {
         self.waiters.binary_search_by_key(&tag, |(known, _)| *known)
     }
--- a/components/http1/src/upstream.rs
+++ b/components/http1/src/upstream.rs
@@ -1,6 +1,7 @@
 //! Connections to the node's own upstream.
 
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::PoisonError;
@@ -82,22 +83,35 @@
     }
 
     async fn connect(&self, limit: usize, now: Time) -> Result<Link, Failure> {
+        if let Some(found) = self.find(limit, now).await {
+            return found;
+        }
+        // The deadline of the request bounds the wait.
         loop {
-            while let Some(mut link) = self.pop(now) {
-                if link.is_usable().await {
-                    return Ok(link);
-                }
+            let mut freed = pin!(self.bound.freed.notified());
+            // Registered before the look, or a connection that is freed between the look and the
+            // wait would wake nobody: only one such notice is kept.
+            freed.as_mut().enable();
+            if let Some(found) = self.find(limit, now).await {
+                return found;
             }
-            if let Some(slot) = self.bound.take(limit) {
-                let open = Link::open(self.address, (slot, None));
-                return match timeout(CONNECT_LIMIT, open).await {
-                    Ok(Some(link)) => Ok(link),
-                    _ => Err((Verdict::NotRun, Reason::ConnectFailed)),
-                };
+            freed.await;
+        }
+    }
+
+    /// Takes an idle connection or opens one; `None` if all are in use.
+    async fn find(&self, limit: usize, now: Time) -> Option<Result<Link, Failure>> {
+        while let Some(mut link) = self.pop(now) {
+            if link.is_usable().await {
+                return Some(Ok(link));
             }
-            // The deadline of the request bounds the wait.
-            self.bound.freed.notified().await;
         }
+        let slot = self.bound.take(limit)?;
+        let open = Link::open(self.address, (slot, None));
+        Some(match timeout(CONNECT_LIMIT, open).await {
+            Ok(Some(link)) => Ok(link),
+            _ => Err((Verdict::NotRun, Reason::ConnectFailed)),
+        })
     }
 
     fn pop(&self, now: Time) -> Option<Link> {
--- a/components/http1/tests/connections.rs
+++ b/components/http1/tests/connections.rs
@@ -148,8 +148,9 @@
     wait_until("cancellation", || seen.cancelled.load(SeqCst) == 1).await;
 }
 
-/// Guards against more connections to the upstream than it declared, one for each request, and
-/// idle ones that the upstream closes while a request is on its way.
+/// Guards against more connections to the upstream than it declared, one for each request, a request
+/// that is not woken when one is free, and idle ones that the upstream closes while a request is on
+/// its way.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn connect_upstream_bounded() {
     let (address, seen) = upstream::start().await;
@@ -158,8 +159,8 @@
     for _ in 0..20 {
         let callers = entry.callers;
         asking.push(tokio::spawn(async move {
-            for _ in 0..10 {
-                let answer = ask(callers, get("/wait/2")).await.unwrap();
+            for _ in 0..40 {
+                let answer = ask(callers, get("/wait/1")).await.unwrap();
                 assert_eq!(answer.status(), 200, "{}", answer.head);
             }
         }));
