Refuse bad configuration texts with line, reason and hint

Texts are now checked for size (also as a stored record), control characters, format, names, methods, statuses, ranges, counts, circular and repeated dependencies, and routes of the same shape. The order of match is literal, {name}, ** segment by segment, so that only identical shapes stay ambiguous.

Routes are found in a tree by segment.

--- a/components/config/src/compile.rs
+++ b/components/config/src/compile.rs
@@ -1,75 +1,50 @@
 //! Compilation of a text into a snapshot.
 
 use std::sync::Arc;
-use std::time::Duration;
 
-use quick_error::quick_error;
 use serde_saphyr::Spanned;
 
-use crate::Pattern;
-use crate::Route;
+use crate::Fault;
 use crate::Service;
 use crate::ServiceKey;
 use crate::Snapshot;
+use crate::depends::find_circle;
+use crate::parse::parse;
+use crate::rules;
+use crate::rules::MAX_DEPENDS;
+use crate::rules::MAX_ROUTES;
+use crate::rules::MAX_SERVICES;
 use crate::source;
+use crate::suggest_name;
+use crate::tree::Tree;
 use ids::Digest;
-use ids::Rank;
-use ids::RouteId;
 use ids::ServiceId;
 use ids::Version;
 use kernel::Arena;
 
-/// Longest accepted text; the store holds values up to a megabyte.
+/// Longest accepted text, in bytes.
 pub const MAX_TEXT_BYTES: usize = 900_000;
-/// Longest accepted deadline of a route; bounds how long outcomes are kept.
-const MAX_DEADLINE: Duration = Duration::from_secs(60);
-const MAX_WEIGHT: u32 = 1_000;
-const DEFAULT_WEIGHT: u32 = 1;
+/// Longest record; the store holds values up to a megabyte.
+pub const MAX_RECORD_BYTES: usize = 1_000_000;
+/// Most faults that are listed; more do not help to repair a text.
+const MAX_FAULTS: usize = 100;
 
-quick_error! {
-    /// Why a text is refused.
-    #[derive(Debug, Clone, PartialEq, Eq)]
-    pub enum Fault {
-        /// The text is too long.
-        TooLong { bytes: usize } {
-            display("the text has {bytes} bytes; at most {MAX_TEXT_BYTES} are accepted")
-        }
-        /// The text is not the expected YAML.
-        Syntax { message: String } {
-            display("{message}")
-        }
-        /// A rule is broken.
-        Rule { line: u64, message: String } {
-            display("line {line}: {message}")
-        }
-    }
-}
-
-fn rule<T>(at: &Spanned<T>, message: impl Into<String>) -> Fault {
-    Fault::Rule {
-        line: at.referenced.line(),
-        message: message.into(),
-    }
-}
-
-/// Compiles `text`; gives all broken rules, not only the first.
+/// Compiles `text`; gives the broken rules, not only the first.
 pub fn compile(text: &str, version: Version) -> Result<Snapshot, Vec<Fault>> {
-    if text.len() > MAX_TEXT_BYTES {
-        return Err(vec![Fault::TooLong { bytes: text.len() }]);
-    }
-    let source: source::Text = serde_saphyr::from_str(text).map_err(|error| {
-        vec![Fault::Syntax {
-            message: error.to_string(),
-        }]
-    })?;
+    let source = parse(text)?;
     let mut build = Build::new(text, version);
     build.add_services(&source);
+    build.add_dependencies(&source);
     build.add_routes(&source);
     build.finish()
 }
 
 struct Build {
     snapshot: Snapshot,
+    /// Line of each service by position.
+    service_lines: Vec<u64>,
+    /// Line of each route by position.
+    route_lines: Vec<u64>,
     faults: Vec<Fault>,
 }
 
@@ -83,40 +58,39 @@
             services: Arena::new(generation),
             routes: Arena::new(generation),
             by_name: Vec::new(),
-            by_match: Vec::new(),
             by_id: Vec::new(),
+            tree: Tree::default(),
         };
         Self {
             snapshot,
+            service_lines: Vec::new(),
+            route_lines: Vec::new(),
             faults: Vec::new(),
         }
     }
 
     fn add_services(&mut self, source: &source::Text) {
-        for service in &source.services {
+        let line = |service: &source::Service| service.name.referenced.line();
+        let too_many = rules::check_count(&source.services, MAX_SERVICES, "services", line);
+        self.faults.extend(too_many);
+        for service in source.services.iter().take(MAX_SERVICES) {
             let name = &service.name;
-            if name.value.is_empty() {
-                self.faults.push(rule(name, "a service has a name"));
-            }
+            self.faults.extend(rules::check_name(name));
             if self.snapshot.find_service(&name.value).is_some() {
-                self.faults.push(rule(
-                    name,
-                    format!("service {:?} is listed twice", name.value),
-                ));
+                let message = format!("service {:?} is listed twice", name.value);
+                let hint = "merge the two or rename one";
+                self.faults.push(Fault::at(name, message, hint));
                 continue;
             }
-            let mut statuses: Vec<u16> = service
-                .not_run_statuses
-                .iter()
-                .map(|status| status.value)
-                .collect();
-            statuses.sort_unstable();
+            let not_run_statuses =
+                rules::check_statuses(&service.not_run_statuses, &mut self.faults);
             let key = self.snapshot.services.insert(Service {
                 id: ServiceId::from_name(&name.value),
                 name: Arc::from(name.value.as_str()),
                 depends: Vec::new(),
-                not_run_statuses: statuses,
+                not_run_statuses,
             });
+            self.service_lines.push(line(service));
             let at = self.snapshot.by_name.partition_point(|known| {
                 self.snapshot
                     .services
@@ -125,97 +99,106 @@
             });
             self.snapshot.by_name.insert(at, key);
         }
+    }
+
+    fn add_dependencies(&mut self, source: &source::Text) {
         for service in &source.services {
-            self.add_dependencies(service);
+            let Some(key) = self.snapshot.find_service(&service.name.value) else {
+                continue;
+            };
+            let line = |name: &Spanned<String>| name.referenced.line();
+            let too_many = rules::check_count(&service.depends, MAX_DEPENDS, "depends", line);
+            self.faults.extend(too_many);
+            for name in service.depends.iter().take(MAX_DEPENDS) {
+                self.add_dependency(key, name);
+            }
+        }
+        if let Some(circle) = find_circle(&self.snapshot.services) {
+            self.refuse_circle(&circle);
         }
     }
 
-    fn add_dependencies(&mut self, service: &source::Service) {
-        let Some(key) = self.snapshot.find_service(&service.name.value) else {
+    fn add_dependency(&mut self, service: ServiceKey, name: &Spanned<String>) {
+        let Some(target) = self.snapshot.find_service(&name.value) else {
+            let known = self.snapshot.services.iter().map(|(_, it)| &*it.name);
+            let hint = suggest_name(&name.value, known).map_or_else(
+                || "list it under services".to_owned(),
+                |near| format!("did you mean {near:?}?"),
+            );
+            let message = format!("service {:?} is not listed", rules::shorten(&name.value));
+            self.faults.push(Fault::at(name, message, &hint));
             return;
         };
-        let mut depends = Vec::new();
-        for name in &service.depends {
-            match self.snapshot.find_service(&name.value) {
-                Some(target) => depends.push(target),
-                None => self.faults.push(rule(
-                    name,
-                    format!("service {:?} is not listed", name.value),
-                )),
-            }
-        }
-        if let Some(service) = self.snapshot.services.get_mut(key) {
-            service.depends = depends;
+        let Some(service) = self.snapshot.services.get_mut(service) else {
+            return;
+        };
+        if service.depends.contains(&target) {
+            let message = format!("{:?} is listed twice", name.value);
+            self.faults.push(Fault::at(name, message, "remove one"));
+            return;
         }
+        service.depends.push(target);
+    }
+
+    fn refuse_circle(&mut self, circle: &[ServiceKey]) {
+        let name = |key: &ServiceKey| self.snapshot.service(*key).map_or("", |it| &it.name);
+        let mut names: Vec<&str> = circle.iter().map(name).collect();
+        names.extend(circle.first().map(name));
+        let line = circle
+            .first()
+            .map_or(1, |key| self.service_lines[key.index()]);
+        self.faults.push(Fault::Line {
+            line,
+            message: format!("circular dependency: {}", names.join(" -> ")),
+            hint: "remove one of these dependencies".into(),
+        });
     }
 
     fn add_routes(&mut self, source: &source::Text) {
-        for service in &source.services {
-            let Some(key) = self.snapshot.find_service(&service.name.value) else {
+        let routes = source.services.iter().flat_map(|service| {
+            let key = self.snapshot.find_service(&service.name.value);
+            service.routes.iter().map(move |route| (key, route))
+        });
+        let routes: Vec<_> = routes.collect();
+        let line = |(_, route): &(Option<ServiceKey>, &source::Route)| route.path.referenced.line();
+        let too_many = rules::check_count(&routes, MAX_ROUTES, "routes", line);
+        self.faults.extend(too_many);
+        for (service, written) in routes.into_iter().take(MAX_ROUTES) {
+            let Some(service) = service else {
                 continue;
             };
-            for route in &service.routes {
-                if let Some(route) = self.check_route(key, route) {
-                    self.snapshot.routes.insert(route);
-                }
+            let Some(route) = rules::check_route(service, written, &mut self.faults) else {
+                continue;
+            };
+            let key = self.snapshot.routes.insert(route);
+            self.route_lines.push(written.path.referenced.line());
+            let earlier = match self.snapshot.routes.get(key) {
+                Some(route) => self.snapshot.tree.insert(key, route),
+                None => None,
+            };
+            if let Some(earlier) = earlier.and_then(|it| self.snapshot.routes.get(it).zip(Some(it)))
+            {
+                let (other, at) = earlier;
+                let message = format!(
+                    "{} {} covers the same paths as {} in line {}",
+                    other.method,
+                    written.path.value,
+                    other.path,
+                    self.route_lines[at.index()],
+                );
+                let hint = "remove one, or replace a {name} in one by a literal";
+                self.faults.push(Fault::at(&written.path, message, hint));
             }
         }
     }
 
-    fn check_route(&mut self, service: ServiceKey, route: &source::Route) -> Option<Route> {
-        let before = self.faults.len();
-        let pattern = Pattern::parse(&route.path.value);
-        if let Err(message) = &pattern {
-            self.faults.push(rule(&route.path, *message));
-        }
-        let rank = route.rank.value;
-        if usize::from(rank) >= Rank::COUNT {
-            self.faults
-                .push(rule(&route.rank, format!("rank {rank} is not 0 to 3")));
-        }
-        let deadline = Duration::from_millis(route.deadline_ms.value);
-        if deadline.is_zero() || deadline > MAX_DEADLINE {
-            self.faults
-                .push(rule(&route.deadline_ms, "a deadline is 1 to 60000 ms"));
-        }
-        let weight = route
-            .weight
-            .as_ref()
-            .map_or(DEFAULT_WEIGHT, |weight| weight.value);
-        if let Some(written) = &route.weight
-            && !(1..=MAX_WEIGHT).contains(&weight)
-        {
-            self.faults.push(rule(written, "a weight is 1 to 1000"));
-        }
-        if self.faults.len() > before {
-            return None;
-        }
-        Some(Route {
-            id: RouteId::from_parts(&route.method.value, &route.path.value),
-            service,
-            method: route.method.value.clone(),
-            pattern: pattern.ok()?,
-            path: route.path.value.clone(),
-            rank: Rank(rank),
-            deadline,
-            idempotent: route.idempotent.unwrap_or(route.method.value == "GET"),
-            weight,
-        })
-    }
-
     fn finish(mut self) -> Result<Snapshot, Vec<Fault>> {
         if !self.faults.is_empty() {
+            self.faults.truncate(MAX_FAULTS);
             return Err(self.faults);
         }
-        let mut order: Vec<_> = self.snapshot.routes.iter().collect();
-        order.sort_by(|(_, a), (_, b)| (&a.method, &a.pattern).cmp(&(&b.method, &b.pattern)));
-        self.snapshot.by_match = order.into_iter().map(|(key, _)| key).collect();
-        let mut by_id: Vec<_> = self
-            .snapshot
-            .routes
-            .iter()
-            .map(|(key, route)| (route.id, key))
-            .collect();
+        let routes = self.snapshot.routes.iter();
+        let mut by_id: Vec<_> = routes.map(|(key, route)| (route.id, key)).collect();
         by_id.sort_unstable();
         self.snapshot.by_id = by_id;
         Ok(self.snapshot)
--- /dev/null
+++ b/components/config/src/delta.rs
@@ -0,0 +1,134 @@
+//! Differences between texts: for the nodes as [`Delta`], for operators as text.
+
+use std::fmt::Write;
+
+use similar::DiffOp;
+use similar::group_diff_ops;
+
+use crate::script::make_script;
+use ids::Digest;
+
+/// Unchanged lines around each change that operators see.
+const CONTEXT_LINES: usize = 3;
+
+/// One step of a [`Delta`].
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Piece {
+    /// Lines of the old text, from `start`, `count` of them.
+    Keep { start: u32, count: u32 },
+    /// New lines, with their line ends.
+    Insert(String),
+}
+
+/// What turns one text into another.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Delta {
+    /// Hash of the text that it applies to.
+    pub base: Digest,
+    /// The steps, in order.
+    pub pieces: Vec<Piece>,
+}
+
+impl Delta {
+    /// The difference from `old` to `new`; the work is bounded for any two texts.
+    pub fn from_texts(old: &str, new: &str) -> Self {
+        let old_lines = split_lines(old);
+        let new_lines = split_lines(new);
+        let mut pieces = Vec::new();
+        for op in make_script(&old_lines, &new_lines) {
+            if let DiffOp::Equal { old_index, len, .. } = op {
+                pieces.push(Piece::Keep {
+                    start: u32::try_from(old_index).unwrap_or(u32::MAX),
+                    count: u32::try_from(len).unwrap_or(u32::MAX),
+                });
+            } else if !op.new_range().is_empty() {
+                pieces.push(Piece::Insert(new_lines[op.new_range()].concat()));
+            }
+        }
+        Self {
+            base: Digest::from_bytes(old.as_bytes()),
+            pieces,
+        }
+    }
+
+    /// Applies the delta to `old`; `None` if it does not fit or the result exceeds `max_bytes`.
+    pub fn apply(&self, old: &str, max_bytes: usize) -> Option<String> {
+        if Digest::from_bytes(old.as_bytes()) != self.base {
+            return None;
+        }
+        let lines = split_lines(old);
+        let mut text = String::new();
+        for piece in &self.pieces {
+            let added = match piece {
+                Piece::Keep { start, count } => {
+                    let start = usize::try_from(*start).ok()?;
+                    let end = start.checked_add(usize::try_from(*count).ok()?)?;
+                    &join_lines(old, lines.get(start..end)?)
+                }
+                Piece::Insert(inserted) => inserted.as_str(),
+            };
+            // Checked before the copy, so that the memory stays within the bound.
+            if added.len() > max_bytes.saturating_sub(text.len()) {
+                return None;
+            }
+            text.push_str(added);
+        }
+        Some(text)
+    }
+}
+
+/// The readable difference from `old` to `new`, in the unified format; empty if they are equal.
+pub fn describe_difference(old: &str, new: &str) -> String {
+    let old_lines = split_lines(old);
+    let new_lines = split_lines(new);
+    let mut text = String::new();
+    let script = make_script(&old_lines, &new_lines);
+    if script.iter().all(|op| matches!(op, DiffOp::Equal { .. })) {
+        return text;
+    }
+    for group in group_diff_ops(script, CONTEXT_LINES) {
+        let (Some(first), Some(last)) = (group.first(), group.last()) else {
+            continue;
+        };
+        let (old_start, old_end) = (first.old_range().start, last.old_range().end);
+        let (new_start, new_end) = (first.new_range().start, last.new_range().end);
+        // Writing to a string does not fail.
+        let _ = writeln!(
+            text,
+            "@@ -{},{} +{},{} @@",
+            old_start + 1,
+            old_end - old_start,
+            new_start + 1,
+            new_end - new_start,
+        );
+        for op in group {
+            if matches!(op, DiffOp::Equal { .. }) {
+                push_lines(&mut text, ' ', &old_lines[op.old_range()]);
+            } else {
+                push_lines(&mut text, '-', &old_lines[op.old_range()]);
+                push_lines(&mut text, '+', &new_lines[op.new_range()]);
+            }
+        }
+    }
+    text
+}
+
+fn push_lines(text: &mut String, sign: char, lines: &[&str]) {
+    for line in lines {
+        text.push(sign);
+        text.push_str(line.trim_end_matches(['\r', '\n']));
+        text.push('\n');
+    }
+}
+
+fn split_lines(text: &str) -> Vec<&str> {
+    text.split_inclusive('\n').collect()
+}
+
+/// Adjacent lines of `text` as one piece of it.
+fn join_lines(text: &str, lines: &[&str]) -> String {
+    let bytes = lines.iter().map(|line| line.len()).sum::<usize>();
+    let mut joined = String::with_capacity(bytes.min(text.len()));
+    lines.iter().for_each(|line| joined.push_str(line));
+    joined
+}
--- a/components/config/src/life.rs
+++ b/components/config/src/life.rs
@@ -45,6 +45,11 @@
 }
 
 impl Checked {
+    /// The text.
+    pub fn text(&self) -> &Arc<str> {
+        &self.text
+    }
+
     /// The record by which this text becomes `version`.
     pub fn into_record(self, version: Version, edit: u128, parent: Digest) -> Record {
         let digest = Digest::from_bytes(self.text.as_bytes());
@@ -63,13 +68,12 @@
     /// Compiles a record that came from the store or another node.
     pub fn from_record(record: Record) -> Result<Self, Vec<Fault>> {
         if record.format > FORMAT {
-            let message = format!("format {} is newer than {FORMAT}", record.format);
-            return Err(vec![Fault::Syntax { message }]);
+            return Err(vec![Fault::NewerFormat {
+                found: u64::from(record.format),
+            }]);
         }
         if Digest::from_bytes(record.text.as_bytes()) != record.digest {
-            return Err(vec![Fault::Syntax {
-                message: "the text does not match its hash".into(),
-            }]);
+            return Err(vec![Fault::Damaged]);
         }
         let snapshot = Arc::new(compile(&record.text, record.version)?);
         Ok(Self { record, snapshot })
--- a/components/config/src/pattern.rs
+++ b/components/config/src/pattern.rs
@@ -1,8 +1,14 @@
 //! Path patterns of routes.
 
-/// One segment of a pattern.
+/// Longest pattern, in bytes.
+const MAX_BYTES: usize = 1_024;
+/// Most segments of a pattern; bounds the depth of the route tree.
+const MAX_SEGMENTS: usize = 32;
+
+/// One segment of a pattern, in the order of match: a literal goes before `{name}`, which goes
+/// before `**`.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Segment {
+pub(crate) enum Segment {
     Literal(String),
     /// `{name}`: any one segment.
     Any,
@@ -11,6 +17,10 @@
 }
 
 /// A path pattern: literal segments, `{name}` for one segment, `**` at the end for the rest.
+///
+/// Patterns are ordered segment by segment, and a pattern that ends goes before one that goes on.
+/// Of all patterns that cover a path, the first in this order takes it. Equal patterns differ at most
+/// in the names inside the braces, so neither could go first.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Pattern {
     segments: Vec<Segment>,
@@ -22,28 +32,29 @@
         let Some(rest) = text.strip_prefix('/') else {
             return Err("a path starts with '/'");
         };
+        if text.len() > MAX_BYTES {
+            return Err("a path has at most 1024 bytes");
+        }
         let parts: Vec<&str> = if rest.is_empty() {
             Vec::new()
         } else {
             rest.split('/').collect()
         };
+        if parts.len() > MAX_SEGMENTS {
+            return Err("a path has at most 32 segments");
+        }
         let mut segments = Vec::with_capacity(parts.len());
         for (at, part) in parts.iter().enumerate() {
-            let segment = match *part {
-                "" => return Err("a path has no empty segment"),
-                "**" if at + 1 == parts.len() => Segment::Rest,
-                "**" => return Err("'**' stands only at the end of a path"),
-                part if part.starts_with('{') && part.ends_with('}') => Segment::Any,
-                part if part.contains(['{', '}', '*', '?', '#']) => {
-                    return Err("'{', '}', '*', '?' and '#' have no meaning inside a segment");
-                }
-                part => Segment::Literal(part.to_owned()),
-            };
-            segments.push(segment);
+            segments.push(parse_segment(part, at + 1 == parts.len())?);
         }
         Ok(Self { segments })
     }
 
+    /// The segments.
+    pub(crate) fn segments(&self) -> &[Segment] {
+        &self.segments
+    }
+
     /// Whether the pattern covers `path` (without query).
     pub fn matches(&self, path: &str) -> bool {
         let Some(rest) = path.strip_prefix('/') else {
@@ -61,3 +72,34 @@
         parts.next().is_none()
     }
 }
+
+fn parse_segment(part: &str, last: bool) -> Result<Segment, &'static str> {
+    if part == "**" {
+        return if last {
+            Ok(Segment::Rest)
+        } else {
+            Err("'**' stands only at the end of a path")
+        };
+    }
+    if let Some(name) = part.strip_prefix('{').and_then(|it| it.strip_suffix('}')) {
+        let valid = |byte: u8| byte.is_ascii_alphanumeric() || matches!(byte, b'_' | b'-');
+        return if !name.is_empty() && name.bytes().all(valid) {
+            Ok(Segment::Any)
+        } else {
+            Err("a name in braces has letters, digits, '_' and '-'")
+        };
+    }
+    // Characters of a path segment in RFC 3986, without '*'.
+    let valid = |byte: u8| byte.is_ascii_alphanumeric() || b"-._~!$&'()+,;=:@%".contains(&byte);
+    match part {
+        "" => Err("a path has no empty segment"),
+        "." | ".." => Err("a path has no '.' or '..' segment, because HTTP clients resolve them"),
+        part if part.contains(['{', '}', '*', '?', '#']) => {
+            Err("'{', '}', '*', '?' and '#' have no meaning inside a segment")
+        }
+        part if !part.bytes().all(valid) => {
+            Err("a path has only characters of a URL; write others as %XX")
+        }
+        part => Ok(Segment::Literal(part.to_owned())),
+    }
+}
--- a/components/config/src/snapshot.rs
+++ b/components/config/src/snapshot.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use crate::Pattern;
+use crate::tree::Tree;
 use ids::Digest;
 use ids::Rank;
 use ids::RouteId;
@@ -62,10 +63,10 @@
     pub(crate) routes: Arena<Route>,
     /// Services sorted by name.
     pub(crate) by_name: Vec<ServiceKey>,
-    /// Routes sorted by method, then by order of match.
-    pub(crate) by_match: Vec<RouteKey>,
     /// Routes sorted by identity.
     pub(crate) by_id: Vec<(RouteId, RouteKey)>,
+    /// Search by method and path.
+    pub(crate) tree: Tree,
 }
 
 impl Snapshot {
@@ -117,18 +118,18 @@
     }
 
     /// The route that takes a request; `path` is without query.
+    ///
+    /// Of all routes of the method that cover the path, it is the one whose pattern is first segment
+    /// by segment: literal before `{name}` before `**`.
     pub fn find_route(&self, method: &str, path: &str) -> Option<RouteKey> {
-        let first = self.by_match.partition_point(|key| {
-            self.routes
-                .get(*key)
-                .is_some_and(|route| route.method.as_str() < method)
-        });
-        self.by_match[first..]
-            .iter()
-            .copied()
-            .map_while(|key| Some((key, self.routes.get(key)?)))
-            .take_while(|(_, route)| route.method == method)
-            .find(|(_, route)| route.pattern.matches(path))
-            .map(|(key, _)| key)
+        self.tree.find(method, path)
+    }
+
+    /// All routes that cover a request, in the order of match; for explanations, not for traffic.
+    pub fn list_matches(&self, method: &str, path: &str) -> Vec<RouteKey> {
+        let covers = |route: &Route| route.method == method && route.pattern.matches(path);
+        let mut found: Vec<_> = self.routes().filter(|(_, it)| covers(it)).collect();
+        found.sort_by(|(_, a), (_, b)| a.pattern.cmp(&b.pattern));
+        found.into_iter().map(|(key, _)| key).collect()
     }
 }
--- a/components/config/src/source.rs
+++ b/components/config/src/source.rs
@@ -1,4 +1,7 @@
 //! The text as written, before any rule is checked.
+//!
+//! Numbers are wider than their ranges, so that a value out of range meets a rule with a hint instead
+//! of a type error.
 
 use serde::Deserialize;
 use serde_saphyr::Spanned;
@@ -7,6 +10,8 @@
 #[derive(Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub(crate) struct Text {
+    #[serde(default)]
+    pub(crate) format: Option<Spanned<u64>>,
     pub(crate) services: Vec<Service>,
 }
 
@@ -18,7 +23,7 @@
     #[serde(default)]
     pub(crate) depends: Vec<Spanned<String>>,
     #[serde(default)]
-    pub(crate) not_run_statuses: Vec<Spanned<u16>>,
+    pub(crate) not_run_statuses: Vec<Spanned<u64>>,
     #[serde(default)]
     pub(crate) routes: Vec<Route>,
 }
@@ -29,10 +34,10 @@
 pub(crate) struct Route {
     pub(crate) method: Spanned<String>,
     pub(crate) path: Spanned<String>,
-    pub(crate) rank: Spanned<u8>,
+    pub(crate) rank: Spanned<u64>,
     pub(crate) deadline_ms: Spanned<u64>,
     #[serde(default)]
     pub(crate) idempotent: Option<bool>,
     #[serde(default)]
-    pub(crate) weight: Option<Spanned<u32>>,
+    pub(crate) weight: Option<Spanned<u64>>,
 }
