--- a/components/control/src/lib.rs
+++ b/components/control/src/lib.rs
@@ -5,6 +5,8 @@
 
 mod life;
 mod machine;
+mod message;
+mod own;
 mod picture;
 
 pub use life::Joining;
@@ -12,10 +14,10 @@
 pub use life::Life;
 pub use life::Node;
 pub use life::Serving;
-pub use machine::Effect;
-pub use machine::Input;
 pub use machine::Machine;
-pub use machine::Token;
+pub use message::Effect;
+pub use message::Input;
+pub use message::Token;
 pub use picture::Endpoint;
 pub use picture::EndpointKey;
 pub use picture::Picture;
--- a/components/control/src/machine.rs
+++ b/components/control/src/machine.rs
@@ -2,70 +2,35 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
+use crate::Effect;
+use crate::Input;
+use crate::Life;
 use crate::Picture;
 use crate::life::Cycle;
+use crate::own::Own;
 use ids::Domain;
 use ids::NodeId;
-use ids::Version;
 use kernel::Random;
 use kernel::Time;
 use member::Limits;
 use member::Member;
-use member::Message;
-use member::Stage;
 use member::Stamp;
-use member::Upstream;
-use spread::Offer;
-use spread::Revision;
-use spread::StoreEvent;
 use spread::is_watcher;
 
-/// Members told at once of a newer version.
+/// Members told at once of a newer version or of a change of the upstream.
 const PUSH_FANOUT: usize = 4;
+/// Least time between two pictures, so that a burst of statements costs one.
+const PICTURE_PAUSE: Duration = Duration::from_millis(20);
+/// A timer that fires this late tells that the process was paused.
+const PAUSE: Duration = Duration::from_secs(1);
 
-/// Names the asker of a control call until it is answered.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct Token(pub u64);
-
-/// What can happen to the control state.
-#[derive(Clone, Debug)]
-pub enum Input {
-    /// A datagram arrived.
-    Datagram { from: SocketAddr, message: Message },
-    /// A node asks for the configuration; answered by [`Effect::AnswerPull`].
-    PullAsked { token: Token, have: Stamp },
-    /// The answer to [`Effect::Pull`]; `None` if there was none.
-    Pulled { offer: Option<Offer> },
-    /// The store said something.
-    Store(StoreEvent),
-    /// The upstream of this node announced itself.
-    Announced { stage: Stage, upstream: Upstream },
-    /// An operator or a signal asks the node to leave.
-    Drain,
-    /// The traffic side has finished all that ran.
-    Drained,
-}
-
-/// What the control state asks for.
-#[derive(Clone, Debug)]
-pub enum Effect {
-    /// Send a datagram.
-    Send { to: SocketAddr, message: Message },
-    /// Ask a node for its configuration.
-    Pull { from: SocketAddr, have: Stamp },
-    /// Answer [`Input::PullAsked`].
-    AnswerPull { token: Token, offer: Offer },
-    /// Read the configuration key of the store.
-    ReadStore,
-    /// Wait for a change of the configuration key.
-    WatchStore { after: Revision },
-    /// End the wait.
-    StopWatch,
-    /// Route by this from now on.
-    Publish(Arc<Picture>),
-    /// A record was refused.
-    Refused { version: Version, message: String },
+/// Outputs of the parts during one step.
+#[derive(Debug, Default)]
+struct Outputs {
+    members: Vec<member::Output>,
+    spread: Vec<spread::Output>,
 }
 
 /// Control state of one node.
@@ -74,7 +39,12 @@
     domain: Domain,
     members: member::Machine,
     spread: spread::Machine,
+    own: Own,
     cycle: Option<Cycle>,
+    /// Revision of the table that the choice of watchers was made by.
+    watchers_of: u64,
+    changed: bool,
+    published: Option<Time>,
     generation: u32,
 }
 
@@ -85,7 +55,11 @@
             domain: me.domain.clone(),
             members: member::Machine::new(me, contacts, limits, now),
             spread: spread::Machine::default(),
+            own: Own::default(),
             cycle: Some(Cycle::Joining(crate::Node::new())),
+            watchers_of: 0,
+            changed: false,
+            published: None,
             generation: 0,
         }
     }
@@ -100,135 +74,231 @@
         self.spread.history().stamp()
     }
 
+    /// The member table.
+    pub fn table(&self) -> &member::Table {
+        self.members.table()
+    }
+
+    /// Stage of the node's life.
+    pub fn life(&self) -> Life {
+        self.cycle.as_ref().map(Cycle::life).unwrap_or_default()
+    }
+
+    /// Carries the outputs of the parts from one to the other until none is left.
     fn settle(
         &mut self,
         now: Time,
+        mut out: Outputs,
         random: &mut dyn Random,
-        from_members: &mut Vec<member::Output>,
-        from_spread: &mut Vec<spread::Output>,
         effects: &mut Vec<Effect>,
     ) {
-        let mut changed = false;
-        let watcher = is_watcher(self.members.table(), self.members.id());
-        self.spread.set_watcher(watcher, now, from_spread);
-        for output in from_spread.drain(..) {
-            match output {
-                spread::Output::Read => effects.push(Effect::ReadStore),
-                spread::Output::Watch { after } => effects.push(Effect::WatchStore { after }),
-                spread::Output::StopWatch => effects.push(Effect::StopWatch),
-                spread::Output::Pull { from, have } => effects.push(Effect::Pull { from, have }),
-                spread::Output::Refused { version, message } => {
-                    effects.push(Effect::Refused { version, message });
-                }
-                spread::Output::Changed => {
-                    changed = true;
-                    self.members.set_stamp(self.spread.history().stamp());
-                    self.members.push(PUSH_FANOUT, random, from_members);
-                }
-            }
+        let revision = self.members.table().revision();
+        if revision != self.watchers_of {
+            self.watchers_of = revision;
+            let watcher = is_watcher(self.members.table(), self.members.id());
+            self.spread.set_watcher(watcher, now, &mut out.spread);
+        }
+        for output in std::mem::take(&mut out.spread) {
+            self.settle_spread(now, output, &mut out, random, effects);
         }
-        for output in from_members.drain(..) {
+        for output in out.members {
             match output {
                 member::Output::Send { to, message } => effects.push(Effect::Send { to, message }),
-                member::Output::Changed => changed = true,
+                member::Output::Sync { to, ask } => effects.push(Effect::Sync { to, ask }),
+                member::Output::Changed => self.changed = true,
             }
         }
-        if changed {
-            self.publish(effects);
+        self.serve_when_ready();
+        self.publish_when_due(now, effects);
+    }
+
+    fn settle_spread(
+        &mut self,
+        now: Time,
+        output: spread::Output,
+        out: &mut Outputs,
+        random: &mut dyn Random,
+        effects: &mut Vec<Effect>,
+    ) {
+        use spread::Output as Asked;
+        let domain = || self.domain.clone();
+        match output {
+            Asked::Read => effects.push(Effect::ReadStore),
+            Asked::Watch { after } => effects.push(Effect::WatchStore { after }),
+            Asked::StopWatch => effects.push(Effect::StopWatch),
+            Asked::WriteBack { expected, record } => {
+                effects.push(Effect::WriteStore { expected, record });
+            }
+            Asked::ReadContacts => effects.push(Effect::ReadContacts { domain: domain() }),
+            Asked::WriteContacts {
+                expected,
+                addresses,
+            } => effects.push(Effect::WriteContacts {
+                domain: domain(),
+                expected,
+                addresses,
+            }),
+            Asked::Contacts(found) => self.members.add_contacts(now, &found),
+            Asked::Pull { from, have } => effects.push(Effect::Pull { from, have }),
+            Asked::Refused { version, message } => {
+                effects.push(Effect::Refused { version, message });
+            }
+            Asked::Reported => self.changed = true,
+            Asked::Changed => {
+                self.changed = true;
+                self.members.set_stamp(self.spread.history().stamp());
+                self.members.push(PUSH_FANOUT, random, &mut out.members);
+            }
         }
     }
 
-    fn publish(&mut self, effects: &mut Vec<Effect>) {
-        let snapshot = self
-            .spread
-            .history()
-            .current()
-            .map(|now| Arc::clone(now.snapshot()));
-        if snapshot.is_some() {
+    fn serve_when_ready(&mut self) {
+        let ready = self.members.is_joined() && self.spread.is_settled();
+        if ready && self.life() == Life::Joining {
             self.cycle = self.cycle.take().map(Cycle::serve);
+            self.changed = true;
         }
+    }
+
+    /// When the next picture may be published, if there is a reason for one.
+    fn next_picture(&self) -> Option<Time> {
+        let earliest = self.published.map_or(Time(0), |it| it + PICTURE_PAUSE);
+        self.changed.then_some(earliest)
+    }
+
+    fn publish_when_due(&mut self, now: Time, effects: &mut Vec<Effect>) {
+        if self.next_picture().is_none_or(|due| due > now) {
+            return;
+        }
+        self.changed = false;
+        self.published = Some(now);
         self.generation = self.generation.wrapping_add(1);
-        let life = self.cycle.as_ref().map(Cycle::life).unwrap_or_default();
-        effects.push(Effect::Publish(Arc::new(Picture::new(
+        let current = self.spread.history().current();
+        let picture = Picture::new(
             self.members.id(),
             self.domain.clone(),
-            life,
-            snapshot,
+            self.life(),
+            current.map(|it| Arc::clone(it.snapshot())),
             self.members.table(),
             self.generation,
-        ))));
+        );
+        let report = self.spread.report().clone();
+        effects.push(Effect::Publish(Arc::new(picture.with_report(report))));
     }
 
-    fn drain(&mut self, effects: &mut Vec<Effect>) {
-        self.cycle = self.cycle.take().map(Cycle::leave);
-        let upstream = self
-            .members
-            .table()
-            .get(self.members.id())
-            .and_then(|me| me.upstream.clone());
-        self.members.announce(Stage::Draining, upstream);
-        self.publish(effects);
+    /// Announces the state of the own upstream if it differs from what members know.
+    fn announce(&mut self, random: &mut dyn Random, out: &mut Outputs) {
+        let (stage, upstream) = self.own.state();
+        let known = self.members.table().get(self.members.id());
+        if known.is_some_and(|it| (it.stage, &it.upstream) == (stage, &upstream)) {
+            return;
+        }
+        self.members.announce(stage, upstream);
+        self.members.push(PUSH_FANOUT, random, &mut out.members);
+        self.changed = true;
     }
-}
 
-impl kernel::Machine for Machine {
-    type Input = Input;
-    type Effect = Effect;
+    fn leave(&mut self, random: &mut dyn Random, out: &mut Outputs) {
+        self.cycle = self.cycle.take().map(Cycle::leave);
+        self.own.finish();
+        let (stage, upstream) = self.own.state();
+        self.members.announce(stage, upstream);
+        self.members.leave();
+        self.members.push(PUSH_FANOUT, random, &mut out.members);
+        self.changed = true;
+    }
 
-    fn step(
+    fn take(
         &mut self,
         now: Time,
         input: Input,
+        out: &mut Outputs,
         random: &mut dyn Random,
         effects: &mut Vec<Effect>,
     ) {
-        let mut from_members = Vec::new();
-        let mut from_spread = Vec::new();
         match input {
             Input::Datagram { from, message } => {
                 let stamp = message.gossip().stamp;
-                self.members.receive(from, message, &mut from_members);
-                self.spread.hear(now, from, stamp, &mut from_spread);
+                self.members.receive(now, from, message, &mut out.members);
+                self.spread.hear(now, from, stamp, &mut out.spread);
             }
             Input::PullAsked { token, have } => {
-                let offer = self.spread.history().offer(have);
+                let offer = self.spread.offer(have);
                 effects.push(Effect::AnswerPull { token, offer });
             }
-            Input::Pulled { offer } => self.spread.receive_offer(offer, &mut from_spread),
+            Input::Pulled { from, offer } => {
+                self.spread
+                    .receive_offer(now, from, offer, random, &mut out.spread);
+            }
+            Input::SyncAsked { token, ask } => {
+                let answer = self.members.answer(now, ask, &mut out.members);
+                effects.push(Effect::AnswerSync { token, answer });
+            }
+            Input::Synced { from, answer } => {
+                let stamp = answer.as_ref().map(|it| it.stamp).unwrap_or_default();
+                self.spread.hear(now, from, stamp, &mut out.spread);
+                self.members
+                    .receive_answer(now, from, answer, random, &mut out.members);
+            }
             Input::Store(event) => self
                 .spread
-                .receive_store(now, event, random, &mut from_spread),
+                .receive_store(now, event, random, &mut out.spread),
+            Input::Contacts(event) => {
+                let view = (self.members.table(), &self.domain);
+                self.spread
+                    .receive_contacts(now, event, view, random, &mut out.spread);
+            }
             Input::Announced { stage, upstream } => {
-                self.members.announce(stage, Some(upstream));
-                self.members.push(PUSH_FANOUT, random, &mut from_members);
-                from_members.push(member::Output::Changed);
+                self.own.announce(now, stage, upstream);
+                self.announce(random, out);
             }
             Input::Drain => {
-                self.drain(effects);
-                self.members.push(PUSH_FANOUT, random, &mut from_members);
-            }
-            Input::Drained => {
-                self.members.leave();
-                self.members.push(PUSH_FANOUT, random, &mut from_members);
+                self.cycle = self.cycle.take().map(Cycle::leave);
+                self.own.drain();
+                self.announce(random, out);
+                self.changed = true;
             }
+            Input::Drained => self.leave(random, out),
         }
-        self.settle(now, random, &mut from_members, &mut from_spread, effects);
+    }
+}
+
+impl kernel::Machine for Machine {
+    type Input = Input;
+    type Effect = Effect;
+
+    fn step(
+        &mut self,
+        now: Time,
+        input: Input,
+        random: &mut dyn Random,
+        effects: &mut Vec<Effect>,
+    ) {
+        let mut out = Outputs::default();
+        self.take(now, input, &mut out, random, effects);
+        self.settle(now, out, random, effects);
     }
 
     fn wake(&mut self, now: Time, random: &mut dyn Random, effects: &mut Vec<Effect>) {
-        let mut from_members = Vec::new();
-        let mut from_spread = Vec::new();
-        self.members.wake(now, random, &mut from_members);
-        self.spread.wake(now, &mut from_spread);
-        self.settle(now, random, &mut from_members, &mut from_spread, effects);
+        let mut out = Outputs::default();
+        // The upstream could not renew its lease with a process that was paused.
+        if self.next_wake().is_some_and(|due| now.since(due) >= PAUSE) {
+            self.own.restart(now);
+        }
+        self.own.expire(now);
+        self.announce(random, &mut out);
+        self.members.wake(now, random, &mut out.members);
+        self.spread.wake(now, random, &mut out.spread);
+        self.settle(now, out, random, effects);
     }
 
     fn next_wake(&self) -> Option<Time> {
-        let members = self.members.next_wake();
-        Some(
-            self.spread
-                .next_wake()
-                .map_or(members, |due| due.min(members)),
-        )
+        let members = Some(self.members.next_wake());
+        members
+            .into_iter()
+            .chain(self.spread.next_wake())
+            .chain(self.own.next_wake())
+            .chain(self.next_picture())
+            .min()
     }
 }
--- /dev/null
+++ b/components/control/src/own.rs
@@ -0,0 +1,137 @@
+//! The node's own upstream: its stage and the lease of its announcement.
+
+use std::time::Duration;
+
+use kernel::Time;
+use member::Draining;
+use member::Endpoint;
+use member::Gone;
+use member::Ready;
+use member::Stage;
+use member::Upstream;
+use member::Warming;
+
+/// Time that an announcement holds; the upstream renews it every 3 s.
+const LEASE: Duration = Duration::from_secs(10);
+
+/// The endpoint in whichever stage it is.
+#[derive(Debug, Default)]
+enum Slot {
+    #[default]
+    Empty,
+    Warming(Endpoint<Warming>),
+    Ready(Endpoint<Ready>),
+    Draining(Endpoint<Draining>),
+    Gone(Endpoint<Gone>),
+}
+
+impl Slot {
+    /// The endpoint that has just announced itself in `stage`.
+    fn from_announced(stage: Stage, upstream: Upstream) -> Self {
+        let endpoint = Endpoint::new(upstream);
+        match stage {
+            Stage::Warming => Self::Warming(endpoint),
+            Stage::Ready => Self::Ready(endpoint.become_ready()),
+            Stage::Draining => Self::Draining(endpoint.drain()),
+            Stage::Gone => Self::Gone(endpoint.lapse()),
+        }
+    }
+
+    /// Moves forward to `stage`; gives the endpoint back if that is no step of its life.
+    fn advance(self, stage: Stage) -> Result<Self, Self> {
+        match (self, stage) {
+            (Self::Warming(it), Stage::Ready) => Ok(Self::Ready(it.become_ready())),
+            (Self::Warming(it), Stage::Draining) => Ok(Self::Draining(it.drain())),
+            (Self::Ready(it), Stage::Draining) => Ok(Self::Draining(it.drain())),
+            (Self::Warming(it), Stage::Gone) => Ok(Self::Gone(it.lapse())),
+            (Self::Ready(it), Stage::Gone) => Ok(Self::Gone(it.lapse())),
+            (Self::Draining(it), Stage::Gone) => Ok(Self::Gone(it.finish())),
+            (other, _) => Err(other),
+        }
+    }
+
+    fn state(&self) -> Option<(Stage, &Upstream)> {
+        match self {
+            Self::Empty => None,
+            Self::Warming(it) => Some((Stage::Warming, it.upstream())),
+            Self::Ready(it) => Some((Stage::Ready, it.upstream())),
+            Self::Draining(it) => Some((Stage::Draining, it.upstream())),
+            Self::Gone(it) => Some((Stage::Gone, it.upstream())),
+        }
+    }
+}
+
+/// The upstream that this node owns.
+#[derive(Debug, Default)]
+pub(crate) struct Own {
+    slot: Slot,
+    lease: Option<Time>,
+    leaving: bool,
+}
+
+impl Own {
+    /// Stage and limits as they are to be announced.
+    pub(crate) fn state(&self) -> (Stage, Option<Upstream>) {
+        match self.slot.state() {
+            Some((stage, upstream)) => (stage, Some(upstream.clone())),
+            None if self.leaving => (Stage::Draining, None),
+            None => (Stage::Warming, None),
+        }
+    }
+
+    pub(crate) fn next_wake(&self) -> Option<Time> {
+        self.lease
+    }
+
+    /// Takes an announcement of the upstream in. One that is no step forward, or that changes what
+    /// the upstream is, starts a new life of the endpoint.
+    pub(crate) fn announce(&mut self, now: Time, stage: Stage, upstream: Upstream) {
+        let stage = if self.leaving {
+            stage.max(Stage::Draining)
+        } else {
+            stage
+        };
+        self.lease = (stage != Stage::Gone).then_some(now + LEASE);
+        let same = self.slot.state().filter(|(_, known)| **known == upstream);
+        match same.map(|(known, _)| known) {
+            Some(known) if known == stage => {}
+            Some(_) => {
+                let advanced = std::mem::take(&mut self.slot).advance(stage);
+                self.slot = advanced.unwrap_or_else(|_| Slot::from_announced(stage, upstream));
+            }
+            None => self.slot = Slot::from_announced(stage, upstream),
+        }
+    }
+
+    /// Ends the endpoint if its upstream has stopped announcing itself.
+    pub(crate) fn expire(&mut self, now: Time) {
+        if self.lease.is_some_and(|lease| lease <= now) {
+            self.move_to(Stage::Gone);
+        }
+    }
+
+    /// Gives the upstream time to announce itself after a pause of this process.
+    pub(crate) fn restart(&mut self, now: Time) {
+        self.lease = self.lease.map(|_| now + LEASE);
+    }
+
+    /// The node takes no new requests from now on.
+    pub(crate) fn drain(&mut self) {
+        self.leaving = true;
+        self.move_to(Stage::Draining);
+    }
+
+    /// All that ran has finished.
+    pub(crate) fn finish(&mut self) {
+        self.leaving = true;
+        self.move_to(Stage::Gone);
+    }
+
+    fn move_to(&mut self, stage: Stage) {
+        if stage == Stage::Gone {
+            self.lease = None;
+        }
+        let moved = std::mem::take(&mut self.slot).advance(stage);
+        self.slot = moved.unwrap_or_else(|unmoved| unmoved);
+    }
+}
--- a/components/control/src/picture.rs
+++ b/components/control/src/picture.rs
@@ -13,6 +13,7 @@
 use member::Stage;
 use member::Table;
 use member::Upstream;
+use spread::Report;
 
 /// Address of an endpoint in a picture.
 pub type EndpointKey = Key<Endpoint>;
@@ -47,6 +48,8 @@
     pub snapshot: Option<Arc<Snapshot>>,
     /// The node's own upstream, once announced.
     pub own: Option<(Stage, Upstream)>,
+    /// What went wrong in the distribution of the configuration.
+    pub report: Report,
     endpoints: Arena<Endpoint>,
     /// Sorted by service.
     by_service: Vec<(ServiceKey, EndpointKey)>,
@@ -92,11 +95,17 @@
             life,
             snapshot,
             own,
+            report: Report::default(),
             endpoints,
             by_service,
         }
     }
 
+    /// The picture with this report.
+    pub fn with_report(self, report: Report) -> Self {
+        Self { report, ..self }
+    }
+
     /// The endpoint at `key`, if the key is of this picture.
     pub fn endpoint(&self, key: EndpointKey) -> Option<&Endpoint> {
         self.endpoints.get(key)
--- a/components/daemon/src/executor.rs
+++ b/components/daemon/src/executor.rs
@@ -1,5 +1,6 @@
 //! Carries out the effects of the control machine.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::time::Duration;
@@ -11,34 +12,49 @@
 use tokio::sync::oneshot;
 use tokio::task::JoinHandle;
 
+use config::Record;
 use control::Effect;
 use control::Input;
 use control::Picture;
 use control::Token;
 use front::Desk;
+use ids::Domain;
 use kernel::control::Executor;
 use member::Stage;
+use spread::ContactsEvent;
 use spread::Revision;
 use spread::StoreEvent;
 use store::CONFIG_KEY;
+use store::Entry;
 use store::Store;
+use store::contacts_key;
+use store::decode_contacts;
 use store::decode_record;
+use store::encode_contacts;
+use store::encode_record;
 use telemetry::Counters;
 use transport::Sender;
 use transport::calls;
 
-/// Longest time of a pull.
-const PULL_LIMIT: Duration = Duration::from_secs(2);
+/// Longest time of a control call.
+const CALL_LIMIT: Duration = Duration::from_secs(2);
+
+/// Answer to a control call.
+#[derive(Debug)]
+pub(crate) enum Reply {
+    Offer(spread::Offer),
+    Sync(member::Answer),
+}
 
 /// Senders that wait for the answer to a control call, sorted by token.
 #[derive(Debug, Default)]
 pub(crate) struct Waiting {
     next: u64,
-    senders: Vec<(Token, oneshot::Sender<spread::Offer>)>,
+    senders: Vec<(Token, oneshot::Sender<Reply>)>,
 }
 
 impl Waiting {
-    pub(crate) fn add(&mut self, sender: oneshot::Sender<spread::Offer>) -> Token {
+    pub(crate) fn add(&mut self, sender: oneshot::Sender<Reply>) -> Token {
         self.senders.retain(|(_, sender)| !sender.is_closed());
         self.next += 1;
         let token = Token(self.next);
@@ -46,7 +62,7 @@
         token
     }
 
-    fn take(&mut self, token: Token) -> Option<oneshot::Sender<spread::Offer>> {
+    fn take(&mut self, token: Token) -> Option<oneshot::Sender<Reply>> {
         let at = self
             .senders
             .binary_search_by_key(&token, |(known, _)| *known)
@@ -72,22 +88,29 @@
         match effect {
             Effect::Send { to, message } => self.sender.send(to, &message),
             Effect::Pull { from, have } => {
-                let inputs = self.inputs.clone();
-                tokio::spawn(async move {
+                self.report(async move {
                     let offer = pull(from, have).await.ok();
-                    // The channel closes only when the node stops.
-                    let _ = inputs.send(Input::Pulled { offer }).await;
+                    Input::Pulled { from, offer }
                 });
             }
-            Effect::AnswerPull { token, offer } => {
-                let sender = self.waiting.lock().ok().and_then(|mut it| it.take(token));
-                if let Some(sender) = sender {
-                    let _ = sender.send(offer);
-                }
+            Effect::Sync { to, ask } => {
+                self.report(async move {
+                    let answer = compare(to, &ask).await.ok().flatten();
+                    Input::Synced { from: to, answer }
+                });
             }
+            Effect::AnswerPull { token, offer } => self.reply(token, Reply::Offer(offer)),
+            Effect::AnswerSync { token, answer } => self.reply(token, Reply::Sync(answer)),
             Effect::ReadStore => self.call_store(None),
             Effect::WatchStore { after } => self.call_store(Some(after)),
             Effect::StopWatch => self.stop_watch(),
+            Effect::WriteStore { expected, record } => self.write_store(expected, &record),
+            Effect::ReadContacts { domain } => self.read_contacts(&domain),
+            Effect::WriteContacts {
+                domain,
+                expected,
+                addresses,
+            } => self.write_contacts(&domain, expected, &addresses),
             Effect::Publish(picture) => self.publish(picture),
             Effect::Refused { version, message } => {
                 warn!(version = version.0, error = message.as_str(); "configuration refused");
@@ -97,34 +120,100 @@
 }
 
 impl Effects {
+    /// Starts a call whose end is an input.
+    fn report(&self, call: impl Future<Output = Input> + Send + 'static) -> JoinHandle<()> {
+        let inputs = self.inputs.clone();
+        tokio::spawn(async move {
+            let input = call.await;
+            // The channel closes only when the node stops.
+            let _ = inputs.send(input).await;
+        })
+    }
+
+    fn reply(&self, token: Token, reply: Reply) {
+        let sender = self.waiting.lock().ok().and_then(|mut it| it.take(token));
+        if let Some(sender) = sender {
+            // A caller that no longer waits needs no answer.
+            let _ = sender.send(reply);
+        }
+    }
+
     fn call_store(&mut self, watch_after: Option<Revision>) {
         self.stop_watch();
         let store = Arc::clone(&self.store);
-        let inputs = self.inputs.clone();
         self.counters.count_store_call(if watch_after.is_some() {
             "watch"
         } else {
             "read"
         });
-        self.watch = Some(tokio::spawn(async move {
+        self.watch = Some(self.report(async move {
             let answer = match watch_after {
                 Some(after) => store.watch(CONFIG_KEY, after).await,
                 None => store.read(CONFIG_KEY).await,
             };
-            let event = match answer {
-                Ok(entry) => StoreEvent::Value {
-                    revision: entry.as_ref().map(|it| it.revision).unwrap_or_default(),
-                    record: entry.and_then(|it| decode_record(&it.value)),
-                },
+            Input::Store(match answer {
+                Ok(entry) => read_event(entry),
                 Err(error) => {
-                    warn!(error = error.to_string().as_str(); "store call failed");
+                    log_failure(&error);
                     StoreEvent::Failed
                 }
-            };
-            let _ = inputs.send(Input::Store(event)).await;
+            })
+        }));
+    }
+
+    fn write_store(&mut self, expected: Revision, record: &Record) {
+        self.stop_watch();
+        let store = Arc::clone(&self.store);
+        let value = encode_record(record);
+        self.counters.count_store_call("write");
+        warn!(version = record.version.0; "the store is behind the fleet; writing the record back");
+        self.watch = Some(self.report(async move {
+            Input::Store(match store.swap(CONFIG_KEY, expected, value).await {
+                Ok(_) => StoreEvent::Written,
+                Err(error) => {
+                    log_failure(&error);
+                    StoreEvent::Failed
+                }
+            })
         }));
     }
 
+    fn read_contacts(&self, domain: &Domain) {
+        let store = Arc::clone(&self.store);
+        let key = contacts_key(domain);
+        self.counters.count_store_call("read");
+        self.report(async move {
+            Input::Contacts(match store.read(&key).await {
+                Ok(entry) => ContactsEvent::Value {
+                    revision: entry.as_ref().map(|it| it.revision).unwrap_or_default(),
+                    addresses: entry
+                        .and_then(|it| decode_contacts(&it.value))
+                        .unwrap_or_default(),
+                },
+                Err(error) => {
+                    log_failure(&error);
+                    ContactsEvent::Failed
+                }
+            })
+        });
+    }
+
+    fn write_contacts(&self, domain: &Domain, expected: Revision, addresses: &[SocketAddr]) {
+        let store = Arc::clone(&self.store);
+        let key = contacts_key(domain);
+        let value = encode_contacts(addresses);
+        self.counters.count_store_call("write");
+        self.report(async move {
+            Input::Contacts(match store.swap(&key, expected, value).await {
+                Ok(_) => ContactsEvent::Written,
+                Err(error) => {
+                    log_failure(&error);
+                    ContactsEvent::Failed
+                }
+            })
+        });
+    }
+
     fn stop_watch(&mut self) {
         if let Some(task) = self.watch.take() {
             task.abort();
@@ -146,14 +235,42 @@
     }
 }
 
-async fn pull(
-    from: std::net::SocketAddr,
-    have: member::Stamp,
-) -> Result<spread::Offer, calls::Error> {
-    let client = calls::connect(from, PULL_LIMIT).await?;
-    let context = calls::limit_call(PULL_LIMIT);
+fn read_event(entry: Option<Entry>) -> StoreEvent {
+    let Some(entry) = entry else {
+        return StoreEvent::Value {
+            record: None,
+            revision: Revision::default(),
+        };
+    };
+    let revision = entry.revision;
+    match decode_record(&entry.value) {
+        Some(record) => StoreEvent::Value {
+            record: Some(record),
+            revision,
+        },
+        None => StoreEvent::Unreadable { revision },
+    }
+}
+
+fn log_failure(error: &store::Error) {
+    warn!(error = error.to_string().as_str(); "store call failed");
+}
+
+async fn pull(from: SocketAddr, have: member::Stamp) -> Result<spread::Offer, calls::Error> {
+    let client = calls::connect(from, CALL_LIMIT).await?;
+    let context = calls::limit_call(CALL_LIMIT);
     Ok(client
         .pull(context, have.version.0, have.digest.0)
         .await?
         .into())
 }
+
+async fn compare(
+    to: SocketAddr,
+    ask: &member::Ask,
+) -> Result<Option<member::Answer>, calls::Error> {
+    let client = calls::connect(to, CALL_LIMIT).await?;
+    let context = calls::limit_call(CALL_LIMIT);
+    let answer = client.sync(context, ask.into()).await?;
+    Ok(answer.and_then(wire::sync::Answer::into_answer))
+}
--- a/components/daemon/src/peer.rs
+++ b/components/daemon/src/peer.rs
@@ -7,8 +7,10 @@
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 
+use crate::executor::Reply;
 use crate::executor::Waiting;
 use control::Input;
+use control::Token;
 use front::Desk;
 use ids::Digest;
 use ids::RequestId;
@@ -18,6 +20,7 @@
 use wire::control::Offer;
 use wire::control::Outcome;
 use wire::control::Peer;
+use wire::sync;
 
 /// Handler of one connection.
 #[derive(Clone)]
@@ -27,21 +30,35 @@
     pub(crate) desk: Arc<Desk>,
 }
 
+impl Handler {
+    /// Has the control machine answer a call.
+    async fn ask(&self, input: impl FnOnce(Token) -> Input) -> Option<Reply> {
+        let (sender, receiver) = oneshot::channel();
+        let token = self.waiting.lock().ok().map(|mut it| it.add(sender))?;
+        // A closed channel means that the node stops; it then has nothing to give.
+        let _ = self.inputs.send(input(token)).await;
+        receiver.await.ok()
+    }
+}
+
 impl Peer for Handler {
     async fn pull(self, _: Context, version: u64, digest: u64) -> Offer {
-        let (sender, receiver) = oneshot::channel();
-        let Some(token) = self.waiting.lock().ok().map(|mut it| it.add(sender)) else {
-            return Offer::Same;
-        };
         let have = Stamp {
             version: Version(version),
             digest: Digest(digest),
         };
-        // A closed channel means that the node stops; it then has nothing to give.
-        let _ = self.inputs.send(Input::PullAsked { token, have }).await;
-        receiver
-            .await
-            .map_or(Offer::Same, |offer| Offer::from(&offer))
+        match self.ask(|token| Input::PullAsked { token, have }).await {
+            Some(Reply::Offer(offer)) => Offer::from(&offer),
+            _ => Offer::Same,
+        }
+    }
+
+    async fn sync(self, _: Context, ask: sync::Ask) -> Option<sync::Answer> {
+        let ask = ask.into_ask()?;
+        match self.ask(|token| Input::SyncAsked { token, ask }).await {
+            Some(Reply::Sync(answer)) => Some(sync::Answer::from(&answer)),
+            _ => None,
+        }
     }
 
     async fn outcome(self, _: Context, id: u128, expires_us: u64) -> Outcome {
--- a/components/member/src/endpoint.rs
+++ b/components/member/src/endpoint.rs
@@ -79,6 +79,11 @@
     pub fn drain(self) -> Endpoint<Draining> {
         self.advance()
     }
+
+    /// The upstream has vanished before it was ready.
+    pub fn lapse(self) -> Endpoint<Gone> {
+        self.advance()
+    }
 }
 
 impl Endpoint<Ready> {
@@ -86,10 +91,15 @@
     pub fn drain(self) -> Endpoint<Draining> {
         self.advance()
     }
+
+    /// The upstream has vanished.
+    pub fn lapse(self) -> Endpoint<Gone> {
+        self.advance()
+    }
 }
 
 impl Endpoint<Draining> {
-    /// All that ran has finished.
+    /// All that ran has finished, or the upstream has vanished.
     pub fn finish(self) -> Endpoint<Gone> {
         self.advance()
     }
--- a/components/member/src/member.rs
+++ b/components/member/src/member.rs
@@ -62,4 +62,12 @@
     pub fn is_live(&self) -> bool {
         matches!(self.status, Status::Alive | Status::Suspect)
     }
+
+    /// Whether requests are routed to it in the same way as to `other`.
+    pub fn routes_like(&self, other: &Self) -> bool {
+        let parts = |it: &Self| (it.is_live(), it.stage, it.address);
+        parts(self) == parts(other)
+            && self.upstream == other.upstream
+            && self.domain == other.domain
+    }
 }
--- /dev/null
+++ b/components/member/src/merge.rs
@@ -0,0 +1,216 @@
+//! Rules by which statements about members change the table.
+
+use std::sync::Arc;
+
+use crate::Machine;
+use crate::Member;
+use crate::Merge;
+use crate::Status;
+use crate::Update;
+use crate::suspicion::Suspicion;
+use ids::Incarnation;
+use ids::NodeId;
+use kernel::Time;
+
+impl Machine {
+    /// Takes a statement of a message in.
+    pub(crate) fn take(&mut self, now: Time, update: &Update) {
+        let member = &update.member;
+        if member.id == self.me {
+            self.refute(member);
+            return;
+        }
+        // Nodes forget ended members at different times; to learn of one again would keep it
+        // forever.
+        if !member.is_live() && self.table.get(member.id).is_none() {
+            return;
+        }
+        self.defend_address(member);
+        if self.confirm(update) {
+            return;
+        }
+        let settled = self.settle_rival(now, member);
+        if self.store(now, settled, update.by) {
+            self.rumors
+                .replace(member.id, update.by, self.table.live_count());
+        }
+    }
+
+    /// Takes the tables of another node in. The statements are not spread further: the comparison
+    /// with the next node does that for the cost of the difference.
+    pub(crate) fn take_all(&mut self, now: Time, members: &[Arc<Member>]) {
+        for member in members {
+            let known = self.table.get(member.id);
+            match member.status {
+                _ if member.id == self.me => self.refute(member),
+                // The other side may have been cut off. Whether the member lives is settled by the
+                // member itself, so that healed partitions cause no false deaths.
+                Status::Dead => {
+                    if known.is_some_and(|known| known.is_live() && member.overrides(known)) {
+                        self.challenge(now, member);
+                    }
+                }
+                Status::Left => {
+                    if known.is_some() {
+                        self.store(now, Arc::clone(member), member.id);
+                    }
+                }
+                Status::Alive | Status::Suspect => {
+                    let mut member = Arc::clone(member);
+                    if member.status == Status::Suspect {
+                        Arc::make_mut(&mut member).status = Status::Alive;
+                    }
+                    self.defend_address(&member);
+                    let settled = self.settle_rival(now, &member);
+                    self.store(now, settled, member.id);
+                }
+            }
+        }
+    }
+
+    /// Overrides a statement about this node that is not its own.
+    fn refute(&mut self, statement: &Member) {
+        let Some(me) = self.table.get(self.me) else {
+            return;
+        };
+        if statement.overrides(me) {
+            if statement.status != Status::Alive {
+                self.health.worsen();
+            }
+            let incarnation = Incarnation(statement.incarnation.0.saturating_add(1));
+            self.restate(|me| me.incarnation = incarnation);
+        }
+    }
+
+    /// Rises above an earlier process at the address of this node.
+    fn defend_address(&mut self, other: &Member) {
+        let Some(me) = self.table.get(self.me) else {
+            return;
+        };
+        let clashes = other.is_live() && other.address.peer == me.address.peer;
+        if clashes && me.is_live() && other.incarnation >= me.incarnation {
+            let incarnation = Incarnation(other.incarnation.0.saturating_add(1));
+            self.restate(|me| me.incarnation = incarnation);
+        }
+    }
+
+    /// Of two live members at one address the one with the higher incarnation stays; the process
+    /// that really listens there raises its own above the other's.
+    fn settle_rival(&mut self, now: Time, member: &Arc<Member>) -> Arc<Member> {
+        let rival = self
+            .table
+            .live_at(member.address.peer)
+            .filter(|id| member.is_live() && *id != member.id)
+            .and_then(|id| self.table.get(id).cloned());
+        let Some(rival) = rival else {
+            return Arc::clone(member);
+        };
+        if (rival.incarnation, rival.id) > (member.incarnation, member.id) {
+            return with_status(member, Status::Dead);
+        }
+        self.claim(now, &rival, Status::Dead);
+        Arc::clone(member)
+    }
+
+    /// Counts a further source of a suspicion; tells whether the statement needs nothing else.
+    fn confirm(&mut self, update: &Update) -> bool {
+        let member = &update.member;
+        let same = member.status == Status::Suspect
+            && self.table.get(member.id).is_some_and(|known| {
+                known.status == Status::Suspect && known.incarnation == member.incarnation
+            });
+        let suspicion = self.suspicions.iter_mut().find(|it| it.id == member.id);
+        if same && suspicion.is_some_and(|it| it.confirm(update.by)) {
+            self.rumors
+                .add(member.id, update.by, self.table.live_count());
+        }
+        same
+    }
+
+    /// Puts a statement into the table; tells whether it was news.
+    fn store(&mut self, now: Time, member: Arc<Member>, by: NodeId) -> bool {
+        let (id, status) = (member.id, member.status);
+        let was_live = self.table.get(id).is_some_and(|known| known.is_live());
+        let merge = self.table.merge(member);
+        if merge == Merge::Nothing {
+            return false;
+        }
+        self.changed |= merge == Merge::Visible;
+        self.suspicions.retain(|it| it.id != id);
+        if matches!(status, Status::Alive | Status::Suspect) {
+            if !was_live {
+                self.ended.retain(|(ended, _)| *ended != id);
+                self.probing.add_target(id);
+            }
+            if status == Status::Suspect {
+                self.suspicions.push(Suspicion::new(id, now, by));
+            }
+        } else {
+            self.ended.retain(|(ended, _)| *ended != id);
+            self.ended.push((id, now));
+        }
+        true
+    }
+
+    /// States something about another member that this node has found out itself.
+    pub(crate) fn claim(&mut self, now: Time, member: &Arc<Member>, status: Status) {
+        if self.store(now, with_status(member, status), self.me) {
+            self.rumors
+                .replace(member.id, self.me, self.table.live_count());
+        }
+    }
+
+    /// Suspects a member, or confirms the suspicion of others.
+    pub(crate) fn suspect(&mut self, now: Time, id: NodeId) {
+        let Some(member) = self.table.get(id).filter(|it| it.is_live()).cloned() else {
+            return;
+        };
+        if member.status == Status::Alive {
+            self.claim(now, &member, Status::Suspect);
+        } else {
+            let by = self.me;
+            self.confirm(&Update { member, by });
+        }
+    }
+
+    pub(crate) fn expire_suspicions(&mut self, now: Time) {
+        let due: Vec<NodeId> = self
+            .suspicions
+            .iter()
+            .filter(|it| self.due_of(it) <= now)
+            .map(|it| it.id)
+            .collect();
+        self.suspicions.retain(|it| !due.contains(&it.id));
+        for id in due {
+            if let Some(member) = self.table.get(id).cloned() {
+                self.claim(now, &member, Status::Dead);
+            }
+        }
+    }
+
+    /// Forgets members that ended long ago.
+    pub(crate) fn forget_ended(&mut self, now: Time) {
+        let (table, limits) = (&mut self.table, &self.limits);
+        self.ended.retain(|(id, since)| {
+            let Some(member) = table.get(*id) else {
+                return false;
+            };
+            let replaced = table.live_at(member.address.peer).is_some();
+            let keep = match member.status {
+                Status::Dead if !replaced => limits.keep_dead,
+                _ => limits.keep_left,
+            };
+            let kept = now.since(*since) < keep;
+            if !kept {
+                table.remove(*id);
+            }
+            kept
+        });
+    }
+}
+
+fn with_status(member: &Arc<Member>, status: Status) -> Arc<Member> {
+    let mut member = Arc::clone(member);
+    Arc::make_mut(&mut member).status = status;
+    member
+}
--- a/components/member/src/message.rs
+++ b/components/member/src/message.rs
@@ -1,5 +1,8 @@
 //! Messages between the membership of two nodes.
 
+use std::net::SocketAddr;
+use std::sync::Arc;
+
 use crate::Member;
 use ids::Digest;
 use ids::NodeId;
@@ -14,6 +17,15 @@
     pub digest: Digest,
 }
 
+/// A statement about a member.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Update {
+    /// What is stated.
+    pub member: Arc<Member>,
+    /// Who states it first; distinct sources confirm a suspicion.
+    pub by: NodeId,
+}
+
 /// What rides on each message.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Gossip {
@@ -22,7 +34,7 @@
     /// Its configuration.
     pub stamp: Stamp,
     /// Statements about members.
-    pub updates: Vec<Member>,
+    pub updates: Vec<Update>,
 }
 
 /// A datagram between two nodes.
@@ -30,15 +42,62 @@
 pub enum Message {
     /// Asks for an [`Message::Ack`] with the same number.
     Ping { number: u64, gossip: Gossip },
-    /// Answers a ping.
+    /// Asks for a ping of `target`, answered by an ack or a nack with the same number.
+    PingRequest {
+        number: u64,
+        target: NodeId,
+        address: SocketAddr,
+        gossip: Gossip,
+    },
+    /// The receiver of the ping, or the target of the ping-request, answered.
     Ack { number: u64, gossip: Gossip },
+    /// The target of the ping-request has not answered yet, but the helper lives.
+    Nack { number: u64, gossip: Gossip },
 }
 
 impl Message {
     /// What rides on the message.
     pub fn gossip(&self) -> &Gossip {
         match self {
-            Self::Ping { gossip, .. } | Self::Ack { gossip, .. } => gossip,
+            Self::Ping { gossip, .. }
+            | Self::PingRequest { gossip, .. }
+            | Self::Ack { gossip, .. }
+            | Self::Nack { gossip, .. } => gossip,
         }
     }
 }
+
+/// Buckets of the member table that are compared.
+pub const BUCKETS: usize = 64;
+
+/// A request of anti-entropy.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Ask {
+    /// Which of these buckets differ?
+    Hashes { hashes: Vec<u64> },
+    /// The members of the buckets in the bit set `buckets`, for the same of the other side.
+    Members {
+        buckets: u64,
+        members: Vec<Arc<Member>>,
+    },
+}
+
+/// Answer to an [`Ask`].
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Answer {
+    /// The node that answers.
+    pub from: NodeId,
+    /// Its configuration.
+    pub stamp: Stamp,
+    /// What it answers.
+    pub body: Body,
+}
+
+/// Body of an [`Answer`].
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Body {
+    /// Bit set of the buckets that differ.
+    Differ(u64),
+    /// The members of the buckets that were asked for.
+    Members(Vec<Arc<Member>>),
+}
--- a/components/member/src/probe.rs
+++ b/components/member/src/probe.rs
@@ -1,322 +1,365 @@
-//! Probing of members and spreading of statements.
+//! Probing: direct, through helpers, and for others.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use crate::Gossip;
+use crate::Machine;
 use crate::Member;
 use crate::Message;
-use crate::Stage;
-use crate::Stamp;
+use crate::Output;
 use crate::Status;
-use crate::Table;
-use crate::Upstream;
-use ids::Incarnation;
+use crate::Update;
 use ids::NodeId;
 use kernel::Random;
 use kernel::Time;
 
-/// Times and sizes of the probing.
-#[derive(Clone, Copy, Debug)]
-pub struct Limits {
-    /// Time between two probes.
-    pub period: Duration,
-    /// Longest wait for a direct answer.
-    pub timeout: Duration,
-    /// Time from suspicion to death.
-    pub suspicion: Duration,
-    /// Statements on one message.
-    pub updates: usize,
-}
-
-impl Default for Limits {
-    fn default() -> Self {
-        Self {
-            period: Duration::from_secs(1),
-            timeout: Duration::from_millis(400),
-            suspicion: Duration::from_secs(3),
-            updates: 8,
-        }
-    }
-}
-
-/// What the membership asks for.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Output {
-    /// Send a message.
-    Send { to: SocketAddr, message: Message },
-    /// The table has changed.
-    Changed,
-}
+/// One probe in this many also goes to a dead member or a contact, so that parted regions rejoin.
+const LOST_EVERY: usize = 10;
+/// Members whose death another node claims are asked in batches, so that a healed partition does
+/// not flood the network.
+const CHALLENGES: usize = 8;
+const CHALLENGE_PAUSE: Duration = Duration::from_millis(100);
+/// Ping-requests that this node carries out at once; more are dropped.
+const MAX_RELAYS: usize = 64;
 
-/// A statement that still has to spread.
-#[derive(Clone, Copy, Debug)]
-struct Rumor {
-    about: NodeId,
-    sends_left: u32,
+/// A probe that waits for its answer.
+#[derive(Clone, Debug)]
+struct Probe {
+    number: u64,
+    target: NodeId,
+    address: SocketAddr,
+    /// When helpers are asked; `None` once they are.
+    ask: Option<Time>,
+    due: Time,
+    helpers: Vec<NodeId>,
+    nacks: usize,
 }
 
-/// A probe that waits for its answer.
+/// A probe that another node asked for.
 #[derive(Clone, Copy, Debug)]
-struct Probe {
+struct Relay {
     number: u64,
     target: NodeId,
+    asker: SocketAddr,
+    asked: u64,
+    /// When a nack is sent; `None` once it is.
+    nack: Option<Time>,
     due: Time,
 }
 
-/// The membership of one node.
+/// Probes that run and the order of those to come.
 #[derive(Debug)]
-pub struct Machine {
-    me: NodeId,
-    limits: Limits,
-    contacts: Vec<SocketAddr>,
-    table: Table,
-    rumors: Vec<Rumor>,
+pub(crate) struct Probing {
+    order: Vec<NodeId>,
     probes: Vec<Probe>,
-    suspects: Vec<(NodeId, Time)>,
+    relays: Vec<Relay>,
+    challenges: Vec<Arc<Member>>,
+    next_challenge: Time,
     next_probe: Time,
     next_number: u64,
-    stamp: Stamp,
 }
 
-impl Machine {
-    /// The membership of a node that knows itself and some addresses to start from.
-    pub fn new(me: Member, contacts: Vec<SocketAddr>, limits: Limits, now: Time) -> Self {
-        let id = me.id;
-        let mut table = Table::default();
-        table.merge(me);
+impl Probing {
+    pub(crate) fn new(now: Time) -> Self {
         Self {
-            me: id,
-            limits,
-            contacts,
-            table,
-            rumors: Vec::new(),
+            order: Vec::new(),
             probes: Vec::new(),
-            suspects: Vec::new(),
+            relays: Vec::new(),
+            challenges: Vec::new(),
+            next_challenge: now,
             next_probe: now,
             next_number: 0,
-            stamp: Stamp::default(),
         }
     }
 
-    /// The table.
-    pub fn table(&self) -> &Table {
-        &self.table
+    pub(crate) fn restart(&mut self, now: Time) {
+        self.probes.clear();
+        self.relays.clear();
+        self.next_probe = now;
     }
 
-    /// Identity of this node.
-    pub fn id(&self) -> NodeId {
-        self.me
+    /// Puts a new member at a place of the present cycle that its random id gives.
+    pub(crate) fn add_target(&mut self, id: NodeId) {
+        let places = self.order.len() as u64 + 1;
+        let at = usize::try_from(id.0 % places).unwrap_or(0);
+        self.order.insert(at, id);
     }
 
-    /// Sets the configuration that rides on each message.
-    pub fn set_stamp(&mut self, stamp: Stamp) {
-        self.stamp = stamp;
+    pub(crate) fn next_wake(&self) -> Time {
+        let probes = self.probes.iter().map(|it| it.ask.unwrap_or(it.due));
+        let relays = self.relays.iter().map(|it| it.nack.unwrap_or(it.due));
+        let challenge = (!self.challenges.is_empty()).then_some(self.next_challenge);
+        probes
+            .chain(relays)
+            .chain(challenge)
+            .fold(self.next_probe, Time::min)
     }
 
-    /// Announces the state of this node's upstream.
-    pub fn announce(&mut self, stage: Stage, upstream: Option<Upstream>) {
-        self.restate(|me| {
-            me.stage = stage;
-            me.upstream = upstream;
-        });
+    fn count_up(&mut self) -> u64 {
+        self.next_number += 1;
+        self.next_number
     }
+}
 
-    /// Announces that this node leaves the fleet.
-    pub fn leave(&mut self) {
-        self.restate(|me| me.status = Status::Left);
+impl Machine {
+    pub(crate) fn run_probes(&mut self, now: Time, random: &mut dyn Random, out: &mut Vec<Output>) {
+        self.send_nacks(now, out);
+        self.ask_helpers(now, random, out);
+        self.expire_probes(now);
+        self.send_challenges(now, out);
+        if now >= self.probing.next_probe {
+            self.probing.next_probe = now + self.health.stretch(self.limits.period);
+            let target = self.next_target(random);
+            if let Some(target) = &target {
+                self.probe(now, target, None, out);
+            }
+            if target.is_none() || random.below(LOST_EVERY) == 0 {
+                self.ping_lost(random, out);
+            }
+        }
     }
 
-    /// When `wake` is due next.
-    pub fn next_wake(&self) -> Time {
-        let probes = self.probes.iter().map(|probe| probe.due);
-        let suspects = self.suspects.iter().map(|(_, due)| *due);
-        probes.chain(suspects).fold(self.next_probe, Time::min)
+    /// The next live member of the shuffled cycle.
+    fn next_target(&mut self, random: &mut dyn Random) -> Option<Arc<Member>> {
+        for _ in 0..2 {
+            while let Some(id) = self.probing.order.pop() {
+                let member = self.table.get(id).filter(|it| it.is_live());
+                if let Some(member) = member {
+                    return Some(Arc::clone(member));
+                }
+            }
+            let live = self.table.live().iter().map(|(_, id)| *id);
+            self.probing.order = live.filter(|id| *id != self.me).collect();
+            shuffle(&mut self.probing.order, random);
+        }
+        None
     }
 
-    /// Probes, and gives up on those that did not answer.
-    pub fn wake(&mut self, now: Time, random: &mut dyn Random, out: &mut Vec<Output>) {
-        self.expire_probes(now, out);
-        self.expire_suspects(now, out);
-        if now >= self.next_probe {
-            self.next_probe = now + self.limits.period;
-            self.probe(now, random, out);
-        }
+    fn probe(
+        &mut self,
+        now: Time,
+        target: &Member,
+        claim: Option<Arc<Member>>,
+        out: &mut Vec<Output>,
+    ) {
+        let address = target.address.peer;
+        let number = self.ping(address, Some(target.id), claim, out);
+        self.probing.probes.push(Probe {
+            number,
+            target: target.id,
+            address,
+            ask: Some(now + self.health.stretch(self.limits.timeout)),
+            due: now + self.health.stretch(self.limits.period),
+            helpers: Vec::new(),
+            nacks: 0,
+        });
     }
 
-    /// Takes a message in.
-    pub fn receive(&mut self, from: SocketAddr, message: Message, out: &mut Vec<Output>) {
-        let changed = message
-            .gossip()
-            .updates
-            .iter()
-            .fold(false, |changed, update| {
-                let merged = self.merge(update.clone());
-                changed || merged
-            });
-        if changed {
-            out.push(Output::Changed);
-        }
-        match message {
-            Message::Ping { number, .. } => {
-                let gossip = self.gossip();
-                out.push(Output::Send {
-                    to: from,
-                    message: Message::Ack { number, gossip },
-                });
-            }
-            Message::Ack { number, .. } => self.probes.retain(|probe| probe.number != number),
+    /// Sends a ping with a claim that the receiver has to know, if there is one.
+    pub(crate) fn ping(
+        &mut self,
+        to: SocketAddr,
+        id: Option<NodeId>,
+        claim: Option<Arc<Member>>,
+        out: &mut Vec<Output>,
+    ) -> u64 {
+        let number = self.probing.count_up();
+        let mut gossip = self.gossip(id);
+        if let Some(member) = claim {
+            let by = self.me;
+            gossip.updates.insert(0, Update { member, by });
         }
+        out.push(Output::Send {
+            to,
+            message: Message::Ping { number, gossip },
+        });
+        number
     }
 
-    /// Sends the present stamp to `count` random members at once.
-    pub fn push(&mut self, count: usize, random: &mut dyn Random, out: &mut Vec<Output>) {
-        for _ in 0..count {
-            if let Some(to) = self.pick_live(random).map(|member| member.address.peer) {
-                self.ping(to, out);
+    /// Asks a member that another node holds for dead.
+    pub(crate) fn challenge(&mut self, now: Time, claim: &Arc<Member>) {
+        let waiting = &mut self.probing.challenges;
+        if !waiting.iter().any(|it| it.id == claim.id) {
+            if waiting.is_empty() {
+                self.probing.next_challenge = now;
             }
+            waiting.push(Arc::clone(claim));
         }
     }
 
-    fn restate(&mut self, change: impl FnOnce(&mut Member)) {
-        if let Some(mut me) = self.table.get(self.me).cloned() {
-            me.incarnation = Incarnation(me.incarnation.0 + 1);
-            change(&mut me);
-            self.table.merge(me);
-            self.spread(self.me);
+    fn send_challenges(&mut self, now: Time, out: &mut Vec<Output>) {
+        if self.probing.challenges.is_empty() || now < self.probing.next_challenge {
+            return;
+        }
+        self.probing.next_challenge = now + CHALLENGE_PAUSE;
+        let batch = CHALLENGES.min(self.probing.challenges.len());
+        let batch: Vec<_> = self.probing.challenges.drain(..batch).collect();
+        for claim in batch {
+            let known = self.table.get(claim.id).cloned();
+            if let Some(known) = known.filter(|it| it.is_live() && claim.overrides(it)) {
+                self.probe(now, &known, Some(claim), out);
+            }
         }
     }
 
-    fn merge(&mut self, statement: Member) -> bool {
-        let about = statement.id;
-        if about == self.me {
-            self.refute(&statement);
-            return false;
-        }
-        let merged = self.table.merge(statement);
-        if merged {
-            self.spread(about);
+    /// Pings a contact or a dead member, whichever is not known to live.
+    fn ping_lost(&mut self, random: &mut dyn Random, out: &mut Vec<Output>) {
+        let contacts = self.exchange.contacts().iter().copied();
+        let mut lost: Vec<(SocketAddr, Option<NodeId>)> =
+            contacts.map(|address| (address, None)).collect();
+        let dead = self.ended.iter().filter_map(|(id, _)| self.table.get(*id));
+        let dead = dead.filter(|it| it.status == Status::Dead);
+        lost.extend(dead.map(|it| (it.address.peer, Some(it.id))));
+        lost.retain(|(address, _)| self.table.live_at(*address).is_none());
+        if let Some((to, id)) = lost.get(random.below(lost.len())).copied() {
+            self.ping(to, id, None, out);
         }
-        merged
     }
 
-    /// Overrides a statement about this node that is not its own.
-    fn refute(&mut self, statement: &Member) {
-        let Some(me) = self.table.get(self.me) else {
-            return;
-        };
-        if statement.overrides(me) {
-            let incarnation = Incarnation(statement.incarnation.0 + 1);
-            self.restate(|me| me.incarnation = incarnation);
+    fn ask_helpers(&mut self, now: Time, random: &mut dyn Random, out: &mut Vec<Output>) {
+        for at in 0..self.probing.probes.len() {
+            let probe = &self.probing.probes[at];
+            if probe.ask.is_none_or(|ask| ask > now) {
+                continue;
+            }
+            let (number, target, address) = (probe.number, probe.target, probe.address);
+            let mut asked = vec![target];
+            for _ in 0..self.limits.helpers {
+                let Some((to, id)) = self.pick_live(random, &asked) else {
+                    break;
+                };
+                asked.push(id);
+                let gossip = self.gossip(Some(id));
+                let message = Message::PingRequest {
+                    number,
+                    target,
+                    address,
+                    gossip,
+                };
+                out.push(Output::Send { to, message });
+            }
+            let probe = &mut self.probing.probes[at];
+            probe.ask = None;
+            probe.helpers = asked.split_off(1);
         }
     }
 
-    fn spread(&mut self, about: NodeId) {
-        self.rumors.retain(|rumor| rumor.about != about);
-        let members = self.table.members().len().max(2);
-        let sends_left = 4 * (members.ilog2() + 1);
-        self.rumors.push(Rumor { about, sends_left });
+    fn expire_probes(&mut self, now: Time) {
+        let (due, wait) = std::mem::take(&mut self.probing.probes)
+            .into_iter()
+            .partition(|it: &Probe| it.due <= now);
+        self.probing.probes = wait;
+        for probe in due {
+            // Helpers that do not even send a nack hint that this node is cut off or slow.
+            if probe.nacks < probe.helpers.len() {
+                self.health.worsen();
+            }
+            self.suspect(now, probe.target);
+        }
     }
 
-    fn gossip(&mut self) -> Gossip {
-        self.rumors
-            .sort_by_key(|rumor| std::cmp::Reverse(rumor.sends_left));
-        let mut updates = Vec::new();
-        for rumor in self.rumors.iter_mut().take(self.limits.updates) {
-            rumor.sends_left -= 1;
-            updates.extend(self.table.get(rumor.about).cloned());
-        }
-        self.rumors.retain(|rumor| rumor.sends_left > 0);
-        if updates.is_empty() {
-            updates.extend(self.table.get(self.me).cloned());
+    fn send_nacks(&mut self, now: Time, out: &mut Vec<Output>) {
+        self.probing.relays.retain(|it| it.due > now);
+        let mut due = Vec::new();
+        for relay in &mut self.probing.relays {
+            if relay.nack.is_some_and(|nack| nack <= now) {
+                relay.nack = None;
+                due.push((relay.asker, relay.asked));
+            }
         }
-        Gossip {
-            from: self.me,
-            stamp: self.stamp,
-            updates,
+        for (to, number) in due {
+            let gossip = self.gossip_to(to);
+            let message = Message::Nack { number, gossip };
+            out.push(Output::Send { to, message });
         }
     }
 
-    fn probe(&mut self, now: Time, random: &mut dyn Random, out: &mut Vec<Output>) {
-        let target = self
-            .pick_live(random)
-            .map(|member| (member.id, member.address.peer));
-        if let Some((target, to)) = target {
-            let number = self.ping(to, out);
-            self.probes.push(Probe {
+    fn gossip_to(&mut self, to: SocketAddr) -> Gossip {
+        let id = self.table.live_at(to);
+        self.gossip(id)
+    }
+
+    /// Does what a message asks for, beside its statements.
+    pub(crate) fn answer_probe(
+        &mut self,
+        now: Time,
+        from: SocketAddr,
+        message: Message,
+        out: &mut Vec<Output>,
+    ) {
+        match message {
+            Message::Ping { number, gossip } => {
+                let gossip = self.gossip(Some(gossip.from));
+                let message = Message::Ack { number, gossip };
+                out.push(Output::Send { to: from, message });
+            }
+            Message::PingRequest {
                 number,
                 target,
-                due: now + self.limits.timeout,
-            });
-        }
-        let joined = target.is_some();
-        if !self.contacts.is_empty() && (!joined || random.below(10) == 0) {
-            let to = self.contacts[random.below(self.contacts.len())];
-            self.ping(to, out);
+                address,
+                ..
+            } => self.relay(now, (from, number), (target, address), out),
+            Message::Ack { number, gossip } => self.receive_ack(number, gossip.from, out),
+            Message::Nack { number, gossip } => {
+                let probes = &mut self.probing.probes;
+                let probe = probes.iter_mut().find(|it| it.number == number);
+                if let Some(probe) = probe.filter(|it| it.helpers.contains(&gossip.from)) {
+                    probe.nacks += 1;
+                }
+            }
         }
     }
 
-    fn ping(&mut self, to: SocketAddr, out: &mut Vec<Output>) -> u64 {
-        self.next_number += 1;
-        let number = self.next_number;
-        let gossip = self.gossip();
-        out.push(Output::Send {
-            to,
-            message: Message::Ping { number, gossip },
+    fn relay(
+        &mut self,
+        now: Time,
+        (asker, asked): (SocketAddr, u64),
+        (target, address): (NodeId, SocketAddr),
+        out: &mut Vec<Output>,
+    ) {
+        if self.probing.relays.len() >= MAX_RELAYS {
+            return;
+        }
+        let number = self.ping(address, Some(target), None, out);
+        self.probing.relays.push(Relay {
+            number,
+            target,
+            asker,
+            asked,
+            nack: Some(now + self.limits.timeout),
+            due: now + self.limits.period,
         });
-        number
     }
 
-    fn pick_live(&self, random: &mut dyn Random) -> Option<&Member> {
-        let live: Vec<&Member> = self
-            .table
-            .members()
-            .iter()
-            .filter(|member| member.id != self.me && member.is_live())
-            .collect();
-        live.get(random.below(live.len())).copied()
-    }
-
-    fn expire_probes(&mut self, now: Time, out: &mut Vec<Output>) {
-        let due: Vec<Probe> = self
-            .probes
-            .iter()
-            .copied()
-            .filter(|p| p.due <= now)
-            .collect();
-        self.probes.retain(|probe| probe.due > now);
-        for probe in due {
-            if self.restate_other(probe.target, Status::Alive, Status::Suspect) {
-                self.suspects
-                    .push((probe.target, now + self.limits.suspicion));
-                out.push(Output::Changed);
-            }
+    fn receive_ack(&mut self, number: u64, from: NodeId, out: &mut Vec<Output>) {
+        let probes = &mut self.probing.probes;
+        // Another process may have taken the address of the target, so that its id must match.
+        let answered =
+            |it: &Probe| it.number == number && (it.target == from || it.helpers.contains(&from));
+        if let Some(at) = probes.iter().position(answered) {
+            probes.swap_remove(at);
+            self.health.improve();
+            return;
         }
-    }
-
-    fn expire_suspects(&mut self, now: Time, out: &mut Vec<Output>) {
-        let due: Vec<NodeId> = self
-            .suspects
-            .iter()
-            .filter(|(_, due)| *due <= now)
-            .map(|(id, _)| *id)
-            .collect();
-        self.suspects.retain(|(_, due)| *due > now);
-        for id in due {
-            if self.restate_other(id, Status::Suspect, Status::Dead) {
-                out.push(Output::Changed);
-            }
+        let relays = &mut self.probing.relays;
+        let answered = |it: &Relay| it.number == number && it.target == from;
+        if let Some(at) = relays.iter().position(answered) {
+            let relay = relays.swap_remove(at);
+            let gossip = self.gossip_to(relay.asker);
+            let message = Message::Ack {
+                number: relay.asked,
+                gossip,
+            };
+            let to = relay.asker;
+            out.push(Output::Send { to, message });
         }
     }
+}
 
-    fn restate_other(&mut self, id: NodeId, from: Status, to: Status) -> bool {
-        let Some(member) = self.table.get(id).filter(|member| member.status == from) else {
-            return false;
-        };
-        let statement = Member {
-            status: to,
-            ..member.clone()
-        };
-        self.merge(statement)
+pub(crate) fn shuffle<T>(items: &mut [T], random: &mut dyn Random) {
+    for last in (1..items.len()).rev() {
+        items.swap(last, random.below(last + 1));
     }
 }
--- /dev/null
+++ b/components/spread/src/feed.rs
@@ -0,0 +1,140 @@
+//! Reading, watching and writing back the configuration key of the store.
+
+use std::time::Duration;
+
+use crate::Output;
+use crate::backoff::Backoff;
+use crate::backoff::Budget;
+use crate::backoff::Call;
+use config::Record;
+use kernel::Random;
+use kernel::Time;
+
+/// Times after which an answer counts as lost.
+const CALL_LIMIT: Duration = Duration::from_secs(5);
+const WATCH_LIMIT: Duration = Duration::from_secs(30);
+
+/// Revision of a key in the store.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Revision(pub u64);
+
+/// What the store said of the configuration key.
+#[derive(Clone, Debug)]
+pub enum StoreEvent {
+    /// The key holds this record, or does not exist.
+    Value {
+        record: Option<Record>,
+        revision: Revision,
+    },
+    /// The key holds something that is no record.
+    Unreadable { revision: Revision },
+    /// The write has ended, with or without effect.
+    Written,
+    /// The call or the watch failed.
+    Failed,
+}
+
+/// Calls for the configuration key.
+#[derive(Debug)]
+pub(crate) struct Feed {
+    call: Call,
+    backoff: Backoff,
+}
+
+impl Default for Feed {
+    fn default() -> Self {
+        Self {
+            call: Call::Off,
+            backoff: Backoff::for_store(),
+        }
+    }
+}
+
+impl Feed {
+    pub(crate) fn next_wake(&self) -> Option<Time> {
+        self.call.next_wake()
+    }
+
+    pub(crate) fn set_watcher(&mut self, on: bool, now: Time, out: &mut Vec<Output>) {
+        match (on, self.call) {
+            (true, Call::Off) => self.call = Call::Due(now),
+            (false, Call::Due(_) | Call::Busy { .. }) => {
+                self.call = Call::Off;
+                out.push(Output::StopWatch);
+            }
+            _ => {}
+        }
+    }
+
+    pub(crate) fn wake(
+        &mut self,
+        now: Time,
+        budget: &mut Budget,
+        random: &mut dyn Random,
+        out: &mut Vec<Output>,
+    ) {
+        if self.call.is_lost(now) {
+            out.push(Output::StopWatch);
+            self.call = Call::Due(now + self.backoff.wait(random));
+        }
+        if matches!(self.call, Call::Due(due) if due <= now) {
+            self.start(now, budget, Output::Read, out);
+        }
+    }
+
+    fn start(&mut self, now: Time, budget: &mut Budget, call: Output, out: &mut Vec<Output>) {
+        let watching = matches!(call, Output::Watch { .. });
+        let limit = if watching { WATCH_LIMIT } else { CALL_LIMIT };
+        self.call = match budget.take(now) {
+            Ok(()) => {
+                out.push(call);
+                let until = now + limit;
+                Call::Busy { until, watching }
+            }
+            // Whatever was to be done starts with a read.
+            Err(later) => Call::Due(later),
+        };
+    }
+
+    /// Goes on after an answer of the store. `newer` is the record in force if the store has an
+    /// older one.
+    pub(crate) fn go_on(
+        &mut self,
+        now: Time,
+        event: &StoreEvent,
+        newer: Option<Record>,
+        (budget, random): (&mut Budget, &mut dyn Random),
+        out: &mut Vec<Output>,
+    ) {
+        // An answer that was given up may still arrive.
+        let Call::Busy { watching, .. } = self.call else {
+            return;
+        };
+        let (missing, revision) = match event {
+            StoreEvent::Value { record, revision } => (record.is_none(), *revision),
+            StoreEvent::Unreadable { revision } => (false, *revision),
+            StoreEvent::Written => {
+                self.call = Call::Due(now);
+                return;
+            }
+            StoreEvent::Failed => {
+                self.call = Call::Due(now + self.backoff.wait(random));
+                return;
+            }
+        };
+        self.backoff.reset();
+        let call = match newer {
+            Some(record) => Output::WriteBack {
+                expected: revision,
+                record,
+            },
+            // The event of a deletion tells no revision to go on from.
+            None if missing && watching => {
+                self.call = Call::Due(now);
+                return;
+            }
+            None => Output::Watch { after: revision },
+        };
+        self.start(now, budget, call, out);
+    }
+}
--- a/components/spread/src/history.rs
+++ b/components/spread/src/history.rs
@@ -22,11 +22,19 @@
     Changes { record: Record, delta: Delta },
 }
 
+/// A text that was in force, with the delta from it to the present one once that was asked for.
+#[derive(Debug)]
+struct Old {
+    digest: Digest,
+    text: Arc<str>,
+    delta: Option<Delta>,
+}
+
 /// The record in force and the texts before it.
 #[derive(Debug, Default)]
 pub struct History {
     current: Option<Accepted>,
-    texts: Vec<(Digest, Arc<str>)>,
+    texts: Vec<Old>,
 }
 
 impl History {
@@ -54,14 +62,18 @@
             if self.texts.len() == KEPT {
                 self.texts.remove(0);
             }
-            self.texts
-                .push((old.record().digest, Arc::clone(&old.record().text)));
+            self.texts.iter_mut().for_each(|it| it.delta = None);
+            self.texts.push(Old {
+                digest: old.record().digest,
+                text: Arc::clone(&old.record().text),
+                delta: None,
+            });
         }
         true
     }
 
     /// What to give a node that has `have`.
-    pub fn offer(&self, have: Stamp) -> Offer {
+    pub fn offer(&mut self, have: Stamp) -> Offer {
         let Some(current) = &self.current else {
             return Offer::Same;
         };
@@ -69,16 +81,17 @@
         if record.version <= have.version {
             return Offer::Same;
         }
-        match self.texts.iter().find(|(digest, _)| *digest == have.digest) {
-            Some((_, old)) => {
-                let delta = Delta::from_texts(old, &record.text);
-                let record = Record {
-                    text: Arc::from(""),
-                    ..record.clone()
-                };
-                Offer::Changes { record, delta }
-            }
-            None => Offer::Whole(record.clone()),
-        }
+        let Some(old) = self.texts.iter_mut().find(|it| it.digest == have.digest) else {
+            return Offer::Whole(record.clone());
+        };
+        let delta = old
+            .delta
+            .get_or_insert_with(|| Delta::from_texts(&old.text, &record.text));
+        let record = Record {
+            text: Arc::from(""),
+            ..record.clone()
+        };
+        let delta = delta.clone();
+        Offer::Changes { record, delta }
     }
 }
--- a/components/spread/src/machine.rs
+++ b/components/spread/src/machine.rs
@@ -2,84 +2,81 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
 
+use crate::ContactsEvent;
 use crate::History;
 use crate::Offer;
+use crate::Refusal;
+use crate::Report;
+use crate::Revision;
+use crate::StoreEvent;
+use crate::backoff::Budget;
+use crate::contacts::Contacts;
+use crate::feed::Feed;
+use crate::pull::Pull;
+use crate::pull::without_text;
+use crate::report::Stamps;
 use config::Accepted;
 use config::MAX_TEXT_BYTES;
 use config::Record;
+use ids::Digest;
+use ids::Domain;
+use ids::Version;
 use kernel::Random;
 use kernel::Time;
 use member::Stamp;
-
-/// First wait before the store is asked again; doubles to [`LONGEST_BACKOFF`].
-const FIRST_BACKOFF: Duration = Duration::from_millis(500);
-const LONGEST_BACKOFF: Duration = Duration::from_secs(30);
-/// Longest wait for a node to answer a pull.
-const PULL_TIMEOUT: Duration = Duration::from_secs(2);
-
-/// Revision of a key in the store.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
-pub struct Revision(pub u64);
-
-/// What the store said.
-#[derive(Clone, Debug)]
-pub enum StoreEvent {
-    /// The key holds this record, or nothing.
-    Value {
-        record: Option<Record>,
-        revision: Revision,
-    },
-    /// The call or the watch failed.
-    Failed,
-}
+use member::Table;
 
 /// What the distribution asks for.
 #[derive(Clone, Debug)]
 pub enum Output {
-    /// Read the key, then report a [`StoreEvent`].
+    /// Read the configuration key, then report a [`StoreEvent`].
     Read,
     /// Report the first change after the revision.
     Watch { after: Revision },
-    /// End the watch.
+    /// End whatever call for the configuration key runs.
     StopWatch,
+    /// Write the record if the key still has the revision, then report a [`StoreEvent`].
+    WriteBack { expected: Revision, record: Record },
+    /// Read the contacts of the node's failure domain, then report a [`ContactsEvent`].
+    ReadContacts,
+    /// Write the contacts if the key still has the revision, then report a [`ContactsEvent`].
+    WriteContacts {
+        expected: Revision,
+        addresses: Vec<SocketAddr>,
+    },
+    /// The store lists these contacts.
+    Contacts(Vec<SocketAddr>),
     /// Ask a node for its record.
     Pull { from: SocketAddr, have: Stamp },
     /// A newer record is in force: tell other nodes.
     Changed,
+    /// The report has changed.
+    Reported,
     /// A record was refused.
-    Refused {
-        version: ids::Version,
-        message: String,
-    },
+    Refused { version: Version, message: String },
 }
 
+/// What became of a record.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Watch {
-    Off,
-    Due(Time),
-    On,
+enum Taken {
+    InForce,
+    NotNewer,
+    Refused,
+    Corrupt,
 }
 
 /// Distribution of the configuration at one node.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct Machine {
     history: History,
-    watch: Watch,
-    backoff: Duration,
-    pull: Option<Time>,
-}
-
-impl Default for Machine {
-    fn default() -> Self {
-        Self {
-            history: History::default(),
-            watch: Watch::Off,
-            backoff: FIRST_BACKOFF,
-            pull: None,
-        }
-    }
+    report: Report,
+    refused: Stamps,
+    conflicting: Stamps,
+    budget: Budget,
+    feed: Feed,
+    contacts: Contacts,
+    pull: Pull,
 }
 
 impl Machine {
@@ -88,37 +85,44 @@
         &self.history
     }
 
+    /// What to give a node that has `have`.
+    pub fn offer(&mut self, have: Stamp) -> Offer {
+        self.history.offer(have)
+    }
+
+    /// What an operator should know.
+    pub fn report(&self) -> &Report {
+        &self.report
+    }
+
+    /// Whether a configuration is in force and no newer one is known of.
+    pub fn is_settled(&self) -> bool {
+        self.history.current().is_some() && !self.pull.is_busy()
+    }
+
     /// When `wake` is due next.
     pub fn next_wake(&self) -> Option<Time> {
-        match self.watch {
-            Watch::Due(time) => Some(time),
-            Watch::Off | Watch::On => None,
-        }
+        let feed = self.feed.next_wake().into_iter();
+        feed.chain(self.contacts.next_wake())
+            .chain(self.pull.next_wake())
+            .min()
     }
 
-    /// Reads the store if that is due.
-    pub fn wake(&mut self, now: Time, out: &mut Vec<Output>) {
-        if let Watch::Due(time) = self.watch
-            && time <= now
-        {
-            self.watch = Watch::On;
-            out.push(Output::Read);
-        }
+    /// Makes the calls that are due.
+    pub fn wake(&mut self, now: Time, random: &mut dyn Random, out: &mut Vec<Output>) {
+        self.feed.wake(now, &mut self.budget, random, out);
+        self.contacts.wake(now, &mut self.budget, random, out);
+        self.pull.expire(now, random);
+        self.ask_next(now, out);
     }
 
     /// Starts or ends watching.
     pub fn set_watcher(&mut self, on: bool, now: Time, out: &mut Vec<Output>) {
-        match (on, self.watch) {
-            (true, Watch::Off) => self.watch = Watch::Due(now),
-            (false, Watch::Due(_) | Watch::On) => {
-                self.watch = Watch::Off;
-                out.push(Output::StopWatch);
-            }
-            _ => {}
-        }
+        self.feed.set_watcher(on, now, out);
+        self.contacts.set_watcher(on, now);
     }
 
-    /// Takes an answer of the store in.
+    /// Takes an answer about the configuration key in.
     pub fn receive_store(
         &mut self,
         now: Time,
@@ -126,74 +130,154 @@
         random: &mut dyn Random,
         out: &mut Vec<Output>,
     ) {
-        if self.watch == Watch::Off {
-            return;
-        }
-        match event {
-            StoreEvent::Value { record, revision } => {
-                self.backoff = FIRST_BACKOFF;
-                record.into_iter().for_each(|record| self.take(record, out));
-                out.push(Output::Watch { after: revision });
+        let mut newer = None;
+        match &event {
+            StoreEvent::Value { record, .. } => {
+                let version = record.as_ref().map_or(Version::NONE, |it| it.version);
+                if version < self.history.stamp().version {
+                    newer = self.history.current().map(|it| it.record().clone());
+                    self.report.behind += 1;
+                    out.push(Output::Reported);
+                } else if let Some(record) = record {
+                    self.take(record.clone(), out);
+                }
             }
-            StoreEvent::Failed => {
-                let micros = usize::try_from(self.backoff.as_micros()).unwrap_or(usize::MAX);
-                let wait = Duration::from_micros(random.below(micros) as u64);
-                self.watch = Watch::Due(now + wait);
-                self.backoff = (self.backoff * 2).min(LONGEST_BACKOFF);
+            StoreEvent::Unreadable { .. } => {
+                self.report.corrupt += 1;
+                out.push(Output::Reported);
             }
+            StoreEvent::Written | StoreEvent::Failed => {}
         }
+        let means = (&mut self.budget, random);
+        self.feed.go_on(now, &event, newer, means, out);
+    }
+
+    /// Takes an answer about the contacts in.
+    pub fn receive_contacts(
+        &mut self,
+        now: Time,
+        event: ContactsEvent,
+        view: (&Table, &Domain),
+        random: &mut dyn Random,
+        out: &mut Vec<Output>,
+    ) {
+        let means = (&mut self.budget, random);
+        self.contacts.receive(now, event, view, means, out);
     }
 
     /// Another node has `stamp`: pulls if that is newer.
     pub fn hear(&mut self, now: Time, from: SocketAddr, stamp: Stamp, out: &mut Vec<Output>) {
         let have = self.history.stamp();
-        let pulling = self
-            .pull
-            .is_some_and(|since| now.since(since) < PULL_TIMEOUT);
-        if stamp.version > have.version && !pulling {
-            self.pull = Some(now);
-            out.push(Output::Pull { from, have });
+        if stamp.version > have.version && !self.refused.contains(stamp) {
+            self.pull.add_teller(from, stamp);
+            self.ask_next(now, out);
+        } else {
+            self.note_conflict(stamp, out);
         }
     }
 
-    /// Takes the answer to a pull in; `None` if there was none.
-    pub fn receive_offer(&mut self, offer: Option<Offer>, out: &mut Vec<Output>) {
-        self.pull = None;
-        match offer {
-            None | Some(Offer::Same) => {}
+    /// Takes the answer of a node to a pull in; `None` if there was none.
+    pub fn receive_offer(
+        &mut self,
+        now: Time,
+        from: SocketAddr,
+        offer: Option<Offer>,
+        random: &mut dyn Random,
+        out: &mut Vec<Output>,
+    ) {
+        let taken = match offer {
+            None | Some(Offer::Same) => Taken::NotNewer,
             Some(Offer::Whole(record)) => self.take(record, out),
             Some(Offer::Changes { record, delta }) => {
+                let newer = record.version > self.history.stamp().version;
                 let text = self
                     .history
                     .current()
-                    .and_then(|current| delta.apply(&current.record().text, MAX_TEXT_BYTES));
-                if let Some(text) = text {
-                    self.take(
-                        Record {
-                            text: Arc::from(text),
-                            ..record
-                        },
-                        out,
-                    );
+                    .and_then(|it| delta.apply(&it.record().text, MAX_TEXT_BYTES))
+                    .filter(|text| Digest::from_bytes(text.as_bytes()) == record.digest);
+                match text {
+                    Some(text) => {
+                        let text = Arc::from(text);
+                        self.take(Record { text, ..record }, out)
+                    }
+                    None if newer && self.pull.ask_whole(now, from) => {
+                        let have = without_text(self.history.stamp());
+                        out.push(Output::Pull { from, have });
+                        return;
+                    }
+                    None => Taken::NotNewer,
                 }
             }
+        };
+        if taken == Taken::InForce {
+            self.pull.succeed();
         }
+        let refused = &self.refused;
+        let have = self.history.stamp();
+        self.pull.forget(have, |stamp| !refused.contains(stamp));
+        // Whatever else was promised did not come.
+        self.pull.fail(now, from, random);
+        self.ask_next(now, out);
     }
 
-    fn take(&mut self, record: Record, out: &mut Vec<Output>) {
-        let version = record.version;
-        if version <= self.history.stamp().version {
-            return;
+    fn ask_next(&mut self, now: Time, out: &mut Vec<Output>) {
+        if let Some(from) = self.pull.ask_next(now) {
+            let have = self.history.stamp();
+            out.push(Output::Pull { from, have });
+        }
+    }
+
+    fn note_conflict(&mut self, stamp: Stamp, out: &mut Vec<Output>) {
+        let have = self.history.stamp();
+        let conflict = stamp.version == have.version && stamp.digest != have.digest;
+        if conflict && self.conflicting.add(stamp) {
+            self.report.conflicts += 1;
+            out.push(Output::Reported);
+        }
+    }
+
+    /// Puts a record in force if it is newer and whole; otherwise nothing changes.
+    fn take(&mut self, record: Record, out: &mut Vec<Output>) -> Taken {
+        let stamp = Stamp {
+            version: record.version,
+            digest: record.digest,
+        };
+        if stamp.version <= self.history.stamp().version {
+            self.note_conflict(stamp, out);
+            return Taken::NotNewer;
+        }
+        // The hash tells nothing of a text that does not match it, so that it is not remembered.
+        if Digest::from_bytes(record.text.as_bytes()) != record.digest {
+            self.report.corrupt += 1;
+            out.push(Output::Reported);
+            return Taken::Corrupt;
+        }
+        if self.refused.contains(stamp) {
+            return Taken::Refused;
         }
         match Accepted::from_record(record) {
             Ok(accepted) => {
                 self.history.advance(accepted);
                 out.push(Output::Changed);
+                Taken::InForce
             }
             Err(faults) => {
-                let message = faults.first().map(ToString::to_string).unwrap_or_default();
-                out.push(Output::Refused { version, message });
+                self.refuse(stamp, faults.first().map(ToString::to_string), out);
+                Taken::Refused
             }
         }
     }
+
+    fn refuse(&mut self, stamp: Stamp, message: Option<String>, out: &mut Vec<Output>) {
+        let version = stamp.version;
+        let message = message.unwrap_or_default();
+        self.refused.add(stamp);
+        self.report.refused += 1;
+        self.report.last_refusal = Some(Refusal {
+            version,
+            message: message.clone(),
+        });
+        out.push(Output::Reported);
+        out.push(Output::Refused { version, message });
+    }
 }
--- a/components/spread/src/watcher.rs
+++ b/components/spread/src/watcher.rs
@@ -3,13 +3,15 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use ids::NodeId;
+use member::Status;
 use member::Table;
 
 /// Nodes that watch in each failure domain.
 const WATCHERS_PER_DOMAIN: usize = 2;
 
-/// Whether `id` is among the watchers of its failure domain, by rendezvous hashing over the live
-/// members. Members that disagree about the table may choose too many or too few for a while, which
+/// Whether `id` is among the watchers of its failure domain, by rendezvous hashing over the members
+/// that are alive. A suspected watcher is replaced before it is dead, because an extra watcher costs
+/// little. Members that disagree about the table may choose too many or too few for a while, which
 /// costs calls or delay and nothing else.
 pub fn is_watcher(table: &Table, id: NodeId) -> bool {
     let Some(me) = table.get(id) else {
@@ -19,12 +21,12 @@
     let better = table
         .members()
         .iter()
-        .filter(|member| member.domain == me.domain && member.is_live())
-        .filter(|member| (score(member.id), member.id) > (own, id))
+        .filter(|it| it.status == Status::Alive && it.domain == me.domain)
+        .filter(|it| (score(it.id), it.id) > (own, id))
         .count();
     better < WATCHERS_PER_DOMAIN
 }
 
-fn score(id: NodeId) -> u64 {
+pub(crate) fn score(id: NodeId) -> u64 {
     xxh3_64_with_seed(&id.0.to_le_bytes(), 0)
 }
--- a/components/store/src/lib.rs
+++ b/components/store/src/lib.rs
@@ -3,6 +3,7 @@
 //! Declares the extension point [`Store`] and holds the plug-in `etcd-json`, which speaks the JSON
 //! form of the etcd v3 protocol over HTTP. Also encodes the records that are kept there.
 
+mod contacts;
 mod etcd;
 mod record;
 
@@ -17,6 +18,9 @@
 use kernel::plugin::Extension;
 use spread::Revision;
 
+pub use contacts::contacts_key;
+pub use contacts::decode_contacts;
+pub use contacts::encode_contacts;
 pub use record::CONFIG_KEY;
 pub use record::decode_record;
 pub use record::encode_record;
--- a/components/wire/src/control.rs
+++ b/components/wire/src/control.rs
@@ -5,6 +5,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::sync;
 use config::Delta;
 use config::Piece;
 use errors::Verdict;
@@ -20,6 +21,9 @@
     /// Gives the configuration to a node that has `version` with hash `digest`.
     async fn pull(version: u64, digest: u64) -> Offer;
 
+    /// Compares member tables; `None` if the question is malformed.
+    async fn sync(ask: sync::Ask) -> Option<sync::Answer>;
+
     /// Tells what became of a request, and fences it if it never arrived. `expires_us` is on the
     /// clock of the node that is asked.
     async fn outcome(id: u128, expires_us: u64) -> Outcome;
--- a/components/wire/src/datagram.rs
+++ b/components/wire/src/datagram.rs
@@ -1,5 +1,8 @@
 //! Gossip datagrams: postcard with a leading format number.
 
+use std::net::SocketAddr;
+use std::sync::Arc;
+
 use quick_error::quick_error;
 use serde::Deserialize;
 use serde::Serialize;
@@ -11,6 +14,7 @@
 use member::Gossip;
 use member::Message;
 use member::Stamp;
+use member::Status;
 
 /// Longest datagram; below the path MTU of common networks.
 pub const MAX_BYTES: usize = 1_200;
@@ -32,6 +36,13 @@
     }
 }
 
+/// A [`member::Update`] as it is encoded; the source is that of a suspicion.
+#[derive(Debug, Serialize, Deserialize)]
+struct Update {
+    entry: Entry,
+    by: Option<u64>,
+}
+
 #[derive(Debug, Serialize, Deserialize)]
 struct Frame {
     kind: u8,
@@ -39,25 +50,38 @@
     from: u64,
     version: u64,
     digest: u64,
-    updates: Vec<Entry>,
+    /// Whom a ping-request is about.
+    target: Option<(u64, SocketAddr)>,
+    updates: Vec<Update>,
 }
 
 const PING: u8 = 0;
 const ACK: u8 = 1;
+const PING_REQUEST: u8 = 2;
+const NACK: u8 = 3;
 
 /// Encodes a message; leaves out the last updates if they do not fit.
 pub fn encode(message: &Message) -> Vec<u8> {
-    let (kind, number, gossip) = match message {
-        Message::Ping { number, gossip } => (PING, *number, gossip),
-        Message::Ack { number, gossip } => (ACK, *number, gossip),
+    let (kind, number, target) = match message {
+        Message::Ping { number, .. } => (PING, *number, None),
+        Message::Ack { number, .. } => (ACK, *number, None),
+        Message::Nack { number, .. } => (NACK, *number, None),
+        Message::PingRequest {
+            number,
+            target,
+            address,
+            ..
+        } => (PING_REQUEST, *number, Some((target.0, *address))),
     };
+    let gossip = message.gossip();
     let mut frame = Frame {
         kind,
         number,
         from: gossip.from.0,
         version: gossip.stamp.version.0,
         digest: gossip.stamp.digest.0,
-        updates: gossip.updates.iter().map(Entry::from).collect(),
+        target,
+        updates: gossip.updates.iter().map(Update::from).collect(),
     };
     loop {
         let bytes = postcard::to_extend(&frame, vec![FORMAT]).unwrap_or_default();
@@ -73,29 +97,52 @@
     if *format != FORMAT {
         return Err(Error::Format(*format));
     }
-    let frame: Frame = postcard::from_bytes(body).map_err(|_| Error::Malformed)?;
-    let updates = frame
-        .updates
-        .into_iter()
-        .map(Entry::into_member)
-        .collect::<Option<Vec<_>>>();
+    let (frame, rest) = postcard::take_from_bytes::<Frame>(body).map_err(|_| Error::Malformed)?;
+    if !rest.is_empty() {
+        return Err(Error::Malformed);
+    }
+    let number = frame.number;
+    let from = NodeId(frame.from);
+    let updates = frame.updates.into_iter().map(|it| it.into_update(from));
     let gossip = Gossip {
-        from: NodeId(frame.from),
+        from,
         stamp: Stamp {
             version: Version(frame.version),
             digest: Digest(frame.digest),
         },
-        updates: updates.ok_or(Error::Malformed)?,
+        updates: updates
+            .collect::<Option<Vec<_>>>()
+            .ok_or(Error::Malformed)?,
     };
-    match frame.kind {
-        PING => Ok(Message::Ping {
-            number: frame.number,
-            gossip,
-        }),
-        ACK => Ok(Message::Ack {
-            number: frame.number,
+    match (frame.kind, frame.target) {
+        (PING, None) => Ok(Message::Ping { number, gossip }),
+        (ACK, None) => Ok(Message::Ack { number, gossip }),
+        (NACK, None) => Ok(Message::Nack { number, gossip }),
+        (PING_REQUEST, Some((target, address))) => Ok(Message::PingRequest {
+            number,
+            target: NodeId(target),
+            address,
             gossip,
         }),
         _ => Err(Error::Malformed),
     }
 }
+
+impl From<&member::Update> for Update {
+    fn from(update: &member::Update) -> Self {
+        let suspicion = update.member.status == Status::Suspect;
+        Self {
+            entry: Entry::from(update.member.as_ref()),
+            by: suspicion.then_some(update.by.0),
+        }
+    }
+}
+
+impl Update {
+    fn into_update(self, from: NodeId) -> Option<member::Update> {
+        Some(member::Update {
+            member: Arc::new(self.entry.into_member()?),
+            by: self.by.map_or(from, NodeId),
+        })
+    }
+}
--- a/components/wire/src/lib.rs
+++ b/components/wire/src/lib.rs
@@ -7,6 +7,8 @@
 pub mod datagram;
 pub mod header;
 
+pub mod sync;
+
 mod member_entry;
 
 pub use member_entry::Entry;
