--- a/components/admin/src/upstream.rs
+++ b/components/admin/src/upstream.rs
@@ -10,7 +10,8 @@
 use member::Upstream;
 
 /// Body of `PUT /upstream`.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Announcement {
     /// Service of the upstream.
@@ -24,7 +25,8 @@
 }
 
 /// Stage as an upstream names it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum State {
     /// Not ready for requests.
--- a/components/config/src/source.rs
+++ b/components/config/src/source.rs
@@ -7,7 +7,8 @@
 use serde_saphyr::Spanned;
 
 /// The whole text.
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 pub(crate) struct Text {
     #[serde(default)]
@@ -16,7 +17,8 @@
 }
 
 /// One service.
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 pub(crate) struct Service {
     pub(crate) name: Spanned<String>,
@@ -29,7 +31,8 @@
 }
 
 /// One route.
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 pub(crate) struct Route {
     pub(crate) method: Spanned<String>,
--- a/components/wire/src/control.rs
+++ b/components/wire/src/control.rs
@@ -5,6 +5,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::sync;
 use config::Delta;
 use config::Piece;
 use errors::Verdict;
@@ -22,12 +23,16 @@
     /// Gives the configuration to a node that has `version` with hash `digest`.
     async fn pull(version: u64, digest: u64) -> Offer;
 
+    /// Compares member tables; `None` if the question is malformed.
+    async fn sync(ask: sync::Ask) -> Option<sync::Answer>;
+
     /// Tells what became of a request, and fences it if it never arrived.
     async fn outcome(question: Question) -> Outcome;
 }
 
 /// A [`traffic::owner::Question`] as it is encoded.
-#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug)]
+#[derive(Serialize, Deserialize)]
 pub struct Question {
     id: u128,
     attempt: u32,
@@ -37,7 +42,8 @@
 }
 
 /// A record as it is encoded.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 pub struct Record {
     version: u64,
     edit: u128,
@@ -48,7 +54,8 @@
 }
 
 /// A [`Piece`] as it is encoded.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 pub enum Step {
     /// Keep lines.
     Keep { start: u32, count: u32 },
@@ -57,7 +64,8 @@
 }
 
 /// A [`spread::Offer`] as it is encoded.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 pub enum Offer {
     /// Nothing newer.
     Same,
@@ -72,7 +80,8 @@
 }
 
 /// A [`traffic::ledger::Outcome`] as it is encoded.
-#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug)]
+#[derive(Serialize, Deserialize)]
 pub enum Outcome {
     /// It never arrived, and will be refused if it does.
     Fenced,
--- a/lab/src/cli.rs
+++ b/lab/src/cli.rs
@@ -7,13 +7,15 @@
 use crate::cmd;
 
 /// Stand-ins, load and measurements for medlarusher.
-#[derive(Debug, FromArgs)]
+#[derive(Debug)]
+#[derive(FromArgs)]
 pub(crate) struct Cli {
     #[argh(subcommand)]
     verb: Verb,
 }
 
-#[derive(Debug, FromArgs)]
+#[derive(Debug)]
+#[derive(FromArgs)]
 #[argh(subcommand)]
 enum Verb {
     Store(cmd::store::Args),
--- a/lab/src/cmd/upstream.rs
+++ b/lab/src/cmd/upstream.rs
@@ -20,7 +20,8 @@
 const ANNOUNCE_PERIOD: Duration = Duration::from_secs(3);
 
 /// run a stand-in upstream
-#[derive(Debug, FromArgs)]
+#[derive(Debug)]
+#[derive(FromArgs)]
 #[argh(subcommand, name = "upstream")]
 pub(crate) struct Args {
     /// address to listen on
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -10,7 +10,8 @@
 
 /// Check, apply and read the configuration of a medlarusher fleet. Exit codes: 0 done, 1 refused,
 /// 2 wrong usage, 3 outcome unknown.
-#[derive(Debug, FromArgs)]
+#[derive(Debug)]
+#[derive(FromArgs)]
 pub(crate) struct Cli {
     /// address of the store (default 127.0.0.1:2379)
     #[argh(option, default = "SocketAddr::from(([127, 0, 0, 1], 2379))")]
@@ -19,7 +20,8 @@
     verb: Verb,
 }
 
-#[derive(Debug, FromArgs)]
+#[derive(Debug)]
+#[derive(FromArgs)]
 #[argh(subcommand)]
 enum Verb {
     Apply(cmd::apply::Args),
--- a/src/cmd/apply.rs
+++ b/src/cmd/apply.rs
@@ -19,7 +19,8 @@
 use store::encode_record;
 
 /// accept a configuration text as the next version
-#[derive(Debug, FromArgs)]
+#[derive(Debug)]
+#[derive(FromArgs)]
 #[argh(subcommand, name = "apply")]
 pub(crate) struct Args {
     /// file with the text
--- a/src/cmd/check.rs
+++ b/src/cmd/check.rs
@@ -10,7 +10,8 @@
 use config::Draft;
 
 /// tell whether a configuration text would be accepted
-#[derive(Debug, FromArgs)]
+#[derive(Debug)]
+#[derive(FromArgs)]
 #[argh(subcommand, name = "check")]
 pub(crate) struct Args {
     /// file with the text
