--- a/components/http1/tests/support/mod.rs
+++ b/components/http1/tests/support/mod.rs
@@ -83,6 +83,10 @@
 struct Handler(Arc<Desk>);
 
 impl Peer for Handler {
+    async fn sync(self, _: Context, _: wire::sync::Ask) -> Option<wire::sync::Answer> {
+        None
+    }
+
     async fn pull(self, _: Context, _: u64, _: u64) -> Offer {
         Offer::Same
     }
