Check settings as a whole and bound the admin listener

Settings were refused one problem at a time, without line for values, and took 0.0.0.0, equal addresses and unknown plug-ins; the admin listener had no bound on connections, heads or time, and span on errors of accept.

The admin listener takes 64 connections for at most 30 s each, heads of 8 KB within 2 s and bodies of 4 KB, and gained /members, /explain and /settings. The published picture holds the member table for that; 1,700 members are copied per publication, as the endpoints already were.

--- /dev/null
+++ b/components/admin/src/explain.rs
@@ -0,0 +1,81 @@
+//! Explanation of where a request goes and why.
+
+use crate::Choice;
+use crate::Explanation;
+use crate::RouteView;
+use crate::view::describe_stage;
+use control::Endpoint;
+use control::Picture;
+use member::Stage;
+
+/// Explains a request by method and path (without query).
+pub(crate) fn explain(picture: &Picture, method: &str, path: &str) -> Explanation {
+    let Some(snapshot) = &picture.snapshot else {
+        return Explanation {
+            why: "the node holds no configuration yet".into(),
+            ..Explanation::default()
+        };
+    };
+    let mut matches = snapshot.list_matches(method, path).into_iter();
+    let Some((key, route)) = matches
+        .next()
+        .and_then(|it| Some((it, snapshot.route(it)?)))
+    else {
+        let others = ["DELETE", "GET", "HEAD", "OPTIONS", "PATCH", "POST", "PUT"];
+        let known = |other: &&str| snapshot.find_route(other, path).is_some();
+        let others: Vec<_> = others.into_iter().filter(known).collect();
+        let why = if others.is_empty() {
+            format!(
+                "no route of version {} covers this path",
+                snapshot.version()
+            )
+        } else {
+            format!("the path has routes for {} only", others.join(", "))
+        };
+        let version = snapshot.version().0;
+        return Explanation {
+            version,
+            why,
+            ..Explanation::default()
+        };
+    };
+    let passed_over: Vec<_> = matches
+        .filter(|other| *other != key)
+        .filter_map(|other| Some(RouteView::new(snapshot, snapshot.route(other)?)))
+        .collect();
+    let why = if passed_over.is_empty() {
+        "it is the only route that covers the request"
+    } else {
+        "segment by segment, a literal goes before {name} and {name} before **"
+    };
+    Explanation {
+        version: snapshot.version().0,
+        route: Some(RouteView::new(snapshot, route)),
+        why: why.into(),
+        passed_over,
+        endpoints: picture
+            .endpoints_of(route.service)
+            .map(|(_, endpoint)| describe_endpoint(picture, endpoint))
+            .collect(),
+    }
+}
+
+fn describe_endpoint(picture: &Picture, endpoint: &Endpoint) -> Choice {
+    let why = match endpoint.stage {
+        Stage::Warming => "not ready yet",
+        Stage::Draining => "leaving: takes no new requests",
+        Stage::Gone => "has left",
+        Stage::Ready if endpoint.node == picture.me => "own upstream",
+        Stage::Ready if endpoint.domain == picture.domain => "same failure domain: preferred",
+        Stage::Ready => "other failure domain: used when the own one has no room",
+    };
+    Choice {
+        node: endpoint.node.to_string(),
+        requests: endpoint.requests.to_string(),
+        domain: endpoint.domain.to_string(),
+        state: describe_stage(endpoint.stage).to_owned(),
+        slots: endpoint.slots,
+        takes_requests: endpoint.stage == Stage::Ready,
+        why: why.to_owned(),
+    }
+}
--- a/components/admin/src/upstream.rs
+++ b/components/admin/src/upstream.rs
@@ -5,6 +5,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use config::MAX_NAME_BYTES;
 use control::Input;
 use member::Stage;
 use member::Upstream;
@@ -40,8 +41,8 @@
 impl Announcement {
     /// The input for the control machine; an error says which value is out of range.
     pub(crate) fn into_input(self) -> Result<Input, &'static str> {
-        if self.service.is_empty() || self.service.len() > 100 {
-            return Err("service must have 1 to 100 bytes");
+        if self.service.is_empty() || self.service.len() > MAX_NAME_BYTES {
+            return Err("service must have 1 to 63 bytes");
         }
         if !(1..=10_000).contains(&self.slots) {
             return Err("slots must be 1 to 10000");
--- /dev/null
+++ b/components/admin/src/view.rs
@@ -0,0 +1,215 @@
+//! Bodies of answers, in JSON.
+//!
+//! Fields are only added; a reader takes what it knows, so that `medlarctl` and nodes of different
+//! versions work together.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use config::Route;
+use config::Snapshot;
+use control::Life;
+use control::Picture;
+use front::Desk;
+use member::Member;
+use member::Stage;
+use member::Status as Liveness;
+
+/// Body of `GET /status`.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Status {
+    /// Identity of the node.
+    pub node: String,
+    /// Its failure domain.
+    pub domain: String,
+    /// Stage of its life.
+    pub life: String,
+    /// Version in force; 0 before the first.
+    pub version: u64,
+    /// Hash of the text in force.
+    pub digest: String,
+    /// Service of its upstream; empty before it announced itself.
+    pub service: String,
+    /// Stage of its upstream.
+    pub state: String,
+    /// Requests that run at its upstream.
+    pub running: u32,
+    /// Requests that wait.
+    pub queued: u32,
+    /// Requests that may run at once.
+    pub limit: u32,
+    /// Live members that it knows, itself included.
+    pub live_members: usize,
+    /// Version of the program.
+    pub program: String,
+}
+
+/// One entry of `GET /members`.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct MemberView {
+    /// Identity of the node.
+    pub node: String,
+    /// Its failure domain.
+    pub domain: String,
+    /// Whether it lives: alive, suspect, dead or left.
+    pub status: String,
+    /// Service of its upstream; empty before it announced itself.
+    pub service: String,
+    /// Stage of its upstream.
+    pub state: String,
+    /// Requests that its upstream runs at once.
+    pub slots: u32,
+    /// Address of its operators' HTTP.
+    pub admin: String,
+    /// Address for gossip and control calls.
+    pub peer: String,
+    /// Address for requests of other nodes.
+    pub requests: String,
+}
+
+/// A route of the configuration in force.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct RouteView {
+    /// Service that serves it.
+    pub service: String,
+    /// Method and path pattern.
+    pub method: String,
+    /// Path pattern as written.
+    pub path: String,
+    /// Urgency; 0 is the most urgent.
+    pub rank: u8,
+    /// Longest time from arrival to answer, in milliseconds.
+    pub deadline_ms: u64,
+    /// Whether a request can run more than once without harm.
+    pub idempotent: bool,
+    /// Share among the routes of its rank.
+    pub weight: u32,
+}
+
+/// One endpoint of the service of a route.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Choice {
+    /// Its node.
+    pub node: String,
+    /// Address for requests of other nodes.
+    pub requests: String,
+    /// Its failure domain.
+    pub domain: String,
+    /// Stage of its upstream.
+    pub state: String,
+    /// Requests that its upstream runs at once.
+    pub slots: u32,
+    /// Whether requests are sent to it.
+    pub takes_requests: bool,
+    /// Why.
+    pub why: String,
+}
+
+/// Body of `GET /explain`.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Explanation {
+    /// Version in force; 0 before the first.
+    pub version: u64,
+    /// The route that takes the request.
+    pub route: Option<RouteView>,
+    /// Why this route or none.
+    pub why: String,
+    /// Other routes that cover the request, in the order of match.
+    pub passed_over: Vec<RouteView>,
+    /// Endpoints of the service.
+    pub endpoints: Vec<Choice>,
+}
+
+impl Status {
+    pub(crate) fn new(desk: &Desk) -> Self {
+        let picture = desk.picture();
+        let load = desk.load();
+        let snapshot = picture.snapshot.as_ref();
+        let own = picture.own.as_ref();
+        let live = picture.members().iter().filter(|it| it.is_live());
+        Self {
+            node: picture.me.to_string(),
+            domain: picture.domain.to_string(),
+            life: describe_life(picture.life).to_owned(),
+            version: snapshot.map_or(0, |it| it.version().0),
+            digest: snapshot.map_or_else(String::new, |it| it.digest().to_string()),
+            service: own.map_or_else(String::new, |(_, it)| it.service.to_string()),
+            state: own
+                .map_or("", |(stage, _)| describe_stage(*stage))
+                .to_owned(),
+            running: load.running,
+            queued: load.queued,
+            limit: load.limit,
+            live_members: live.count(),
+            program: env!("CARGO_PKG_VERSION").to_owned(),
+        }
+    }
+}
+
+impl MemberView {
+    fn new(member: &Member) -> Self {
+        let upstream = member.upstream.as_ref();
+        Self {
+            node: member.id.to_string(),
+            domain: member.domain.to_string(),
+            status: describe_liveness(member.status).to_owned(),
+            service: upstream.map_or_else(String::new, |it| it.service.to_string()),
+            state: describe_stage(member.stage).to_owned(),
+            slots: upstream.map_or(0, |it| it.slots),
+            admin: member.address.admin.to_string(),
+            peer: member.address.peer.to_string(),
+            requests: member.address.requests.to_string(),
+        }
+    }
+}
+
+/// Body of `GET /members`.
+pub(crate) fn list_members(picture: &Picture) -> Vec<MemberView> {
+    picture.members().iter().map(MemberView::new).collect()
+}
+
+impl RouteView {
+    pub(crate) fn new(snapshot: &Snapshot, route: &Route) -> Self {
+        let service = snapshot.service(route.service);
+        Self {
+            service: service.map_or_else(String::new, |it| it.name.to_string()),
+            method: route.method.clone(),
+            path: route.path.clone(),
+            rank: route.rank.0,
+            deadline_ms: u64::try_from(route.deadline.as_millis()).unwrap_or(u64::MAX),
+            idempotent: route.idempotent,
+            weight: route.weight,
+        }
+    }
+}
+
+fn describe_life(life: Life) -> &'static str {
+    match life {
+        Life::Joining => "joining",
+        Life::Serving => "serving",
+        Life::Leaving => "leaving",
+    }
+}
+
+pub(crate) fn describe_stage(stage: Stage) -> &'static str {
+    match stage {
+        Stage::Warming => "warming",
+        Stage::Ready => "ready",
+        Stage::Draining => "draining",
+        Stage::Gone => "gone",
+    }
+}
+
+fn describe_liveness(status: Liveness) -> &'static str {
+    match status {
+        Liveness::Alive => "alive",
+        Liveness::Suspect => "suspect",
+        Liveness::Dead => "dead",
+        Liveness::Left => "left",
+    }
+}
--- /dev/null
+++ b/components/admin/tests/admin.rs
@@ -0,0 +1,288 @@
+//! The admin listener: answers, refusals, bounds.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use arc_swap::ArcSwap;
+use rstest::rstest;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+
+use admin::Explanation;
+use admin::MemberView;
+use admin::Node;
+use admin::Status;
+use control::Input;
+use control::Life;
+use control::Picture;
+use front::Desk;
+use front::Parts;
+use ids::Domain;
+use ids::Incarnation;
+use ids::NodeId;
+use ids::Version;
+use kernel::clock::Monotonic;
+use kernel::plugin;
+use kernel::plugin::Params;
+use member::Address;
+use member::Member;
+use member::Stage;
+use member::Table;
+use member::Upstream;
+use policy::ADMISSIONS;
+use policy::BALANCES;
+use policy::HEALTHS;
+use policy::RETRIES;
+use telemetry::Counters;
+
+// Without these the linker would drop the plug-ins with their registrations.
+use admit as _;
+use balance as _;
+use health as _;
+use retry as _;
+
+const TEXT: &str = "\
+services:
+  - name: reservas
+    routes:
+      - {method: GET, path: '/slots/{day}', rank: 0, deadline_ms: 200}
+      - {method: GET, path: '/slots/**', rank: 2, deadline_ms: 900}
+";
+
+fn member(id: u64, domain: &str, stage: Stage) -> Member {
+    let address = |port| SocketAddr::from(([127, 33, 9, u8::try_from(id).expect("small")], port));
+    Member {
+        id: NodeId(id),
+        address: Address {
+            peer: address(1),
+            requests: address(2),
+            admin: address(3),
+        },
+        domain: Domain::new(domain),
+        incarnation: Incarnation(1),
+        status: member::Status::Alive,
+        stage,
+        upstream: Some(Upstream {
+            service: Arc::from("reservas"),
+            slots: 10,
+            connections: 100,
+        }),
+    }
+}
+
+fn picture() -> Picture {
+    let mut table = Table::default();
+    for entry in [
+        member(1, "huesca", Stage::Ready),
+        member(2, "tudela", Stage::Ready),
+        member(3, "huesca", Stage::Draining),
+    ] {
+        table.merge(entry);
+    }
+    let snapshot = config::compile(TEXT, Version(7)).expect("valid");
+    Picture::new(
+        NodeId(1),
+        Domain::new("huesca"),
+        Life::Serving,
+        Some(Arc::new(snapshot)),
+        &table,
+        1,
+    )
+}
+
+/// Serves a node on a port of its own; gives the address and what the control thread would get.
+async fn start() -> (SocketAddr, mpsc::Receiver<Input>) {
+    let params = Params::default();
+    let entry = traffic::entry::Machine::new(
+        plugin::build("balance", &BALANCES, "p2c", &params).expect("registered"),
+        plugin::build("retry", &RETRIES, "budget", &params).expect("registered"),
+        plugin::build("health", &HEALTHS, "outcomes", &params).expect("registered"),
+    );
+    let admission = plugin::build("admission", &ADMISSIONS, "ranked", &params).expect("registered");
+    let desk = Desk::new(Parts {
+        me: NodeId(1),
+        clock: Monotonic::new(),
+        picture: Arc::new(ArcSwap::from_pointee(picture())),
+        entry,
+        owner: traffic::owner::Machine::new(NodeId(1), admission),
+        counters: Arc::new(Counters::new().expect("counters")),
+    });
+    let (inputs, receiver) = mpsc::channel(8);
+    let listener = TcpListener::bind("127.33.9.1:0")
+        .await
+        .expect("a free port");
+    let address = listener.local_addr().expect("bound");
+    let node = Node::new(Arc::new(desk), inputs, "instance: i1\n".into());
+    tokio::spawn(admin::serve(listener, node));
+    (address, receiver)
+}
+
+/// Sends bytes and gives the whole answer.
+async fn send(address: SocketAddr, request: &str) -> String {
+    let mut stream = TcpStream::connect(address).await.expect("connects");
+    stream.write_all(request.as_bytes()).await.expect("sends");
+    let mut answer = Vec::new();
+    // A refused head ends with a reset.
+    let _ = stream.read_to_end(&mut answer).await;
+    String::from_utf8(answer).expect("text")
+}
+
+async fn ask(address: SocketAddr, method: &str, path: &str, body: &str) -> (String, String) {
+    let length = body.len();
+    let head = format!(
+        "{method} {path} HTTP/1.1\r\nhost: a\r\nconnection: close\r\ncontent-length: {length}\r\n\r\n"
+    );
+    let answer = send(address, &(head + body)).await;
+    let (head, body) = answer.split_once("\r\n\r\n").expect("a head");
+    let status = head.split(' ').nth(1).expect("a status");
+    (status.to_owned(), body.to_owned())
+}
+
+const ANNOUNCEMENT: &str =
+    r#"{"service": "reservas", "state": "ready", "slots": 10, "connections": 100}"#;
+
+// Guards against a request that is taken though it is wrong, or refused without a reason.
+#[rstest]
+#[case::settings("GET", "/settings", String::new(), "200", "instance: i1")]
+#[case::metrics("GET", "/metrics", String::new(), "200", "")]
+#[case::drain("POST", "/drain", String::new(), "200", "{}")]
+#[case::drain_by_get("GET", "/drain", String::new(), "405", "/drain takes POST")]
+#[case::unknown(
+    "GET",
+    "/reset",
+    String::new(),
+    "404",
+    "no such path; known: /status, /members"
+)]
+#[case::upstream("PUT", "/upstream", ANNOUNCEMENT.into(), "200", "{}")]
+#[case::no_slots("PUT", "/upstream", ANNOUNCEMENT.replace("10,", "0,"), "400", "slots must be 1 to 10000")]
+#[case::no_service("PUT", "/upstream", ANNOUNCEMENT.replace("reservas", ""), "400", "service must have 1 to 63 bytes")]
+#[case::unknown_field("PUT", "/upstream", ANNOUNCEMENT.replace("slots", "slot"), "400", "unknown field `slot`")]
+#[case::unknown_state("PUT", "/upstream", ANNOUNCEMENT.replace("ready", "up"), "400", "unknown variant `up`")]
+#[case::not_json("PUT", "/upstream", "{".into(), "400", "EOF")]
+#[case::long_body("PUT", "/upstream", " ".repeat(5_000), "413", "longer than 4096 bytes")]
+#[case::explain_no_path(
+    "GET",
+    "/explain?method=GET",
+    String::new(),
+    "400",
+    "the query lacks path="
+)]
+#[case::explain_bad_escape(
+    "GET",
+    "/explain?method=GET&path=%+1",
+    String::new(),
+    "400",
+    "path is not percent-encoded"
+)]
+#[tokio::test]
+async fn handle_request(
+    #[case] method: &str,
+    #[case] path: &str,
+    #[case] body: String,
+    #[case] status: &str,
+    #[case] expected: &str,
+) {
+    let (address, _inputs) = start().await;
+    let (found, text) = ask(address, method, path, &body).await;
+    assert_eq!(found, status, "{text}");
+    assert!(text.contains(expected), "{text}");
+}
+
+// Guards against operators being shown another state than that which the node routes by.
+#[tokio::test]
+async fn handle_views() {
+    let (address, _inputs) = start().await;
+    let (_, body) = ask(address, "GET", "/status", "").await;
+    let status: Status = serde_json::from_str(&body).expect("JSON");
+    assert_eq!(
+        (status.version, status.life.as_str(), status.live_members),
+        (7, "serving", 3)
+    );
+    assert_eq!(
+        (status.service.as_str(), status.state.as_str()),
+        ("reservas", "ready")
+    );
+    let (_, body) = ask(address, "GET", "/members", "").await;
+    let members: Vec<MemberView> = serde_json::from_str(&body).expect("JSON");
+    assert_eq!(members.len(), 3);
+    assert_eq!(
+        (members[1].admin.as_str(), members[1].domain.as_str()),
+        ("127.33.9.2:3", "tudela")
+    );
+    let (_, body) = ask(
+        address,
+        "GET",
+        "/explain?method=GET&path=/slots/%6donday",
+        "",
+    )
+    .await;
+    let found: Explanation = serde_json::from_str(&body).expect("JSON");
+    let route = found.route.expect("a route");
+    assert_eq!(
+        (route.path.as_str(), route.deadline_ms),
+        ("/slots/{day}", 200)
+    );
+    assert_eq!(found.passed_over[0].path, "/slots/**");
+    let takes: Vec<_> = found
+        .endpoints
+        .iter()
+        .map(|it| (it.takes_requests, it.why.as_str()))
+        .collect();
+    assert_eq!(
+        takes,
+        [
+            (true, "own upstream"),
+            (
+                true,
+                "other failure domain: used when the own one has no room"
+            ),
+            (false, "leaving: takes no new requests"),
+        ]
+    );
+    let (_, body) = ask(address, "GET", "/explain?method=PUT&path=/slots/1", "").await;
+    let found: Explanation = serde_json::from_str(&body).expect("JSON");
+    assert_eq!(
+        (found.route, found.why.as_str()),
+        (None, "the path has routes for GET only")
+    );
+}
+
+// Guards against silent connections that shut operators out.
+#[tokio::test]
+async fn serve_silent_connections() {
+    let (address, _inputs) = start().await;
+    let mut silent = Vec::new();
+    for _ in 0..100 {
+        silent.push(TcpStream::connect(address).await.expect("connects"));
+    }
+    let start = Instant::now();
+    let (status, _) = ask(address, "GET", "/status", "").await;
+    assert_eq!(status, "200");
+    // Two rounds of the 2 s for a head; a connection's whole life is 30 s.
+    assert!(
+        start.elapsed() < Duration::from_secs(10),
+        "{:?}",
+        start.elapsed()
+    );
+}
+
+// Guards against memory that a client can fill with headers.
+#[tokio::test]
+async fn serve_long_head() {
+    let (address, _inputs) = start().await;
+    let answer = send(
+        address,
+        &format!(
+            "GET /status HTTP/1.1\r\nhost: a\r\nx: {}\r\n\r\n",
+            "x".repeat(64_000)
+        ),
+    )
+    .await;
+    assert!(!answer.starts_with("HTTP/1.1 200"), "{answer}");
+}
--- a/components/control/src/picture.rs
+++ b/components/control/src/picture.rs
@@ -10,6 +10,7 @@
 use ids::NodeId;
 use kernel::Arena;
 use kernel::Key;
+use member::Member;
 use member::Stage;
 use member::Table;
 use member::Upstream;
@@ -47,6 +48,8 @@
     pub snapshot: Option<Arc<Snapshot>>,
     /// The node's own upstream, once announced.
     pub own: Option<(Stage, Upstream)>,
+    /// All members, sorted by id; for operators.
+    members: Vec<Member>,
     endpoints: Arena<Endpoint>,
     /// Sorted by service.
     by_service: Vec<(ServiceKey, EndpointKey)>,
@@ -92,11 +95,17 @@
             life,
             snapshot,
             own,
+            members: table.members().to_vec(),
             endpoints,
             by_service,
         }
     }
 
+    /// All members that are known, also dead ones, sorted by id.
+    pub fn members(&self) -> &[Member] {
+        &self.members
+    }
+
     /// The endpoint at `key`, if the key is of this picture.
     pub fn endpoint(&self, key: EndpointKey) -> Option<&Endpoint> {
         self.endpoints.get(key)
--- a/components/daemon/src/build.rs
+++ b/components/daemon/src/build.rs
@@ -45,6 +45,11 @@
     }
 }
 
+/// Checks the names and params of all plug-ins.
+pub fn check(settings: &Settings) -> Result<(), Error> {
+    Plugins::from_settings(settings).map(drop)
+}
+
 fn build<T: ?Sized>(
     key: &'static str,
     plugins: &[Plugin<T>],
--- a/components/daemon/src/lib.rs
+++ b/components/daemon/src/lib.rs
@@ -14,6 +14,7 @@
 
 use kernel::plugin;
 
+pub use build::check;
 pub use run::run;
 
 // Without these the linker would drop the plug-ins with their registrations.
--- a/components/daemon/src/run.rs
+++ b/components/daemon/src/run.rs
@@ -133,7 +133,8 @@
     let admin = TcpListener::bind(settings.listen.admin)
         .await
         .map_err(listen("listen.admin"))?;
-    tokio::spawn(admin::serve(admin, Arc::clone(&desk), inputs.clone()));
+    let node = admin::Node::new(Arc::clone(&desk), inputs.clone(), settings::print(settings));
+    tokio::spawn(admin::serve(admin, node));
 
     let stop = CancellationToken::new();
     let addresses = Addresses {
--- a/components/settings/src/load.rs
+++ b/components/settings/src/load.rs
@@ -1,5 +1,6 @@
-//! Reading and checking of a settings file.
+//! Reading and printing of a settings file.
 
+use std::fmt;
 use std::fs;
 use std::io;
 use std::path::Path;
@@ -8,9 +9,42 @@
 use quick_error::quick_error;
 
 use crate::Settings;
+use crate::check::check;
+use crate::written::Written;
+use config::describe_yaml;
 
 /// Longest accepted settings file.
-const MAX_BYTES: u64 = 1_000_000;
+const MAX_BYTES: u64 = 100_000;
+/// Deepest nesting and most nodes; a file has 4 levels and about 100 nodes.
+const MAX_DEPTH: usize = 16;
+const MAX_NODES: usize = 20_000;
+
+/// One thing that is wrong with a file.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Problem {
+    /// Line in the file.
+    pub line: u64,
+    /// The setting, such as `listen.peer`; empty if the file could not be read so far.
+    pub key: String,
+    /// What is wrong.
+    pub message: String,
+    /// What to write instead.
+    pub hint: String,
+}
+
+impl fmt::Display for Problem {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "line {}: ", self.line)?;
+        if !self.key.is_empty() {
+            write!(f, "{}: ", self.key)?;
+        }
+        f.write_str(&self.message)?;
+        if !self.hint.is_empty() {
+            write!(f, "; {}", self.hint)?;
+        }
+        Ok(())
+    }
+}
 
 quick_error! {
     /// Why settings are refused.
@@ -24,17 +58,18 @@
         TooLong { path: PathBuf } {
             display("{}: longer than {MAX_BYTES} bytes", path.display())
         }
-        /// The content is not the expected YAML.
-        Syntax { path: PathBuf, message: String } {
-            display("{}: {message}", path.display())
-        }
-        /// A value cannot be used.
-        Value { path: PathBuf, key: &'static str, message: String } {
-            display("{}: {key}: {message}", path.display())
+        /// Something in the file is wrong.
+        Invalid { path: PathBuf, problems: Vec<Problem> } {
+            display("{}", list_problems(path, problems))
         }
     }
 }
 
+fn list_problems(path: &Path, problems: &[Problem]) -> String {
+    let line = |problem| format!("{}: {problem}", path.display());
+    problems.iter().map(line).collect::<Vec<_>>().join("\n")
+}
+
 /// Reads and checks the file at `path`.
 pub fn load(path: &Path) -> Result<Settings, Error> {
     let read = |error| Error::Read {
@@ -51,33 +86,32 @@
 
 /// Checks `text`; `path` is for error messages.
 pub fn parse(path: &Path, text: &str) -> Result<Settings, Error> {
-    let settings: Settings = serde_saphyr::from_str(text).map_err(|error| Error::Syntax {
+    let invalid = |problems| Error::Invalid {
         path: path.to_owned(),
-        message: error.to_string(),
+        problems,
+    };
+    let options = serde_saphyr::options! {
+        with_snippet: false,
+        budget: serde_saphyr::budget! {
+            max_depth: MAX_DEPTH,
+            max_nodes: MAX_NODES,
+            max_documents: 1,
+        },
+    };
+    let written: Written = serde_saphyr::from_str_with_options(text, options).map_err(|error| {
+        let error = error.without_snippet();
+        let (message, hint) = describe_yaml(error);
+        invalid(vec![Problem {
+            line: error.location().map_or(1, |location| location.line()),
+            key: String::new(),
+            message,
+            hint,
+        }])
     })?;
-    check(path, &settings)?;
-    Ok(settings)
+    check(written).map_err(invalid)
 }
 
-fn check(path: &Path, settings: &Settings) -> Result<(), Error> {
-    let refuse = |key, message: &str| {
-        Err(Error::Value {
-            path: path.to_owned(),
-            key,
-            message: message.to_owned(),
-        })
-    };
-    if settings.instance.is_empty() {
-        return refuse("instance", "must not be empty");
-    }
-    if settings.domain.is_empty() || settings.domain.len() > 100 {
-        return refuse("domain", "must have 1 to 100 bytes");
-    }
-    if !(1..=64).contains(&settings.traffic_threads) {
-        return refuse("traffic_threads", "must be 1 to 64");
-    }
-    if !(1..=600_000).contains(&settings.drain_limit_ms) {
-        return refuse("drain_limit_ms", "must be 1 to 600000 ms");
-    }
-    Ok(())
+/// The settings with all defaults, in the form of a settings file.
+pub fn print(settings: &Settings) -> String {
+    serde_saphyr::to_string(settings).unwrap_or_else(|error| format!("# {error}\n"))
 }
--- a/components/settings/src/settings.rs
+++ b/components/settings/src/settings.rs
@@ -7,9 +7,17 @@
 
 use kernel::plugin::Params;
 
+pub(crate) const DEFAULT_THREADS: u64 = 2;
+pub(crate) const DEFAULT_DRAIN_LIMIT_MS: u64 = 30_000;
+pub(crate) const DEFAULT_FRONT: &str = "http1";
+pub(crate) const DEFAULT_TRANSPORT: &str = "udp";
+pub(crate) const DEFAULT_ADMISSION: &str = "ranked";
+pub(crate) const DEFAULT_BALANCE: &str = "p2c";
+pub(crate) const DEFAULT_RETRY: &str = "budget";
+pub(crate) const DEFAULT_HEALTH: &str = "outcomes";
+
 /// Settings of one node.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
 pub struct Settings {
     /// Name of the instance, for logs and tables.
     pub instance: String,
@@ -20,40 +28,30 @@
     /// Address of the upstream of this instance.
     pub upstream: SocketAddr,
     /// Peer addresses of other nodes, to join by.
-    #[serde(default)]
     pub contacts: Vec<SocketAddr>,
     /// Threads that carry traffic, besides the control thread.
-    #[serde(default = "default_threads")]
     pub traffic_threads: usize,
     /// Longest drain, in milliseconds.
-    #[serde(default = "default_drain_limit_ms")]
     pub drain_limit_ms: u64,
     /// Store plug-in.
     pub store: Plugged,
     /// Front end plug-in.
-    #[serde(default = "default_front")]
     pub front: Plugged,
     /// Transport plug-in.
-    #[serde(default = "default_transport")]
     pub transport: Plugged,
     /// Admission plug-in.
-    #[serde(default = "default_admission")]
     pub admission: Plugged,
     /// Balancing plug-in.
-    #[serde(default = "default_balance")]
     pub balance: Plugged,
     /// Retry plug-in.
-    #[serde(default = "default_retry")]
     pub retry: Plugged,
     /// Health plug-in.
-    #[serde(default = "default_health")]
     pub health: Plugged,
 }
 
 /// Addresses that a node listens on; all are reached by other instances but `callers`, which is
 /// also reached by callers.
-#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 pub struct Listen {
     /// HTTP for callers and for onward calls of the upstream.
     pub callers: SocketAddr,
@@ -66,7 +64,7 @@
 }
 
 /// A plug-in by name, with its params.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Plugged {
     /// Name of the plug-in.
@@ -77,7 +75,7 @@
 }
 
 /// One param of a plug-in.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Param {
     /// Name.
@@ -87,13 +85,6 @@
 }
 
 impl Plugged {
-    fn named(name: &str) -> Self {
-        Self {
-            plugin: name.to_owned(),
-            params: Vec::new(),
-        }
-    }
-
     /// The params in the form that plug-ins take.
     pub fn params(&self) -> Params {
         Params::from_pairs(
@@ -104,34 +95,10 @@
     }
 }
 
-fn default_threads() -> usize {
-    2
-}
-
-fn default_drain_limit_ms() -> u64 {
-    30_000
-}
-
-fn default_front() -> Plugged {
-    Plugged::named("http1")
-}
-
-fn default_transport() -> Plugged {
-    Plugged::named("udp")
-}
-
-fn default_admission() -> Plugged {
-    Plugged::named("ranked")
-}
-
-fn default_balance() -> Plugged {
-    Plugged::named("p2c")
-}
-
-fn default_retry() -> Plugged {
-    Plugged::named("budget")
-}
-
-fn default_health() -> Plugged {
-    Plugged::named("outcomes")
+/// A plug-in without params.
+pub(crate) fn named(name: &str) -> Plugged {
+    Plugged {
+        plugin: name.to_owned(),
+        params: Vec::new(),
+    }
 }
--- /dev/null
+++ b/components/settings/src/written.rs
@@ -0,0 +1,37 @@
+//! The file as written, with the line of each value.
+
+use serde::Deserialize;
+use serde_saphyr::Spanned;
+
+use crate::Plugged;
+
+/// The whole file.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct Written {
+    pub(crate) instance: Spanned<String>,
+    pub(crate) domain: Spanned<String>,
+    pub(crate) listen: Listen,
+    pub(crate) upstream: Spanned<String>,
+    #[serde(default)]
+    pub(crate) contacts: Vec<Spanned<String>>,
+    pub(crate) traffic_threads: Option<Spanned<String>>,
+    pub(crate) drain_limit_ms: Option<Spanned<String>>,
+    pub(crate) store: Plugged,
+    pub(crate) front: Option<Plugged>,
+    pub(crate) transport: Option<Plugged>,
+    pub(crate) admission: Option<Plugged>,
+    pub(crate) balance: Option<Plugged>,
+    pub(crate) retry: Option<Plugged>,
+    pub(crate) health: Option<Plugged>,
+}
+
+/// Addresses.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct Listen {
+    pub(crate) callers: Spanned<String>,
+    pub(crate) requests: Spanned<String>,
+    pub(crate) peer: Spanned<String>,
+    pub(crate) admin: Spanned<String>,
+}
--- a/node/src/cli.rs
+++ b/node/src/cli.rs
@@ -51,14 +51,12 @@
         Ok(settings) => settings,
         Err(error) => return refuse(&error),
     };
+    if let Err(error) = daemon::check(&settings) {
+        return refuse(&format!("{}: {error}", path.display()));
+    }
     if cli.print_settings {
-        return match serde_saphyr::to_string(&settings) {
-            Ok(text) => {
-                print!("{text}");
-                ExitCode::SUCCESS
-            }
-            Err(error) => refuse(&error),
-        };
+        print!("{}", settings::print(&settings));
+        return ExitCode::SUCCESS;
     }
     if cli.check {
         println!("{}: settings are valid", path.display());
