--- a/components/admin/src/view.rs
+++ b/components/admin/src/view.rs
@@ -175,7 +175,11 @@
 
 /// Body of `GET /members`.
 pub(crate) fn list_members(picture: &Picture) -> Vec<MemberView> {
-    picture.members().iter().map(|member| MemberView::new(member)).collect()
+    picture
+        .members()
+        .iter()
+        .map(|member| MemberView::new(member))
+        .collect()
 }
 
 impl RouteView {
