Run control machines against faults without sockets

The control plane had no test. A driver runs many control machines on one queue with delay, loss, partitions, pauses, kills and a fake store, and one checker reads the promises off each node's history; a planted violation of each promise is caught.

Two faults came up in the matrix and are fixed. A node whose peers all knew it never learned of them: their pings do not introduce a known sender. A message of an unknown sender now leads to a comparison (cases Read x Partition and Leave x Kill).

--- /dev/null
+++ b/components/control/tests/faults.rs
@@ -0,0 +1,305 @@
+//! Faults at each step of a change, with the promises checked over the history of every node.
+
+mod driver;
+
+use std::sync::Arc;
+
+use driver::Fleet;
+use driver::SECOND;
+use driver::checker::Fact;
+use driver::checker::write_record;
+use driver::checker::write_text;
+use rstest::rstest;
+
+use control::Input;
+use control::Picture;
+use ids::Digest;
+use member::Stage;
+
+const NODES: usize = 24;
+const SERVICES: usize = 6;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Step {
+    Watch,
+    Read,
+    Push,
+    Pull,
+    Compile,
+    Apply,
+    Announce,
+    Drain,
+    Leave,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Fault {
+    None,
+    Loss,
+    Delay,
+    Corruption,
+    Partition,
+    Pause,
+    Kill,
+    Outage,
+    LostAnswers,
+}
+
+impl Fleet {
+    /// An operator's edit is accepted.
+    fn accept(&mut self, version: u64) {
+        let text = write_text(self.services, version);
+        let record = write_record(version, &text);
+        let accepted = (self.now, record.version, record.digest);
+        self.history.accepted.push(accepted);
+        let answers = self.store.put(Some(record));
+        self.tell(answers);
+    }
+
+    fn serving(seed: u64, nodes: usize) -> Self {
+        let mut fleet = Self::new(seed, 3, SERVICES);
+        fleet.accept(1);
+        (0..nodes).for_each(|_| {
+            fleet.add(Some(Stage::Ready));
+        });
+        fleet.run(25.0);
+        fleet
+    }
+
+    fn impair_all(&mut self, on: bool) {
+        for at in 0..self.nodes.len() {
+            let fact = if on { Fact::Impaired } else { Fact::Restored };
+            self.history.add(self.now, at, fact);
+        }
+    }
+
+    fn begin(&mut self, fault: Fault) {
+        if fault != Fault::None {
+            self.impair_all(true);
+        }
+        match fault {
+            Fault::None => {}
+            Fault::Loss => self.faults.loss = 250,
+            Fault::Delay => self.faults.delay = 600_000,
+            Fault::Corruption => self.faults.corrupt = 400,
+            Fault::Partition => {
+                let cut = self.nodes.iter_mut().filter(|it| it.domain == 0);
+                cut.for_each(|it| it.group = 1);
+            }
+            Fault::Pause => (0..NODES / 4).for_each(|at| self.pause(at * 3, 30 * SECOND)),
+            Fault::Kill => (0..NODES / 4).for_each(|at| self.kill(at * 3 + 1)),
+            Fault::Outage => {
+                let answers = self.store.cut();
+                self.tell(answers);
+            }
+            Fault::LostAnswers => self.store.lost = 500,
+        }
+    }
+
+    fn end(&mut self, fault: Fault) {
+        self.faults = Default::default();
+        self.store.down = false;
+        self.store.lost = 0;
+        self.nodes.iter_mut().for_each(|it| it.group = 0);
+        for at in 0..NODES {
+            if !self.nodes[at].up && fault == Fault::Kill {
+                self.restart(at);
+            }
+        }
+        if fault != Fault::None {
+            self.impair_all(false);
+        }
+    }
+
+    fn take_step(&mut self, step: Step) {
+        match step {
+            Step::Watch => self.accept(2),
+            Step::Read => {
+                for at in self.store.watchers() {
+                    self.restart(at);
+                }
+                self.accept(2);
+            }
+            Step::Push | Step::Pull => {}
+            Step::Compile => {
+                let mut newer = write_record(2, &write_text(SERVICES, 2));
+                newer.format = config::FORMAT + 1;
+                let bad = write_record(3, "services: [{name: a, depends: [b]}]\n");
+                for record in [newer, bad] {
+                    let answers = self.store.put(Some(record));
+                    self.tell(answers);
+                    self.run(1.0);
+                }
+                self.accept(4);
+            }
+            Step::Apply => {
+                for version in 2..6 {
+                    self.accept(version);
+                    self.run(0.05);
+                }
+            }
+            Step::Announce => {
+                (0..4).for_each(|at| self.nodes[at].upstream = None);
+                (4..8).for_each(|at| self.nodes[at].upstream = Some(Stage::Draining));
+            }
+            Step::Drain => self.drain(7),
+            Step::Leave => {
+                self.drain(7);
+                self.run(0.5);
+                self.input(7, Input::Drained);
+                self.run(0.3);
+                self.kill(7);
+            }
+        }
+    }
+}
+
+/// Guards against a fault at some step that breaks P1, P2, P3, P7 or P9.
+#[rstest]
+fn check_fault(
+    #[values(
+        Step::Watch,
+        Step::Read,
+        Step::Push,
+        Step::Pull,
+        Step::Compile,
+        Step::Apply,
+        Step::Announce,
+        Step::Drain,
+        Step::Leave
+    )]
+    step: Step,
+    #[values(
+        Fault::None,
+        Fault::Loss,
+        Fault::Delay,
+        Fault::Corruption,
+        Fault::Partition,
+        Fault::Pause,
+        Fault::Kill,
+        Fault::Outage,
+        Fault::LostAnswers
+    )]
+    fault: Fault,
+) {
+    let mut fleet = Fleet::serving(step as u64 * 100 + fault as u64, NODES);
+    // For these the fault comes when the change has left the store.
+    let early = match step {
+        Step::Push => 0.003,
+        Step::Pull => 0.006,
+        _ => 0.0,
+    };
+    if early > 0.0 {
+        fleet.accept(2);
+        fleet.run(early);
+    }
+    fleet.begin(fault);
+    fleet.take_step(step);
+    fleet.run(35.0);
+    fleet.end(fault);
+    fleet.run(35.0);
+    let broken = fleet.history.check(fleet.now);
+    assert_eq!(broken, Vec::<String>::new());
+    let up = fleet.nodes.iter().filter(|it| it.up);
+    let live = up.clone().count();
+    assert!(
+        up.clone().all(|it| it.machine.table().live_count() == live),
+        "tables differ"
+    );
+}
+
+/// Guards against effects that depend on anything but inputs, time and random numbers.
+#[rstest]
+fn replay_same_seed() {
+    let run = || {
+        let mut fleet = Fleet::new(7, 3, SERVICES);
+        fleet.trace = Some(Digest::default());
+        fleet.accept(1);
+        (0..NODES).for_each(|_| {
+            fleet.add(Some(Stage::Ready));
+        });
+        fleet.faults.loss = 100;
+        fleet.run(8.0);
+        fleet.kill(3);
+        fleet.accept(2);
+        fleet.run(8.0);
+        (fleet.trace, fleet.history.facts.len())
+    };
+    assert_eq!(run(), run());
+}
+
+/// Guards against deaths that are declared of nodes that live: by a process that slept 30 s and
+/// does not know it, when a failure domain is lost at once, and when parted regions meet again.
+#[rstest]
+#[case::after_pause(Fault::Pause, 30.5)]
+#[case::after_domain_loss(Fault::Kill, 0.0)]
+#[case::after_partition(Fault::Partition, 40.0)]
+fn declare_no_false_death(#[case] fault: Fault, #[case] skipped: f64) {
+    let mut fleet = Fleet::serving(11, NODES);
+    let others: Vec<usize> = (0..NODES).filter(|at| at % 3 != 0).collect();
+    if fault == Fault::Kill {
+        (0..NODES / 3).for_each(|at| fleet.kill(at * 3));
+    } else {
+        fleet.begin(fault);
+    }
+    fleet.run(skipped);
+    if fault == Fault::Partition {
+        fleet.end(fault);
+    }
+    // The paused nodes are the judges of the others; else the others judge themselves.
+    for _ in 0..200 {
+        fleet.run(0.1);
+        for judge in fleet.nodes.iter().filter(|it| it.up) {
+            let same_side = |at: &&usize| judge.domain != 0 || fault == Fault::Pause || **at == 0;
+            for at in others.iter().filter(same_side) {
+                let id = fleet.nodes[*at].machine.id();
+                let live = judge.machine.table().get(id).is_some_and(|it| it.is_live());
+                assert!(live, "node {at} is held for dead at {} us", fleet.now);
+            }
+        }
+    }
+}
+
+/// Guards against a checker that lets a broken promise pass.
+#[rstest]
+#[case::older_version("P1", 1, ["q", "q"])]
+#[case::other_endpoints("P2", 2, ["s0", "s1"])]
+#[case::other_text("P3", 2, ["1002", "1003"])]
+#[case::old_picture("P7", 0, ["", ""])]
+#[case::missing_version("P9", 0, ["", ""])]
+fn check_planted(#[case] promise: &str, #[case] version: u64, #[case] swapped: [&str; 2]) {
+    let mut fleet = Fleet::serving(5, 6);
+    fleet.accept(2);
+    fleet.run(6.0);
+    let kept = fleet.nodes[4].picture.clone().unwrap();
+    assert_eq!(fleet.history.check(fleet.now), Vec::<String>::new());
+    match promise {
+        "P9" => fleet
+            .history
+            .accepted
+            .push((fleet.now, ids::Version(3), Digest(3))),
+        "P7" => fleet.drain(1),
+        _ => {
+            let text = write_text(SERVICES, version);
+            let text = text
+                .replace(swapped[0], "x")
+                .replace(swapped[1], swapped[0]);
+            let text = text.replace('x', swapped[1]);
+            let snapshot = Arc::new(config::compile(&text, ids::Version(version)).unwrap());
+            let mut picture = Picture::clone(&kept);
+            picture.snapshot = Some(snapshot);
+            let fact = Fact::Published(Arc::new(picture));
+            fleet.history.add(fleet.now, 4, fact);
+        }
+    }
+    fleet.run(7.0);
+    if promise == "P7" {
+        fleet.history.add(fleet.now, 4, Fact::Published(kept));
+        fleet.run(1.0);
+    }
+    let broken = fleet.history.check(fleet.now);
+    assert!(
+        broken.iter().any(|it| it.starts_with(promise)),
+        "{broken:?}"
+    );
+}
--- a/components/member/src/exchange.rs
+++ b/components/member/src/exchange.rs
@@ -1,12 +1,14 @@
 //! Anti-entropy and join: comparison of member tables with other nodes.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use crate::Answer;
 use crate::Ask;
 use crate::Body;
 use crate::Machine;
+use crate::Member;
 use crate::Output;
 use crate::Status;
 use crate::probe::shuffle;
@@ -23,6 +25,11 @@
 const JOIN_LIMIT: Duration = Duration::from_secs(3);
 /// Time between comparisons with members that were held for dead.
 const MEET_PAUSE: Duration = Duration::from_secs(5);
+/// Statements of one comparison that are more than ordinary churn in a small fleet; one in a hundred
+/// members in a large one.
+const MUCH_NEWS: usize = 2;
+/// Time until the next comparison after much news.
+const NEWS_PAUSE: Duration = Duration::from_secs(2);
 /// Contacts that are kept.
 const MAX_CONTACTS: usize = 64;
 
@@ -118,8 +125,7 @@
             }
             Ask::Members { buckets, members } => {
                 let own = self.table.list_buckets(buckets);
-                self.take_all(now, &members);
-                self.report_change(out);
+                self.take_table(now, &members, out);
                 Body::Members(own)
             }
         };
@@ -151,11 +157,13 @@
                 out.push(Output::Sync { to, ask });
             }
             Some(answer) => {
+                if !std::mem::replace(&mut self.exchange.synced, true) {
+                    self.exchange.next = now + spread_out(self.limits.sync_period, random);
+                }
                 if let Body::Members(members) = &answer.body {
-                    self.take_all(now, members);
-                    self.report_change(out);
+                    self.take_table(now, members, out);
                 }
-                self.finish_exchange(now, answer.from, random, out);
+                self.go_on_joining(answer.from, random, out);
             }
             None if !self.exchange.synced && !self.exchange.untried.is_empty() => {
                 self.exchange.next = now;
@@ -165,19 +173,21 @@
         }
     }
 
-    fn finish_exchange(
-        &mut self,
-        now: Time,
-        with: NodeId,
-        random: &mut dyn Random,
-        out: &mut Vec<Output>,
-    ) {
+    /// Takes the table of another node in. Much news means that a partition has ended or that many
+    /// nodes start; the next comparison then comes soon, so that all tables agree within a time that
+    /// grows with the logarithm of the fleet's size.
+    fn take_table(&mut self, now: Time, members: &[Arc<Member>], out: &mut Vec<Output>) {
+        let news = self.take_all(now, members);
+        self.report_change(out);
+        if news > MUCH_NEWS.max(self.table.live_count() / 100) {
+            self.exchange.next = self.exchange.next.min(now + NEWS_PAUSE);
+        }
+    }
+
+    /// Compares with a node of one more failure domain, as far as a joining node needs to.
+    fn go_on_joining(&mut self, with: NodeId, random: &mut dyn Random, out: &mut Vec<Output>) {
         let domain = self.table.get(with).map(|it| it.domain.clone());
         let exchange = &mut self.exchange;
-        if !exchange.synced {
-            exchange.synced = true;
-            exchange.next = now + spread_out(self.limits.sync_period, random);
-        }
         if !exchange.joining {
             return;
         }
@@ -234,12 +244,13 @@
         out.push(Output::Sync { to, ask });
     }
 
-    /// Compares tables at once with a node that was held for dead, or with the first one that a
-    /// lone node hears of: a partition has ended.
+    /// Compares tables at once with a node that was held for dead, because a partition has ended,
+    /// and with an unknown one. A sender that is unknown may know this node already and then would
+    /// not introduce itself.
     pub(crate) fn meet(&mut self, now: Time, from: SocketAddr, id: NodeId, out: &mut Vec<Output>) {
         let returned = match self.table.get(id) {
             Some(member) => member.status == Status::Dead,
-            None => !self.has_peers(),
+            None => true,
         };
         if returned && now >= self.exchange.next_meet {
             self.exchange.next_meet = now + MEET_PAUSE;
--- a/components/member/src/machine.rs
+++ b/components/member/src/machine.rs
@@ -87,11 +87,6 @@
         self.me
     }
 
-    /// Whether another node is believed to live.
-    pub fn has_peers(&self) -> bool {
-        self.table.live_count() > 1
-    }
-
     /// Whether the table is in hand: compared with a contact, or none can be reached.
     pub fn is_joined(&self) -> bool {
         self.exchange.is_joined()
--- a/components/member/src/merge.rs
+++ b/components/member/src/merge.rs
@@ -37,8 +37,10 @@
     }
 
     /// Takes the tables of another node in. The statements are not spread further: the comparison
-    /// with the next node does that for the cost of the difference.
-    pub(crate) fn take_all(&mut self, now: Time, members: &[Arc<Member>]) {
+    /// with the next node does that for the cost of the difference. Gives the number of statements
+    /// that were news.
+    pub(crate) fn take_all(&mut self, now: Time, members: &[Arc<Member>]) -> usize {
+        let mut news = 0;
         for member in members {
             let known = self.table.get(member.id);
             match member.status {
@@ -48,11 +50,12 @@
                 Status::Dead => {
                     if known.is_some_and(|known| known.is_live() && member.overrides(known)) {
                         self.challenge(now, member);
+                        news += 1;
                     }
                 }
                 Status::Left => {
-                    if known.is_some() {
-                        self.store(now, Arc::clone(member), member.id);
+                    if known.is_some() && self.store(now, Arc::clone(member), member.id) {
+                        news += 1;
                     }
                 }
                 Status::Alive | Status::Suspect => {
@@ -62,10 +65,11 @@
                     }
                     self.defend_address(&member);
                     let settled = self.settle_rival(now, &member);
-                    self.store(now, settled, member.id);
+                    news += usize::from(self.store(now, settled, member.id));
                 }
             }
         }
+        news
     }
 
     /// Overrides a statement about this node that is not its own.
