--- a/components/daemon/src/peer.rs
+++ b/components/daemon/src/peer.rs
@@ -13,13 +13,12 @@
 use control::Token;
 use front::Desk;
 use ids::Digest;
-use ids::RequestId;
 use ids::Version;
-use kernel::Time;
 use member::Stamp;
 use wire::control::Offer;
 use wire::control::Outcome;
 use wire::control::Peer;
+use wire::control::Question;
 use wire::sync;
 
 /// Handler of one connection.
@@ -61,10 +60,7 @@
         }
     }
 
-    async fn outcome(self, _: Context, id: u128, expires_us: u64) -> Outcome {
-        self.desk
-            .tell_outcome(RequestId(id), Time(expires_us))
-            .await
-            .into()
+    async fn outcome(self, _: Context, question: Question) -> Outcome {
+        self.desk.tell_outcome(question.into()).await.into()
     }
 }
