Lay out real meshes on loopback and check the promises

The thin stand-ins could serve one path but took no faults, kept no ledger and measured nothing.

The store keeps revisions, leases with expiry, transactions and watches with history; it counts calls, limits rates and takes faults. The upstream has slots, cold start, shedding, drain and onward calls, and writes a ledger line for each start and end of a run in one write, so that the ledger of a killed process is complete. The link relays TCP with delay, cut and silence. The load generator is an open loop with latency from the scheduled time. Checks of the promises are pure and register themselves; tests plant a violation of each.

Ruled out: a node-to-node link, because the settings have no advertised address apart from the listen address. The runtime's timer rounds up to 1 ms, so link and generator sleep by a timer thread of their own.

--- a/lab/src/cli.rs
+++ b/lab/src/cli.rs
@@ -3,12 +3,27 @@
 use std::process::ExitCode;
 
 use argh::FromArgs;
+use tokio::runtime;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
 
-use crate::cmd;
+use crate::Error;
+use crate::link;
+use crate::scenario;
+use crate::store;
+use crate::upstream;
 
-/// Stand-ins, load and measurements for medlarusher.
+/// Worker threads of a stand-in, of which many run at once.
+const STAND_IN_THREADS: usize = 2;
+/// Worker threads of the runner, which also offers the load.
+const RUNNER_THREADS: usize = 4;
+/// Exit code of a scenario that was interrupted.
+const INTERRUPTED: u8 = 130;
+
+/// Stand-ins, load and measurements for medlarusher. Exit codes: 0 done and no promise broken, 1 a
+/// promise broken or an error, 130 interrupted.
 #[derive(Debug, FromArgs)]
-pub(crate) struct Cli {
+pub struct Cli {
     #[argh(subcommand)]
     verb: Verb,
 }
@@ -16,34 +31,77 @@
 #[derive(Debug, FromArgs)]
 #[argh(subcommand)]
 enum Verb {
-    Store(cmd::store::Args),
-    Upstream(cmd::upstream::Args),
+    Store(store::Args),
+    Upstream(upstream::Args),
+    Link(link::Args),
+    Demo(scenario::demo::Args),
+    Converge(scenario::converge::Args),
+    Flood(scenario::flood::Args),
 }
 
 /// Does what the command line says.
-pub(crate) fn run(cli: Cli) -> ExitCode {
-    let runtime = match tokio::runtime::Builder::new_multi_thread()
-        .worker_threads(2)
+pub fn run(cli: Cli) -> ExitCode {
+    let is_runner = !matches!(cli.verb, Verb::Store(_) | Verb::Upstream(_) | Verb::Link(_));
+    let threads = if is_runner {
+        RUNNER_THREADS
+    } else {
+        STAND_IN_THREADS
+    };
+    let runtime = runtime::Builder::new_multi_thread()
+        .worker_threads(threads)
         .enable_all()
-        .build()
-    {
+        .build();
+    let runtime = match runtime {
         Ok(runtime) => runtime,
-        Err(error) => {
-            eprintln!("medlar-lab: {error}");
-            return ExitCode::FAILURE;
-        }
+        Err(error) => return fail(&error.into()),
     };
-    let done = runtime.block_on(async {
-        match cli.verb {
-            Verb::Store(args) => cmd::store::run(args).await,
-            Verb::Upstream(args) => cmd::upstream::run(args).await,
+    runtime.block_on(async {
+        if !is_runner {
+            return finish(start(cli.verb).await);
         }
-    });
-    match done {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            eprintln!("medlar-lab: {error}");
-            ExitCode::FAILURE
+        // Dropping the scenario ends its processes and removes its files.
+        tokio::select! {
+            done = start(cli.verb) => finish(done),
+            () = interrupted() => ExitCode::from(INTERRUPTED),
+        }
+    })
+}
+
+async fn start(verb: Verb) -> Result<bool, Error> {
+    match verb {
+        Verb::Store(args) => store::run(args).await.map(|()| true),
+        Verb::Upstream(args) => upstream::run(args).await.map(|()| true),
+        Verb::Link(args) => link::run(args).await.map(|()| true),
+        Verb::Demo(args) => scenario::demo::run(args).await,
+        Verb::Converge(args) => scenario::converge::run(args).await.map(|()| true),
+        Verb::Flood(args) => scenario::flood::run(args).await.map(|()| true),
+    }
+}
+
+async fn interrupted() {
+    match (
+        signal(SignalKind::interrupt()),
+        signal(SignalKind::terminate()),
+    ) {
+        (Ok(mut interrupt), Ok(mut terminate)) => {
+            tokio::select! {
+                _ = interrupt.recv() => {}
+                _ = terminate.recv() => {}
+            }
         }
+        _ => futures::future::pending().await,
+    }
+}
+
+fn finish(done: Result<bool, Error>) -> ExitCode {
+    match done {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(error) => fail(&error),
     }
 }
+
+fn fail(error: &Error) -> ExitCode {
+    eprintln!("medlar-lab: {error}");
+    ExitCode::FAILURE
+}
--- a/lab/src/cmd/mod.rs
+++ /dev/null
@@ -1,4 +0,0 @@
-//! One module a verb.
-
-pub(crate) mod store;
-pub(crate) mod upstream;
--- a/lab/src/http.rs
+++ b/lab/src/http.rs
@@ -1,65 +1,183 @@
-//! Small HTTP helpers of the stand-ins.
+//! Small HTTP helpers of the stand-ins and the runner.
 
 use std::convert::Infallible;
+use std::fmt;
 use std::io;
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use http_body_util::Full;
+use http_body_util::Limited;
 use http_body_util::combinators::BoxBody;
 use hyper::Request;
 use hyper::Response;
+use hyper::StatusCode;
 use hyper::body::Incoming;
 use hyper::client::conn::http1 as client;
 use hyper::server::conn::http1 as server;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
+use serde_json::Value;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
+use tokio::sync::Semaphore;
+use tokio::task::JoinSet;
+use tokio::time::timeout;
 
-pub(crate) type Body = BoxBody<Bytes, Infallible>;
+use crate::Error;
+use crate::time;
 
-pub(crate) fn full(bytes: impl Into<Bytes>) -> Body {
+/// Longest body that a stand-in accepts: a store value of 1 MB in base64 inside JSON.
+const MAX_BODY_BYTES: usize = 4_000_000;
+/// Longest wait for an answer to a call of the runner.
+const CALL_LIMIT: Duration = Duration::from_secs(5);
+/// Pause after a failed accept, such as when file descriptors run out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Body of an answer.
+pub type Body = BoxBody<Bytes, Infallible>;
+
+/// Instead of an answer: the connection is closed without one.
+#[derive(Debug)]
+pub struct Closed;
+
+impl fmt::Display for Closed {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("closed without an answer")
+    }
+}
+
+impl std::error::Error for Closed {}
+
+/// What a handler gives back.
+pub type Answer = Result<Response<Body>, Closed>;
+
+/// Limits of a listener.
+#[derive(Clone, Copy, Debug)]
+pub struct Gate {
+    /// Connections at once; more are closed on arrival.
+    pub connections: usize,
+    /// Time that a new connection takes.
+    pub connect_cost: Duration,
+}
+
+impl Default for Gate {
+    fn default() -> Self {
+        Self {
+            connections: 10_000,
+            connect_cost: Duration::ZERO,
+        }
+    }
+}
+
+/// A body of these bytes.
+pub fn full(bytes: impl Into<Bytes>) -> Body {
     Full::new(bytes.into()).boxed()
 }
 
-/// Serves until the process ends.
-pub(crate) async fn serve<H, F>(address: SocketAddr, handle: H) -> io::Result<()>
+/// An answer with this status and text.
+pub fn reply(status: StatusCode, text: impl Into<Bytes>) -> Response<Body> {
+    let mut response = Response::new(full(text));
+    *response.status_mut() = status;
+    response
+}
+
+/// Reads a bounded body; an unreadable one is closed on.
+pub async fn read_body(body: Incoming) -> Result<Bytes, Closed> {
+    match Limited::new(body, MAX_BODY_BYTES).collect().await {
+        Ok(body) => Ok(body.to_bytes()),
+        Err(_) => Err(Closed),
+    }
+}
+
+/// Serves until the future is dropped, which also ends all connections.
+pub async fn serve<H, F>(listener: &TcpListener, gate: Gate, handle: H)
 where
     H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
-    F: Future<Output = Response<Body>> + Send + 'static,
+    F: Future<Output = Answer> + Send + 'static,
 {
-    let listener = TcpListener::bind(address).await?;
+    let free = Arc::new(Semaphore::new(gate.connections));
+    let mut connections = JoinSet::new();
     loop {
-        let (stream, _) = listener.accept().await?;
-        stream.set_nodelay(true)?;
+        while connections.try_join_next().is_some() {}
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let Ok(permit) = Arc::clone(&free).try_acquire_owned() else {
+            continue;
+        };
         let handle = handle.clone();
-        tokio::spawn(async move {
-            let service = service_fn(move |request| {
-                let answer = handle(request);
-                async move { Ok::<_, Infallible>(answer.await) }
-            });
-            let _ = server::Builder::new()
-                .timer(TokioTimer::new())
-                .serve_connection(TokioIo::new(stream), service)
-                .await;
+        connections.spawn(async move {
+            let _permit = permit;
+            time::sleep(gate.connect_cost).await;
+            serve_connection(stream, handle).await;
         });
     }
 }
 
-/// Sends one request on a connection of its own.
-pub(crate) async fn send(
-    address: SocketAddr,
-    request: Request<Body>,
-) -> Result<Response<Bytes>, Box<dyn std::error::Error + Send + Sync>> {
+async fn serve_connection<H, F>(stream: TcpStream, handle: H)
+where
+    H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
+    F: Future<Output = Answer> + Send + 'static,
+{
+    // A socket that is already closed shows in the first read.
+    let _ = stream.set_nodelay(true);
+    let _ = server::Builder::new()
+        .timer(TokioTimer::new())
+        .serve_connection(TokioIo::new(stream), service_fn(handle))
+        .await;
+}
+
+/// Opens a connection.
+pub async fn connect(address: SocketAddr) -> io::Result<client::SendRequest<Body>> {
     let stream = TcpStream::connect(address).await?;
-    let (mut sender, connection) = client::handshake(TokioIo::new(stream)).await?;
+    stream.set_nodelay(true)?;
+    let (sender, connection) = client::handshake(TokioIo::new(stream))
+        .await
+        .map_err(io::Error::other)?;
     tokio::spawn(connection);
-    let (parts, body) = sender.send_request(request).await?.into_parts();
-    Ok(Response::from_parts(
-        parts,
-        body.collect().await?.to_bytes(),
-    ))
+    Ok(sender)
+}
+
+/// Sends one request on a connection of its own.
+pub async fn send(address: SocketAddr, request: Request<Body>) -> Result<Response<Bytes>, Error> {
+    let call = async {
+        let mut sender = connect(address).await?;
+        let (parts, body) = sender.send_request(request).await?.into_parts();
+        let bytes = body.collect().await?.to_bytes();
+        Ok(Response::from_parts(parts, bytes))
+    };
+    timeout(CALL_LIMIT, call).await?
+}
+
+/// Calls `path` with `method`; an answer that is not a success is an error.
+pub async fn call(
+    address: SocketAddr,
+    method: &str,
+    path: &str,
+    body: &str,
+) -> Result<Bytes, Error> {
+    let request = Request::builder()
+        .method(method)
+        .uri(path)
+        .header("host", address.to_string())
+        .body(full(body.to_owned()))?;
+    let response = send(address, request).await?;
+    if response.status().is_success() {
+        return Ok(response.into_body());
+    }
+    let text = String::from_utf8_lossy(response.body()).into_owned();
+    Err(format!("{method} {address}{path}: {}: {text}", response.status()).into())
+}
+
+/// Gets a JSON document.
+pub async fn get_json(address: SocketAddr, path: &str) -> Result<Value, Error> {
+    Ok(serde_json::from_slice(
+        &call(address, "GET", path, "").await?,
+    )?)
 }
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -1,11 +1,7 @@
 //! `medlar-lab`: stand-ins for the platform and the upstreams, load, and measurements.
 
-mod cli;
-mod cmd;
-mod http;
-
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
-    cli::run(argh::from_env())
+    medlar_lab::cli::run(argh::from_env())
 }
--- /dev/null
+++ b/lab/src/metrics.rs
@@ -0,0 +1,57 @@
+//! Reading of the nodes' counters from the Prometheus text format.
+
+use std::net::SocketAddr;
+
+use crate::Error;
+use crate::http;
+
+/// Sum of the samples of `name` whose labels contain `label`; 0 if there are none.
+pub fn sum(text: &str, name: &str, label: &str) -> f64 {
+    let value = |line: &str| {
+        let rest = line.strip_prefix(name)?;
+        if !rest.starts_with(['{', ' ']) || !rest.contains(label) {
+            return None;
+        }
+        rest.rsplit_once(' ')?.1.parse::<f64>().ok()
+    };
+    text.lines().filter_map(value).sum()
+}
+
+/// Totals that are compared before and after.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Totals {
+    pub control_bytes_sent: f64,
+    pub control_messages_sent: f64,
+    pub store_calls: f64,
+    pub requests: f64,
+    pub retries: f64,
+}
+
+impl Totals {
+    /// Reads the totals from the counters' text.
+    pub fn parse(text: &str) -> Self {
+        let sent = "direction=\"sent\"";
+        Self {
+            control_bytes_sent: sum(text, "medlar_control_bytes_total", sent),
+            control_messages_sent: sum(text, "medlar_control_messages_total", sent),
+            store_calls: sum(text, "medlar_store_calls_total", ""),
+            requests: sum(text, "medlar_requests_total", ""),
+            retries: sum(text, "medlar_retries_total", ""),
+        }
+    }
+
+    /// Reads the totals of the node with this admin address.
+    pub async fn get(admin: SocketAddr) -> Result<Self, Error> {
+        let text = http::call(admin, "GET", "/metrics", "").await?;
+        Ok(Self::parse(&String::from_utf8_lossy(&text)))
+    }
+
+    /// Adds another node's totals.
+    pub fn add(&mut self, other: Self) {
+        self.control_bytes_sent += other.control_bytes_sent;
+        self.control_messages_sent += other.control_messages_sent;
+        self.store_calls += other.store_calls;
+        self.requests += other.requests;
+        self.retries += other.retries;
+    }
+}
--- /dev/null
+++ b/lab/src/scenario/converge.rs
@@ -0,0 +1,232 @@
+//! Time from the acceptance of a text to its being in force, and what control costs.
+
+use std::time::Duration;
+
+use argh::FromArgs;
+use serde_json::Value;
+use serde_json::json;
+use tokio::time::Instant;
+
+use super::median_and_worst;
+use super::quantile;
+use crate::Error;
+use crate::fleet::Fleet;
+use crate::fleet::Options;
+use crate::fleet::watch::look_period;
+use crate::fleet::watch::wait_for_version;
+use crate::metrics::Totals;
+use crate::process::Binaries;
+use crate::topology;
+
+/// Longest wait for a change to be in force.
+const LIMIT: Duration = Duration::from_secs(20);
+/// Time for the fleet to come to rest.
+const SETTLE: Duration = Duration::from_secs(5);
+/// Most nodes of one run; bounds memory and processes.
+const MAX_NODES: usize = 200;
+
+/// measure convergence and the cost of control
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "converge")]
+pub struct Args {
+    /// numbers of nodes (default 10,25,50,100,200)
+    #[argh(option, default = "String::from(\"10,25,50,100,200\")")]
+    nodes: String,
+    /// runs of each case (default 5)
+    #[argh(option, default = "5")]
+    runs: usize,
+    /// services that only lengthen the text (default 800, about 100 KB)
+    #[argh(option, default = "800")]
+    filler: usize,
+    /// seconds of each measurement of cost (default 10)
+    #[argh(option, default = "10")]
+    seconds: u64,
+    /// seconds between changes under the scaled rate (default 2; the target's rate is one in 39)
+    #[argh(option, default = "2")]
+    period: u64,
+}
+
+/// What goes wrong during a change.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Trouble {
+    Calm,
+    TenthKilled,
+    StoreCut,
+}
+
+/// Measures and prints tables.
+pub async fn run(args: Args) -> Result<(), Error> {
+    let binaries = Binaries::find().await?;
+    let counts: Result<Vec<usize>, _> = args.nodes.split(',').map(str::parse).collect();
+    let length = Duration::from_secs(args.seconds.clamp(1, 120));
+    println!(
+        "text of {} bytes",
+        topology::find("ogbonna")?.text(1, args.filler).len()
+    );
+    println!("| nodes | state | control B/s | messages/s | CPU % | memory MB | store calls/s |");
+    println!("|---|---|---|---|---|---|---|");
+    let mut tables = Vec::new();
+    for count in counts? {
+        let nodes = count.clamp(1, MAX_NODES);
+        let mut options = Options::new(topology::find("ogbonna")?);
+        options.bare_nodes = Some(nodes);
+        options.traffic_threads = 1;
+        options.filler = args.filler;
+        let mut fleet = Fleet::start(&binaries, options).await?;
+        tokio::time::sleep(SETTLE).await;
+        let before = Cost::read(&fleet).await?;
+        tokio::time::sleep(length).await;
+        before.print_since(&fleet, "idle").await?;
+        let before = Cost::read(&fleet).await?;
+        let changes = change_often(&mut fleet, length, args.period).await?;
+        let state = format!("{changes} changes");
+        before.print_since(&fleet, &state).await?;
+        for trouble in [Trouble::Calm, Trouble::TenthKilled, Trouble::StoreCut] {
+            let mut times = Times::default();
+            for _ in 0..args.runs.clamp(1, 20) {
+                measure(&mut fleet, trouble, &mut times).await?;
+            }
+            tables.push(times.row(nodes, trouble));
+        }
+    }
+    println!("\n| nodes | case | half ms | 99% ms | all ms | not in force |");
+    println!("|---|---|---|---|---|---|");
+    tables.iter().for_each(|row| println!("{row}"));
+    Ok(())
+}
+
+async fn change_often(fleet: &mut Fleet, length: Duration, period: u64) -> Result<u32, Error> {
+    let until = Instant::now() + length;
+    let mut changes = 0;
+    while Instant::now() < until {
+        let next = Instant::now() + Duration::from_secs(period.max(1));
+        fleet.change_text().await?;
+        changes += 1;
+        tokio::time::sleep_until(next.min(until)).await;
+    }
+    Ok(changes)
+}
+
+/// Times of some runs in milliseconds.
+#[derive(Default)]
+struct Times {
+    half: Vec<f64>,
+    most: Vec<f64>,
+    all: Vec<f64>,
+    missing: usize,
+}
+
+impl Times {
+    fn row(&self, nodes: usize, trouble: Trouble) -> String {
+        let show = |values: &[f64]| {
+            let (median, worst) = median_and_worst(values);
+            format!("{median:.0} / {worst:.0}")
+        };
+        format!(
+            "| {nodes} | {trouble:?} | {} | {} | {} | {} |",
+            show(&self.half),
+            show(&self.most),
+            show(&self.all),
+            self.missing
+        )
+    }
+}
+
+async fn measure(fleet: &mut Fleet, trouble: Trouble, times: &mut Times) -> Result<(), Error> {
+    let accepted = fleet.change_text().await?;
+    match trouble {
+        Trouble::Calm => {}
+        Trouble::TenthKilled => {
+            for _ in 0..fleet.serving.len().div_ceil(10) {
+                fleet.kill(fleet.serving.len() - 1).await?;
+            }
+        }
+        Trouble::StoreCut => {
+            let fault = json!({ "outage": "refuse" });
+            fleet.set_store_fault(&fault).await?;
+        }
+    }
+    let seen = wait_for_version(&fleet.admins(), accepted.version, LIMIT).await;
+    let mut delays: Vec<f64> = seen
+        .iter()
+        .flatten()
+        .map(|at| at.saturating_sub(accepted.at_us) as f64 / 1_000.0)
+        .collect();
+    delays.sort_unstable_by(f64::total_cmp);
+    times.missing += seen.len() - delays.len();
+    times.half.push(quantile(&delays, 0.5));
+    times.most.push(quantile(&delays, 0.99));
+    times.all.push(quantile(&delays, 1.0));
+    recover(fleet, trouble).await
+}
+
+/// Brings the fleet back to what it was before the trouble.
+async fn recover(fleet: &mut Fleet, trouble: Trouble) -> Result<(), Error> {
+    match trouble {
+        Trouble::Calm => {}
+        Trouble::TenthKilled => {
+            let lost = std::mem::take(&mut fleet.ended);
+            for instance in lost {
+                fleet.add(None, instance.spec.domain).await?;
+            }
+        }
+        Trouble::StoreCut => {
+            fleet.set_store_fault(&json!({ "outage": "none" })).await?;
+        }
+    }
+    tokio::time::sleep(look_period(fleet.serving.len()) * 10).await;
+    Ok(())
+}
+
+/// Totals at one time.
+struct Cost {
+    at: Instant,
+    totals: Totals,
+    store: Value,
+    cpu_s: f64,
+    memory_mb: f64,
+}
+
+impl Cost {
+    async fn read(fleet: &Fleet) -> Result<Self, Error> {
+        let totals = fleet.totals().await?;
+        let store = fleet.store_counts().await?;
+        let usage = fleet.serving.iter().filter_map(|it| it.usage());
+        let (mut cpu_s, mut memory_mb) = (0.0, 0.0);
+        for one in usage {
+            cpu_s += one.cpu_s;
+            memory_mb += one.memory_mb;
+        }
+        Ok(Self {
+            at: Instant::now(),
+            totals,
+            store,
+            cpu_s,
+            memory_mb,
+        })
+    }
+
+    /// Prints what each node cost since; the reading of the counters itself is in the figures.
+    async fn print_since(&self, fleet: &Fleet, state: &str) -> Result<(), Error> {
+        let now = Self::read(fleet).await?;
+        let seconds = (now.at - self.at).as_secs_f64();
+        let nodes = fleet.serving.len() as f64;
+        let per_node = |after: f64, before: f64| (after - before) / seconds / nodes;
+        let calls = |value: &Value| value["total"].as_f64().unwrap_or(0.0);
+        println!(
+            "| {nodes} | {state} | {:.0} | {:.1} | {:.2} | {:.1} | {:.2} |",
+            per_node(
+                now.totals.control_bytes_sent,
+                self.totals.control_bytes_sent
+            ),
+            per_node(
+                now.totals.control_messages_sent,
+                self.totals.control_messages_sent
+            ),
+            per_node(now.cpu_s, self.cpu_s) * 100.0,
+            now.memory_mb / nodes,
+            (calls(&now.store) - calls(&self.store)) / seconds,
+        );
+        Ok(())
+    }
+}
--- /dev/null
+++ b/lab/tests/check.rs
@@ -0,0 +1,182 @@
+//! The checks of the promises find planted violations, and find none where there are none.
+
+use std::time::Duration;
+
+use rstest::rstest;
+
+use medlar_lab::check::CHECKS;
+use medlar_lab::check::Change;
+use medlar_lab::check::Drain;
+use medlar_lab::check::Record;
+use medlar_lab::check::Upstream;
+use medlar_lab::fleet::watch::Seen;
+use medlar_lab::load::Kind;
+use medlar_lab::load::sample::Class;
+use medlar_lab::load::sample::Sample;
+use medlar_lab::upstream::ledger;
+
+/// Runs of two upstreams: request 1 is a booking, 2 a slot view, 3 was refused; 4 was cancelled
+/// because of the deadline while the second upstream drained.
+const FIRST: &str = "start 1 1000 a 1 reservas /bookings/1\nfinish 1 2000\n";
+const SECOND: &str = "start 1 1000 b 2 reservas /slots/2\nfinish 1 2000\nshed 1500 c 3\n\
+                      start 2 9000 d 4 reservas /slots/4\ncancel 2 20000\n\
+                      start 3 1000 e 1 planta /moisture/1\nfinish 3 1100\n";
+
+fn kind(name: &'static str, path: &'static str, idempotent: bool) -> Kind {
+    Kind {
+        name,
+        method: if idempotent { "GET" } else { "POST" },
+        path,
+        rank: 0,
+        idempotent,
+        deadline: Duration::from_secs(1),
+        rate: 1.0,
+    }
+}
+
+fn refused(verdict: &str, reason: &str) -> Class {
+    Class::Refused {
+        verdict: verdict.into(),
+        reason: reason.into(),
+    }
+}
+
+fn sample(booking: u64, route: usize, class: Class) -> Sample {
+    Sample {
+        booking,
+        route,
+        rank: 0,
+        idempotent: route == 1,
+        entry: 0,
+        scheduled_us: 1_000,
+        latency_us: 1_000,
+        class,
+    }
+}
+
+fn seen(node: &str, at_us: u64, version: u64) -> Seen {
+    Seen {
+        node: node.into(),
+        at_us,
+        version,
+    }
+}
+
+fn upstream(name: &str, text: &str, drain: Option<Drain>) -> Upstream {
+    Upstream {
+        name: name.into(),
+        runs: ledger::parse(text).expect("the ledger is well formed"),
+        drain,
+    }
+}
+
+/// A record without violations.
+fn sound() -> Record {
+    let drain = Drain {
+        entry: 1,
+        ordered_us: 10_000,
+        ended_us: 30_000,
+    };
+    Record {
+        kinds: vec![
+            kind("booking", "/bookings/{}", false),
+            kind("slot-view", "/slots/{}", true),
+        ],
+        samples: vec![
+            sample(1, 0, Class::Good),
+            sample(2, 1, Class::Good),
+            sample(3, 0, refused("not-run", "queue-full")),
+            sample(4, 1, refused("may-have-run", "deadline-passed")),
+            sample(5, 0, Class::Broken),
+        ],
+        upstreams: vec![
+            upstream("first", FIRST, None),
+            upstream("second", SECOND, Some(drain)),
+        ],
+        seen: vec![seen("a", 1, 1), seen("b", 1, 2), seen("a", 2, 2)],
+        changes: vec![Change {
+            version: 2,
+            accepted_us: 1_000,
+            in_force_us: vec![Some(2_000), Some(4_001_000)],
+        }],
+    }
+}
+
+fn add_run(record: &mut Record, upstream: usize, text: &str) {
+    record.upstreams[upstream]
+        .runs
+        .extend(ledger::parse(text).expect("the ledger is well formed"));
+}
+
+fn broken(record: &Record) -> Vec<&'static str> {
+    let found = CHECKS.iter().filter(|it| !(it.find)(record).is_empty());
+    let mut names: Vec<&str> = found.map(|it| it.name).collect();
+    names.sort_unstable();
+    names
+}
+
+/// Guards against a check that finds fault with a sound run, or that is not registered.
+#[test]
+fn checks_sound_record() {
+    assert_eq!(broken(&sound()), Vec::<&str>::new());
+    assert_eq!(CHECKS.len(), 8);
+}
+
+/// Guards against a check that misses the violation it is for.
+#[rstest]
+#[case::booking_ran_twice("bookings-run-at-most-once", |record: &mut Record| {
+    add_run(record, 1, "start 9 3000 f 1 reservas /bookings/1\ncancel 9 3001\n");
+})]
+#[case::not_run_ran("not-run-is-true", |record: &mut Record| {
+    add_run(record, 0, "start 9 3000 f 3 reservas /bookings/3\ncancel 9 3001\n");
+})]
+#[case::short_answer("answers-whole-and-own", |record: &mut Record| {
+    record.samples[1].class = Class::Short;
+})]
+#[case::foreign_answer("answers-whole-and-own", |record: &mut Record| {
+    record.samples[1].class = Class::Foreign;
+})]
+#[case::answer_without_run("good-answers-are-in-ledgers", |record: &mut Record| {
+    record.samples.push(sample(6, 1, Class::Good));
+})]
+#[case::nothing_recorded("good-answers-are-in-ledgers", |record: &mut Record| {
+    record.samples.clear();
+})]
+#[case::version_back("version-never-went-back", |record: &mut Record| {
+    record.seen.push(seen("a", 3, 1));
+})]
+#[case::version_late("accepted-is-in-force-in-4-s", |record: &mut Record| {
+    record.changes[0].in_force_us[0] = Some(4_001_001);
+})]
+#[case::version_missing("accepted-is-in-force-in-4-s", |record: &mut Record| {
+    record.changes[0].in_force_us[0] = None;
+})]
+#[case::work_after_drain("drained-gets-no-new-work", |record: &mut Record| {
+    add_run(record, 1, "start 9 3010001 f 9 reservas /slots/9\nfinish 9 3010002\n");
+})]
+#[case::run_cut_by_drain("drain-cuts-no-request", |record: &mut Record| {
+    record.samples[3].class = refused("may-have-run", "connection-broken");
+})]
+#[case::run_never_ended("drain-cuts-no-request", |record: &mut Record| {
+    record.upstreams[1].runs[1].end = None;
+    record.samples[3].class = Class::Broken;
+})]
+#[case::answer_cut_at_entry("drain-cuts-no-request", |record: &mut Record| {
+    record.samples[0].class = Class::Broken;
+    record.samples[0].entry = 1;
+    record.samples[0].latency_us = 10_000;
+})]
+fn checks_planted_violation(#[case] name: &str, #[case] plant: fn(&mut Record)) {
+    let mut record = sound();
+    plant(&mut record);
+    assert_eq!(broken(&record), [name]);
+}
+
+/// Guards against a ledger that is cut or too long being taken for a complete one.
+#[rstest]
+#[case::unknown_run("finish 1 2000")]
+#[case::cut_line("start 1 1000 a")]
+#[case::overflow("overflow")]
+fn parse_faulty_ledger(#[case] text: &str) {
+    assert!(ledger::parse(text).is_err());
+}
--- /dev/null
+++ b/lab/tests/end_to_end.rs
@@ -0,0 +1,117 @@
+//! Separate processes serve requests and take a changed text over.
+
+use std::time::Duration;
+
+use serde_json::json;
+
+use medlar_lab::check;
+use medlar_lab::check::Record;
+use medlar_lab::check::Upstream;
+use medlar_lab::fleet::Fleet;
+use medlar_lab::fleet::Options;
+use medlar_lab::fleet::instance::Ended;
+use medlar_lab::fleet::instance::Instance;
+use medlar_lab::fleet::watch::wait_for_version;
+use medlar_lab::load::Callers;
+use medlar_lab::load::sample::Class;
+use medlar_lab::process::Binaries;
+use medlar_lab::topology::Route;
+use medlar_lab::topology::Service;
+use medlar_lab::topology::Topology;
+
+static SMALL: Topology = Topology {
+    name: "small",
+    domains: ["north", "east", "south"],
+    slots: 4,
+    connections: 20,
+    callers: Duration::from_millis(1),
+    services: &[Service {
+        name: "echo",
+        endpoints: 3,
+        depends: &[],
+        routes: &[
+            Route {
+                name: "read",
+                method: "GET",
+                prefix: "/read/",
+                path: "/read/{}",
+                rank: 0,
+                deadline_ms: 2_000,
+                work_ms: 5,
+                rate: 50.0,
+                onward: None,
+            },
+            Route {
+                name: "book",
+                method: "POST",
+                prefix: "/book/",
+                path: "/book/{}",
+                rank: 1,
+                deadline_ms: 2_000,
+                work_ms: 5,
+                rate: 50.0,
+                onward: Some("/read/1"),
+            },
+        ],
+    }],
+};
+
+/// Length of each load.
+const LOAD: Duration = Duration::from_secs(1);
+/// Longest wait for anything to become so.
+const LIMIT: Duration = Duration::from_secs(10);
+
+async fn start() -> Fleet {
+    let binaries = Binaries::find().await.expect("the binaries are built");
+    let mut options = Options::new(&SMALL);
+    options.link = true;
+    let fleet = Fleet::start(&binaries, options).await.expect("it starts");
+    fleet.wait_until_served(LIMIT).await.expect("it serves");
+    fleet
+}
+
+async fn wait_for(fleet: &Fleet, version: u64) {
+    let seen = wait_for_version(&fleet.admins(), version, LIMIT).await;
+    assert!(seen.iter().all(Option::is_some), "{version}: {seen:?}");
+}
+
+/// Guards against nodes that cannot serve, change or drain as separate processes behind a link,
+/// with the binaries as they are built.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn serve_three_nodes() {
+    let mut fleet = start().await;
+    let kinds = SMALL.calm();
+    let callers = Callers::new(&fleet.entries(), 100);
+    let mut samples = callers.offer(&kinds, LOAD).await;
+
+    let accepted = fleet.change_text().await.expect("the text is accepted");
+    wait_for(&fleet, accepted.version).await;
+    // The answer of the store is lost after the write took effect.
+    let fault = json!({ "lose_answers": 1 });
+    fleet
+        .set_store_fault(&fault)
+        .await
+        .expect("the fault is set");
+    let _ = fleet.change_text().await;
+    wait_for(&fleet, accepted.version + 1).await;
+
+    let drained = fleet.drain(0).await.expect("it drains");
+    callers.forget(drained.spec.place.link);
+    samples.extend(callers.offer(&kinds, LOAD).await);
+
+    fleet.end().await.expect("all processes end");
+    let upstream = |ended: &Instance<Ended>| Upstream {
+        name: ended.spec.name.clone(),
+        runs: ended.read_ledger().expect("the ledger is complete"),
+        drain: None,
+    };
+    let good = samples.iter().filter(|it| it.class == Class::Good).count();
+    assert!(good > 100, "{good} of {}: {samples:?}", samples.len());
+    let record = Record {
+        kinds,
+        samples,
+        upstreams: fleet.ended.iter().map(upstream).collect(),
+        ..Record::default()
+    };
+    assert!(check::report(&record));
+}
