--- a/components/admin/src/serve.rs
+++ b/components/admin/src/serve.rs
@@ -30,7 +30,8 @@
 const MAX_BODY_BYTES: usize = 64 * 1024;
 
 /// Body of `GET /status`.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 pub struct Status {
     /// Identity of the node.
     pub node: String,
--- a/lab/src/cli.rs
+++ b/lab/src/cli.rs
@@ -22,13 +22,15 @@
 
 /// Stand-ins, load and measurements for medlarusher. Exit codes: 0 done and no promise broken, 1 a
 /// promise broken or an error, 130 interrupted.
-#[derive(Debug, FromArgs)]
+#[derive(Debug)]
+#[derive(FromArgs)]
 pub struct Cli {
     #[argh(subcommand)]
     verb: Verb,
 }
 
-#[derive(Debug, FromArgs)]
+#[derive(Debug)]
+#[derive(FromArgs)]
 #[argh(subcommand)]
 enum Verb {
     Store(store::Args),
--- a/lab/src/link.rs
+++ b/lab/src/link.rs
@@ -41,7 +41,8 @@
 const CHUNKS: usize = 1_024;
 
 /// run a stand-in link that relays TCP connections
-#[derive(Debug, FromArgs)]
+#[derive(Debug)]
+#[derive(FromArgs)]
 #[argh(subcommand, name = "link")]
 pub struct Args {
     /// address for settings
--- a/lab/src/scenario/converge.rs
+++ b/lab/src/scenario/converge.rs
@@ -26,7 +26,8 @@
 const MAX_NODES: usize = 200;
 
 /// measure convergence and the cost of control
-#[derive(Debug, FromArgs)]
+#[derive(Debug)]
+#[derive(FromArgs)]
 #[argh(subcommand, name = "converge")]
 pub struct Args {
     /// numbers of nodes (default 10,25,50,100,200)
--- a/lab/src/scenario/demo.rs
+++ b/lab/src/scenario/demo.rs
@@ -35,7 +35,8 @@
 const SERVED_LIMIT: Duration = Duration::from_secs(15);
 
 /// run a mesh of real processes under load and check the promises
-#[derive(Debug, FromArgs)]
+#[derive(Debug)]
+#[derive(FromArgs)]
 #[argh(subcommand, name = "demo")]
 pub struct Args {
     /// secaderos (default) or ogbonna
--- a/lab/src/scenario/flood.rs
+++ b/lab/src/scenario/flood.rs
@@ -31,7 +31,8 @@
 const FLOODS: [f64; 3] = [2.0, 5.0, 10.0];
 
 /// measure service by rank under floods
-#[derive(Debug, FromArgs)]
+#[derive(Debug)]
+#[derive(FromArgs)]
 #[argh(subcommand, name = "flood")]
 pub struct Args {
     /// secaderos, ogbonna or both (default)
--- a/lab/src/store/mod.rs
+++ b/lab/src/store/mod.rs
@@ -48,7 +48,8 @@
 const CONFIG_KEY: &[u8] = b"medlar/config";
 
 /// run the stand-in store
-#[derive(Debug, FromArgs)]
+#[derive(Debug)]
+#[derive(FromArgs)]
 #[argh(subcommand, name = "store")]
 pub struct Args {
     /// address to listen on
--- a/lab/src/upstream/mod.rs
+++ b/lab/src/upstream/mod.rs
@@ -48,7 +48,8 @@
 const DRAIN_LEAST: Duration = Duration::from_millis(500);
 
 /// run a stand-in upstream
-#[derive(Debug, FromArgs)]
+#[derive(Debug)]
+#[derive(FromArgs)]
 #[argh(subcommand, name = "upstream")]
 pub struct Args {
     /// address to listen on
--- a/node/src/cli.rs
+++ b/node/src/cli.rs
@@ -14,7 +14,8 @@
 
 /// Run the node beside one upstream. Logs go to standard error as JSON lines; MEDLAR_LOG sets the
 /// filter (default: info).
-#[derive(Debug, FromArgs)]
+#[derive(Debug)]
+#[derive(FromArgs)]
 pub(crate) struct Cli {
     /// settings file in YAML
     #[argh(option)]
--- a/src/cmd/get.rs
+++ b/src/cmd/get.rs
@@ -10,7 +10,8 @@
 use crate::messages;
 
 /// print the accepted configuration text
-#[derive(Debug, FromArgs)]
+#[derive(Debug)]
+#[derive(FromArgs)]
 #[argh(subcommand, name = "get")]
 pub(crate) struct Args {}
 
