--- a/components/control/src/picture.rs
+++ b/components/control/src/picture.rs
@@ -10,9 +10,11 @@
 use ids::NodeId;
 use kernel::Arena;
 use kernel::Key;
+use member::Member;
 use member::Stage;
 use member::Table;
 use member::Upstream;
+use spread::Report;
 
 /// Address of an endpoint in a picture.
 pub type EndpointKey = Key<Endpoint>;
@@ -47,6 +49,10 @@
     pub snapshot: Option<Arc<Snapshot>>,
     /// The node's own upstream, once announced.
     pub own: Option<(Stage, Upstream)>,
+    /// What went wrong in the distribution of the configuration.
+    pub report: Report,
+    /// All members, sorted by id; for operators.
+    members: Vec<Arc<Member>>,
     endpoints: Arena<Endpoint>,
     /// Sorted by service.
     by_service: Vec<(ServiceKey, EndpointKey)>,
@@ -92,11 +98,23 @@
             life,
             snapshot,
             own,
+            report: Report::default(),
+            members: table.members().to_vec(),
             endpoints,
             by_service,
         }
     }
 
+    /// The picture with this report.
+    pub fn with_report(self, report: Report) -> Self {
+        Self { report, ..self }
+    }
+
+    /// All members that are known, also dead ones, sorted by id.
+    pub fn members(&self) -> &[Arc<Member>] {
+        &self.members
+    }
+
     /// The endpoint at `key`, if the key is of this picture.
     pub fn endpoint(&self, key: EndpointKey) -> Option<&Endpoint> {
         self.endpoints.get(key)
--- a/components/transport/examples/probe_cost.rs
+++ b/components/transport/examples/probe_cost.rs
@@ -16,6 +16,7 @@
 use wire::control::Outcome;
 use wire::control::Peer;
 use wire::control::Question;
+use wire::sync;
 
 const PROBES: u32 = 2_000;
 const RUNS: u32 = 5;
@@ -33,6 +34,10 @@
         Offer::Same
     }
 
+    async fn sync(self, _: Context, _: sync::Ask) -> Option<sync::Answer> {
+        None
+    }
+
     async fn outcome(self, _: Context, _: Question) -> Outcome {
         Outcome::Unknown
     }
--- a/node/src/cli.rs
+++ b/node/src/cli.rs
@@ -14,7 +14,8 @@
 
 /// Run the node beside one upstream. Logs go to standard error as JSON lines; MEDLAR_LOG sets the
 /// filter (default: info).
-#[derive(Debug, FromArgs)]
+#[derive(Debug)]
+#[derive(FromArgs)]
 pub(crate) struct Cli {
     /// settings file in YAML
     #[argh(option)]
@@ -51,14 +52,12 @@
         Ok(settings) => settings,
         Err(error) => return refuse(&error),
     };
+    if let Err(error) = daemon::check(&settings) {
+        return refuse(&format!("{}: {error}", path.display()));
+    }
     if cli.print_settings {
-        return match serde_saphyr::to_string(&settings) {
-            Ok(text) => {
-                print!("{text}");
-                ExitCode::SUCCESS
-            }
-            Err(error) => refuse(&error),
-        };
+        print!("{}", settings::print(&settings));
+        return ExitCode::SUCCESS;
     }
     if cli.check {
         println!("{}: settings are valid", path.display());
