--- a/components/settings/src/settings.rs
+++ b/components/settings/src/settings.rs
@@ -8,7 +8,8 @@
 use kernel::plugin::Params;
 
 /// Settings of one node.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Settings {
     /// Name of the instance, for logs and tables.
@@ -52,7 +53,8 @@
 
 /// Addresses that a node listens on; all are reached by other instances but `callers`, which is
 /// also reached by callers.
-#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Listen {
     /// HTTP for callers and for onward calls of the upstream.
@@ -66,7 +68,8 @@
 }
 
 /// A plug-in by name, with its params.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Plugged {
     /// Name of the plug-in.
@@ -77,7 +80,8 @@
 }
 
 /// One param of a plug-in.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Param {
     /// Name.
--- a/components/wire/src/member_entry.rs
+++ b/components/wire/src/member_entry.rs
@@ -19,7 +19,8 @@
 const MAX_NAME_BYTES: usize = 100;
 
 /// A [`Member`] as it is encoded.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Entry {
     id: u64,
     peer: SocketAddr,
--- a/lab/src/cmd/store.rs
+++ b/lab/src/cmd/store.rs
@@ -26,7 +26,8 @@
 use crate::http::serve;
 
 /// run the stand-in store
-#[derive(Debug, FromArgs)]
+#[derive(Debug)]
+#[derive(FromArgs)]
 #[argh(subcommand, name = "store")]
 pub(crate) struct Args {
     /// address to listen on
