Measure floods of ranked against fifo and test its rules

Cause: nothing showed what `ranked` keeps in a flood. The first run of the new example showed that ranks below a flooded urgent one got no request in: their wait was estimated behind all urgent work, so each was refused as too late although 5% of the slots were due to them. An urgent request also used the places kept for its rank before it displaced lower ranks.

--- a/components/admit/src/ranked.rs
+++ b/components/admit/src/ranked.rs
@@ -38,8 +38,8 @@
 const KEPT_PLACES: usize = 4;
 /// Weight of a dispatch in the shares of the ranks.
 const SHARE_GAIN: f64 = 1.0 / 64.0;
-/// Least part of the slots that a rank's wait is estimated with.
-const LEAST_SHARE: f64 = 0.05;
+/// Least part of the slots that is assumed to be left by more urgent ranks.
+const LEAST_PART: f64 = 0.01;
 /// Share of refused requests from which a rank counts as flooded.
 const FLOODED: f64 = 0.1;
 const REFUSED_GAIN: f64 = 1.0 / 128.0;
@@ -123,12 +123,26 @@
         Time(job.expires.0.saturating_sub(fast))
     }
 
-    /// Time that a request of the rank waits behind `work` microseconds of slot time.
+    /// Time that a request of the rank waits behind `work` microseconds of slot time of its own
+    /// rank: after what is more urgent, or by the share of the lower ranks if that is sooner.
     fn wait_for(&self, rank: usize, work: f64) -> Duration {
-        let urgent: f64 = self.queues[..rank].iter().map(|queue| queue.busy).sum();
-        let left = (1.0 - urgent).max(LEAST_SHARE);
+        let urgent = &self.queues[..rank];
+        let ahead: f64 = urgent.iter().map(|it| it.lanes.work()).sum();
+        let busy: f64 = urgent.iter().map(|it| it.busy).sum();
+        let mut wait = (ahead + work) / (1.0 - busy).max(LEAST_PART);
+        if let Some(first) = urgent.iter().find(|it| it.lanes.len() > 0) {
+            let sharing = self.queues.iter().filter(|it| it.lanes.len() > 0).count();
+            let part = self.share.part(self.is_pressed(first)) / sharing.max(1) as f64;
+            wait = wait.min(work / part);
+        }
         let slots = f64::from(self.limit.get().max(1));
-        Duration::from_micros((work / slots / left) as u64)
+        Duration::from_micros((wait / slots) as u64)
+    }
+
+    /// Whether the rank's work waits but can still be served, so that each dispatch of a lower rank
+    /// costs it.
+    fn is_pressed(&self, queue: &Queue) -> bool {
+        queue.lanes.len() >= self.limit.get() as usize && queue.refused < FLOODED
     }
 
     /// Estimated wait of a request that arrives now.
@@ -137,18 +151,14 @@
             return Duration::ZERO;
         }
         let rank = job.rank.index();
-        let urgent: f64 = self.queues[..rank].iter().map(|it| it.lanes.work()).sum();
-        let before = self.queues[rank]
-            .lanes
-            .work_before(job.route, job.weight, cost);
+        let lanes = &self.queues[rank].lanes;
+        let before = lanes.work_before(job.route, job.weight, cost);
         // On average a slot comes free after the mean time over the slots.
-        self.wait_for(rank, urgent + before + self.times.mean())
+        self.wait_for(rank, before + self.times.mean())
     }
 
     fn retry_after(&self, rank: usize) -> Duration {
-        let queues = &self.queues[..=rank];
-        let work = queues.iter().map(|it| it.lanes.work()).sum();
-        self.wait_for(rank, work)
+        self.wait_for(rank, self.queues[rank].lanes.work())
             .clamp(SHORTEST_RETRY, LONGEST_RETRY)
     }
 
@@ -178,7 +188,7 @@
             };
             self.refuse(&displaced.job, Reason::Displaced, decisions);
         }
-        if self.queued() < self.total || self.queues[rank].lanes.len() < KEPT_PLACES {
+        if self.queued() < self.total {
             return true;
         }
         let below = (rank + 1..Rank::COUNT).rev();
@@ -190,10 +200,12 @@
             self.refuse(&displaced.job, Reason::Displaced, decisions);
             return true;
         }
-        let total = self.total;
         let lanes = &mut self.queues[rank].lanes;
+        let held = lanes.len();
+        if held < KEPT_PLACES {
+            return true;
+        }
         // Room for the route's share of what the rank holds now.
-        let held = lanes.len().min(total);
         let Some(displaced) = lanes.displace_for(job.route, job.weight, held) else {
             self.refuse(job, Reason::QueueFull, decisions);
             return false;
@@ -206,9 +218,7 @@
     fn next_rank(&self) -> Option<(usize, bool)> {
         let waits = |rank: &usize| self.queues[*rank].lanes.len() > 0;
         let urgent = (0..Rank::COUNT).find(waits)?;
-        let queue = &self.queues[urgent];
-        let waiting = queue.lanes.len() >= self.limit.get() as usize;
-        let pressed = waiting && queue.refused < FLOODED;
+        let pressed = self.is_pressed(&self.queues[urgent]);
         let below = Rank::COUNT - urgent - 1;
         let by_turn = (0..below).map(|step| urgent + 1 + (self.turn + step) % below);
         let due = by_turn.filter(waits).find(|rank| {
--- a/components/admit/src/ranked/share.rs
+++ b/components/admit/src/ranked/share.rs
@@ -30,6 +30,16 @@
         }
     }
 
+    /// Part of the slot time that lower ranks keep.
+    pub(crate) fn part(&self, pressed: bool) -> f64 {
+        let percent = if pressed {
+            self.percent.min(PRESSED_PERCENT)
+        } else {
+            self.percent
+        };
+        percent.max(f64::EPSILON) / 100.0
+    }
+
     /// Whether a lower rank's request of this cost is due.
     pub(crate) fn is_due(&self, cost: f64, mean: f64, pressed: bool) -> bool {
         let credit = if pressed { self.pressed } else { self.ample };
@@ -41,8 +51,8 @@
         let most = mean * MAX_REQUESTS;
         let earned = |percent: f64| cost * percent / (100.0 - percent);
         self.ample = (self.ample + earned(self.percent)).min(most);
-        let pressed = PRESSED_PERCENT.min(self.percent);
-        self.pressed = (self.pressed + earned(pressed)).min(most);
+        let pressed = earned(self.percent.min(PRESSED_PERCENT));
+        self.pressed = (self.pressed + pressed).min(most);
     }
 
     /// A lower rank's request was dispatched although urgent work waited.
--- /dev/null
+++ b/components/admit/tests/ranked.rs
@@ -0,0 +1,281 @@
+//! Guards the rules by which `ranked` lets requests run, wait, or be refused.
+
+use std::time::Duration;
+
+use proptest::collection::vec;
+use proptest::prelude::ProptestConfig;
+use proptest::prop_assert;
+use proptest::prop_assert_eq;
+use proptest::proptest;
+use rstest::rstest;
+
+use admit::Ranked;
+use errors::Reason;
+use ids::Rank;
+use ids::RouteId;
+use kernel::Time;
+use kernel::plugin::Params;
+use policy::Admission;
+use policy::Decision;
+use policy::Finish;
+use policy::Job;
+use policy::Ticket;
+
+const MS: u64 = 1_000;
+const FAR: Time = Time(1_000_000_000);
+
+fn new_ranked(pairs: &[(&str, u64)]) -> Ranked {
+    let pairs = pairs.iter();
+    let params = pairs.map(|(name, value)| ((*name).to_owned(), value.to_string()));
+    Ranked::from_params(&Params::from_pairs(params)).expect("the params are valid")
+}
+
+fn job(ticket: u64, rank: u8, route: u64, expires: Time) -> Job {
+    Job {
+        ticket: Ticket(ticket),
+        route: RouteId(route),
+        rank: Rank(rank),
+        weight: 1,
+        expires,
+    }
+}
+
+fn offer(ranked: &mut Ranked, now: u64, job: Job) -> Vec<Decision> {
+    let mut decisions = Vec::new();
+    ranked.offer(Time(now), job, &mut decisions);
+    decisions
+}
+
+fn finish(ranked: &mut Ranked, now: u64, ticket: u64, millis: u64) -> Vec<Decision> {
+    let mut decisions = Vec::new();
+    let finish = Finish {
+        latency: Duration::from_millis(millis),
+        shed: false,
+    };
+    ranked.finish(Time(now), Ticket(ticket), finish, &mut decisions);
+    decisions
+}
+
+fn set_slots(ranked: &mut Ranked, slots: u32) {
+    ranked.set_slots(Time(0), slots, &mut Vec::new());
+}
+
+/// Teaches that requests of the route take this long, and leaves one slot taken by ticket 0.
+fn teach(ranked: &mut Ranked, route: u64, millis: u64) -> u64 {
+    set_slots(ranked, 1);
+    let mut now = 0;
+    for ticket in 1_000..1_050 {
+        offer(ranked, now, job(ticket, 0, route, FAR));
+        now += millis * MS;
+        finish(ranked, now, ticket, millis);
+    }
+    offer(ranked, now, job(0, 0, route, FAR));
+    now
+}
+
+fn refusals(decisions: &[Decision]) -> Vec<(u64, Reason)> {
+    let refused = decisions.iter().filter_map(|decision| match decision {
+        Decision::Refuse { ticket, reason, .. } => Some((ticket.0, *reason)),
+        Decision::Start(_) => None,
+    });
+    refused.collect()
+}
+
+/// Guards against a request that waits in vain: what the queue ahead of it makes late is refused at
+/// once, with a time to come back, and what can finish is not.
+#[rstest]
+#[case::in_time(200, &[])]
+#[case::late(100, &[(9, Reason::DeadlineTooShort)])]
+#[case::expired(0, &[(9, Reason::DeadlinePassed)])]
+fn offer_deadline(#[case] millis: u64, #[case] expected: &[(u64, Reason)]) {
+    let mut ranked = new_ranked(&[]);
+    let now = teach(&mut ranked, 1, 20);
+    for ticket in 1..6 {
+        assert!(offer(&mut ranked, now, job(ticket, 0, 1, FAR)).is_empty());
+    }
+    let decisions = offer(&mut ranked, now, job(9, 0, 1, Time(now + millis * MS)));
+    assert_eq!(refusals(&decisions), expected);
+    if let [Decision::Refuse { retry_after, .. }] = &decisions[..] {
+        assert!(*retry_after >= Duration::from_millis(50));
+        assert!(*retry_after <= Duration::from_secs(5));
+    }
+}
+
+/// Guards against a learned service time that refuses a route for ever: one request a second runs.
+#[rstest]
+fn offer_probe() {
+    let mut ranked = new_ranked(&[]);
+    let mut now = teach(&mut ranked, 1, 100);
+    finish(&mut ranked, now, 0, 100);
+    now += 2_000 * MS;
+    let short = |now: u64| Time(now + 20 * MS);
+    let first = offer(&mut ranked, now, job(1, 0, 1, short(now)));
+    assert_eq!(first, [Decision::Start(Ticket(1))]);
+    finish(&mut ranked, now + MS, 1, 1);
+    let second = offer(&mut ranked, now + MS, job(2, 0, 1, short(now + MS)));
+    assert_eq!(refusals(&second), [(2, Reason::DeadlineTooShort)]);
+}
+
+/// Guards against urgent work that is refused while less urgent work waits, and against a lower
+/// rank that loses its last places.
+#[rstest]
+fn offer_displaces() {
+    let mut ranked = new_ranked(&[("queue", 8), ("total", 8)]);
+    set_slots(&mut ranked, 1);
+    offer(&mut ranked, 0, job(0, 0, 1, FAR));
+    for ticket in 1..=3 {
+        offer(&mut ranked, 0, job(ticket, 2, 1, FAR));
+    }
+    for ticket in 4..=8 {
+        offer(&mut ranked, 0, job(ticket, 3, 1, FAR));
+    }
+    let displaced = offer(&mut ranked, 0, job(9, 0, 1, FAR));
+    assert_eq!(refusals(&displaced), [(8, Reason::Displaced)]);
+    let full = offer(&mut ranked, 0, job(10, 1, 1, FAR));
+    assert!(full.is_empty(), "a rank keeps a few places of its own");
+    for ticket in 11..14 {
+        offer(&mut ranked, 0, job(ticket, 1, 1, FAR));
+    }
+    let refused = offer(&mut ranked, 0, job(14, 1, 1, FAR));
+    assert_eq!(refusals(&refused), [(14, Reason::QueueFull)]);
+}
+
+/// Guards against a flood in one route that fills the queue of its rank.
+#[rstest]
+fn offer_route_share() {
+    let mut ranked = new_ranked(&[("queue", 8)]);
+    set_slots(&mut ranked, 1);
+    for ticket in 0..9 {
+        offer(&mut ranked, 0, job(ticket, 1, 1, FAR));
+    }
+    let flood = offer(&mut ranked, 0, job(9, 1, 1, FAR));
+    assert_eq!(refusals(&flood), [(9, Reason::QueueFull)]);
+    for ticket in 10..14 {
+        let other = offer(&mut ranked, 0, job(ticket, 1, 2, FAR));
+        assert_eq!(refusals(&other).len(), 1);
+        assert_eq!(refusals(&other)[0].1, Reason::Displaced);
+    }
+    let beyond = offer(&mut ranked, 0, job(14, 1, 2, FAR));
+    assert_eq!(refusals(&beyond), [(14, Reason::QueueFull)]);
+}
+
+/// Guards against shares between routes that differ from their weights.
+#[rstest]
+fn finish_weights() {
+    let mut ranked = new_ranked(&[("queue", 400)]);
+    set_slots(&mut ranked, 1);
+    offer(&mut ranked, 0, job(0, 1, 9, FAR));
+    for ticket in 1..=200 {
+        let route = ticket % 2;
+        let weight = if route == 0 { 3 } else { 1 };
+        let weighted = Job {
+            weight,
+            ..job(ticket, 1, route, FAR)
+        };
+        offer(&mut ranked, 0, weighted);
+    }
+    let mut running = 0;
+    let mut heavy = 0;
+    for step in 0..80 {
+        let decisions = finish(&mut ranked, step * MS, running, 1);
+        let [Decision::Start(Ticket(next))] = decisions[..] else {
+            panic!("not one start: {decisions:?}");
+        };
+        running = next;
+        heavy += u32::from(next % 2 == 0);
+    }
+    assert!((58..=62).contains(&heavy), "{heavy} of 80");
+}
+
+/// Guards against lower ranks that starve or take more than their share of slot time.
+#[rstest]
+#[case::same_time(1, 4, 6)]
+#[case::long_requests(10, 0, 1)]
+fn finish_share(#[case] times: u64, #[case] least: u32, #[case] most: u32) {
+    let mut ranked = new_ranked(&[("queue", 1_000), ("total", 4_000)]);
+    let mut now = teach(&mut ranked, 2, 10 * times);
+    for ticket in 1..50 {
+        let late = finish(&mut ranked, now, ticket - 1, 10);
+        assert!(late.is_empty());
+        offer(&mut ranked, now, job(ticket, 0, 1, FAR));
+        now += 10 * MS;
+    }
+    for ticket in 100..700 {
+        let (rank, route) = if ticket < 600 { (0, 1) } else { (3, 2) };
+        offer(&mut ranked, now, job(ticket, rank, route, FAR));
+    }
+    let (mut running, mut low) = (49, 0);
+    for _ in 0..300 {
+        let long = running >= 600;
+        let millis = if long { 10 * times } else { 10 };
+        now += millis * MS;
+        let decisions = finish(&mut ranked, now, running, millis);
+        let started = decisions.iter().find_map(|decision| match decision {
+            Decision::Start(ticket) => Some(ticket.0),
+            Decision::Refuse { .. } => None,
+        });
+        running = started.expect("work waits");
+        low += u32::from(running >= 600);
+        // Urgent work is refused beyond its capacity, so the full share applies.
+        let expired = job(10_000 + now, 0, 1, Time(now));
+        offer(&mut ranked, now, expired);
+    }
+    let percent = low * 100 / 300;
+    assert!((least..=most).contains(&percent), "{low} of 300");
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::with_cases(256) })]
+
+    /// Guards against a request that gets no decision or two, a queue beyond its bounds, and more
+    /// running requests than slots.
+    #[rstest]
+    fn decide_any(steps in vec((0_u8..8, 0_u8..4, 0_u64..3, 1_u64..400), 1..300)) {
+        let mut ranked = new_ranked(&[("queue", 6), ("total", 10)]);
+        let mut decisions = Vec::new();
+        ranked.set_slots(Time(0), 3, &mut decisions);
+        let (mut waiting, mut running): (Vec<u64>, Vec<u64>) = (Vec::new(), Vec::new());
+        let mut now = 0;
+        for (ticket, (kind, rank, route, span)) in steps.into_iter().enumerate() {
+            let ticket = ticket as u64;
+            now += span * MS / 20;
+            match kind {
+                0..4 => {
+                    waiting.push(ticket);
+                    let job = job(ticket, rank, route, Time(now + span * MS));
+                    ranked.offer(Time(now), job, &mut decisions);
+                }
+                4 | 5 if !running.is_empty() => {
+                    let ended = running.remove(span as usize % running.len());
+                    let shed = kind == 5 && span % 3 == 0;
+                    let latency = Duration::from_millis(span / 4);
+                    let finish = Finish { latency, shed };
+                    ranked.finish(Time(now), Ticket(ended), finish, &mut decisions);
+                }
+                6 if !waiting.is_empty() => {
+                    let left = waiting.remove(span as usize % waiting.len());
+                    prop_assert!(ranked.cancel(Time(now), Ticket(left)));
+                    prop_assert!(!ranked.cancel(Time(now), Ticket(left)));
+                }
+                _ => ranked.wake(Time(now), &mut decisions),
+            }
+            for decision in decisions.drain(..) {
+                let (Decision::Start(decided) | Decision::Refuse { ticket: decided, .. }) = decision;
+                let at = waiting.iter().position(|it| *it == decided.0);
+                prop_assert!(at.is_some(), "{:?} does not wait", decision);
+                waiting.remove(at.unwrap_or_default());
+                if let Decision::Start(ticket) = decision {
+                    running.push(ticket.0);
+                }
+            }
+            let load = ranked.load();
+            prop_assert_eq!(load.queued as usize, waiting.len());
+            prop_assert_eq!(load.running as usize, running.len());
+            prop_assert!(running.len() <= 3 && load.limit <= 3 && load.limit >= 1);
+            prop_assert!(waiting.len() <= 10 + 3 * 4);
+            prop_assert!(waiting.is_empty() || ranked.next_wake().is_some());
+        }
+        ranked.wake(Time(now + 1_000 * MS), &mut decisions);
+        prop_assert_eq!(ranked.load().queued, 0);
+    }
+}
--- /dev/null
+++ b/components/simulate/src/flood.rs
@@ -0,0 +1,104 @@
+//! Floods: what each route keeps of its calm service while one route comes in beyond the capacity.
+
+use std::time::Duration;
+
+use crate::World;
+use crate::check::Ending;
+use crate::plan::PATHS;
+use crate::plan::Plan;
+use kernel::Time;
+
+/// Slots of each owner.
+pub const SLOTS: u32 = 10;
+/// Requests a second that the three owners can serve: 30 slots of 20 ms.
+pub const CAPACITY: f64 = 1_500.0;
+/// Calm load of each route of [`PATHS`], a second: 70% of the capacity.
+pub const CALM: [f64; 6] = [300.0, 50.0, 150.0, 300.0, 150.0, 100.0];
+/// Arrivals before this are not counted, since the limits still ramp up.
+const WARM_UP: Time = Time(1_500_000);
+
+/// One run.
+#[derive(Clone, Copy, Debug)]
+pub struct Setting {
+    /// Admission plug-in.
+    pub admission: &'static str,
+    /// The route that floods, if any, and its extra load in multiples of the capacity.
+    pub flood: Option<(usize, f64)>,
+    /// Length of the load in seconds.
+    pub seconds: u64,
+    /// Seed of arrivals and service times.
+    pub seed: u64,
+}
+
+/// Service of one route.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Service {
+    /// Requests.
+    pub offered: usize,
+    /// Complete answers in time.
+    pub good: usize,
+    /// Median time to the answer.
+    pub median: Duration,
+    /// 99th percentile of the time to the answer.
+    pub p99: Duration,
+}
+
+/// Service of all routes.
+#[derive(Clone, Debug)]
+pub struct Result {
+    /// By index into [`PATHS`].
+    pub routes: Vec<Service>,
+    /// Answers a second over all routes.
+    pub rate: f64,
+    /// Promises that were broken.
+    pub broken: usize,
+}
+
+impl Setting {
+    /// Runs it.
+    pub fn measure(&self) -> Result {
+        let until = Time(self.seconds * 1_000_000);
+        let mut plan = Plan::new(self.seed);
+        plan.admission = self.admission;
+        plan.slots = SLOTS;
+        for (route, rate) in CALM.iter().enumerate() {
+            plan.add_load(route, *rate, Time(0), until);
+        }
+        if let Some((route, times)) = self.flood {
+            plan.seed += 1;
+            plan.add_load(route, times * CAPACITY, Time(0), until);
+            plan.seed -= 1;
+        }
+        let world = World::new(plan).run();
+        let routes: Vec<_> = (0..PATHS.len()).map(|at| serve(&world, at)).collect();
+        let seconds = WARM_UP.until(until).as_secs_f64();
+        let good: usize = routes.iter().map(|service| service.good).sum();
+        Result {
+            routes,
+            rate: good as f64 / seconds,
+            broken: world.history.check().len(),
+        }
+    }
+}
+
+fn serve(world: &World, route: usize) -> Service {
+    let calls = world.history.calls.iter();
+    let counted = calls.filter(|call| call.route == route && call.arrived >= WARM_UP);
+    let mut service = Service::default();
+    let mut times = Vec::new();
+    for call in counted {
+        service.offered += 1;
+        if let Some((at, Ending::Answer { .. })) = call.ended {
+            times.push(at.since(call.arrived));
+        }
+    }
+    times.sort_unstable();
+    let quantile = |part: f64| {
+        let at = (times.len() as f64 * part) as usize;
+        times.get(at).copied().unwrap_or_default()
+    };
+    service.good = times.len();
+    service.median = quantile(0.5);
+    service.p99 = quantile(0.99);
+    service
+}
--- a/components/simulate/src/lib.rs
+++ b/components/simulate/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod check;
 mod deliver;
+pub mod flood;
 pub mod message;
 mod node;
 pub mod plan;
--- a/components/traffic/tests/ledger.rs
+++ b/components/traffic/tests/ledger.rs
@@ -82,7 +82,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig::with_cases(128))]
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::with_cases(128) })]
 
     /// Guards against entries dropped before they expire or kept for ever, against a plain list.
     #[rstest]
