Rebuild medlarctl on the acceptance machine and the admin addresses

medlarctl had three verbs, ended wrong usage with 1 (argh's default), wrote over whatever was accepted, and printed a refusal for a lost race without the difference.

apply and settle run the machines of accept against the store. get -o writes the version into the first line and keeps a copy beside the file, so that the loser of a race sees what was accepted meanwhile; a base kept in the store was ruled out, because the store holds one record. New verbs: settle, status, nodes, drain, explain, version. The nodes come from /members of a named node and are asked for their own status, 32 at once, 2 s each.

--- a/components/admin/src/view.rs
+++ b/components/admin/src/view.rs
@@ -42,6 +42,16 @@
     pub limit: u32,
     /// Live members that it knows, itself included.
     pub live_members: usize,
+    /// Records refused as a whole since the start.
+    pub refused: u64,
+    /// Records or values of the store that were damaged.
+    pub corrupt: u64,
+    /// Other texts seen under the version in force.
+    pub conflicts: u64,
+    /// Times that the store held an older version than the node.
+    pub store_behind: u64,
+    /// Version and reason of the last refusal; empty if there was none.
+    pub last_refusal: String,
     /// Version of the program.
     pub program: String,
 }
@@ -136,6 +146,8 @@
         let load = desk.load();
         let snapshot = picture.snapshot.as_ref();
         let own = picture.own.as_ref();
+        let report = &picture.report;
+        let last = report.last_refusal.as_ref();
         let live = picture.members().iter().filter(|it| it.is_live());
         Self {
             node: picture.me.to_string(),
@@ -151,6 +163,13 @@
             queued: load.queued,
             limit: load.limit,
             live_members: live.count(),
+            refused: report.refused,
+            corrupt: report.corrupt,
+            conflicts: report.conflicts,
+            store_behind: report.behind,
+            last_refusal: last.map_or_else(String::new, |it| {
+                format!("version {}: {}", it.version, it.message)
+            }),
             program: env!("CARGO_PKG_VERSION").to_owned(),
         }
     }
--- a/node/src/cli.rs
+++ b/node/src/cli.rs
@@ -16,6 +16,11 @@
 /// filter (default: info).
 #[derive(Debug)]
 #[derive(FromArgs)]
+#[argh(
+    note = "Exit codes: 0 done, 1 refused or failed, 2 wrong usage.",
+    note = "SIGTERM, SIGINT or medlarctl drain make the node leave; a second signal ends it at once.",
+    example = "$ medlar-node --settings node.yaml --check\nnode.yaml: settings are valid"
+)]
 pub(crate) struct Cli {
     /// settings file in YAML
     #[argh(option)]
@@ -34,6 +39,28 @@
     version: bool,
 }
 
+/// Reads the command line; the error is the exit code after help or a message was printed.
+pub(crate) fn parse() -> Result<Cli, ExitCode> {
+    let given = std::env::args_os().skip(1).map(|arg| arg.into_string());
+    let Ok(given) = given.collect::<Result<Vec<_>, _>>() else {
+        eprintln!("medlar-node: arguments are not UTF-8");
+        return Err(ExitCode::from(USAGE));
+    };
+    let arguments: Vec<&str> = given.iter().map(String::as_str).collect();
+    Cli::from_args(&["medlar-node"], &arguments).map_err(|exit| {
+        if exit.status.is_ok() {
+            println!("{}", exit.output.trim_end());
+            return ExitCode::SUCCESS;
+        }
+        // argh's own entry point ends with 1 here, which means a refusal.
+        eprintln!(
+            "{}\nrun medlar-node --help for more",
+            exit.output.trim_end()
+        );
+        ExitCode::from(USAGE)
+    })
+}
+
 /// Does what the command line says.
 pub(crate) fn run(cli: &Cli) -> ExitCode {
     if cli.version {
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -5,5 +5,8 @@
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
-    cli::run(&argh::from_env())
+    match cli::parse() {
+        Ok(cli) => cli::run(&cli),
+        Err(code) => code,
+    }
 }
--- a/src/cmd/check.rs
+++ b/src/cmd/check.rs
@@ -1,34 +1,95 @@
 //! `check`: tells whether a text would be accepted.
 
 use std::fs;
+use std::io::Read;
+use std::path::Path;
 use std::path::PathBuf;
-use std::process::ExitCode;
 
 use argh::FromArgs;
+use serde_json::json;
 
-use crate::messages;
+use crate::base::split_line;
+use crate::cli::Context;
+use crate::messages::End;
+use crate::messages::faults;
+use crate::messages::refused;
+use crate::messages::tell;
+use accept::Base;
+use config::Checked;
 use config::Draft;
+use config::Fault;
+use config::MAX_TEXT_BYTES;
 
-/// tell whether a configuration text would be accepted
+/// Tell whether a configuration text would be accepted.
 #[derive(Debug)]
 #[derive(FromArgs)]
-#[argh(subcommand, name = "check")]
+#[argh(
+    subcommand,
+    name = "check",
+    example = "$ medlarctl check mesh.yaml\nmesh.yaml: line 4: unknown field \"methd\"; did you mean \"method\"?"
+)]
 pub(crate) struct Args {
-    /// file with the text
     #[argh(positional)]
+    /// file with the text
     file: PathBuf,
 }
 
-pub(crate) fn run(args: &Args) -> ExitCode {
-    let text = match fs::read_to_string(&args.file) {
-        Ok(text) => text,
-        Err(error) => return messages::refused(&format!("{}: {error}", args.file.display())),
-    };
-    match Draft::new(&text).check() {
+/// A file that holds a valid text.
+pub(crate) struct Loaded {
+    pub(crate) base: Option<Base>,
+    pub(crate) checked: Checked,
+}
+
+/// Reads and checks a file; what is wrong is printed.
+pub(crate) fn load(context: &Context, path: &Path) -> Result<Loaded, End> {
+    let output = context.output;
+    let file = path.display();
+    let text = read_bounded(path).map_err(|error| refused(output, &format!("{file}: {error}")))?;
+    let (base, body) = split_line(&text);
+    let shift = u64::from(base.is_some());
+    match Draft::new(body).check() {
+        Ok(checked) => Ok(Loaded { base, checked }),
+        Err(found) => {
+            let found: Vec<Fault> = found.into_iter().map(|it| move_line(it, shift)).collect();
+            Err(faults(output, &file, &found))
+        }
+    }
+}
+
+/// Reads at most a little more than the longest text, which the check then refuses.
+fn read_bounded(path: &Path) -> std::io::Result<String> {
+    let mut text = String::new();
+    let limit = MAX_TEXT_BYTES as u64 + 1_000;
+    fs::File::open(path)?
+        .take(limit)
+        .read_to_string(&mut text)?;
+    Ok(text)
+}
+
+/// Counts the base line of the file, which is no part of the text.
+fn move_line(fault: Fault, shift: u64) -> Fault {
+    match fault {
+        Fault::Line {
+            line,
+            message,
+            hint,
+        } => Fault::Line {
+            line: line + shift,
+            message,
+            hint,
+        },
+        other => other,
+    }
+}
+
+pub(crate) fn run(context: &Context, args: &Args) -> End {
+    let file = args.file.display().to_string();
+    match load(context, &args.file) {
         Ok(_) => {
-            println!("{}: valid", args.file.display());
-            ExitCode::SUCCESS
+            let value = json!({ "file": file, "valid": true });
+            tell(context.output, &format!("{file}: valid"), &value);
+            End::Done
         }
-        Err(faults) => messages::faults(&args.file.display(), &faults),
+        Err(end) => end,
     }
 }
--- /dev/null
+++ b/src/cmd/status.rs
@@ -0,0 +1,147 @@
+//! `status`: tells which version is in force where.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use argh::FromArgs;
+use serde_json::json;
+use tokio::time::sleep;
+
+use crate::cli::Context;
+use crate::fleet::Node;
+use crate::fleet::list_nodes;
+use crate::messages::End;
+use crate::messages::refused;
+use crate::messages::tell;
+use crate::messages::warn;
+use crate::stock::read_record;
+
+/// Pause between two looks at the fleet.
+const PAUSE: Duration = Duration::from_millis(500);
+/// Lagging nodes that are named; the rest is counted.
+const NAMED: usize = 10;
+
+/// Tell how many live nodes have the accepted version, and name those that lag.
+#[derive(Debug)]
+#[derive(FromArgs)]
+#[argh(
+    subcommand,
+    name = "status",
+    note = "With --wait, ends with exit code 1 if a live node lags after the time limit.",
+    example = "$ medlarctl --node 127.33.0.1:7003 status --wait\nversion 8 is in force on 12 of 12 live nodes"
+)]
+pub(crate) struct Args {
+    #[argh(switch)]
+    /// wait until every live node has the version
+    wait: bool,
+    #[argh(option)]
+    /// version to look for (default: the accepted one)
+    version: Option<u64>,
+    #[argh(option, default = "60")]
+    /// seconds to wait (default 60)
+    time_limit: u64,
+}
+
+/// How far a version has come.
+struct Progress {
+    version: u64,
+    live: usize,
+    lagging: Vec<String>,
+}
+
+pub(crate) async fn run(context: &Context, args: &Args) -> End {
+    let version = match args.version {
+        Some(version) => version,
+        None => match read_record(context.store).await {
+            Ok(record) => record.version.0,
+            Err(error) => {
+                let message = format!("{error}; name the version with --version N");
+                return refused(context.output, &message);
+            }
+        },
+    };
+    let start = Instant::now();
+    let limit = Duration::from_secs(args.time_limit);
+    let mut shown = String::new();
+    loop {
+        // A node that is asked may just be restarting, so an error ends the wait only with the limit.
+        let over = !args.wait || start.elapsed() >= limit;
+        match list_nodes(context).await {
+            Ok(nodes) => {
+                let progress = Progress::new(version, &nodes);
+                if over || progress.is_complete() {
+                    return progress.report(context);
+                }
+                let line = progress.describe();
+                if line != shown {
+                    warn(&line);
+                    shown = line;
+                }
+            }
+            Err(error) if over || context.nodes.is_empty() => {
+                return refused(context.output, &error);
+            }
+            Err(error) => warn(&error),
+        }
+        sleep(PAUSE).await;
+    }
+}
+
+impl Progress {
+    fn new(version: u64, nodes: &[Node]) -> Self {
+        let live = nodes.iter().filter(|node| node.is_live());
+        let lags = |node: &&Node| node.version().is_none_or(|it| it < version);
+        let name = |node: &Node| {
+            let state = match &node.status {
+                Ok(status) => format!("version {}", status.version),
+                Err(_) => "no answer".to_owned(),
+            };
+            format!("{} ({}, {state})", node.member.admin, node.member.domain)
+        };
+        Self {
+            version,
+            live: live.clone().count(),
+            lagging: live.filter(lags).map(name).collect(),
+        }
+    }
+
+    fn is_complete(&self) -> bool {
+        self.live > 0 && self.lagging.is_empty()
+    }
+
+    fn describe(&self) -> String {
+        let have = self.live - self.lagging.len();
+        let mut line = format!(
+            "version {} is in force on {have} of {} live nodes",
+            self.version, self.live
+        );
+        if !self.lagging.is_empty() {
+            let named: Vec<_> = self
+                .lagging
+                .iter()
+                .take(NAMED)
+                .map(String::as_str)
+                .collect();
+            line += &format!("; lagging: {}", named.join(", "));
+        }
+        if self.lagging.len() > NAMED {
+            line += &format!(" and {} more", self.lagging.len() - NAMED);
+        }
+        line.replace(char::is_control, "?")
+    }
+
+    fn report(&self, context: &Context) -> End {
+        let value = json!({
+            "version": self.version,
+            "live": self.live,
+            "lagging": self.lagging,
+            "complete": self.is_complete(),
+        });
+        tell(context.output, &self.describe(), &value);
+        if self.is_complete() {
+            End::Done
+        } else {
+            End::Refused
+        }
+    }
+}
