--- a/components/settings/tests/settings.rs
+++ b/components/settings/tests/settings.rs
@@ -195,7 +195,8 @@
 #[test]
 fn parse_sample() {
     let manual = include_str!("../../../docs/operations.md");
-    let sample = manual
+    let settings = manual.split("## Settings").nth(1).expect("a section");
+    let sample = settings
         .split("```yaml\n")
         .nth(1)
         .and_then(|it| it.split("```").next());
