Let a node leave a small fleet and leave without an upstream

Found by running the README: after a drain the other node listed the node that had left as alive, and a node whose upstream had not announced itself answered POST /drain and never ended.

push counted the node itself among the live members, which it no longer is once it has left: with one other node nobody was told, with none the subtraction overflowed. The owner's traffic state learned of the drain only through the upstream's entry in the picture. Gossip that is lost and the drain limit were ruled out by the logs.

push now tells as many as there are, and the executor takes the stage of a leaving node without upstream as draining. Tests of both fail without the change: push_after_leave (3 of 4 cases), drain_without_upstream.

--- a/components/daemon/src/executor.rs
+++ b/components/daemon/src/executor.rs
@@ -15,6 +15,7 @@
 use config::Record;
 use control::Effect;
 use control::Input;
+use control::Life;
 use control::Picture;
 use control::Token;
 use front::Desk;
@@ -223,13 +224,17 @@
     fn publish(&mut self, picture: Arc<Picture>) {
         let before = self.picture.load().snapshot.as_ref().map(|it| it.version());
         let now = picture.snapshot.as_ref().map(|it| it.version());
-        let own = picture.own.clone();
+        let (stage, slots) = match &picture.own {
+            Some((stage, upstream)) => (*stage, upstream.slots),
+            // A node can leave before an upstream has announced itself.
+            None if picture.life == Life::Leaving => (Stage::Draining, 0),
+            None => (Stage::Warming, 0),
+        };
         self.picture.store(picture);
         if let Some(version) = now.filter(|version| Some(*version) != before) {
             self.counters.set_version(version.0);
             info!(version = version.0; "configuration in force");
         }
-        let (stage, slots) = own.map_or((Stage::Warming, 0), |(stage, it)| (stage, it.slots));
         self.desk
             .step_owner(traffic::owner::Input::Upstream { stage, slots });
     }
--- a/components/member/src/machine.rs
+++ b/components/member/src/machine.rs
@@ -155,11 +155,13 @@
     /// Sends the present stamp and statements to `count` random members at once.
     pub fn push(&mut self, count: usize, random: &mut dyn Random, out: &mut Vec<Output>) {
         let mut told = Vec::new();
-        for _ in 0..count.min(self.table.live_count() - 1) {
-            if let Some((to, id)) = self.pick_live(random, &told) {
-                told.push(id);
-                self.ping(to, Some(id), None, out);
-            }
+        // The node itself is not counted on: it is no live member any more once it has left.
+        while told.len() < count {
+            let Some((to, id)) = self.pick_live(random, &told) else {
+                return;
+            };
+            told.push(id);
+            self.ping(to, Some(id), None, out);
         }
     }
 
--- /dev/null
+++ b/components/member/tests/leave.rs
@@ -0,0 +1,82 @@
+//! A leaving node tells the others.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use rstest::rstest;
+
+use ids::Domain;
+use ids::Incarnation;
+use ids::NodeId;
+use kernel::Time;
+use kernel::random::Seeded;
+use member::Address;
+use member::Gossip;
+use member::Limits;
+use member::Machine;
+use member::Member;
+use member::Message;
+use member::Output;
+use member::Stage;
+use member::Stamp;
+use member::Status;
+use member::Update;
+
+fn member(id: u8) -> Member {
+    let address = |port| SocketAddr::from(([127, 33, 6, id], port));
+    Member {
+        id: NodeId(id.into()),
+        address: Address {
+            peer: address(1),
+            requests: address(2),
+            admin: address(3),
+        },
+        domain: Domain::new("huesca"),
+        incarnation: Incarnation(1),
+        status: Status::Alive,
+        stage: Stage::Ready,
+        upstream: None,
+    }
+}
+
+fn gossip_of(id: u8) -> Gossip {
+    let update = Update {
+        member: Arc::new(member(id)),
+        by: NodeId(id.into()),
+    };
+    Gossip {
+        from: NodeId(id.into()),
+        stamp: Stamp::default(),
+        updates: vec![update],
+    }
+}
+
+// Guards against a node that leaves a small fleet unnoticed, and against one that cannot leave alone.
+#[rstest]
+#[case::alone(0, 0)]
+#[case::one_other(1, 1)]
+#[case::four_others(4, 4)]
+#[case::more_others(9, 4)]
+fn push_after_leave(#[case] others: u8, #[case] expected: usize) {
+    let mut machine = Machine::new(member(100), Vec::new(), Limits::default(), Time(0));
+    let mut out = Vec::new();
+    for id in 1..=others {
+        let ping = Message::Ping {
+            number: 1,
+            gossip: gossip_of(id),
+        };
+        machine.receive(Time(0), member(id).address.peer, ping, &mut out);
+    }
+    out.clear();
+    machine.leave();
+    machine.push(4, &mut Seeded::new(1), &mut out);
+    let left = |output: &&Output| match output {
+        Output::Send { message, .. } => message
+            .gossip()
+            .updates
+            .iter()
+            .any(|it| it.member.id == NodeId(100) && it.member.status == Status::Left),
+        _ => false,
+    };
+    assert_eq!(out.iter().filter(left).count(), expected);
+}
--- a/node/tests/cli.rs
+++ b/node/tests/cli.rs
@@ -1,8 +1,14 @@
 //! The node's command line as a process: exit codes and checks before anything is opened.
 
 use std::fs;
+use std::io::Write;
+use std::net::TcpStream;
 use std::path::PathBuf;
 use std::process::Command;
+use std::process::Stdio;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
 
 use rstest::rstest;
 
@@ -70,3 +76,45 @@
         );
     }
 }
+
+/// Sends a request without body to an address, as soon as something listens there.
+fn post(address: &str, path: &str) {
+    let start = Instant::now();
+    loop {
+        if let Ok(mut stream) = TcpStream::connect(address) {
+            let head = format!("POST {path} HTTP/1.1\r\nhost: a\r\ncontent-length: 0\r\n\r\n");
+            stream.write_all(head.as_bytes()).expect("sends");
+            return;
+        }
+        assert!(start.elapsed() < Duration::from_secs(10), "nothing listens");
+        thread::sleep(Duration::from_millis(20));
+    }
+}
+
+// Guards against a drain that is accepted and never ends, because no upstream has announced itself.
+#[test]
+fn drain_without_upstream() {
+    let text = SETTINGS.replace("127.33.7.1", "127.33.7.2");
+    let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("drain.yaml");
+    fs::write(&path, text).expect("writes");
+    let mut command = Command::new(env!("CARGO_BIN_EXE_medlar-node"));
+    let mut child = command
+        .arg("--settings")
+        .arg(&path)
+        .stderr(Stdio::null())
+        .spawn()
+        .expect("starts");
+    post("127.33.7.2:4", "/drain");
+    let start = Instant::now();
+    let ended = loop {
+        match child.try_wait().expect("waits") {
+            None if start.elapsed() < Duration::from_secs(5) => {
+                thread::sleep(Duration::from_millis(20));
+            }
+            ended => break ended,
+        }
+    };
+    child.kill().expect("ends");
+    child.wait().expect("ends");
+    assert!(ended.is_some_and(|status| status.success()), "{ended:?}");
+}
