Drain without cutting requests

A drain waited for the owner only, and for ever if no upstream had announced itself; calls that the node forwarded were cut, and onward calls of requests that were let finish were refused.

The traffic side now knows of the drain at once. It ends when nothing runs at the upstream, no call is open, and 1.5 s have passed, in which every idle connection between nodes is used, checked or closed. Onward calls of a request that still runs, known by its id, are forwarded while the node leaves. The drain limit or a second signal ends the node with an error that says how much was cut off.

A node that left alone panicked in debug builds, since it counted one live member less than none; the count of pushed messages no longer subtracts.

--- a/components/daemon/src/executor.rs
+++ b/components/daemon/src/executor.rs
@@ -15,6 +15,7 @@
 use config::Record;
 use control::Effect;
 use control::Input;
+use control::Life;
 use control::Picture;
 use control::Token;
 use front::Desk;
@@ -224,7 +225,11 @@
         let before = self.picture.load().snapshot.as_ref().map(|it| it.version());
         let now = picture.snapshot.as_ref().map(|it| it.version());
         let own = picture.own.clone();
+        let leaving = picture.life == Life::Leaving;
         self.picture.store(picture);
+        if leaving {
+            self.desk.drain();
+        }
         if let Some(version) = now.filter(|version| Some(*version) != before) {
             self.counters.set_version(version.0);
             info!(version = version.0; "configuration in force");
--- a/components/daemon/src/lib.rs
+++ b/components/daemon/src/lib.rs
@@ -9,6 +9,7 @@
 mod run;
 
 use std::io;
+use std::net::SocketAddr;
 
 use quick_error::quick_error;
 
@@ -16,6 +17,7 @@
 
 pub use build::check;
 pub use run::run;
+pub use run::run_until;
 
 // Without these the linker would drop the plug-ins with their registrations.
 use admit as _;
@@ -33,8 +35,16 @@
             display("{key}: {error}")
         }
         /// An address cannot be listened on.
-        Listen { key: &'static str, error: io::Error } {
-            display("{key}: {error}")
+        Listen { key: &'static str, address: SocketAddr, error: io::Error } {
+            display("listen.{key}: {address}: {error}")
+        }
+        /// The front end cannot listen; its error begins with the key and the address.
+        Front(error: io::Error) {
+            display("listen.{error}")
+        }
+        /// The node ended before all that ran was finished.
+        Cut { why: &'static str, running: u32, forwarded: usize } {
+            display("{why}; cut off: {running} running and {forwarded} forwarded requests")
         }
         /// A thread or runtime cannot be started.
         Start(error: io::Error) {
--- a/components/daemon/src/run.rs
+++ b/components/daemon/src/run.rs
@@ -6,12 +6,12 @@
 
 use arc_swap::ArcSwap;
 use log::info;
-use log::warn;
 use tokio::net::TcpListener;
 use tokio::runtime;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
 use tokio::sync::mpsc;
+use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
 
 use crate::Error;
@@ -48,8 +48,21 @@
 /// Time for the last gossip of a leaving node to go out.
 const LEAVE_TIME: Duration = Duration::from_millis(300);
 
-/// Runs a node until it is told to stop; the calling thread becomes the control thread.
+/// Shortest time between the first refusal and the end of the listeners. Other nodes check or close
+/// idle connections each second; within this time each of them learns that the connection closes,
+/// so that no request crosses the close.
+const DRAIN_LINGER: Duration = Duration::from_millis(1_500);
+/// Signals that wait to be taken.
+const STOP_BOUND: usize = 2;
+
+/// Runs a node until a signal or an operator tells it to leave; the calling thread becomes the
+/// control thread.
 pub fn run(settings: &Settings) -> Result<(), Error> {
+    run_until(settings, None)
+}
+
+/// Runs a node that `stops` tell to leave in place of signals; a second one ends it at once.
+pub fn run_until(settings: &Settings, stops: Option<mpsc::Receiver<()>>) -> Result<(), Error> {
     let plugins = Plugins::from_settings(settings)?;
     let traffic = runtime::Builder::new_multi_thread()
         .worker_threads(settings.traffic_threads)
@@ -59,7 +72,13 @@
     let control = runtime::Builder::new_current_thread()
         .enable_all()
         .build()?;
-    let done = control.block_on(serve(settings, plugins, traffic.handle().clone()));
+    let done = control.block_on(async {
+        let stops = match stops {
+            Some(stops) => stops,
+            None => take_signals()?,
+        };
+        serve(settings, plugins, traffic.handle().clone(), stops).await
+    });
     traffic.shutdown_background();
     done
 }
@@ -68,6 +87,7 @@
     settings: &Settings,
     plugins: Plugins,
     traffic: runtime::Handle,
+    stops: mpsc::Receiver<()>,
 ) -> Result<(), Error> {
     let counters = Arc::new(Counters::new()?);
     let clock = Monotonic::new();
@@ -115,12 +135,18 @@
             dropped.count_drop(errors::Reason::QueueOverflow);
         }
     });
-    let listen = |key| move |error| Error::Listen { key, error };
+    let listen = |key, address| {
+        move |error| Error::Listen {
+            key,
+            address,
+            error,
+        }
+    };
     let sender = plugins
         .transport
         .open(settings.listen.peer, inbox, Arc::clone(&counters))
         .await
-        .map_err(listen("listen.peer"))?;
+        .map_err(listen("peer", settings.listen.peer))?;
     let handler = Handler {
         inputs: inputs.clone(),
         waiting: Arc::clone(&waiting),
@@ -128,11 +154,11 @@
     };
     let answering = calls::listen(settings.listen.peer, handler)
         .await
-        .map_err(listen("listen.peer"))?;
+        .map_err(listen("peer", settings.listen.peer))?;
     tokio::spawn(answering);
     let admin = TcpListener::bind(settings.listen.admin)
         .await
-        .map_err(listen("listen.admin"))?;
+        .map_err(listen("admin", settings.listen.admin))?;
     let node = admin::Node::new(Arc::clone(&desk), inputs.clone(), settings::print(settings));
     tokio::spawn(admin::serve(admin, node));
 
@@ -148,7 +174,7 @@
         let stop = stop.clone();
         let start = async move { front.start(addresses, desk, stop).await };
         match traffic.spawn(start).await {
-            Ok(started) => traffic.spawn(started.map_err(listen("listen"))?),
+            Ok(started) => traffic.spawn(started.map_err(Error::Front)?),
             Err(error) => return Err(Error::Start(error.into())),
         }
     };
@@ -174,7 +200,7 @@
     let mut random = Seeded::from_system();
     info!(node = id.to_string().as_str(); "node started");
     let driving = drive(&mut machine, receiver, &mut effects, &clock, &mut random);
-    let leaving = leave(settings, &desk, inputs, stop, serving);
+    let leaving = leave(settings, &desk, inputs, stop, serving, stops);
     tokio::select! {
         () = driving => {}
         done = leaving => done?,
@@ -183,38 +209,61 @@
     Ok(())
 }
 
-/// Waits for a signal, then drains: stop advertising, refuse, finish, close, leave.
+/// Passes SIGTERM and SIGINT on.
+fn take_signals() -> Result<mpsc::Receiver<()>, Error> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let (sender, receiver) = mpsc::channel(STOP_BOUND);
+    tokio::spawn(async move {
+        loop {
+            tokio::select! {
+                _ = terminate.recv() => {}
+                _ = interrupt.recv() => {}
+            }
+            // A full channel already holds what ends the node at once.
+            let _ = sender.try_send(());
+        }
+    });
+    Ok(receiver)
+}
+
+/// Waits for a reason to leave, then drains: stop advertising, refuse, finish, close, leave.
 async fn leave(
     settings: &Settings,
     desk: &Desk,
     inputs: mpsc::Sender<Input>,
     stop: CancellationToken,
-    serving: tokio::task::JoinHandle<()>,
+    serving: JoinHandle<()>,
+    mut stops: mpsc::Receiver<()>,
 ) -> Result<(), Error> {
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
     tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
+        _ = stops.recv() => {}
+        () = desk.leaving().cancelled() => {}
         () = desk.drained().cancelled() => {}
     }
-    info!("draining");
+    let limit = Duration::from_millis(settings.drain_limit_ms);
+    info!(running = desk.load().running, forwarded = desk.open_calls(); "draining");
     let drain = async {
         // The channel is open as long as the control loop runs.
         let _ = inputs.send(Input::Drain).await;
-        desk.drained().cancelled().await;
+        desk.drain();
+        tokio::join!(
+            desk.finish(),
+            tokio::time::sleep(DRAIN_LINGER.min(limit / 2))
+        );
         stop.cancel();
         let _ = serving.await;
         let _ = inputs.send(Input::Drained).await;
         tokio::time::sleep(LEAVE_TIME).await;
     };
-    tokio::select! {
-        () = drain => {}
-        () = tokio::time::sleep(Duration::from_millis(settings.drain_limit_ms)) => {
-            warn!("drain limit passed; requests that still run are cut off");
-        }
-        _ = terminate.recv() => warn!("second signal; requests that still run are cut off"),
-        _ = interrupt.recv() => warn!("second signal; requests that still run are cut off"),
-    }
-    Ok(())
+    let why = tokio::select! {
+        () = drain => return Ok(()),
+        () = tokio::time::sleep(limit) => "the drain limit passed",
+        Some(()) = stops.recv() => "a second signal came",
+    };
+    Err(Error::Cut {
+        why,
+        running: desk.load().running,
+        forwarded: desk.open_calls(),
+    })
 }
--- a/components/front/src/desk.rs
+++ b/components/front/src/desk.rs
@@ -1,5 +1,6 @@
 //! The shared traffic state of a node.
 
+use std::pin::pin;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -12,9 +13,9 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::Permit;
-use control::Life;
 use control::Picture;
 use ids::NodeId;
+use ids::RequestId;
 use kernel::Clock;
 use kernel::Machine;
 use kernel::Time;
@@ -53,8 +54,11 @@
 
 /// A sender that waits for a decision of the owner machine.
 enum Waiter {
-    Admission(oneshot::Sender<Result<CancellationToken, Refusal>>),
-    Running(CancellationToken),
+    Admission(
+        RequestId,
+        oneshot::Sender<Result<CancellationToken, Refusal>>,
+    ),
+    Running(RequestId, CancellationToken),
     Query(oneshot::Sender<Outcome>),
 }
 
@@ -74,7 +78,10 @@
     entry: Mutex<Entry>,
     owner: Mutex<Owner>,
     owner_changed: Notify,
+    leaving: CancellationToken,
     drained: CancellationToken,
+    /// Notified while the node leaves and no call is open.
+    calls_ended: Notify,
     counters: Arc<Counters>,
 }
 
@@ -103,7 +110,9 @@
             entry: Mutex::new(entry),
             owner: Mutex::new(owner),
             owner_changed: Notify::new(),
+            leaving: CancellationToken::new(),
             drained: CancellationToken::new(),
+            calls_ended: Notify::new(),
             counters: parts.counters,
         }
     }
@@ -130,7 +139,7 @@
 
     /// Whether the node finishes what runs and takes no new requests.
     pub fn is_leaving(&self) -> bool {
-        self.picture.load().life == Life::Leaving
+        self.leaving.is_cancelled()
     }
 
     /// Counters of the node.
@@ -138,17 +147,53 @@
         &self.counters
     }
 
-    /// Fires when a drain is complete.
+    /// Refuses new requests from now on; what was accepted is finished.
+    pub fn drain(&self) {
+        if !self.leaving.is_cancelled() {
+            self.leaving.cancel();
+            self.step_owner(owner::Input::Drain);
+        }
+    }
+
+    /// Fires when a drain begins.
+    pub fn leaving(&self) -> &CancellationToken {
+        &self.leaving
+    }
+
+    /// Fires when all that was accepted for the upstream has ended after a drain.
     pub fn drained(&self) -> &CancellationToken {
         &self.drained
     }
 
+    /// Waits until all that runs here and all that is forwarded from here has ended.
+    pub async fn finish(&self) {
+        self.drained.cancelled().await;
+        loop {
+            let mut ended = pin!(self.calls_ended.notified());
+            ended.as_mut().enable();
+            if self.open_calls() == 0 {
+                return;
+            }
+            ended.await;
+        }
+    }
+
+    /// Whether a request waits or runs at the upstream; one that does may call on.
+    pub fn is_running(&self, id: RequestId) -> bool {
+        lock(&self.owner).waiters.iter().any(|(_, waiter)| {
+            matches!(waiter, Waiter::Admission(known, _) | Waiter::Running(known, _) if *known == id)
+        })
+    }
+
     /// Steps the entry machine.
     pub fn step_entry(&self, input: entry::Input) -> Vec<entry::Effect> {
         let mut effects = Vec::new();
         let mut entry = lock(&self.entry);
         let Entry { machine, random } = &mut *entry;
         machine.step(self.now(), input, random, &mut effects);
+        if self.leaving.is_cancelled() && machine.open_calls() == 0 {
+            self.calls_ended.notify_waiters();
+        }
         effects
     }
 
@@ -167,7 +212,7 @@
         let (sender, receiver) = oneshot::channel();
         let pending = {
             let mut owner = lock(&self.owner);
-            offer.tag = owner.add(Waiter::Admission(sender));
+            offer.tag = owner.add(Waiter::Admission(offer.id, sender));
             self.step_locked(&mut owner, owner::Input::Offered(offer));
             Permit::new(Arc::clone(self), offer.tag)
         };
@@ -244,14 +289,14 @@
                 owner::Effect::Start { tag } => self.start(owner, tag),
                 owner::Effect::Refuse { tag, refusal } => {
                     self.counters.count_refusal("owner", refusal.reason);
-                    if let Some(Waiter::Admission(sender)) = owner.take(tag) {
+                    if let Some(Waiter::Admission(_, sender)) = owner.take(tag) {
                         // The sender has left if nobody receives this.
                         let _ = sender.send(Err(refusal));
                     }
                 }
                 owner::Effect::Abort { tag } => {
                     if let Ok(at) = owner.position(tag)
-                        && let (_, Waiter::Running(cancelled)) = &owner.waiters[at]
+                        && let (_, Waiter::Running(_, cancelled)) = &owner.waiters[at]
                     {
                         cancelled.cancel();
                     }
@@ -270,10 +315,13 @@
         let Ok(at) = owner.position(tag) else {
             return;
         };
+        let Waiter::Admission(id, _) = owner.waiters[at].1 else {
+            return;
+        };
         let cancelled = CancellationToken::new();
-        let running = Waiter::Running(cancelled.clone());
+        let running = Waiter::Running(id, cancelled.clone());
         let waiter = std::mem::replace(&mut owner.waiters[at].1, running);
-        if let Waiter::Admission(sender) = waiter {
+        if let Waiter::Admission(_, sender) = waiter {
             // If nobody receives this, the dropped permit cancels the request.
             let _ = sender.send(Ok(cancelled));
         }
--- a/components/http1/src/caller.rs
+++ b/components/http1/src/caller.rs
@@ -105,6 +105,9 @@
     let outer_retries = headers
         .get(header::RETRY_OWNER)
         .is_some_and(|value| value.as_bytes() == RETRIES);
+    let parent = parse_header::<RequestId>(headers, header::REQUEST_ID);
+    // Matters only while the node leaves, so the look is left out before.
+    let onward = shared.desk.is_leaving() && parent.is_some_and(|id| shared.desk.is_running(id));
     clean_request(headers);
     let head = Head {
         id: RequestId(rand::random()),
@@ -113,6 +116,7 @@
         left,
         outer_retries,
         replayable: body.is_whole(),
+        onward,
     };
     let mut saved = Saved {
         id: head.id,
--- a/components/http1/src/lib.rs
+++ b/components/http1/src/lib.rs
@@ -20,6 +20,7 @@
 mod upstream;
 
 use std::io;
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use linkme::distributed_slice;
@@ -75,8 +76,8 @@
         stop: CancellationToken,
     ) -> Starting<'_> {
         Box::pin(async move {
-            let callers = bind(addresses.callers).await?;
-            let requests = bind(addresses.requests).await?;
+            let callers = bind("callers", addresses.callers).await?;
+            let requests = bind("requests", addresses.requests).await?;
             let shared = Arc::new(Shared {
                 desk,
                 nodes: Arc::default(),
@@ -100,8 +101,8 @@
     }
 }
 
-async fn bind(address: std::net::SocketAddr) -> io::Result<TcpListener> {
+async fn bind(key: &str, address: SocketAddr) -> io::Result<TcpListener> {
     TcpListener::bind(address)
         .await
-        .map_err(|error| io::Error::new(error.kind(), format!("{address}: {error}")))
+        .map_err(|error| io::Error::new(error.kind(), format!("{key}: {address}: {error}")))
 }
--- a/components/http1/tests/support/mod.rs
+++ b/components/http1/tests/support/mod.rs
@@ -9,12 +9,8 @@
 pub(crate) mod raw;
 pub(crate) mod upstream;
 
-use std::net::Ipv4Addr;
 use std::net::SocketAddr;
-use std::net::TcpListener;
 use std::sync::Arc;
-use std::sync::atomic::AtomicU8;
-use std::sync::atomic::Ordering;
 
 use arc_swap::ArcSwap;
 use tarpc::context::Context;
@@ -57,6 +53,8 @@
 use wire::control::Peer;
 use wire::control::Question;
 
+pub(crate) use raw::free_address;
+
 /// Routes of all tests: GET may be repeated, POST may not.
 pub(crate) const TEXT: &str = r#"
 services:
@@ -69,16 +67,6 @@
       - { method: PUT, path: "/**", rank: 1, deadline_ms: 700, idempotent: true }
 "#;
 
-static NEXT_HOST: AtomicU8 = AtomicU8::new(1);
-
-/// An address that nothing else uses.
-pub(crate) fn free_address() -> SocketAddr {
-    let process = u8::try_from(std::process::id() % 250).unwrap() + 1;
-    let host = NEXT_HOST.fetch_add(1, Ordering::Relaxed);
-    let listener = TcpListener::bind((Ipv4Addr::new(127, 34, process, host), 0)).unwrap();
-    listener.local_addr().unwrap()
-}
-
 #[derive(Clone)]
 struct Handler(Arc<Desk>);
 
--- a/components/http1/tests/support/proxy.rs
+++ b/components/http1/tests/support/proxy.rs
@@ -13,7 +13,7 @@
 use tokio::net::tcp::OwnedWriteHalf;
 use tokio::sync::watch;
 
-use super::free_address;
+use super::raw::free_address;
 
 /// Connections with a lower number than this hold their bytes back.
 type Silent = watch::Receiver<usize>;
--- a/components/http1/tests/support/raw.rs
+++ b/components/http1/tests/support/raw.rs
@@ -1,6 +1,10 @@
 //! HTTP over raw sockets.
 
+use std::net::Ipv4Addr;
 use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::sync::atomic::AtomicU8;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use tokio::io::AsyncReadExt;
@@ -11,6 +15,16 @@
 /// Longest wait for anything.
 pub(crate) const LIMIT: Duration = Duration::from_secs(20);
 
+static NEXT_HOST: AtomicU8 = AtomicU8::new(1);
+
+/// An address that nothing else uses.
+pub(crate) fn free_address() -> SocketAddr {
+    let process = u8::try_from(std::process::id() % 250).unwrap() + 1;
+    let host = NEXT_HOST.fetch_add(1, Ordering::Relaxed);
+    let listener = TcpListener::bind((Ipv4Addr::new(127, 34, process, host), 0)).unwrap();
+    listener.local_addr().unwrap()
+}
+
 /// A message with its body decoded.
 #[derive(Clone, Debug)]
 pub(crate) struct Message {
@@ -39,7 +53,8 @@
 }
 
 async fn fill(stream: &mut TcpStream, buffer: &mut Vec<u8>) -> Option<()> {
-    let mut part = [0; 65_536];
+    // On the heap, since the futures that hold it are nested.
+    let mut part = vec![0; 65_536];
     match timeout(LIMIT, stream.read(&mut part)).await.unwrap() {
         Ok(0) | Err(_) => None,
         Ok(read) => {
@@ -106,10 +121,16 @@
 
 impl Caller {
     pub(crate) async fn connect(address: SocketAddr) -> Self {
-        Self {
-            stream: TcpStream::connect(address).await.unwrap(),
+        Self::try_connect(address).await.unwrap()
+    }
+
+    /// Connects; `None` if nothing listens.
+    pub(crate) async fn try_connect(address: SocketAddr) -> Option<Self> {
+        let stream = TcpStream::connect(address).await.ok()?;
+        Some(Self {
+            stream,
             buffer: Vec::new(),
-        }
+        })
     }
 
     /// Sends these bytes.
--- a/components/http1/tests/support/upstream.rs
+++ b/components/http1/tests/support/upstream.rs
@@ -12,8 +12,9 @@
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 
-use super::free_address;
 use super::raw::Message;
+use super::raw::ask;
+use super::raw::free_address;
 use super::raw::read_message;
 
 /// What the upstream has seen.
@@ -48,7 +49,7 @@
 
 /// Starts an upstream. `/wait/<ms>` answers late, `/cut` and `/cut-chunked` break off, `/until-close`
 /// has no length, `/large` has 1 MB, `/trailer` has a trailer, `/shed` means not run, `/status/304`
-/// has a length and no body; other paths answer with the length of the request's body.
+/// has a length and no body, `/onward` calls on; other paths answer with the length of the request's body.
 pub(crate) async fn start() -> (SocketAddr, Arc<Seen>) {
     let address = free_address();
     let listener = TcpListener::bind(address).await.unwrap();
@@ -86,7 +87,12 @@
                 () = tokio::time::sleep(wait) => {}
             }
         }
-        if stream.write_all(&answer(&message)).await.is_err() || path.starts_with("/cut") {
+        let answer = if path == "/onward" {
+            call_onward(&message).await
+        } else {
+            answer(&message)
+        };
+        if stream.write_all(&answer).await.is_err() || path.starts_with("/cut") {
             return;
         }
         if path == "/until-close" {
@@ -95,6 +101,16 @@
     }
 }
 
+/// Calls the address in `x-via` after 300 ms, and answers with the status of its answer.
+async fn call_onward(message: &Message) -> Vec<u8> {
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let via = message.header("x-via").unwrap().parse().unwrap();
+    let id = message.header("medlar-request-id").unwrap();
+    let request = format!("GET /x HTTP/1.1\r\nhost: h\r\nmedlar-request-id: {id}\r\n\r\n");
+    let status = ask(via, request).await.map_or(0, |it| it.status());
+    format!("HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\n{status:03}").into_bytes()
+}
+
 fn answer(message: &Message) -> Vec<u8> {
     let head = "HTTP/1.1 200 OK\r\n";
     match message.path().as_str() {
--- a/components/member/src/machine.rs
+++ b/components/member/src/machine.rs
@@ -155,7 +155,7 @@
     /// Sends the present stamp and statements to `count` random members at once.
     pub fn push(&mut self, count: usize, random: &mut dyn Random, out: &mut Vec<Output>) {
         let mut told = Vec::new();
-        for _ in 0..count.min(self.table.live_count() - 1) {
+        for _ in 0..count.min(self.table.live_count()) {
             if let Some((to, id)) = self.pick_live(random, &told) {
                 told.push(id);
                 self.ping(to, Some(id), None, out);
--- a/components/traffic/src/entry/call.rs
+++ b/components/traffic/src/entry/call.rs
@@ -37,7 +37,8 @@
 impl Call {
     /// Finds the route of a request that arrived.
     pub(crate) fn find(now: Time, picture: &Picture, head: &Head) -> Result<Self, Reason> {
-        if picture.life == Life::Leaving {
+        // What runs is finished, and it can depend on an onward call.
+        if picture.life == Life::Leaving && !head.onward {
             return Err(Reason::Draining);
         }
         let snapshot = picture.snapshot.as_ref().ok_or(Reason::NoConfiguration)?;
--- a/components/traffic/src/entry/message.rs
+++ b/components/traffic/src/entry/message.rs
@@ -32,6 +32,8 @@
     pub outer_retries: bool,
     /// Whether the body can be sent again.
     pub replayable: bool,
+    /// Whether a request that runs at the node's own upstream depends on it.
+    pub onward: bool,
 }
 
 /// Where to send a request and with what.
