Wait for all listeners in the tests of whole nodes

The tests took a node for started when its admin address answered, which is bound before those of the front end: 1 of 3 runs was refused a connection.

--- a/components/daemon/tests/drain.rs
+++ b/components/daemon/tests/drain.rs
@@ -181,7 +181,7 @@
 async fn drain_without_upstream() {
     let store = start_store().await;
     let node = Node::launch(store, &[], LIMIT_MS).await;
-    node.wait_for_admin().await;
+    node.wait_for_listeners().await;
     let started = Instant::now();
     node.drain(true).await;
     assert!(matches!(node.end().await, Ok::<(), Error>(())));
--- a/components/daemon/tests/start.rs
+++ b/components/daemon/tests/start.rs
@@ -50,7 +50,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn run_without_store() {
     let node = Node::launch(free_address(), &[], 1_000).await;
-    node.wait_for_admin().await;
+    node.wait_for_listeners().await;
     tokio::time::sleep(Duration::from_millis(300)).await;
     let status = ask(node.settings.listen.admin, get("/status"))
         .await
--- a/components/daemon/tests/support/mod.rs
+++ b/components/daemon/tests/support/mod.rs
@@ -122,16 +122,15 @@
     /// Starts a node with an upstream of 10 slots and waits until it serves.
     pub(crate) async fn start(store: SocketAddr, contacts: &[SocketAddr], limit_ms: u64) -> Self {
         let node = Self::launch(store, contacts, limit_ms).await;
-        node.wait_for_admin().await;
+        node.wait_for_listeners().await;
         let admin = node.settings.listen.admin;
         tokio::spawn(async move {
             let body = r#"{"service":"s","state":"ready","slots":10,"connections":20}"#;
             let head = format!("content-length: {}\r\n\r\n{body}", body.len());
             let request = format!("PUT /upstream HTTP/1.1\r\nhost: h\r\n{head}");
             loop {
-                if let Ok(stream) = tokio::net::TcpStream::connect(admin).await {
-                    drop(stream);
-                    let _ = ask(admin, &request).await;
+                if let Some(mut caller) = Caller::try_connect(admin).await {
+                    let _ = caller.ask(&request).await;
                 }
                 tokio::time::sleep(Duration::from_secs(1)).await;
             }
@@ -150,12 +149,12 @@
         node
     }
 
-    /// Waits until the admin address is listened on.
-    pub(crate) async fn wait_for_admin(&self) {
+    /// Waits until the node listens on all addresses; those for requests come last.
+    pub(crate) async fn wait_for_listeners(&self) {
         let listens = async {
-            while tokio::net::TcpStream::connect(self.settings.listen.admin)
+            while Caller::try_connect(self.settings.listen.requests)
                 .await
-                .is_err()
+                .is_none()
             {
                 tokio::time::sleep(Duration::from_millis(20)).await;
             }
