Give out load and state changes, and limit repeated log lines

Operators saw neither queue nor requests in flight, nor changes of state, and a store that was down logged a line for each try. The gauges are read when the counters are encoded, so requests pay nothing for them. A limiter kept at the place of a line lets the first one through, then one each period with the count of those held back. Refusals of requests that may have run are logged with the request id; all others have counters only. The scope label is switched off in the exporter.

--- a/components/daemon/src/executor.rs
+++ b/components/daemon/src/executor.rs
@@ -12,6 +12,7 @@
 use tokio::sync::oneshot;
 use tokio::task::JoinHandle;
 
+use crate::states;
 use config::Record;
 use control::Effect;
 use control::Input;
@@ -34,6 +35,7 @@
 use store::encode_contacts;
 use store::encode_record;
 use telemetry::Counters;
+use telemetry::Limiter;
 use transport::Sender;
 use transport::calls;
 
@@ -222,7 +224,9 @@
     }
 
     fn publish(&mut self, picture: Arc<Picture>) {
-        let before = self.picture.load().snapshot.as_ref().map(|it| it.version());
+        let old = self.picture.load_full();
+        states::count_changes(&self.counters, &old, &picture);
+        let before = old.snapshot.as_ref().map(|it| it.version());
         let now = picture.snapshot.as_ref().map(|it| it.version());
         let own = picture.own.clone();
         let leaving = picture.life == Life::Leaving;
@@ -258,7 +262,13 @@
 }
 
 fn log_failure(error: &store::Error) {
-    warn!(error = error.to_string().as_str(); "store call failed");
+    static LINES: Limiter = Limiter::new(Duration::from_secs(5));
+    if let Some(held) = LINES.admit() {
+        warn!(
+            error = error.to_string().as_str(), repeated = held;
+            "store call failed; the node goes on with what it holds and tries again"
+        );
+    }
 }
 
 async fn pull(from: SocketAddr, have: member::Stamp) -> Result<spread::Offer, calls::Error> {
--- a/components/daemon/src/lib.rs
+++ b/components/daemon/src/lib.rs
@@ -7,6 +7,7 @@
 mod executor;
 mod peer;
 mod run;
+mod states;
 
 use std::io;
 use std::net::SocketAddr;
--- a/components/daemon/src/run.rs
+++ b/components/daemon/src/run.rs
@@ -122,6 +122,9 @@
         owner: traffic::owner::Machine::new(id, plugins.admission),
         counters: Arc::clone(&counters),
     }));
+    // The counters are part of the desk, which must not keep itself alive.
+    let observed = Arc::downgrade(&desk);
+    counters.observe(move || observed.upgrade().map(|it| it.gauges()).unwrap_or_default());
     let (inputs, receiver) = mpsc::channel(INPUT_BOUND);
     let waiting = Arc::new(Mutex::new(Waiting::default()));
 
--- a/components/front/src/desk.rs
+++ b/components/front/src/desk.rs
@@ -23,6 +23,7 @@
 use kernel::random::Seeded;
 use policy::Load;
 use telemetry::Counters;
+use telemetry::Gauges;
 use traffic::Refusal;
 use traffic::entry;
 use traffic::ledger::Outcome;
@@ -207,6 +208,17 @@
         lock(&self.owner).machine.load()
     }
 
+    /// The present numbers, for the counters.
+    pub fn gauges(&self) -> Gauges {
+        let load = self.load();
+        Gauges {
+            running: load.running.into(),
+            queued: load.queued.into(),
+            limit: load.limit.into(),
+            forwarded: self.open_calls() as u64,
+        }
+    }
+
     /// Waits for admission; the request is cancelled if the future is dropped.
     pub async fn admit(self: &Arc<Self>, mut offer: owner::Offer) -> Result<Permit, Refusal> {
         let (sender, receiver) = oneshot::channel();
--- a/components/http1/src/caller.rs
+++ b/components/http1/src/caller.rs
@@ -9,6 +9,7 @@
 use hyper::header::CONNECTION;
 use hyper::header::HeaderValue;
 use hyper::header::TRANSFER_ENCODING;
+use log::warn;
 use tokio::time::Instant;
 
 use crate::Shared;
@@ -32,6 +33,7 @@
 use errors::Verdict;
 use ids::RequestId;
 use kernel::Time;
+use telemetry::Limiter;
 use traffic::Refusal;
 use traffic::entry::Attempt;
 use traffic::entry::CallKey;
@@ -130,10 +132,28 @@
         call: None,
     };
     let result = carry_out(shared, &mut saved, effects, &mut guard).await;
-    let (response, way, attempt) = result.inspect_err(|_| guard.call = None)?;
+    let (response, way, attempt) = result.inspect_err(|refusal| {
+        guard.call = None;
+        log_unknown(saved.id, *refusal);
+    })?;
     Ok(relay(response, guard, way, attempt, arrived))
 }
 
+/// Logs a refusal of a request that may have run; the others have counters only.
+fn log_unknown(id: RequestId, refusal: Refusal) {
+    static LINES: Limiter = Limiter::new(Duration::from_secs(1));
+    if refusal.verdict == Verdict::NotRun {
+        return;
+    }
+    if let Some(held) = LINES.admit() {
+        warn!(
+            request = id.to_string().as_str(), reason = refusal.reason.name(),
+            verdict = refusal.verdict.name(), repeated = held;
+            "request failed and may have run"
+        );
+    }
+}
+
 /// Passes an answer on; its end ends the call.
 fn relay(
     response: Response<Payload>,
--- a/components/telemetry/src/counters.rs
+++ b/components/telemetry/src/counters.rs
@@ -4,6 +4,7 @@
 use opentelemetry::metrics::Counter;
 use opentelemetry::metrics::Gauge;
 use opentelemetry::metrics::Histogram;
+use opentelemetry::metrics::Meter;
 use opentelemetry::metrics::MeterProvider;
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::Encoder;
@@ -35,6 +36,9 @@
     0.000_1, 0.000_3, 0.001, 0.003, 0.01, 0.03, 0.1, 0.3, 1.0, 3.0, 10.0, 30.0,
 ];
 
+/// Picks one of the numbers.
+type Choose = fn(Gauges) -> u64;
+
 /// All counters of a node.
 #[derive(Debug)]
 pub struct Counters {
@@ -44,12 +48,27 @@
     refusals: Counter<u64>,
     retries: Counter<u64>,
     drops: Counter<u64>,
+    states: Counter<u64>,
     requests: Counter<u64>,
     control_bytes: Counter<u64>,
     control_messages: Counter<u64>,
     store_calls: Counter<u64>,
     latency: Histogram<f64>,
     version: Gauge<u64>,
+    meter: Meter,
+}
+
+/// Present numbers of a node's traffic.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Gauges {
+    /// Requests that run at the upstream.
+    pub running: u64,
+    /// Requests that wait for admission.
+    pub queued: u64,
+    /// Requests that may run at once.
+    pub limit: u64,
+    /// Calls of callers and of the upstream that have not ended.
+    pub forwarded: u64,
 }
 
 impl Counters {
@@ -59,6 +78,7 @@
         let exporter = opentelemetry_prometheus::exporter()
             .with_registry(registry.clone())
             .without_target_info()
+            .scope_info_enabled(false)
             .build()
             .map_err(|error| Error::Setup {
                 message: error.to_string(),
@@ -69,6 +89,7 @@
             refusals: meter.u64_counter("medlar_refusals").build(),
             retries: meter.u64_counter("medlar_retries").build(),
             drops: meter.u64_counter("medlar_drops").build(),
+            states: meter.u64_counter("medlar_state_changes").build(),
             requests: meter.u64_counter("medlar_requests").build(),
             control_bytes: meter.u64_counter("medlar_control_bytes").build(),
             control_messages: meter.u64_counter("medlar_control_messages").build(),
@@ -78,6 +99,7 @@
                 .with_boundaries(LATENCY_BOUNDS.to_vec())
                 .build(),
             version: meter.u64_gauge("medlar_version").build(),
+            meter,
             registry,
             _provider: provider,
         })
@@ -99,6 +121,30 @@
         self.drops.add(1, &[label(reason)]);
     }
 
+    /// Counts a change of state; `kind` is `node` or `upstream`.
+    pub fn count_state(&self, kind: &'static str, state: &'static str) {
+        let labels = [KeyValue::new("kind", kind), KeyValue::new("state", state)];
+        self.states.add(1, &labels);
+    }
+
+    /// Gives out what `read` tells each time the counters are encoded.
+    pub fn observe(&self, read: impl Fn() -> Gauges + Clone + Send + Sync + 'static) {
+        let gauges: [(&str, Choose); 4] = [
+            ("medlar_running", |it| it.running),
+            ("medlar_queued", |it| it.queued),
+            ("medlar_limit", |it| it.limit),
+            ("medlar_forwarded", |it| it.forwarded),
+        ];
+        for (name, choose) in gauges {
+            let read = read.clone();
+            let gauge = self.meter.u64_observable_gauge(name);
+            // The meter keeps the callback; the handle has no other use.
+            let _ = gauge
+                .with_callback(move |gauge| gauge.observe(choose(read()), &[]))
+                .build();
+        }
+    }
+
     /// Counts a request that was answered; `seconds` is from arrival to the end of the answer.
     pub fn count_request(&self, rank: Rank, seconds: f64) {
         let labels = [KeyValue::new("rank", i64::from(rank.0))];
--- a/components/telemetry/src/lib.rs
+++ b/components/telemetry/src/lib.rs
@@ -4,8 +4,11 @@
 //! JSON lines on standard error.
 
 mod counters;
+mod limiter;
 mod logs;
 
 pub use counters::Counters;
 pub use counters::Error;
+pub use counters::Gauges;
+pub use limiter::Limiter;
 pub use logs::init_logs;
--- /dev/null
+++ b/components/telemetry/tests/telemetry.rs
@@ -0,0 +1,57 @@
+//! Counters as they are given out, and the limit on repeated log lines.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use rstest::rstest;
+
+use errors::Reason;
+use ids::Rank;
+use telemetry::Counters;
+use telemetry::Gauges;
+use telemetry::Limiter;
+
+/// Guards against a flood of equal lines, and against lines that vanish without a count.
+#[rstest]
+fn admit_repeated_line() {
+    let limiter = Limiter::new(Duration::from_secs(5));
+    let start = Instant::now();
+    let admitted = [0, 1, 4_999, 5_000, 5_001, 11_000].map(|millis| {
+        let now = start + Duration::from_millis(millis);
+        limiter.admit_at(now)
+    });
+    assert_eq!(admitted, [Some(0), None, None, Some(2), None, Some(1)]);
+}
+
+/// Guards against a series that is missing, misnamed or split by labels of the library.
+#[rstest]
+#[case("medlar_refusals_total{reason=\"queue-full\",side=\"owner\"} 1")]
+#[case("medlar_retries_total{reason=\"draining\"} 1")]
+#[case("medlar_drops_total{reason=\"malformed\"} 1")]
+#[case("medlar_state_changes_total{kind=\"node\",state=\"serving\"} 1")]
+#[case("medlar_requests_total{rank=\"2\"} 1")]
+#[case("medlar_latency_seconds_bucket{rank=\"2\",le=\"0.03\"} 1")]
+#[case("medlar_latency_seconds_bucket{rank=\"2\",le=\"0.01\"} 0")]
+#[case("medlar_version 7")]
+#[case("medlar_running 3")]
+#[case("medlar_queued 4")]
+#[case("medlar_limit 5")]
+#[case("medlar_forwarded 6")]
+fn encode_line(#[case] line: &str) {
+    let counters = Counters::new().unwrap();
+    counters.count_refusal("owner", Reason::QueueFull);
+    counters.count_retry(Reason::Draining);
+    counters.count_drop(Reason::Malformed);
+    counters.count_state("node", "serving");
+    counters.count_request(Rank(2), 0.02);
+    counters.set_version(7);
+    counters.observe(|| Gauges {
+        running: 3,
+        queued: 4,
+        limit: 5,
+        forwarded: 6,
+    });
+    let text = counters.encode().unwrap();
+    assert!(text.lines().any(|it| it == line), "{text}");
+    assert!(!text.contains("otel_"), "{text}");
+}
