--- a/components/traffic/tests/ledger.rs
+++ b/components/traffic/tests/ledger.rs
@@ -29,6 +29,7 @@
         expires: Time(expires),
         idempotent,
         state,
+        earlier: Verdict::NotRun,
     }
 }
 
@@ -81,7 +82,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig::with_cases(128))]
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::with_cases(128) })]
 
     /// Guards against entries dropped before they expire or kept for ever, against a plain list.
     #[rstest]
