--- a/components/admit/src/ranked/limit.rs
+++ b/components/admit/src/ranked/limit.rs
@@ -1,8 +1,10 @@
 //! Concurrency limit, learned from latency and shedding.
 //!
 //! Additive increase and multiplicative decrease: a window of finished requests whose latency stays
-//! near the base raises the limit by one if it was in use; a shed request, or a window whose latency
-//! is a multiple of the base, lowers it by a tenth. It never exceeds the declared slots.
+//! near the base raises the limit by one if it was in use; a shed request lowers it by a tenth. A
+//! window whose latency is a multiple of the base lowers it on trial: if the latency does not fall
+//! with the concurrency, the requests are slow for another reason, such as a route whose requests
+//! differ, and the limit goes back. It never exceeds the declared slots.
 
 use std::time::Duration;
 
@@ -16,8 +18,30 @@
 /// third under the mean of times that vary by chance, so a lower bound would cut without need.
 const TOLERANCE: f64 = 2.0;
 const DECREASE: f64 = 0.9;
+/// Part of the limit that is kept on trial; a smaller step would drown in the noise of a window.
+const TRIAL: f64 = 0.7;
+/// Part of the latency before the trial from which the trial has failed: half-way between the fall
+/// that concurrency would cause and none.
+const TRIAL_FAILED: f64 = 0.85;
 /// Finished requests in a window at least.
 const MIN_WINDOW: f64 = 32.0;
+/// Finished requests in a trial, for a mean that is steadier.
+const TRIAL_WINDOW: f64 = 64.0;
+
+/// What the last windows have shown.
+#[derive(Clone, Copy, Debug, Default)]
+enum Phase {
+    /// Nothing unusual.
+    #[default]
+    Steady,
+    /// One window was congested; the concurrency was perhaps still rising in it.
+    Suspect,
+    /// The limit was lowered to see whether the latency falls with it.
+    Trial {
+        limit_before: f64,
+        ratio_before: f64,
+    },
+}
 
 /// The learned limit.
 #[derive(Debug, Default)]
@@ -29,6 +53,7 @@
     ratios: f64,
     saturated: bool,
     cut_at: Time,
+    phase: Phase,
 }
 
 impl Limit {
@@ -48,49 +73,82 @@
     }
 
     /// Takes in a finished request: how long it ran, its latency over the base, whether the upstream
-    /// shed it, and whether the limit held others back.
+    /// shed it, and how many ran until now. Tells whether a trial has failed, so that the
+    /// present latency is the normal one.
     pub(crate) fn learn(
         &mut self,
         now: Time,
         latency: Duration,
         ratio: f64,
         shed: bool,
-        saturated: bool,
-    ) {
+        running: usize,
+    ) -> bool {
+        // After a cut, the excess has to finish before the new limit shows its effect.
+        if running > self.get() as usize && self.cut_at > Time::default() {
+            self.cut_at = now;
+            self.open_window();
+        }
         // A request that was sent before the last cut says nothing about the limit after it.
         if Time(now.0.saturating_sub(latency.as_micros() as u64)) < self.cut_at {
-            return;
+            return false;
         }
         if shed {
-            return self.cut(now);
+            self.phase = Phase::Steady;
+            self.cut(now, DECREASE);
+            return false;
         }
         if self.ramping {
             self.limit += RAMP_STEP;
         }
         self.samples += 1.0;
         self.ratios += ratio;
-        self.saturated |= saturated;
-        if self.samples >= MIN_WINDOW.max(self.limit * 2.0) {
-            self.close_window(now);
-        }
+        self.saturated |= running >= self.get() as usize;
+        let least = match self.phase {
+            Phase::Trial { .. } => TRIAL_WINDOW,
+            Phase::Steady | Phase::Suspect => MIN_WINDOW,
+        };
+        let failed = self.samples >= least.max(self.limit * 2.0) && self.close_window(now);
         if self.limit >= f64::from(self.slots) {
             self.limit = f64::from(self.slots);
             self.ramping = false;
         }
+        failed
     }
 
-    fn close_window(&mut self, now: Time) {
-        if self.ratios / self.samples > TOLERANCE {
-            return self.cut(now);
-        }
-        if self.saturated {
-            self.limit += 1.0;
+    /// Ends a window; tells whether a trial has failed.
+    fn close_window(&mut self, now: Time) -> bool {
+        let ratio = self.ratios / self.samples;
+        // A limit that holds nobody back is not what makes requests slow.
+        let congested = ratio > TOLERANCE && self.saturated;
+        match std::mem::take(&mut self.phase) {
+            Phase::Trial {
+                limit_before,
+                ratio_before,
+            } if ratio > ratio_before * TRIAL_FAILED => {
+                self.limit = limit_before;
+                self.open_window();
+                return true;
+            }
+            Phase::Suspect if congested => {
+                self.phase = Phase::Trial {
+                    limit_before: self.limit,
+                    ratio_before: ratio,
+                };
+                self.cut(now, TRIAL);
+                return false;
+            }
+            Phase::Trial { .. } | Phase::Suspect | Phase::Steady if congested => {
+                self.phase = Phase::Suspect;
+            }
+            _ if self.saturated => self.limit += 1.0,
+            _ => {}
         }
         self.open_window();
+        false
     }
 
-    fn cut(&mut self, now: Time) {
-        self.limit = (self.limit * DECREASE).max(1.0);
+    fn cut(&mut self, now: Time, part: f64) {
+        self.limit = (self.limit * part).max(1.0);
         self.ramping = false;
         self.cut_at = now;
         self.open_window();
