--- a/components/http1/src/attempt.rs
+++ b/components/http1/src/attempt.rs
@@ -90,6 +90,7 @@
     let expires = idle.remote.translate(attempt.deadline);
     let question = Question {
         id: saved.id,
+        meant_for: attempt.node,
         attempt: attempt.number,
         expires,
         given_up: false,
