Tell a failed connection to the store from an unknown outcome

A connect that took too long counted as an unknown outcome, so that apply against a store behind a dead address ended with exit code 3 although nothing was sent. A watch that the store cancelled, such as after a compaction, waited for its time limit of 20 s.

--- a/components/store/src/etcd.rs
+++ b/components/store/src/etcd.rs
@@ -34,6 +34,7 @@
 /// Longest answer: a value of a megabyte in base64, with its envelope.
 const MAX_ANSWER_BYTES: usize = 1_500_000;
 const DEFAULT_TIMEOUT_MS: u64 = 2_000;
+const MAX_TIMEOUT_MS: u64 = 60_000;
 /// Longest wait of one watch call; ends watches on connections that went silent.
 const WATCH_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -60,15 +61,17 @@
                 value: address.to_owned(),
                 expected: "an IP address with a port",
             })?,
-            timeout: Duration::from_millis(params.number("timeout_ms", DEFAULT_TIMEOUT_MS)?),
+            timeout: read_timeout(params)?,
         })
     }
 
     /// Sends one request on a connection of its own.
     async fn send(&self, path: &str, body: &Value) -> Result<Response<Incoming>, Error> {
-        let stream = TcpStream::connect(self.address)
-            .await
-            .map_err(unreachable)?;
+        // Without a connection nothing was sent, so a write cannot have taken effect.
+        let stream = match timeout(self.timeout / 2, TcpStream::connect(self.address)).await {
+            Ok(stream) => stream.map_err(unreachable)?,
+            Err(_) => return Err(unreachable("no connection in time")),
+        };
         let (mut sender, connection) = http1::handshake(TokioIo::new(stream))
             .await
             .map_err(unreachable)?;
@@ -122,6 +125,11 @@
             while let Some(end) = buffer.iter().position(|byte| *byte == b'\n') {
                 let line: Vec<u8> = buffer.drain(..=end).collect();
                 let message: Value = serde_json::from_slice(&line).map_err(unknown)?;
+                // Such as a compaction past the revision; no event follows.
+                let cancelled = &message["result"]["canceled"];
+                if cancelled.as_bool() == Some(true) || !message["error"].is_null() {
+                    return Err(unknown(format!("the store ended the watch: {message}")));
+                }
                 let Some(event) = message["result"]["events"]
                     .as_array()
                     .and_then(|it| it.last())
@@ -185,6 +193,18 @@
     }
 }
 
+fn read_timeout(params: &Params) -> Result<Duration, plugin::Error> {
+    let millis = params.number("timeout_ms", DEFAULT_TIMEOUT_MS)?;
+    if (1..=MAX_TIMEOUT_MS).contains(&millis) {
+        return Ok(Duration::from_millis(millis));
+    }
+    Err(plugin::Error::Param {
+        name: "timeout_ms".to_owned(),
+        value: millis.to_string(),
+        expected: "1 to 60000 milliseconds",
+    })
+}
+
 fn read_entry(kv: &Value) -> Option<Entry> {
     let value = STANDARD.decode(kv["value"].as_str()?).ok()?;
     let revision = Revision(kv["mod_revision"].as_str()?.parse().ok()?);
