Refuse to accept over a text that nodes hold differently

The hash is compared too. The same text is recognised by its text rather than by its 64-bit hash. The answer to an announcement tells whether its service is listed; status shows a version of a node that is higher than the store's. Eight racing processes against a store that loses answers are a test.

--- a/components/accept/src/edit.rs
+++ b/components/accept/src/edit.rs
@@ -9,6 +9,7 @@
 use config::Record;
 use ids::Digest;
 use ids::Version;
+use member::Stamp;
 use spread::Revision;
 
 /// What the operator edited.
@@ -30,11 +31,16 @@
     pub checked: Checked,
     /// What was edited.
     pub base: Base,
-    /// Highest version that a node has; `None` if no node was asked.
-    pub fleet: Option<Version>,
+    /// Highest version that a node has, with the hash of its text; `None` if no node was asked.
+    pub fleet: Option<Stamp>,
 }
 
 impl Edit {
+    /// Whether a record holds the new text.
+    pub(crate) fn is_text_of(&self, record: &Record) -> bool {
+        record.text == *self.checked.text()
+    }
+
     /// Hash of the new text.
     pub(crate) fn digest(&self) -> Digest {
         Digest::from_bytes(self.checked.text().as_bytes())
--- a/components/accept/src/machine.rs
+++ b/components/accept/src/machine.rs
@@ -94,16 +94,14 @@
     /// First decision: whether to write at all.
     fn decide(&mut self, found: Option<Entry>, effects: &mut Vec<Effect>) {
         let present = found.as_ref().map(|entry| &entry.record);
-        let store = present.map_or(Version::NONE, |it| it.version);
-        if let Some(fleet) = self.edit.fleet.filter(|fleet| *fleet > store) {
-            return self.refuse(Cause::StoreBehind { fleet, store }, effects);
+        if let Some(cause) = self.check_fleet(present) {
+            return self.refuse(cause, effects);
         }
         if let Some(newer) = present.filter(|it| it.format > FORMAT) {
             let found = newer.format;
             return self.refuse(Cause::NewerFormat { found }, effects);
         }
-        let digest = self.edit.digest();
-        if let Some(same) = present.filter(|it| it.digest == digest) {
+        if let Some(same) = present.filter(|it| self.edit.is_text_of(it)) {
             let version = same.version;
             return self.finish(Outcome::Same { version }, effects);
         }
@@ -119,6 +117,18 @@
         self.write(effects);
     }
 
+    /// Why nothing may be written as long as nodes have what the store lacks.
+    fn check_fleet(&self, present: Option<&Record>) -> Option<Cause> {
+        let fleet = self.edit.fleet?;
+        let store = present.map_or(Version::NONE, |it| it.version);
+        if fleet.version > store {
+            let fleet = fleet.version;
+            return Some(Cause::StoreBehind { fleet, store });
+        }
+        let other = fleet.version == store && present.is_some_and(|it| it.digest != fleet.digest);
+        other.then_some(Cause::OtherInForce { version: store })
+    }
+
     /// What the edit ends with if `present` is not what the operator edited.
     fn check_base(&self, present: Option<&Record>) -> Option<Outcome> {
         let Base::Version { version, digest } = self.edit.base else {
@@ -186,7 +196,7 @@
             }
         };
         let ours = &plan.record;
-        let outcome = if present.edit == ours.edit || present.digest == ours.digest {
+        let outcome = if present.edit == ours.edit || present.text == ours.text {
             Outcome::Accepted {
                 version: present.version,
                 replaced_by: None,
--- a/components/accept/src/outcome.rs
+++ b/components/accept/src/outcome.rs
@@ -106,6 +106,10 @@
         StoreBehind { fleet: Version, store: Version } {
             display("nodes have version {fleet}, but the store holds {}; it may have been restored from a backup; a node writes the newest version back within a minute of reaching the store", describe(*store))
         }
+        /// A node has another text under the version that the store holds.
+        OtherInForce { version: Version } {
+            display("nodes have another text under version {version} than the store, which may have been restored from a backup; bring the edits together, then apply without --node")
+        }
         /// The store gave no answer within the time limit.
         Unavailable { message: String } {
             display("the store gave no answer in time: {message}")
--- a/components/accept/tests/machine.rs
+++ b/components/accept/tests/machine.rs
@@ -26,6 +26,7 @@
 use kernel::Machine;
 use kernel::Time;
 use kernel::random::Seeded;
+use member::Stamp;
 use spread::Revision;
 
 /// What goes wrong with one call.
@@ -296,20 +297,29 @@
     }
 }
 
-// Guards against a version below the fleet's being given out after a restore of the store.
+// Guards against a version below the fleet's, or another text under it, after a restore of the store.
 #[rstest]
-#[case::behind(Some(Version(3)), "behind")]
-#[case::level(Some(Version(2)), "accepted")]
-#[case::not_asked(None, "accepted")]
-fn apply_fleet(#[case] fleet: Option<Version>, #[case] expected: &str) {
+#[case::behind(Some(3), false, "behind")]
+#[case::level(Some(2), true, "accepted")]
+#[case::other_text(Some(2), false, "not accepted")]
+#[case::lower(Some(1), false, "accepted")]
+#[case::not_asked(None, false, "accepted")]
+fn apply_fleet(#[case] version: Option<u64>, #[case] same: bool, #[case] expected: &str) {
+    let mut fake = Fake::with_versions(2);
+    let digest = if same {
+        fake.history[1].digest
+    } else {
+        Digest(1)
+    };
+    let fleet = version.map(|version| Stamp {
+        version: Version(version),
+        digest,
+    });
     let edit = Edit {
         fleet,
         ..edit("mine", Base::Present)
     };
-    assert_eq!(
-        kind(&apply(&mut Fake::with_versions(2), edit, &[])),
-        expected
-    );
+    assert_eq!(kind(&apply(&mut fake, edit, &[])), expected);
 }
 
 // Guards against a text of a format that this program cannot judge being written over.
--- a/components/admin/src/handle.rs
+++ b/components/admin/src/handle.rs
@@ -16,6 +16,8 @@
 use hyper::header::CONTENT_TYPE;
 use hyper::header::HeaderValue;
 use serde::Serialize;
+use serde_json::Value;
+use serde_json::json;
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
@@ -73,15 +75,15 @@
             return answer;
         }
         match path {
-            "/status" => json(&Status::new(&self.desk)),
-            "/members" => json(&list_members(&self.desk.picture())),
+            "/status" => give(&Status::new(&self.desk)),
+            "/members" => give(&list_members(&self.desk.picture())),
             "/explain" => self.explain(request.uri().query()),
             "/settings" => text(&self.settings),
             "/metrics" => match self.desk.counters().encode() {
                 Ok(metrics) => text(&metrics),
                 Err(error) => refuse(StatusCode::INTERNAL_SERVER_ERROR, error.to_string()),
             },
-            "/drain" => self.forward(Input::Drain).await,
+            "/drain" => self.forward(Input::Drain, &json!({})).await,
             "/upstream" => self.announce(request).await,
             _ => refuse(StatusCode::NOT_FOUND, "no such path".into()),
         }
@@ -90,7 +92,7 @@
     fn explain(&self, query: Option<&str>) -> Answer {
         let method = read_query(query, "method");
         match method.and_then(|method| Ok((method, read_query(query, "path")?))) {
-            Ok((method, path)) => json(&explain(&self.desk.picture(), &method, &path)),
+            Ok((method, path)) => give(&explain(&self.desk.picture(), &method, &path)),
             Err(message) => refuse(StatusCode::BAD_REQUEST, message),
         }
     }
@@ -110,18 +112,22 @@
             }
         };
         let read = serde_json::from_slice::<Announcement>(&body);
-        let input = read
-            .map_err(|error| error.to_string())
-            .and_then(|it| it.into_input().map_err(str::to_owned));
-        match input {
-            Ok(input) => self.forward(input).await,
+        let read = read.map_err(|error| error.to_string()).and_then(|it| {
+            let picture = self.desk.picture();
+            let snapshot = picture.snapshot.as_ref();
+            let listed = snapshot.is_some_and(|known| known.find_service(&it.service).is_some());
+            Ok((it.into_input().map_err(str::to_owned)?, listed))
+        });
+        match read {
+            // A service that is not listed may be so with the next version, so it is no error.
+            Ok((input, listed)) => self.forward(input, &json!({ "listed": listed })).await,
             Err(message) => refuse(StatusCode::BAD_REQUEST, message),
         }
     }
 
-    async fn forward(&self, input: Input) -> Answer {
+    async fn forward(&self, input: Input, done: &Value) -> Answer {
         match timeout(STEP_LIMIT, self.inputs.send(input)).await {
-            Ok(Ok(())) => json(&serde_json::json!({})),
+            Ok(Ok(())) => give(done),
             Ok(Err(_)) => refuse(
                 StatusCode::SERVICE_UNAVAILABLE,
                 "the node is stopping".into(),
@@ -147,7 +153,7 @@
     found.map(|(_, method)| method)
 }
 
-fn json(value: &impl Serialize) -> Answer {
+fn give(value: &impl Serialize) -> Answer {
     match serde_json::to_string(value) {
         Ok(text) => answer(StatusCode::OK, "application/json", text + "\n"),
         Err(error) => refuse(StatusCode::INTERNAL_SERVER_ERROR, error.to_string()),
--- a/components/admin/tests/admin.rs
+++ b/components/admin/tests/admin.rs
@@ -159,7 +159,8 @@
     "404",
     "no such path; known: /status, /members"
 )]
-#[case::upstream("PUT", "/upstream", ANNOUNCEMENT.into(), "200", "{}")]
+#[case::listed("PUT", "/upstream", ANNOUNCEMENT.into(), "200", "{\"listed\":true}")]
+#[case::not_listed("PUT", "/upstream", ANNOUNCEMENT.replace("reservas", "reserva"), "200", "{\"listed\":false}")]
 #[case::no_slots("PUT", "/upstream", ANNOUNCEMENT.replace("10,", "0,"), "400", "slots must be 1 to 10000")]
 #[case::no_service("PUT", "/upstream", ANNOUNCEMENT.replace("reservas", ""), "400", "service must have 1 to 63 bytes")]
 #[case::unknown_field("PUT", "/upstream", ANNOUNCEMENT.replace("slots", "slot"), "400", "unknown field `slot`")]
--- a/src/cmd/apply.rs
+++ b/src/cmd/apply.rs
@@ -26,7 +26,9 @@
 use accept::Machine;
 use accept::Outcome;
 use config::describe_difference;
+use ids::Digest;
 use ids::Version;
+use member::Stamp;
 use store::Store;
 
 /// Accept a configuration text as the next version. The text must have been edited from the version
@@ -77,7 +79,7 @@
     let edit = Edit {
         checked: loaded.checked,
         base,
-        fleet: statuses.iter().map(|status| Version(status.version)).max(),
+        fleet: statuses.iter().map(to_stamp).max(),
     };
     let text = edit.checked.text().to_string();
     let done = drive(store.as_ref(), Machine::new(edit, limit(args.time_limit))).await;
@@ -103,6 +105,14 @@
     end
 }
 
+fn to_stamp(status: &admin::Status) -> Stamp {
+    Stamp {
+        version: Version(status.version),
+        // A hash that cannot be read is that of no text.
+        digest: Digest(u64::from_str_radix(&status.digest, 16).unwrap_or_default()),
+    }
+}
+
 /// The version that holds the edited text now.
 fn in_force(outcome: &Outcome) -> Option<Version> {
     match outcome {
--- a/src/cmd/status.rs
+++ b/src/cmd/status.rs
@@ -49,6 +49,8 @@
     version: u64,
     live: usize,
     lagging: Vec<String>,
+    /// Highest version of a node.
+    highest: u64,
     /// Ids of the nodes that have it. They are not asked again, because versions only rise.
     have: Vec<String>,
 }
@@ -95,6 +97,7 @@
             version,
             live: 0,
             lagging: Vec::new(),
+            highest: 0,
             have: Vec::new(),
         }
     }
@@ -106,6 +109,8 @@
         self.live = members.len();
         members.retain(|member| !self.have.contains(&member.node));
         let nodes = ask_each(members).await;
+        let versions = nodes.iter().filter_map(Node::version);
+        self.highest = versions.fold(self.highest, u64::max);
         let has = |node: &&Node| node.version().is_some_and(|it| it >= self.version);
         let (have, lag): (Vec<&Node>, Vec<&Node>) = nodes.iter().partition(has);
         self.have
@@ -136,6 +141,9 @@
         if self.lagging.len() > NAMED {
             line += &format!(" and {} more", self.lagging.len() - NAMED);
         }
+        if self.highest > self.version {
+            line += &format!("; the highest version of a node is {}", self.highest);
+        }
         line
     }
 
@@ -144,6 +152,7 @@
             "version": self.version,
             "live": self.live,
             "lagging": self.lagging,
+            "highest": self.highest,
             "complete": self.is_complete(),
         });
         tell(context.output, &self.describe(), &value);
--- a/tests/ctl.rs
+++ b/tests/ctl.rs
@@ -303,3 +303,37 @@
     assert!(ended.out.contains("rank: 1"), "{}", ended.out);
     assert_eq!(store.state.lock().expect("no panic").revision, 1);
 }
+
+// Guards against two of many racing operators being told that they won.
+#[test]
+fn apply_many_racers() {
+    let store = Fake::start();
+    let base = file("racers_base.yaml", &text(0));
+    assert_eq!(ctl(&store, &["apply", &base]).code, 0);
+    store.fail(&[
+        Fault::LostAfter,
+        Fault::None,
+        Fault::LostBefore,
+        Fault::LostAfter,
+        Fault::None,
+        Fault::Error,
+    ]);
+    let racers: Vec<_> = (0..8_u32)
+        .map(|n| {
+            let store = store.clone();
+            let new = text(0).replace("deadline_ms: 9", &format!("deadline_ms: {}", 100 + n));
+            let path = file(&format!("racers_{n}.yaml"), &new);
+            thread::spawn(move || ctl(&store, &["apply", "--base", "1", &path]))
+        })
+        .collect();
+    let ended: Vec<Ended> = racers
+        .into_iter()
+        .map(|it| it.join().expect("no panic"))
+        .collect();
+    let won = ended.iter().filter(|it| it.code == 0).count();
+    let lost = ended
+        .iter()
+        .filter(|it| it.code == 1 && it.err.contains("version 2 was accepted meanwhile"));
+    assert_eq!((won, lost.count()), (1, 7));
+    assert_eq!(store.state.lock().expect("no panic").revision, 2);
+}
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::io::BufRead;
 use std::io::BufReader;
+use std::io::Read;
 use std::io::Write;
 use std::net::SocketAddr;
 use std::net::TcpListener;
@@ -31,10 +32,19 @@
         thread::spawn(move || {
             for stream in listener.incoming() {
                 let mut stream = stream.expect("accepts");
-                let mut lines = BufReader::new(stream.try_clone().expect("a stream")).lines();
-                let line = lines.next().expect("a line").expect("text");
-                lines.find(|line| line.as_ref().is_ok_and(String::is_empty));
-                let line = line.trim_end_matches(" HTTP/1.1").to_owned();
+                let mut reader = BufReader::new(stream.try_clone().expect("a stream"));
+                let head: Vec<String> = reader
+                    .by_ref()
+                    .lines()
+                    .map_while(Result::ok)
+                    .take_while(|line| !line.is_empty())
+                    .collect();
+                let length = head
+                    .iter()
+                    .find_map(|it| it.strip_prefix("content-length: "));
+                let length = length.map_or(0, |it| it.parse().expect("a number"));
+                let _ = reader.take(length).read_to_end(&mut Vec::new());
+                let line = head[0].trim_end_matches(" HTTP/1.1").to_owned();
                 fake.asked.lock().expect("no panic").push(line.clone());
                 let mut answers = fake.answers.lock().expect("no panic");
                 let (status, body) = match answers.get_mut(&line) {
@@ -174,3 +184,21 @@
     );
     assert_eq!(first.count("GET /explain?method=GET&path=/a%20b"), 1);
 }
+
+// Guards against a version that nodes would ignore, after a store was restored from a backup.
+#[test]
+fn apply_store_behind() {
+    let (node, _, _) = start(&[7]);
+    let store = Fake::default();
+    store.answer("POST /v3/kv/range", vec![json!({})]);
+    let path = concat!(env!("CARGO_TARGET_TMPDIR"), "/behind.yaml");
+    std::fs::write(path, "services: []\n").expect("writes");
+    let address = store.serve().to_string();
+    let (code, text) = ctl(node, &["apply", path, "--store", &address]);
+    assert_eq!(code, 1, "{text}");
+    assert!(
+        text.contains("nodes have version 7, but the store holds no configuration"),
+        "{text}"
+    );
+    assert_eq!(store.count("POST /v3/kv/txn"), 0);
+}
