--- /dev/null
+++ b/components/accept/tests/accept/main.rs
@@ -0,0 +1,5 @@
+//! Acceptance and settlement against a fake store.
+
+mod machine;
+mod settle;
+mod support;
