--- a/components/accept/tests/accept/main.rs
+++ b/components/accept/tests/accept/main.rs
@@ -1,5 +1,6 @@
 //! Acceptance and settlement against a fake store.
 
 mod machine;
+mod race;
 mod settle;
 mod support;
--- a/components/accept/tests/accept/support.rs
+++ b/components/accept/tests/accept/support.rs
@@ -120,7 +120,7 @@
     }
 
     /// Answers a call; `None` leaves it without answer.
-    fn call(&mut self, effect: Effect, fault: Fault) -> Option<Input> {
+    pub(crate) fn call(&mut self, effect: Effect, fault: Fault) -> Option<Input> {
         self.calls += 1;
         match fault {
             Fault::Race => self.put_other(),
