--- a/components/http1/tests/support/mod.rs
+++ b/components/http1/tests/support/mod.rs
@@ -97,8 +97,19 @@
 }
 
 impl Node {
-    /// A node that owns `upstream` with this many slots and connections.
+    /// A node that owns `upstream` with this many slots and connections. Its simple plug-ins leave
+    /// the outcome of a test to the front end.
     pub(crate) async fn start(upstream: SocketAddr, slots: u32, connections: u32) -> Self {
+        Self::start_with(upstream, slots, connections, ("fifo", "none")).await
+    }
+
+    /// A node with these plug-ins for admission and health.
+    pub(crate) async fn start_with(
+        upstream: SocketAddr,
+        slots: u32,
+        connections: u32,
+        (admission, health): (&str, &str),
+    ) -> Self {
         let id = NodeId(rand::random());
         let clock = Monotonic::new();
         let counters = Arc::new(Counters::new().unwrap());
@@ -106,11 +117,11 @@
         let first = Picture::new(id, domain, Life::Joining, None, &Table::default(), 0);
         let picture = Arc::new(ArcSwap::from_pointee(first));
         let none = Params::default();
-        let admission = build("admission", &ADMISSIONS, "fifo", &none).unwrap();
+        let admission = build("admission", &ADMISSIONS, admission, &none).unwrap();
         let entry = traffic::entry::Machine::new(
             build("balance", &BALANCES, "p2c", &none).unwrap(),
             build("retry", &RETRIES, "budget", &none).unwrap(),
-            build("health", &HEALTHS, "none", &none).unwrap(),
+            build("health", &HEALTHS, health, &none).unwrap(),
         );
         let desk = Arc::new(Desk::new(Parts {
             me: id,
