--- a/components/admit/tests/limit.rs
+++ b/components/admit/tests/limit.rs
@@ -172,3 +172,52 @@
     run(&mut ranked, upstream, 900);
     assert_eq!(ranked.load().limit, SLOTS);
 }
+
+/// Guards against a limit that falls although the upstream is not congested, because the requests
+/// of a route differ: nine in ten take 20 ms and the base is learned from the quick ones.
+#[rstest]
+#[case::not_in_use(6)]
+#[case::in_use(SLOTS as usize + 8)]
+fn learn_mixed_route(#[case] callers: usize) {
+    let mut ranked = ranked();
+    let mut decisions = Vec::new();
+    ranked.set_slots(Time(0), SLOTS, &mut decisions);
+    let mut ends = BinaryHeap::new();
+    let mut ticket = 0;
+    let mut now = 0;
+    while now < 20_000_000 {
+        while ends.len() + ranked.load().queued as usize + decisions.len() < callers {
+            ticket += 1;
+            let job = Job {
+                ticket: Ticket(ticket),
+                route: RouteId(1),
+                rank: Rank(0),
+                weight: 1,
+                expires: Time(now) + 10 * DEADLINE,
+            };
+            ranked.offer(Time(now), job, &mut decisions);
+        }
+        for decision in decisions.drain(..) {
+            let Decision::Start(Ticket(started)) = decision else {
+                panic!("refused at {now} us: {decision:?}");
+            };
+            let quick = started % 10 == 0 || started < 40;
+            ends.push(Reverse((
+                now + if quick { 300 } else { 20_000 },
+                now,
+                started,
+            )));
+        }
+        let Some(Reverse((end, since, ended))) = ends.pop() else {
+            panic!("nothing runs at {now} us");
+        };
+        now = end;
+        let latency = Duration::from_micros(end - since);
+        let finish = Finish {
+            latency,
+            shed: false,
+        };
+        ranked.finish(Time(now), Ticket(ended), finish, &mut decisions);
+    }
+    assert!(ranked.load().limit >= SLOTS * 3 / 4, "{:?}", ranked.load());
+}
