--- a/components/control/tests/driver/checker.rs
+++ b/components/control/tests/fleet/driver/checker.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use super::SECOND;
+use crate::driver::SECOND;
 use config::Record;
 use control::Life;
 use control::Picture;
--- a/components/control/tests/driver/mod.rs
+++ b/components/control/tests/fleet/driver/mod.rs
@@ -8,9 +8,8 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use checker::Fact;
-use checker::History;
-
+use crate::driver::checker::Fact;
+use crate::driver::checker::History;
 use control::Effect;
 use control::Input;
 use control::Machine;
@@ -21,6 +20,7 @@
 use ids::Incarnation;
 use ids::NodeId;
 
+use crate::driver::store::Store;
 use kernel::Machine as _;
 use kernel::Random;
 use kernel::Time;
@@ -32,7 +32,6 @@
 use member::Status;
 use member::Upstream;
 use spread::Offer;
-use store::Store;
 
 pub(crate) const SECOND: u64 = 1_000_000;
 /// Time after which a caller gives a control call up.
--- a/components/control/tests/driver/store.rs
+++ b/components/control/tests/fleet/driver/store.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
-use super::SECOND;
+use crate::driver::SECOND;
 use config::Record;
 use control::Effect;
 use control::Input;
--- a/components/control/tests/faults.rs
+++ b/components/control/tests/fleet/faults.rs
@@ -1,16 +1,14 @@
 //! Faults at each step of a change, with the promises checked over the history of every node.
 
-mod driver;
-
 use std::sync::Arc;
 
-use driver::Fleet;
-use driver::SECOND;
-use driver::checker::Fact;
-use driver::checker::write_record;
-use driver::checker::write_text;
 use rstest::rstest;
 
+use crate::driver::Fleet;
+use crate::driver::SECOND;
+use crate::driver::checker::Fact;
+use crate::driver::checker::write_record;
+use crate::driver::checker::write_text;
 use control::Input;
 use control::Picture;
 use ids::Digest;
--- /dev/null
+++ b/components/control/tests/fleet/main.rs
@@ -0,0 +1,5 @@
+//! Fleets of control machines on one message queue: faults and measurements.
+
+mod driver;
+mod faults;
+mod measure;
--- /dev/null
+++ b/components/control/tests/fleet/measure.rs
@@ -0,0 +1,175 @@
+//! Control bytes and convergence time by fleet size, measured on the driver. Run with
+//! `cargo test --release -p control --test fleet measure -- --ignored --nocapture`.
+
+use rstest::rstest;
+
+use crate::driver::Fleet;
+use crate::driver::Node;
+use crate::driver::SECOND;
+use crate::driver::Tally;
+use crate::driver::checker::write_record;
+use crate::driver::checker::write_text;
+use control::Input;
+use member::Stage;
+
+const DOMAINS: usize = 6;
+const SERVICES: usize = 230;
+/// Changes and replacements of a day are made this much faster, and their cost is divided by it.
+const FACTOR: f64 = 40.0;
+const CHANGES: f64 = 2_200.0 / 86_400.0;
+const REPLACEMENTS: f64 = 280.0 / 86_400.0;
+/// Seconds of each measurement of bytes.
+const WINDOW: f64 = 30.0;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Case {
+    Calm,
+    TenthKilled,
+    StoreCut,
+}
+
+fn accept(fleet: &mut Fleet, version: u64, cut: bool) {
+    let record = write_record(version, &write_text(SERVICES, version));
+    let mut answers = fleet.store.put(Some(record));
+    if cut {
+        // Of all watchers only one has heard.
+        let failed = fleet.store.cut();
+        answers.truncate(1);
+        fleet.tell(failed);
+    }
+    fleet.tell(answers);
+}
+
+fn start(nodes: usize) -> Fleet {
+    let mut fleet = Fleet::new(nodes as u64, DOMAINS, SERVICES);
+    fleet.record = false;
+    accept(&mut fleet, 1, false);
+    for _ in 0..nodes {
+        fleet.add(Some(Stage::Ready));
+        fleet.run(2.0 / nodes as f64);
+    }
+    for waited in 1..=120 {
+        fleet.run(1.0);
+        let complete = |it: &Node| it.machine.table().live_count() == nodes;
+        if fleet.nodes.iter().all(complete) {
+            println!("{nodes:>6} nodes: tables complete {waited} s after the last start");
+            break;
+        }
+    }
+    // Statements about the start have spread by then.
+    fleet.run(60.0);
+    fleet
+}
+
+/// Bytes a node and second since `before`, by datagrams and by calls, and store calls a second.
+fn rates(before: Tally, after: Tally, nodes: usize) -> [f64; 4] {
+    let rate = |from: u64, to: u64| (to - from) as f64 / WINDOW;
+    let nodes = nodes as f64;
+    [
+        rate(before.datagrams, after.datagrams) / nodes,
+        rate(before.datagram_bytes, after.datagram_bytes) / nodes,
+        rate(before.call_bytes, after.call_bytes) / nodes,
+        rate(before.store_calls, after.store_calls),
+    ]
+}
+
+/// Runs the window with changes and replacements at the raised rate.
+fn run_busy(fleet: &mut Fleet, version: &mut u64) {
+    let (mut changes, mut replacements) = (0.0, 0.0);
+    let mut replaced = fleet.nodes.len() - 1;
+    for _ in 0..(WINDOW * 10.0) as usize {
+        changes += CHANGES * FACTOR / 10.0;
+        replacements += REPLACEMENTS * FACTOR / 10.0;
+        if changes >= 1.0 {
+            changes -= 1.0;
+            *version += 1;
+            accept(fleet, *version, false);
+        }
+        if replacements >= 1.0 {
+            replacements -= 1.0;
+            fleet.drain(replaced);
+            fleet.run(0.05);
+            fleet.input(replaced, Input::Drained);
+            fleet.run(0.05);
+            fleet.restart(replaced);
+            replaced -= 1;
+        } else {
+            fleet.run(0.1);
+        }
+    }
+}
+
+/// Milliseconds from acceptance until half, 99% and all nodes route by the version.
+fn converge(fleet: &mut Fleet, version: u64, case: Case) -> [u64; 3] {
+    let begin = fleet.now;
+    accept(fleet, version, case == Case::StoreCut);
+    if case == Case::TenthKilled {
+        (0..fleet.nodes.len() / 10).for_each(|at| fleet.kill(at * 10 + 3));
+    }
+    let mut times = [0; 3];
+    while fleet.now < begin + 60 * SECOND && times[2] == 0 {
+        fleet.run(0.01);
+        let up: Vec<_> = fleet.nodes.iter().filter(|it| it.up).collect();
+        let version_of = |it: &Node| Some(it.picture.as_ref()?.snapshot.as_ref()?.version());
+        let ready = up
+            .iter()
+            .filter(|it| version_of(it) == Some(ids::Version(version)));
+        let ready = ready.count();
+        let needed = [
+            up.len().div_ceil(2),
+            (up.len() * 99).div_ceil(100),
+            up.len(),
+        ];
+        for (time, needed) in times.iter_mut().zip(needed) {
+            if *time == 0 && ready >= needed {
+                *time = (fleet.now - begin) / 1_000;
+            }
+        }
+    }
+    times
+}
+
+/// Prints the tables of docs/measurements-control.md; guards the targets at each size.
+#[rstest]
+#[ignore = "takes minutes; run in release"]
+fn measure_size(#[values(10, 50, 200, 800, 1_700)] nodes: usize) {
+    let mut fleet = start(nodes);
+    let mut version = 1;
+    let before = fleet.tally;
+    fleet.run(WINDOW);
+    let idle = rates(before, fleet.tally, nodes);
+    let before = fleet.tally;
+    run_busy(&mut fleet, &mut version);
+    let busy = rates(before, fleet.tally, nodes);
+    let daily: Vec<f64> = idle
+        .iter()
+        .zip(busy)
+        .map(|(idle, busy)| idle + (busy - idle) / FACTOR)
+        .collect();
+    println!(
+        "{nodes:>6} nodes: idle       datagrams/s {:.2}, bytes/s {:.0} + {:.0} in calls, store calls/s {:.2}",
+        idle[0], idle[1], idle[2], idle[3]
+    );
+    println!(
+        "{nodes:>6} nodes: x{FACTOR} rate   datagrams/s {:.2}, bytes/s {:.0} + {:.0} in calls, store calls/s {:.2}",
+        busy[0], busy[1], busy[2], busy[3]
+    );
+    println!(
+        "{nodes:>6} nodes: a day's    datagrams/s {:.2}, bytes/s {:.0} + {:.0} in calls, store calls/s {:.2}",
+        daily[0], daily[1], daily[2], daily[3]
+    );
+    // Sent and received together.
+    assert!(2.0 * (daily[1] + daily[2]) <= 3_000.0, "control bytes");
+    fleet.run(60.0);
+    for case in [Case::Calm, Case::StoreCut, Case::TenthKilled] {
+        version += 1;
+        let times = converge(&mut fleet, version, case);
+        println!(
+            "{nodes:>6} nodes: {case:?} in force after 50% {} ms, 99% {} ms, all {} ms",
+            times[0], times[1], times[2]
+        );
+        assert!(times[2] > 0 && times[2] <= 4_000, "convergence");
+        fleet.store.down = false;
+        fleet.run(60.0);
+    }
+}
