--- a/components/control/src/picture.rs
+++ b/components/control/src/picture.rs
@@ -10,6 +10,7 @@
 use ids::NodeId;
 use kernel::Arena;
 use kernel::Key;
+use member::Member;
 use member::Stage;
 use member::Table;
 use member::Upstream;
@@ -50,6 +51,8 @@
     pub own: Option<(Stage, Upstream)>,
     /// What went wrong in the distribution of the configuration.
     pub report: Report,
+    /// All members, sorted by id; for operators.
+    members: Vec<Arc<Member>>,
     endpoints: Arena<Endpoint>,
     /// Sorted by service.
     by_service: Vec<(ServiceKey, EndpointKey)>,
@@ -96,6 +99,7 @@
             snapshot,
             own,
             report: Report::default(),
+            members: table.members().to_vec(),
             endpoints,
             by_service,
         }
@@ -106,6 +110,11 @@
         Self { report, ..self }
     }
 
+    /// All members that are known, also dead ones, sorted by id.
+    pub fn members(&self) -> &[Arc<Member>] {
+        &self.members
+    }
+
     /// The endpoint at `key`, if the key is of this picture.
     pub fn endpoint(&self, key: EndpointKey) -> Option<&Endpoint> {
         self.endpoints.get(key)
--- a/components/store/src/contacts.rs
+++ b/components/store/src/contacts.rs
@@ -10,7 +10,8 @@
 /// Most addresses that are taken from a key.
 const MAX_ADDRESSES: usize = 64;
 
-#[derive(Debug, Serialize, Deserialize)]
+#[derive(Debug)]
+#[derive(Serialize, Deserialize)]
 struct Stored {
     addresses: Vec<SocketAddr>,
 }
--- a/components/store/src/record.rs
+++ b/components/store/src/record.rs
@@ -12,7 +12,8 @@
 /// Key of the operators' text.
 pub const CONFIG_KEY: &str = "medlar/config";
 
-#[derive(Debug, Serialize, Deserialize)]
+#[derive(Debug)]
+#[derive(Serialize, Deserialize)]
 struct Stored {
     version: u64,
     edit: String,
--- a/components/wire/src/control.rs
+++ b/components/wire/src/control.rs
@@ -10,6 +10,7 @@
 use config::Piece;
 use errors::Verdict;
 use ids::Digest;
+use ids::NodeId;
 use ids::RequestId;
 use ids::Version;
 use kernel::Time;
@@ -31,9 +32,11 @@
 }
 
 /// A [`traffic::owner::Question`] as it is encoded.
-#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug)]
+#[derive(Serialize, Deserialize)]
 pub struct Question {
     id: u128,
+    owner: u64,
     attempt: u32,
     /// On the clock of the node that is asked.
     expires_us: u64,
@@ -41,7 +44,8 @@
 }
 
 /// A record as it is encoded.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 pub struct Record {
     version: u64,
     edit: u128,
@@ -52,7 +56,8 @@
 }
 
 /// A [`Piece`] as it is encoded.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 pub enum Step {
     /// Keep lines.
     Keep { start: u32, count: u32 },
@@ -61,7 +66,8 @@
 }
 
 /// A [`spread::Offer`] as it is encoded.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 pub enum Offer {
     /// Nothing newer.
     Same,
@@ -76,7 +82,8 @@
 }
 
 /// A [`traffic::ledger::Outcome`] as it is encoded.
-#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug)]
+#[derive(Serialize, Deserialize)]
 pub enum Outcome {
     /// It never arrived, and will be refused if it does.
     Fenced,
@@ -178,6 +185,7 @@
     fn from(question: traffic::owner::Question) -> Self {
         Self {
             id: question.id.0,
+            owner: question.meant_for.0,
             attempt: question.attempt,
             expires_us: question.expires.0,
             given_up: question.given_up,
@@ -189,6 +197,7 @@
     fn from(question: Question) -> Self {
         Self {
             id: RequestId(question.id),
+            meant_for: NodeId(question.owner),
             attempt: question.attempt,
             expires: Time(question.expires_us),
             given_up: question.given_up,
--- a/components/wire/src/datagram.rs
+++ b/components/wire/src/datagram.rs
@@ -37,13 +37,15 @@
 }
 
 /// A [`member::Update`] as it is encoded; the source is that of a suspicion.
-#[derive(Debug, Serialize, Deserialize)]
+#[derive(Debug)]
+#[derive(Serialize, Deserialize)]
 struct Update {
     entry: Entry,
     by: Option<u64>,
 }
 
-#[derive(Debug, Serialize, Deserialize)]
+#[derive(Debug)]
+#[derive(Serialize, Deserialize)]
 struct Frame {
     kind: u8,
     number: u64,
--- a/components/wire/src/sync.rs
+++ b/components/wire/src/sync.rs
@@ -17,7 +17,8 @@
 const MAX_MEMBERS: usize = 8_000;
 
 /// A [`member::Ask`] as it is encoded.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 pub enum Ask {
     /// Hashes of the buckets.
     Hashes(Vec<u64>),
@@ -26,7 +27,8 @@
 }
 
 /// A [`member::Answer`] as it is encoded.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 pub struct Answer {
     from: u64,
     version: u64,
@@ -35,7 +37,8 @@
 }
 
 /// A [`member::Body`] as it is encoded.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 pub enum Body {
     /// Bit set of the buckets that differ.
     Differ(u64),
