--- a/components/admit/src/ranked.rs
+++ b/components/admit/src/ranked.rs
@@ -326,15 +326,19 @@
         let Ok(at) = self.running.binary_search_by_key(&ticket, |it| it.ticket) else {
             return;
         };
-        let saturated = !self.has_free_slot();
+        let count = self.running.len();
         let running = self.running.remove(at);
         let ratio = if finish.shed {
             1.0
         } else {
             self.times.learn(now, running.route, finish.latency)
         };
-        self.limit
-            .learn(now, finish.latency, ratio, finish.shed, saturated);
+        let trial_failed = self
+            .limit
+            .learn(now, finish.latency, ratio, finish.shed, count);
+        if trial_failed {
+            self.times.rebase();
+        }
         self.fill(now, decisions);
     }
 
--- a/components/admit/src/ranked/times.rs
+++ b/components/admit/src/ranked/times.rs
@@ -70,6 +70,13 @@
         sample / stat.base
     }
 
+    /// Takes what the routes need now for what they need without contention.
+    pub(crate) fn rebase(&mut self) {
+        for stat in &mut self.stats {
+            stat.base = stat.base.max(stat.smooth);
+        }
+    }
+
     /// Expected slot time of a request; 0 before anything is learned.
     pub(crate) fn cost(&self, route: RouteId) -> f64 {
         self.get(route).map_or(self.mean, |stat| stat.mean)
--- a/components/simulate/src/shell.rs
+++ b/components/simulate/src/shell.rs
@@ -77,6 +77,7 @@
             left: None,
             outer_retries: false,
             replayable: true,
+            onward: false,
         };
         let picture = Arc::clone(&self.picture);
         self.step_entry(shell, Input::Arrived { picture, head });
