--- a/components/telemetry/src/logs.rs
+++ b/components/telemetry/src/logs.rs
@@ -14,6 +14,8 @@
 
 /// Environment variable with the log filter, such as `info` or `front=debug`.
 const FILTER_VARIABLE: &str = "MEDLAR_LOG";
+/// tarpc logs each call at `info`.
+const DEFAULT_FILTER: &str = "info,tarpc=warn";
 
 struct Fields(Map<String, serde_json::Value>);
 
@@ -29,7 +31,7 @@
 pub fn init_logs(instance: &str, domain: &str) {
     let instance = instance.to_owned();
     let domain = domain.to_owned();
-    let env = Env::new().filter_or(FILTER_VARIABLE, "info");
+    let env = Env::new().filter_or(FILTER_VARIABLE, DEFAULT_FILTER);
     let started = Builder::from_env(env)
         .format(move |out, record| {
             let mut fields = Fields(Map::new());
