Keep slots for urgent work from long requests of low ranks

Cause: with requests of a low rank that take 10 and 50 times as long, a flood of them held the slots: urgent work waited until one came free (/prices p99 from 54 ms to 139 ms, /slots to 127 ms), and /loads of rank 1 lost 13%.

Change: - A request four times as long as more urgent work leaves as many slots as that work uses on average, and half its square root more. Lanes whose next request has to wait for that do not hold back the others of their rank. - The mean demand is corrected for the time since the first request; without that the slots were not kept in the first seconds. - Owners report what waits by rank, and entries count in flight by rank: a queue of low rank no longer makes an owner look full to urgent work. Before, the near owner had 56 urgent requests waiting while others had free slots.

Ruled out: slots kept for urgent work whatever the length, which wastes capacity where a slot comes free every few milliseconds.

--- a/components/admit/src/fifo.rs
+++ b/components/admit/src/fifo.rs
@@ -110,9 +110,14 @@
     }
 
     fn load(&self) -> Load {
+        let queued = u32::try_from(self.queue.len()).unwrap_or(u32::MAX);
+        let mut waiting = [0; Rank::COUNT];
+        // Whatever its rank, a request waits for all of them.
+        waiting[0] = queued;
         Load {
             running: self.running,
-            queued: u32::try_from(self.queue.len()).unwrap_or(u32::MAX),
+            queued,
+            waiting,
             limit: self.slots,
             accepted: Rank(u8::MAX),
         }
--- a/components/admit/src/ranked.rs
+++ b/components/admit/src/ranked.rs
@@ -3,17 +3,19 @@
 //! A request that cannot finish in time is refused when it arrives. Lower ranks keep a small share,
 //! the routes of a rank share it by weight, and the limit on running requests is learned.
 
+mod dispatch;
 mod lanes;
 mod limit;
+mod queue;
 mod share;
 mod times;
 
 use std::time::Duration;
 
-use lanes::Lanes;
 use lanes::Waiting;
 use limit::Limit;
 use linkme::distributed_slice;
+use queue::Queue;
 use share::Share;
 use times::Times;
 
@@ -36,13 +38,8 @@
 /// Waiting requests of a rank that a more urgent one does not displace, so that the rank's share has
 /// something to dispatch.
 const KEPT_PLACES: usize = 4;
-/// Weight of a dispatch in the shares of the ranks.
-const SHARE_GAIN: f64 = 1.0 / 64.0;
 /// Least part of the slots that is assumed to be left by more urgent ranks.
 const LEAST_PART: f64 = 0.01;
-/// Share of refused requests from which a rank counts as flooded.
-const FLOODED: f64 = 0.1;
-const REFUSED_GAIN: f64 = 1.0 / 128.0;
 const SHORTEST_RETRY: Duration = Duration::from_millis(50);
 const LONGEST_RETRY: Duration = Duration::from_secs(5);
 
@@ -56,18 +53,8 @@
 struct Running {
     ticket: Ticket,
     route: RouteId,
-}
-
-/// One rank.
-#[derive(Debug, Default)]
-struct Queue {
-    lanes: Lanes,
-    /// Share of the slot time that goes to the rank.
-    busy: f64,
-    /// Share of the rank's requests that are refused for lack of room or time.
-    refused: f64,
-    /// While the rank refuses: its waiting requests at the first refusal.
-    closed_at: Option<usize>,
+    rank: usize,
+    cost: f64,
 }
 
 /// Queues by rank.
@@ -130,8 +117,8 @@
         let ahead: f64 = urgent.iter().map(|it| it.lanes.work()).sum();
         let busy: f64 = urgent.iter().map(|it| it.busy).sum();
         let mut wait = (ahead + work) / (1.0 - busy).max(LEAST_PART);
-        if let Some(first) = urgent.iter().find(|it| it.lanes.len() > 0) {
-            let sharing = self.queues.iter().filter(|it| it.lanes.len() > 0).count();
+        if let Some(first) = urgent.iter().find(|it| !it.is_empty()) {
+            let sharing = self.queues.iter().filter(|it| !it.is_empty()).count();
             let part = self.share.part(self.is_pressed(first)) / sharing.max(1) as f64;
             wait = wait.min(work / part);
         }
@@ -142,15 +129,17 @@
     /// Whether the rank's work waits but can still be served, so that each dispatch of a lower rank
     /// costs it.
     fn is_pressed(&self, queue: &Queue) -> bool {
-        queue.lanes.len() >= self.limit.get() as usize && queue.refused < FLOODED
+        queue.lanes.len() >= self.limit.get() as usize && !queue.is_flooded()
     }
 
     /// Estimated wait of a request that arrives now.
-    fn wait(&self, job: &Job, cost: f64) -> Duration {
-        if self.has_free_slot() {
+    fn wait(&self, now: Time, job: &Job, cost: f64) -> Duration {
+        let rank = job.rank.index();
+        let waits = |queue: &Queue| !queue.is_empty();
+        let first = !self.queues[..=rank].iter().any(waits);
+        if self.has_free_slot() && (first || cost < self.most_cost(now, rank)) {
             return Duration::ZERO;
         }
-        let rank = job.rank.index();
         let lanes = &self.queues[rank].lanes;
         let before = lanes.work_before(job.route, job.weight, cost);
         // On average a slot comes free after the mean time over the slots.
@@ -169,11 +158,7 @@
             reason,
             retry_after: self.retry_after(rank),
         });
-        let queue = &mut self.queues[rank];
-        queue.refused += (1.0 - queue.refused) * REFUSED_GAIN;
-        if queue.closed_at.is_none() && queue.lanes.len() > 0 {
-            queue.closed_at = Some(queue.lanes.len());
-        }
+        self.queues[rank].note_refused();
     }
 
     /// Makes room for a request; refuses it or another one where there is none.
@@ -213,76 +198,6 @@
         self.refuse(&displaced.job, Reason::Displaced, decisions);
         true
     }
-
-    /// The rank whose request is dispatched next, and whether it is so by its share.
-    fn next_rank(&self) -> Option<(usize, bool)> {
-        let waits = |rank: &usize| self.queues[*rank].lanes.len() > 0;
-        let urgent = (0..Rank::COUNT).find(waits)?;
-        let pressed = self.is_pressed(&self.queues[urgent]);
-        let below = Rank::COUNT - urgent - 1;
-        let by_turn = (0..below).map(|step| urgent + 1 + (self.turn + step) % below);
-        let due = by_turn.filter(waits).find(|rank| {
-            let cost = self.queues[*rank].lanes.next_cost().unwrap_or(0.0);
-            self.share.is_due(cost, self.times.mean(), pressed)
-        });
-        Some(due.map_or((urgent, false), |rank| (rank, true)))
-    }
-
-    fn fill(&mut self, now: Time, decisions: &mut Vec<Decision>) {
-        while self.has_free_slot() {
-            let Some((rank, by_share)) = self.next_rank() else {
-                break;
-            };
-            let Some(waiting) = self.queues[rank].lanes.pop() else {
-                break;
-            };
-            if waiting.due < now {
-                let reason = late_reason(now, &waiting.job);
-                self.refuse(&waiting.job, reason, decisions);
-                continue;
-            }
-            self.start(rank, by_share, &waiting, decisions);
-        }
-        self.reopen();
-    }
-
-    fn start(
-        &mut self,
-        rank: usize,
-        by_share: bool,
-        waiting: &Waiting,
-        decisions: &mut Vec<Decision>,
-    ) {
-        let Waiting { job, cost, .. } = *waiting;
-        self.queues[rank].lanes.charge(waiting);
-        if by_share {
-            self.share.spend(cost);
-            self.turn = self.turn.wrapping_add(1) % Rank::COUNT;
-        } else if self.queues[rank + 1..].iter().any(|it| it.lanes.len() > 0) {
-            self.share.earn(cost, self.times.mean());
-        }
-        let part = (cost / self.times.mean().max(1.0)).clamp(0.1, 10.0) * SHARE_GAIN;
-        for (at, queue) in self.queues.iter_mut().enumerate() {
-            let target = if at == rank { 1.0 } else { 0.0 };
-            queue.busy += (target - queue.busy) * part;
-        }
-        let at = self.running.partition_point(|it| it.ticket < job.ticket);
-        let (ticket, route) = (job.ticket, job.route);
-        self.running.insert(at, Running { ticket, route });
-        decisions.push(Decision::Start(ticket));
-    }
-
-    /// Accepts ranks again whose queue has fallen to half of what it was when they were closed.
-    fn reopen(&mut self) {
-        for queue in &mut self.queues {
-            if queue
-                .closed_at
-                .is_some_and(|at| queue.lanes.len() * 2 <= at)
-            {
-                queue.closed_at = None;
-            }
-        }
-    }
 }
 
 fn late_reason(now: Time, job: &Job) -> Reason {
@@ -301,8 +216,9 @@
 
     fn offer(&mut self, now: Time, job: Job, decisions: &mut Vec<Decision>) {
         let cost = self.times.cost(job.route);
+        self.queues[job.rank.index()].note_offer(now, cost);
         let due = self.due(&job);
-        let wait = self.wait(&job, cost);
+        let wait = self.wait(now, &job, cost);
         let mut due = due;
         if now + wait > due {
             let alone = wait.is_zero() && job.expires > now;
@@ -316,7 +232,7 @@
             return;
         }
         let queue = &mut self.queues[job.rank.index()];
-        queue.refused -= queue.refused * REFUSED_GAIN;
+        queue.note_accepted();
         queue.lanes.push(Waiting { job, cost, due });
         self.next_due = Some(self.next_due.map_or(due, |next| next.min(due)));
         self.fill(now, decisions);
@@ -366,9 +282,11 @@
     }
 
     fn load(&self) -> Load {
-        let closed = self.queues.iter().position(|it| it.closed_at.is_some());
+        let closed = self.queues.iter().position(Queue::is_closed);
         let accepted = closed.map_or(Rank::COUNT - 1, |rank| rank.saturating_sub(1));
+        let waiting = |queue: &Queue| u32::try_from(queue.lanes.len()).unwrap_or(u32::MAX);
         Load {
+            waiting: self.queues.each_ref().map(waiting),
             running: u32::try_from(self.running.len()).unwrap_or(u32::MAX),
             queued: u32::try_from(self.queued()).unwrap_or(u32::MAX),
             limit: self.limit.get(),
--- /dev/null
+++ b/components/admit/src/ranked/dispatch.rs
@@ -0,0 +1,110 @@
+//! Choice of the waiting request that gets a free slot.
+
+use crate::ranked::Ranked;
+use crate::ranked::Running;
+use crate::ranked::lanes::Waiting;
+use crate::ranked::late_reason;
+use ids::Rank;
+use kernel::Time;
+use policy::Decision;
+
+/// Weight of a dispatch in the shares of the ranks.
+const SHARE_GAIN: f64 = 1.0 / 64.0;
+/// How many times longer than more urgent work a request is to count as long: a slot that it takes
+/// does not come free in the time in which urgent work has to be served.
+const LONG: f64 = 4.0;
+/// Room above the mean demand of urgent work that long requests leave, in square roots of it; demand
+/// by chance varies with its square root.
+const HEADROOM: f64 = 0.5;
+
+impl Ranked {
+    /// Cost that a request of the rank has to stay below to take a slot: long requests leave as many
+    /// slots as more urgent ranks use on average, and a little more.
+    pub(super) fn most_cost(&self, now: Time, rank: usize) -> f64 {
+        let urgent = &self.queues[..rank];
+        let demand: f64 = urgent.iter().map(|it| it.demand(now)).sum();
+        let usual = urgent.iter().map(|it| it.cost).fold(0.0, f64::max);
+        let long = usual * LONG;
+        if usual == 0.0 {
+            return f64::INFINITY;
+        }
+        let places = f64::from(self.limit.get()) - demand - HEADROOM * demand.sqrt();
+        let running = self.running.iter();
+        let taken = running.filter(|it| it.rank >= rank && it.cost >= long);
+        if (taken.count() as f64) < places.floor().max(1.0) {
+            f64::INFINITY
+        } else {
+            long
+        }
+    }
+
+    /// The rank whose request is dispatched next, and whether it is so by its share.
+    fn next_rank(&self, now: Time) -> Option<(usize, bool)> {
+        let next_cost = |rank: usize| {
+            let most = self.most_cost(now, rank);
+            self.queues[rank].lanes.next_cost(most)
+        };
+        let urgent = (0..Rank::COUNT).find(|rank| next_cost(*rank).is_some())?;
+        let pressed = self.is_pressed(&self.queues[urgent]);
+        let below = Rank::COUNT - urgent - 1;
+        let mut by_turn = (0..below).map(|step| urgent + 1 + (self.turn + step) % below);
+        let due = by_turn.find(|rank| {
+            let cost = next_cost(*rank);
+            cost.is_some_and(|cost| self.share.is_due(cost, self.times.mean(), pressed))
+        });
+        Some(due.map_or((urgent, false), |rank| (rank, true)))
+    }
+
+    /// Gives free slots to waiting requests.
+    pub(super) fn fill(&mut self, now: Time, decisions: &mut Vec<Decision>) {
+        while self.has_free_slot() {
+            let Some((rank, by_share)) = self.next_rank(now) else {
+                break;
+            };
+            let most = self.most_cost(now, rank);
+            let Some(waiting) = self.queues[rank].lanes.pop(most) else {
+                break;
+            };
+            if waiting.due < now {
+                let reason = late_reason(now, &waiting.job);
+                self.refuse(&waiting.job, reason, decisions);
+                continue;
+            }
+            self.start(rank, by_share, &waiting, decisions);
+        }
+        for queue in &mut self.queues {
+            queue.reopen();
+        }
+    }
+
+    fn start(
+        &mut self,
+        rank: usize,
+        by_share: bool,
+        waiting: &Waiting,
+        decisions: &mut Vec<Decision>,
+    ) {
+        let Waiting { job, cost, .. } = *waiting;
+        self.queues[rank].lanes.charge(waiting);
+        if by_share {
+            self.share.spend(cost);
+            self.turn = self.turn.wrapping_add(1) % Rank::COUNT;
+        } else if self.queues[rank + 1..].iter().any(|it| !it.is_empty()) {
+            self.share.earn(cost, self.times.mean());
+        }
+        let part = (cost / self.times.mean().max(1.0)).clamp(0.1, 10.0) * SHARE_GAIN;
+        for (at, queue) in self.queues.iter_mut().enumerate() {
+            let target = if at == rank { 1.0 } else { 0.0 };
+            queue.busy += (target - queue.busy) * part;
+        }
+        let at = self.running.partition_point(|it| it.ticket < job.ticket);
+        let running = Running {
+            ticket: job.ticket,
+            route: job.route,
+            rank,
+            cost,
+        };
+        self.running.insert(at, running);
+        decisions.push(Decision::Start(job.ticket));
+    }
+}
--- a/components/admit/src/ranked/lanes.rs
+++ b/components/admit/src/ranked/lanes.rs
@@ -90,9 +90,9 @@
         self.work += waiting.cost;
     }
 
-    /// Takes the next request out; `None` if none waits.
-    pub(crate) fn pop(&mut self) -> Option<Waiting> {
-        let at = self.next_lane()?;
+    /// Takes out the next request that costs less than `most`.
+    pub(crate) fn pop(&mut self, most: f64) -> Option<Waiting> {
+        let at = self.next_lane(most)?;
         let waiting = self.lanes[at].jobs.pop_front()?;
         self.take_off(at, waiting.cost);
         Some(waiting)
@@ -115,9 +115,9 @@
         }
     }
 
-    /// Cost of the request that is next.
-    pub(crate) fn next_cost(&self) -> Option<f64> {
-        let at = self.next_lane()?;
+    /// Cost of the next request that costs less than `most`.
+    pub(crate) fn next_cost(&self, most: f64) -> Option<f64> {
+        let at = self.next_lane(most)?;
         self.lanes[at].jobs.front().map(|waiting| waiting.cost)
     }
 
@@ -210,9 +210,10 @@
         self.work = (self.work - cost).max(0.0);
     }
 
-    fn next_lane(&self) -> Option<usize> {
+    fn next_lane(&self, most: f64) -> Option<usize> {
         let waiting = self.lanes.iter().enumerate();
-        let waiting = waiting.filter(|(_, lane)| !lane.jobs.is_empty());
+        let fits = |lane: &Lane| lane.jobs.front().is_some_and(|it| it.cost < most);
+        let waiting = waiting.filter(|(_, lane)| fits(lane));
         let next = waiting.min_by(|a, b| a.1.pass.total_cmp(&b.1.pass));
         next.map(|(at, _)| at)
     }
--- a/components/policy/src/admission.rs
+++ b/components/policy/src/admission.rs
@@ -74,6 +74,8 @@
     pub running: u32,
     /// Requests that wait.
     pub queued: u32,
+    /// Requests that wait, by rank; a request waits for those of its own and of more urgent ranks.
+    pub waiting: [u32; Rank::COUNT],
     /// Requests that may run at once.
     pub limit: u32,
     /// The least urgent rank that is accepted now.
--- a/components/policy/src/balance.rs
+++ b/components/policy/src/balance.rs
@@ -27,11 +27,12 @@
     pub node: NodeId,
     /// Whether it is in the sender's failure domain.
     pub near: bool,
-    /// Requests of this sender that it has not answered.
+    /// Requests of this sender, as urgent as the one to send or more, that it has not answered.
     pub in_flight: u32,
     /// Requests that its upstream runs at once.
     pub slots: u32,
     /// Load that it reported, reduced with the age of the report; `None` without a recent report.
+    /// What waits counts only up to the rank of the request to send.
     pub load: Option<Load>,
     /// Share of a full endpoint's work that it should get, in thousandths; lower while it is new or
     /// has just returned.
--- a/components/simulate/examples/floods.rs
+++ b/components/simulate/examples/floods.rs
@@ -4,14 +4,15 @@
 use simulate::flood::Setting;
 use simulate::plan::PATHS;
 
-const SECONDS: u64 = 5;
+const SECONDS: u64 = 10;
 const SEED: u64 = 7;
 const FLOODS: [f64; 3] = [2.0, 5.0, 10.0];
 
-fn print(name: &str, admission: &'static str, flood: Option<(usize, f64)>) {
+fn print(name: &str, admission: &'static str, flood: Option<(usize, f64)>, sheets_length: u32) {
     let setting = Setting {
         admission,
         flood,
+        sheets_length,
         seconds: SECONDS,
         seed: SEED,
     };
@@ -41,11 +42,22 @@
     );
     println!("|---|---|{}---|---|", "---|".repeat(paths.len()));
     for admission in ["ranked", "fifo"] {
-        print("calm", admission, None);
+        print("calm", admission, None, 1);
         for (route, name) in [(4, "/sheets"), (0, "/slots")] {
             for times in FLOODS {
-                print(&format!("{name} x{times}"), admission, Some((route, times)));
+                print(
+                    &format!("{name} x{times}"),
+                    admission,
+                    Some((route, times)),
+                    1,
+                );
             }
         }
+        for length in [10, 50] {
+            let name = format!("calm, /sheets {length} times as long");
+            print(&name, admission, None, length);
+            let name = format!("/sheets x10, {length} times as long");
+            print(&name, admission, Some((4, 10.0)), length);
+        }
     }
 }
--- a/components/simulate/src/flood.rs
+++ b/components/simulate/src/flood.rs
@@ -8,6 +8,8 @@
 use crate::plan::Plan;
 use kernel::Time;
 
+/// Index of `/sheets` in [`PATHS`].
+const SHEETS: usize = 4;
 /// Slots of each owner.
 pub const SLOTS: u32 = 10;
 /// Requests a second that the three owners can serve: 30 slots of 20 ms.
@@ -24,6 +26,8 @@
     pub admission: &'static str,
     /// The route that floods, if any, and its extra load in multiples of the capacity.
     pub flood: Option<(usize, f64)>,
+    /// How many times longer requests to `/sheets` take at the upstream.
+    pub sheets_length: u32,
     /// Length of the load in seconds.
     pub seconds: u64,
     /// Seed of arrivals and service times.
@@ -61,12 +65,15 @@
         let mut plan = Plan::new(self.seed);
         plan.admission = self.admission;
         plan.slots = SLOTS;
+        plan.lengths[SHEETS] = self.sheets_length;
         for (route, rate) in CALM.iter().enumerate() {
-            plan.add_load(route, *rate, Time(0), until);
+            let rate = rate / f64::from(plan.lengths[route]);
+            plan.add_load(route, rate, Time(0), until);
         }
         if let Some((route, times)) = self.flood {
             plan.seed += 1;
-            plan.add_load(route, times * CAPACITY, Time(0), until);
+            let rate = times * CAPACITY / f64::from(plan.lengths[route]);
+            plan.add_load(route, rate, Time(0), until);
             plan.seed -= 1;
         }
         let world = World::new(plan).run();
--- a/components/simulate/src/node.rs
+++ b/components/simulate/src/node.rs
@@ -184,7 +184,8 @@
             return;
         };
         let (least, chance) = self.plan.service;
-        let time = least + exponential(&mut node.random, chance);
+        let length = self.plan.lengths[self.history.calls[task.shell].route];
+        let time = (least + exponential(&mut node.random, chance)) * length;
         if node.random.below(1_000) < self.plan.shedding {
             return self.finish(at, tag, Verdict::NotRun, true);
         }
--- a/components/simulate/src/plan.rs
+++ b/components/simulate/src/plan.rs
@@ -73,6 +73,8 @@
     pub slots: u32,
     /// Shortest time of a request at the upstream and the mean of what chance adds.
     pub service: (Duration, Duration),
+    /// How many times that each route takes.
+    pub lengths: [u32; PATHS.len()],
     pub arrivals: Vec<Arrival>,
     /// Faults of messages with how many of a thousand they hit.
     pub message_faults: Vec<(Kind, Fault, usize)>,
@@ -93,6 +95,7 @@
             admission: "ranked",
             slots: 4,
             service: (Duration::from_millis(10), Duration::from_millis(10)),
+            lengths: [1; PATHS.len()],
             arrivals: Vec::new(),
             message_faults: Vec::new(),
             owner_faults: Vec::new(),
--- a/components/simulate/tests/floods.rs
+++ b/components/simulate/tests/floods.rs
@@ -14,9 +14,18 @@
 const YIELDS: usize = 5;
 
 fn measure(admission: &'static str, flood: Option<(usize, f64)>) -> Result {
+    measure_long(admission, flood, 1)
+}
+
+fn measure_long(
+    admission: &'static str,
+    flood: Option<(usize, f64)>,
+    sheets_length: u32,
+) -> Result {
     let setting = Setting {
         admission,
         flood,
+        sheets_length,
         seconds: 4,
         seed: 61,
     };
@@ -43,6 +52,17 @@
     assert!(flood.rate >= 0.9 * CAPACITY);
 }
 
+/// Guards against urgent work that waits for slots which long requests of a low rank hold.
+#[rstest]
+fn measure_long_flood(#[values(10, 50)] length: u32) {
+    let calm = measure_long("ranked", None, length);
+    let flood = measure_long("ranked", Some((SHEETS, 10.0)), length);
+    for route in [SLOTS, BOOKINGS, PRICES] {
+        assert!(kept(&calm, &flood, route) >= 0.99);
+        assert!(flood.routes[route].p99 <= calm.routes[route].p99 * 2);
+    }
+}
+
 /// Guards against urgent routes and lower ranks that a flood of one urgent route harms.
 #[rstest]
 fn measure_urgent_flood(#[values(2.0, 5.0, 10.0)] times: f64) {
--- a/components/traffic/src/entry.rs
+++ b/components/traffic/src/entry.rs
@@ -126,7 +126,7 @@
         };
         call.begin(attempt);
         let route = call.way;
-        self.memory.get_mut(attempt.node).in_flight += 1;
+        self.memory.occupy(attempt.node, route.rank);
         self.health.note_sent(scene.now, attempt.node);
         scene.effects.push(Effect::Forward {
             call: key,
@@ -269,9 +269,10 @@
     }
 
     fn release(&mut self, key: CallKey) {
-        let attempt = self.calls.get(key).and_then(|call| call.attempt);
-        if let Some(attempt) = attempt {
-            self.memory.release(attempt.node);
+        if let Some(call) = self.calls.get(key)
+            && let Some(attempt) = call.attempt
+        {
+            self.memory.release(attempt.node, call.way.rank);
         }
     }
 }
--- a/components/traffic/src/entry/pick.rs
+++ b/components/traffic/src/entry/pick.rs
@@ -53,6 +53,7 @@
         let now = scene.now;
         let call = self.calls.get(key)?;
         let service = call.service_in(scene.picture)?;
+        let rank = call.way.rank;
         let mut options = Vec::new();
         for key in self.pool.subset(service) {
             let Some(endpoint) = scene.picture.endpoint(*key) else {
@@ -63,9 +64,9 @@
             let candidate = Candidate {
                 node: endpoint.node,
                 near: endpoint.domain == scene.picture.domain,
-                in_flight: seen.map_or(0, |seen| seen.in_flight),
+                in_flight: seen.map_or(0, |seen| seen.in_flight(rank)),
                 slots: endpoint.slots,
-                load: seen.and_then(|seen| seen.aged_load(now)),
+                load: seen.and_then(|seen| seen.aged_load(now, rank)),
                 ramp: ramp.min(self.health.weigh(now, endpoint.node)),
             };
             options.push((*key, candidate));
--- a/components/traffic/src/entry/seen.rs
+++ b/components/traffic/src/entry/seen.rs
@@ -27,7 +27,8 @@
     /// When it became ready; `None` if it was ready before the entry knew the service, or if it has
     /// left the picture.
     ready_since: Option<Time>,
-    pub(crate) in_flight: u32,
+    /// Requests that the node has not answered, by rank.
+    in_flight: [u32; Rank::COUNT],
     load: Option<(Load, Time)>,
     away_until: Time,
 }
@@ -37,23 +38,30 @@
         Self {
             node,
             ready_since: None,
-            in_flight: 0,
+            in_flight: [0; Rank::COUNT],
             load: None,
             away_until: Time::default(),
         }
     }
 
-    /// The reported load, reduced with its age.
-    pub(crate) fn aged_load(&self, now: Time) -> Option<Load> {
+    /// Requests in flight that are as urgent as `rank` or more.
+    pub(crate) fn in_flight(&self, rank: Rank) -> u32 {
+        self.in_flight[..=rank.index()].iter().sum()
+    }
+
+    /// The reported load as a request of the rank meets it, reduced with its age.
+    pub(crate) fn aged_load(&self, now: Time, rank: Rank) -> Option<Load> {
         let (load, at) = self.load?;
         let left = LOAD_AGE.checked_sub(now.since(at))?;
         let age = |count: u32| {
             let scaled = u128::from(count) * left.as_micros() / LOAD_AGE.as_micros();
             u32::try_from(scaled).unwrap_or(u32::MAX)
         };
+        let ahead = load.waiting[..=rank.index()].iter();
+        let ahead = ahead.fold(0, |sum: u32, count| sum.saturating_add(*count));
         Some(Load {
             running: age(load.running),
-            queued: age(load.queued),
+            queued: age(ahead),
             ..load
         })
     }
@@ -116,10 +124,14 @@
         self.get_mut(node).away_until = now + time.min(MAX_AWAY);
     }
 
-    pub(crate) fn release(&mut self, node: NodeId) {
+    pub(crate) fn occupy(&mut self, node: NodeId, rank: Rank) {
+        self.get_mut(node).in_flight[rank.index()] += 1;
+    }
+
+    pub(crate) fn release(&mut self, node: NodeId, rank: Rank) {
         if let Ok(at) = self.position(node) {
-            let seen = &mut self.seen[at];
-            seen.in_flight = seen.in_flight.saturating_sub(1);
+            let in_flight = &mut self.seen[at].in_flight[rank.index()];
+            *in_flight = in_flight.saturating_sub(1);
         }
     }
 
@@ -138,8 +150,10 @@
 
     /// Forgets nodes that are not ready (`ready` is sorted) and have no request in flight.
     pub(crate) fn retain_ready(&mut self, ready: &[NodeId]) {
-        self.seen
-            .retain(|seen| seen.in_flight > 0 || ready.binary_search(&seen.node).is_ok());
+        self.seen.retain(|seen| {
+            let used = seen.in_flight.iter().any(|count| *count > 0);
+            used || ready.binary_search(&seen.node).is_ok()
+        });
     }
 
     fn position(&self, node: NodeId) -> Result<usize, usize> {
--- a/components/wire/src/header.rs
+++ b/components/wire/src/header.rs
@@ -23,15 +23,17 @@
 pub const VERDICT: &str = "medlar-verdict";
 /// Name of the reason of a refusal.
 pub const REASON: &str = "medlar-reason";
-/// Load of the owner: running, queued, limit, accepted rank, separated by commas.
+/// Load of the owner: running, queued, limit, accepted rank, then queued by rank, separated by
+/// commas.
 pub const LOAD: &str = "medlar-load";
 /// Prefix of all headers that are the system's own; callers' headers with it are dropped.
 pub const PREFIX: &str = "medlar-";
 
 /// Writes the value of [`LOAD`].
 pub fn format_load(load: Load) -> String {
+    let waiting = load.waiting.map(|count| format!(",{count}")).concat();
     format!(
-        "{},{},{},{}",
+        "{},{},{},{}{waiting}",
         load.running, load.queued, load.limit, load.accepted.0
     )
 }
@@ -43,9 +45,14 @@
     let queued = parts.next()?.parse().ok()?;
     let limit = parts.next()?.parse().ok()?;
     let accepted = Rank(parts.next()?.parse().ok()?);
+    let mut waiting = [0; Rank::COUNT];
+    for count in &mut waiting {
+        *count = parts.next()?.parse().ok()?;
+    }
     parts.next().is_none().then_some(Load {
         running,
         queued,
+        waiting,
         limit,
         accepted,
     })
