--- a/components/balance/src/two.rs
+++ b/components/balance/src/two.rs
@@ -10,10 +10,11 @@
 use policy::FULL_WEIGHT;
 
 /// Pressure up to which the own failure domain takes all, in thousandths of the slots. Spilling over
-/// starts before requests have to wait.
-const SPILL_PRESSURE: u64 = 750;
-/// How much lower the pressure elsewhere has to be, in thousandths of the slots, to be worth the way.
-const SPILL_GAIN: u64 = 250;
+/// starts before requests have to wait; at 750 urgent work in a flood waited up to a third longer.
+const SPILL_PRESSURE: u64 = 600;
+/// How much lower the pressure elsewhere has to be, in thousandths of the slots, to be worth the way:
+/// a place in a queue before ten slots costs about as much as the way between failure domains.
+const SPILL_GAIN: u64 = 100;
 /// Draws after which an endpoint with a low weight is taken nevertheless.
 const MAX_DRAWS: usize = 8;
 
@@ -30,7 +31,7 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Two;
 
-/// Work at the endpoint with one more request, in thousandths of what it takes at once.
+/// Work at the endpoint, in thousandths of what it should take at once.
 fn pressure(candidate: &Candidate) -> u64 {
     let (reported, limit) = candidate.load.map_or((0, 0), |load| {
         (load.running.saturating_add(load.queued), load.limit)
@@ -39,7 +40,7 @@
         0 => candidate.slots,
         limit => limit.min(candidate.slots),
     };
-    let ahead = u64::from(reported.max(candidate.in_flight)) + 1;
+    let ahead = u64::from(reported.max(candidate.in_flight));
     let share = u64::from(candidate.ramp.clamp(1, FULL_WEIGHT));
     ahead * 1_000 * u64::from(FULL_WEIGHT) / (u64::from(capacity.max(1)) * share)
 }
--- /dev/null
+++ b/components/health/tests/outcomes.rs
@@ -0,0 +1,113 @@
+//! Guards ejection by outcomes: when it begins, how far it goes and how it ends.
+
+use rstest::rstest;
+
+use health::Outcomes;
+use ids::NodeId;
+use kernel::Time;
+use kernel::plugin::Params;
+use policy::FULL_WEIGHT;
+use policy::Health;
+
+const SECOND: u64 = 1_000_000;
+const BAD: NodeId = NodeId(0);
+
+fn new_outcomes() -> Outcomes {
+    Outcomes::from_params(&Params::default()).expect("default params are valid")
+}
+
+fn record(health: &mut Outcomes, at: u64, node: NodeId, outcomes: &str) {
+    for outcome in outcomes.chars() {
+        health.record(Time(at), node, outcome == '+');
+    }
+}
+
+fn healthy(health: &mut Outcomes, at: u64, count: u64) -> Vec<u64> {
+    let mut nodes: Vec<_> = (0..count).map(NodeId).collect();
+    health.retain_healthy(Time(at), &mut nodes);
+    nodes.into_iter().map(|node| node.0).collect()
+}
+
+/// Guards against ejection for single failures, and against a node that fails half of the time.
+#[rstest]
+#[case::two_in_a_row("+++--", false)]
+#[case::three_in_a_row("+++---", true)]
+#[case::few_failures("++-++-++-++-+", false)]
+#[case::half("+-+-+-+-+-", true)]
+#[case::half_of_few("+-+-", false)]
+fn record_failures(#[case] outcomes: &str, #[case] ejected: bool) {
+    let mut health = new_outcomes();
+    record(&mut health, 0, BAD, outcomes);
+    assert_eq!(
+        healthy(&mut health, 1, 3).len(),
+        if ejected { 2 } else { 3 }
+    );
+}
+
+/// Guards against old failures that count for ever.
+#[rstest]
+fn record_old_failures() {
+    let mut health = new_outcomes();
+    record(&mut health, 0, BAD, "++--++--");
+    record(&mut health, 60 * SECOND, BAD, "++--++");
+    assert_eq!(healthy(&mut health, 60 * SECOND, 3).len(), 3);
+}
+
+/// Guards against more than a third ejected, which would overload the rest.
+#[rstest]
+#[case::one(1, 0)]
+#[case::two(2, 0)]
+#[case::three(3, 1)]
+#[case::five(5, 1)]
+#[case::six(6, 2)]
+fn retain_bound(#[case] count: u64, #[case] ejected: u64) {
+    let mut health = new_outcomes();
+    for node in 0..count {
+        record(&mut health, node, NodeId(node), "---");
+    }
+    let left = healthy(&mut health, 10, count);
+    assert_eq!(left.len() as u64, count - ejected);
+    // Those that failed last are out; the spared ones get little.
+    assert!(left.iter().all(|node| *node < count - ejected));
+    assert!(health.weigh(Time(10), BAD) < FULL_WEIGHT / 10);
+}
+
+/// Guards against ejections that do not grow, trials by more than one request, and a return at once
+/// to the full share.
+#[rstest]
+fn record_trials() {
+    let mut health = new_outcomes();
+    let mut now = 0;
+    record(&mut health, now, BAD, "---");
+    for seconds in [2, 4, 8, 16, 32, 60, 60] {
+        assert_eq!(healthy(&mut health, now + seconds * SECOND - 1, 3).len(), 2);
+        now += seconds * SECOND;
+        assert_eq!(healthy(&mut health, now, 3).len(), 3);
+        assert!(health.is_on_trial(Time(now), BAD));
+        health.note_sent(Time(now), BAD);
+        assert_eq!(healthy(&mut health, now + 1, 3).len(), 2);
+        record(&mut health, now, BAD, "-");
+    }
+    now += 60 * SECOND;
+    health.note_sent(Time(now), BAD);
+    assert_eq!(
+        healthy(&mut health, now + 5 * SECOND, 3).len(),
+        3,
+        "a lost trial ends"
+    );
+    record(&mut health, now, BAD, "+");
+    assert_eq!(healthy(&mut health, now, 3).len(), 3);
+    let weights = [0, 1, 3, 5].map(|second| health.weigh(Time(now + second * SECOND), BAD));
+    assert_eq!(weights, [100, 280, 640, 1_000]);
+}
+
+/// Guards against records of nodes that have left.
+#[rstest]
+fn retain_known_left() {
+    let mut health = new_outcomes();
+    for node in 0..100 {
+        record(&mut health, 0, NodeId(node), "-");
+    }
+    health.retain_known(&[NodeId(3), NodeId(5)]);
+    assert_eq!(health.nodes(), 2);
+}
--- /dev/null
+++ b/components/retry/tests/budget.rs
@@ -0,0 +1,114 @@
+//! Guards the decision to try again and the budget that bounds it.
+
+use std::time::Duration;
+
+use proptest::collection::vec;
+use proptest::prelude::ProptestConfig;
+use proptest::prop_assert;
+use proptest::proptest;
+use rstest::rstest;
+
+use errors::Reason;
+use errors::Verdict;
+use ids::ServiceId;
+use kernel::Time;
+use kernel::plugin::Params;
+use kernel::random::Seeded;
+use policy::Failure;
+use policy::Retry;
+use retry::Budget;
+
+const SERVICE: ServiceId = ServiceId(1);
+const FAILURE: Failure = Failure {
+    service: SERVICE,
+    verdict: Verdict::NotRun,
+    reason: Reason::QueueFull,
+    idempotent: false,
+    attempts: 1,
+    left: Duration::from_millis(200),
+    outer_retries: false,
+    replayable: true,
+    retry_after: Duration::from_millis(100),
+    elsewhere: true,
+};
+
+fn new_budget() -> Budget {
+    Budget::from_params(&Params::default()).expect("default params are valid")
+}
+
+/// Guards against a retry that could run a request twice, double the work of an outer level, or
+/// come too late.
+#[rstest]
+#[case::not_run(FAILURE, None)]
+#[case::may_have_run(Failure { verdict: Verdict::MayHaveRun, ..FAILURE }, Some(Reason::NotRepeatable))]
+#[case::ran(Failure { verdict: Verdict::Ran, ..FAILURE }, Some(Reason::NotRepeatable))]
+#[case::idempotent(Failure { verdict: Verdict::MayHaveRun, idempotent: true, ..FAILURE }, None)]
+#[case::outer(Failure { outer_retries: true, ..FAILURE }, Some(Reason::OuterRetries))]
+#[case::attempts(Failure { attempts: 3, ..FAILURE }, Some(Reason::AttemptsSpent))]
+#[case::body_gone(Failure { replayable: false, ..FAILURE }, Some(Reason::AttemptsSpent))]
+#[case::no_time(Failure { left: Duration::ZERO, ..FAILURE }, Some(Reason::DeadlineTooShort))]
+#[case::owner_says_later(
+    Failure { elsewhere: false, retry_after: Duration::from_millis(300), ..FAILURE },
+    Some(Reason::DeadlineTooShort)
+)]
+fn allow_failure(#[case] failure: Failure, #[case] denied: Option<Reason>) {
+    let mut budget = new_budget();
+    assert_eq!(budget.would_allow(Time(0), failure), denied.is_none());
+    let allowed = budget.allow(Time(0), failure, &mut Seeded::new(1));
+    assert_eq!(allowed.err(), denied);
+}
+
+/// Guards against a retry at the same owner before the time that it gave, or after the deadline.
+#[rstest]
+#[case::elsewhere(true, 0, 10)]
+#[case::same_owner(false, 100, 110)]
+fn allow_wait(#[case] elsewhere: bool, #[case] least: u64, #[case] most: u64) {
+    let failure = Failure {
+        elsewhere,
+        attempts: 2,
+        ..FAILURE
+    };
+    for seed in 0..50 {
+        let wait = new_budget().allow(Time(0), failure, &mut Seeded::new(seed));
+        let wait = wait.expect("it is allowed");
+        assert!(wait >= Duration::from_millis(least));
+        assert!(wait <= Duration::from_millis(most));
+    }
+}
+
+/// Guards against state of services that are no longer used.
+#[rstest]
+fn count_first_many() {
+    let mut budget = new_budget();
+    for service in 0..1_000 {
+        budget.count_first(Time(service * 1_000_000), ServiceId(service));
+    }
+    assert!(budget.services() < 100);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::with_cases(256) })]
+
+    /// Guards against retries beyond a tenth of the first tries, in any stretch of time.
+    #[rstest]
+    fn allow_any(steps in vec((0_u8..3, 0_u64..20_000), 1..600)) {
+        let mut budget = new_budget();
+        let mut random = Seeded::new(2);
+        let mut now = 0;
+        let (mut firsts, mut retries): (Vec<u64>, Vec<u64>) = (Vec::new(), Vec::new());
+        for (kind, pause) in steps {
+            now += pause;
+            if kind < 2 {
+                budget.count_first(Time(now), SERVICE);
+                firsts.push(now);
+            } else if let Ok(wait) = budget.allow(Time(now), FAILURE, &mut random) {
+                prop_assert!(wait < FAILURE.left);
+                retries.push(now);
+            }
+        }
+        // Both counts are halved together; that gives back at most half of the reserve each time.
+        let tenth = firsts.len() as f64 / 10.0;
+        let halvings = now as f64 / 5e6 + 1.0;
+        prop_assert!(retries.len() as f64 <= tenth + 3.0 + 1.5 * halvings);
+    }
+}
--- a/components/traffic/src/entry.rs
+++ b/components/traffic/src/entry.rs
@@ -143,6 +143,7 @@
             return;
         };
         let (now, node) = (scene.now, attempt.node);
+        let judged = call.judge(&report);
         if let Some(load) = report.load {
             self.memory.note_load(now, node, load);
         }
@@ -153,7 +154,9 @@
                 self.memory.note_away(now, node, time);
             }
         }
-        self.health.record(now, node, !is_node_fault(report.reason));
+        if let Some(good) = judged {
+            self.health.record(now, node, good);
+        }
         match report.reason {
             None => scene.effects.push(Effect::Deliver { call: key }),
             Some(reason) => self.fail(scene, key, reason, report),
@@ -227,7 +230,10 @@
             return;
         };
         let verdict = match outcome {
-            Outcome::Running => return scene.effects.push(Effect::Wait { call: key }),
+            Outcome::Running => {
+                call.heard = true;
+                return scene.effects.push(Effect::Wait { call: key });
+            }
             Outcome::Done { stored: true, .. } => return self.fetch(scene, key),
             Outcome::Done {
                 verdict: Verdict::Ran,
@@ -344,14 +350,6 @@
     }
 }
 
-/// Whether a failure speaks against the node rather than for a full or leaving one.
-fn is_node_fault(reason: Option<Reason>) -> bool {
-    matches!(
-        reason,
-        Some(Reason::ConnectFailed | Reason::ConnectionBroken | Reason::ConnectionSilent)
-    )
-}
-
 /// Whether a refusal means that the node takes no request at all for a while.
 fn is_away(reason: Reason) -> bool {
     matches!(
--- a/components/traffic/src/entry/call.rs
+++ b/components/traffic/src/entry/call.rs
@@ -31,6 +31,8 @@
     pub(crate) verdict: Verdict,
     /// Times that the silence bound has passed for the attempt.
     pub(crate) silences: u32,
+    /// Whether the owner has said that the attempt waits or runs.
+    pub(crate) heard: bool,
     /// Times that the owner said the attempt has ended while no answer had come.
     pub(crate) ended_told: u32,
     /// Failed fetches of the stored answer.
@@ -70,6 +72,7 @@
             tried: Vec::new(),
             verdict: Verdict::NotRun,
             silences: 0,
+            heard: false,
             ended_told: 0,
             fetches: 0,
         })
@@ -85,10 +88,27 @@
         self.attempt = Some(attempt);
         self.tried.push(attempt.node);
         self.silences = 0;
+        self.heard = false;
         self.ended_told = 0;
         self.fetches = 0;
     }
 
+    /// What a report on the present attempt says of the node; `None` if nothing.
+    pub(crate) fn judge(&self, report: &Report) -> Option<bool> {
+        match report.reason {
+            Some(Reason::ConnectFailed | Reason::ConnectionBroken | Reason::ConnectionSilent) => {
+                Some(false)
+            }
+            // A deadline shorter than the silence bound passes without a query.
+            Some(Reason::DeadlinePassed) if report.verdict == Verdict::MayHaveRun => {
+                let heard = self.heard || report.load.is_some();
+                (!heard).then_some(false)
+            }
+            // A full or leaving node answers, so it is healthy.
+            Some(_) | None => Some(true),
+        }
+    }
+
     /// The failure of the present attempt, as the retry policy sees it.
     pub(crate) fn failure(
         &self,
--- /dev/null
+++ b/components/traffic/tests/entry.rs
@@ -0,0 +1,405 @@
+//! Guards the entry's choices: where a request goes, when it is shed, what becomes of a failure.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rstest::rstest;
+
+use balance::Two;
+use config::Snapshot;
+use control::Life;
+use control::Picture;
+use errors::Reason;
+use errors::Verdict;
+use health::Outcomes;
+use ids::Domain;
+use ids::Incarnation;
+use ids::NodeId;
+use ids::Rank;
+use ids::RequestId;
+use ids::Version;
+
+use kernel::Machine as _;
+use kernel::Time;
+use kernel::plugin::Params;
+use kernel::random::Seeded;
+use member::Address;
+use member::Member;
+use member::Stage;
+use member::Status;
+use member::Table;
+use member::Upstream;
+use policy::Load;
+use retry::Budget;
+use traffic::Refusal;
+use traffic::entry::Attempt;
+use traffic::entry::CallKey;
+use traffic::entry::Effect;
+use traffic::entry::Head;
+use traffic::entry::Input;
+use traffic::entry::Machine;
+use traffic::entry::Report;
+use traffic::ledger::Outcome;
+
+const TEXT: &str = "services:
+  - name: stock
+    routes:
+      - {method: GET, path: /flood, rank: 3, deadline_ms: 2000, idempotent: true}
+      - {method: GET, path: /calm, rank: 3, deadline_ms: 2000, idempotent: true}
+      - {method: POST, path: /once, rank: 0, deadline_ms: 2000, idempotent: false}
+";
+const SECOND: u64 = 1_000_000;
+
+struct Rig {
+    machine: Machine,
+    random: Seeded,
+    snapshot: Arc<Snapshot>,
+    picture: Arc<Picture>,
+    me: NodeId,
+    generation: u32,
+}
+
+impl Rig {
+    /// An entry that sees these nodes; every fourth of them is in its failure domain.
+    fn new(me: u64, nodes: impl IntoIterator<Item = u64>) -> Self {
+        let params = Params::default();
+        let snapshot = Arc::new(config::compile(TEXT, Version(1)).expect("the text is valid"));
+        let me = NodeId(me);
+        let machine = Machine::new(
+            Box::new(Two),
+            Box::new(Budget::from_params(&params).expect("valid")),
+            Box::new(Outcomes::from_params(&params).expect("valid")),
+        );
+        let domain = Domain::new("d0");
+        let table = Table::default();
+        let picture = Picture::new(me, domain, Life::Serving, None, &table, 0);
+        let mut rig = Self {
+            machine,
+            random: Seeded::new(9),
+            snapshot,
+            picture: Arc::new(picture),
+            me,
+            generation: 0,
+        };
+        rig.see(nodes);
+        rig
+    }
+
+    fn see(&mut self, nodes: impl IntoIterator<Item = u64>) {
+        let mut table = Table::default();
+        for node in nodes {
+            let address = SocketAddr::from(([127, 0, 0, 1], 1));
+            table.merge(Member {
+                id: NodeId(node),
+                address: Address {
+                    peer: address,
+                    requests: address,
+                    admin: address,
+                },
+                domain: Domain::new(&format!("d{}", node % 4)),
+                incarnation: Incarnation(1),
+                status: Status::Alive,
+                stage: Stage::Ready,
+                upstream: Some(Upstream {
+                    service: Arc::from("stock"),
+                    slots: 10,
+                    connections: 100,
+                }),
+            });
+        }
+        self.generation += 1;
+        self.picture = Arc::new(Picture::new(
+            self.me,
+            Domain::new("d0"),
+            Life::Serving,
+            Some(Arc::clone(&self.snapshot)),
+            &table,
+            self.generation,
+        ));
+    }
+
+    fn step(&mut self, now: u64, input: Input) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        self.machine
+            .step(Time(now), input, &mut self.random, &mut effects);
+        effects
+    }
+
+    fn arrive(&mut self, now: u64, method: &str, path: &str) -> Vec<Effect> {
+        let head = Head {
+            id: RequestId(1),
+            method: method.to_owned(),
+            path: path.to_owned(),
+            left: None,
+            outer_retries: false,
+            replayable: true,
+        };
+        let picture = Arc::clone(&self.picture);
+        self.step(now, Input::Arrived { picture, head })
+    }
+
+    fn answer(&mut self, now: u64, call: CallKey, report: Report) -> Vec<Effect> {
+        let picture = Arc::clone(&self.picture);
+        let input = Input::Answered {
+            call,
+            picture,
+            report,
+        };
+        self.step(now, input)
+    }
+
+    fn tell(&mut self, now: u64, call: CallKey, outcome: Outcome) -> Vec<Effect> {
+        let picture = Arc::clone(&self.picture);
+        let input = Input::Told {
+            call,
+            picture,
+            outcome,
+        };
+        self.step(now, input)
+    }
+
+    /// Sends a request that is answered well at once; gives the node that served it.
+    fn serve(&mut self, now: u64, path: &str, load: Option<Load>) -> NodeId {
+        let (call, attempt) = forwarded(&self.arrive(now, "GET", path));
+        let report = Report {
+            verdict: Verdict::Ran,
+            reason: None,
+            retry_after: Duration::ZERO,
+            load,
+        };
+        self.answer(now, call, report);
+        self.step(now, Input::Ended { call });
+        attempt.node
+    }
+}
+
+fn forwarded(effects: &[Effect]) -> (CallKey, Attempt) {
+    let found = effects.iter().find_map(|effect| match effect {
+        Effect::Forward { call, attempt, .. } => Some((*call, *attempt)),
+        _ => None,
+    });
+    found.expect("the request is forwarded")
+}
+
+fn refused(effects: &[Effect]) -> Option<Refusal> {
+    effects.iter().find_map(|effect| match effect {
+        Effect::Refuse { refusal } => Some(*refusal),
+        _ => None,
+    })
+}
+
+fn failed(verdict: Verdict, reason: Reason) -> Report {
+    Report {
+        verdict,
+        reason: Some(reason),
+        retry_after: Duration::ZERO,
+        load: None,
+    }
+}
+
+/// Guards against shedding that hits routes which do not flood, lasts after the reports are old, or
+/// lets nothing through that would notice the recovery.
+#[rstest]
+#[case::flood("/flood", 1_000, 850..1_000)]
+#[case::calm_route("/calm", 1_000, 0..1)]
+#[case::old_reports("/flood", 300_000, 0..1)]
+fn arrive_shed(#[case] path: &str, #[case] later: u64, #[case] shed: std::ops::Range<usize>) {
+    let mut rig = Rig::new(99, [1, 2, 3]);
+    let load = Load {
+        running: 10,
+        limit: 10,
+        accepted: Rank(2),
+        ..Load::default()
+    };
+    for _ in 0..100 {
+        rig.serve(0, "/calm", Some(load));
+    }
+    let (call, _) = forwarded(&rig.arrive(0, "GET", "/flood"));
+    let report = failed(Verdict::NotRun, Reason::QueueFull);
+    let effects = rig.answer(0, call, report);
+    if let Some(Effect::Forward { call, .. }) = effects.last() {
+        rig.step(0, Input::Ended { call: *call });
+    }
+    let mut count = 0;
+    for _ in 0..1_000 {
+        let effects = rig.arrive(later, "GET", path);
+        match refused(&effects) {
+            Some(refusal) => {
+                assert_eq!(refusal.reason, Reason::ShedEarly);
+                count += 1;
+            }
+            None => {
+                let (call, _) = forwarded(&effects);
+                rig.step(later, Input::Ended { call });
+            }
+        }
+    }
+    assert!(shed.contains(&count), "{count}");
+}
+
+/// Guards against connections to all endpoints of a large service, against entries that all use the
+/// same part of it, and against a part without endpoints of the own failure domain.
+#[rstest]
+fn arrive_subset() {
+    let mut used = vec![0; 200];
+    for me in 1_000..1_040 {
+        let mut rig = Rig::new(me, 0..200);
+        let mut nodes = Vec::new();
+        for step in 0..400 {
+            let (_, attempt) = forwarded(&rig.arrive(step, "GET", "/calm"));
+            nodes.push(attempt.node);
+        }
+        nodes.sort_unstable();
+        nodes.dedup();
+        assert!(nodes.len() <= 20);
+        assert_eq!(nodes.iter().filter(|node| node.0 % 4 == 0).count(), 10);
+        nodes.iter().for_each(|node| used[node.0 as usize] += 1);
+    }
+    let unused = used.iter().filter(|count| **count == 0).count();
+    assert!(unused < 20, "{unused} of 200");
+}
+
+/// Guards against memory of nodes that left the picture.
+#[rstest]
+fn arrive_churn() {
+    let mut rig = Rig::new(99, 0..10);
+    for round in 0..50 {
+        rig.see(round * 10..round * 10 + 10);
+        for _ in 0..20 {
+            rig.serve(round * SECOND, "/calm", None);
+        }
+    }
+    assert!(rig.machine.known_nodes() <= 10);
+    assert_eq!(rig.machine.open_calls(), 0);
+}
+
+/// Guards against a rush to an endpoint that has just appeared, and one that never gets work.
+#[rstest]
+fn arrive_new_endpoint() {
+    let mut rig = Rig::new(99, [1, 2, 3, 5]);
+    rig.serve(0, "/calm", None);
+    rig.see([1, 2, 3, 5, 6]);
+    let mut share = |at: u64| {
+        let nodes = (0..1_000).map(|_| rig.serve(at, "/calm", None));
+        nodes.filter(|node| *node == NodeId(6)).count()
+    };
+    let shares = [share(SECOND), share(2 * SECOND), share(6 * SECOND)];
+    assert!(shares[0] < 60 && shares[0] > 0, "{shares:?}");
+    assert!(shares[1] < 120, "{shares:?}");
+    assert!(shares[2] > 150, "{shares:?}");
+}
+
+/// Guards against new work for an endpoint that has said that it leaves.
+#[rstest]
+#[case::draining(Reason::Draining, 0)]
+#[case::full(Reason::QueueFull, 1)]
+fn answered_away(#[case] reason: Reason, #[case] least: usize) {
+    let mut rig = Rig::new(99, [1, 2, 3]);
+    let (call, attempt) = forwarded(&rig.arrive(0, "GET", "/calm"));
+    let effects = rig.answer(0, call, failed(Verdict::NotRun, reason));
+    let (_, second) = forwarded(&effects);
+    assert_ne!(second.node, attempt.node);
+    let nodes = (0..200).map(|step| rig.serve(1_000 + step, "/calm", None));
+    let again = nodes.filter(|node| *node == attempt.node).count();
+    assert!(again >= least && (least > 0 || again == 0), "{again}");
+}
+
+/// Guards against a silent node that keeps its place because deadlines pass before it is asked, and
+/// against the ejection of one that is merely slow.
+#[rstest]
+#[case::never_heard(false, 0)]
+#[case::slow(true, 1)]
+fn answered_deadline(#[case] heard: bool, #[case] least: usize) {
+    let mut rig = Rig::new(99, [1, 2, 3]);
+    for _ in 0..30 {
+        let (call, attempt) = forwarded(&rig.arrive(0, "POST", "/once"));
+        if attempt.node == NodeId(1) {
+            let load = heard.then(Load::default);
+            let late = failed(Verdict::MayHaveRun, Reason::DeadlinePassed);
+            rig.answer(0, call, Report { load, ..late });
+        } else {
+            rig.step(0, Input::Ended { call });
+        }
+    }
+    let nodes = (0..100).map(|_| rig.serve(0, "/calm", None));
+    let count = nodes.filter(|node| *node == NodeId(1)).count();
+    assert!(count >= least && (least > 0 || count == 0), "{count}");
+}
+
+/// Guards against "not run" for a call whose earlier attempt may have run.
+#[rstest]
+fn answered_verdicts() {
+    let mut rig = Rig::new(99, [1, 2, 3]);
+    let (call, _) = forwarded(&rig.arrive(0, "GET", "/calm"));
+    let broken = failed(Verdict::MayHaveRun, Reason::ConnectionBroken);
+    let effects = rig.answer(1, call, broken);
+    assert_eq!(forwarded(&effects).1.number, 2);
+    let effects = rig.answer(2, call, failed(Verdict::NotRun, Reason::QueueFull));
+    assert_eq!(forwarded(&effects).1.number, 3);
+    let effects = rig.answer(3, call, failed(Verdict::NotRun, Reason::QueueFull));
+    let denied = Effect::Denied {
+        reason: Reason::AttemptsSpent,
+    };
+    assert!(effects.contains(&denied));
+    assert_eq!(
+        refused(&effects).map(|it| it.verdict),
+        Some(Verdict::MayHaveRun)
+    );
+}
+
+/// Guards against giving up a queued attempt too soon, or where a lost answer would make it unknown.
+#[rstest]
+#[case::idempotent("GET", "/calm", [false, true])]
+#[case::not_idempotent("POST", "/once", [false, false])]
+fn silent_give_up(#[case] method: &str, #[case] path: &str, #[case] expected: [bool; 2]) {
+    let mut rig = Rig::new(99, [1, 2, 3]);
+    let (call, _) = forwarded(&rig.arrive(0, method, path));
+    for (step, expected) in (1..).zip(expected) {
+        let effects = rig.step(step, Input::Silent { call });
+        let [Effect::Query { give_up, .. }] = effects[..] else {
+            panic!("not one query: {effects:?}");
+        };
+        assert_eq!(give_up, expected);
+        let effects = rig.tell(step, call, Outcome::Running);
+        assert_eq!(effects, [Effect::Wait { call }]);
+    }
+}
+
+/// Guards against an answer that is stored and not fetched, and one that is taken for lost while it
+/// is on its way.
+#[rstest]
+#[case::found(true, true)]
+#[case::lost(true, false)]
+#[case::not_stored(false, false)]
+fn told_done(#[case] stored: bool, #[case] found: bool) {
+    let mut rig = Rig::new(99, [1, 2, 3]);
+    let (call, attempt) = forwarded(&rig.arrive(0, "POST", "/once"));
+    let done = Outcome::Done {
+        verdict: Verdict::Ran,
+        stored,
+    };
+    let mut effects = rig.tell(1, call, done);
+    if stored {
+        assert_eq!(effects, [Effect::Fetch { call, attempt }]);
+        let picture = Arc::clone(&rig.picture);
+        let fetched = Input::Fetched {
+            call,
+            picture,
+            found,
+        };
+        effects = rig.step(2, fetched.clone());
+        if !found {
+            assert_eq!(effects, [Effect::Fetch { call, attempt }]);
+            effects = rig.step(3, fetched);
+        }
+    } else {
+        assert_eq!(effects, [Effect::Wait { call }]);
+        effects = rig.tell(3, call, done);
+    }
+    if found {
+        assert_eq!(effects, [Effect::Deliver { call }]);
+    } else {
+        assert_eq!(refused(&effects).map(|it| it.verdict), Some(Verdict::Ran));
+    }
+}
