Learn the limit from logarithms; treat unmeasured routes as long

The first requests of a route to finish are its shortest ones, so the route's base was too low and each later one looked congested. Until the route was measured at all, its requests took every slot for a second.

Change: a window averages the logarithms of latency over base, and the first 8 samples of a route say nothing. A route of a lower rank that has not been measured takes only the slots that more urgent work leaves.

--- a/components/admit/src/ranked.rs
+++ b/components/admit/src/ranked.rs
@@ -40,6 +40,8 @@
 const KEPT_PLACES: usize = 4;
 /// Least part of the slots that is assumed to be left by more urgent ranks.
 const LEAST_PART: f64 = 0.01;
+/// Size of a request whose route has not been measured; above all that are.
+const UNMEASURED: f64 = f64::MAX;
 const SHORTEST_RETRY: Duration = Duration::from_millis(50);
 const LONGEST_RETRY: Duration = Duration::from_secs(5);
 
@@ -54,7 +56,7 @@
     ticket: Ticket,
     route: RouteId,
     rank: usize,
-    cost: f64,
+    size: f64,
 }
 
 /// Queues by rank.
@@ -104,6 +106,16 @@
         self.running.len() < self.limit.get() as usize
     }
 
+    /// Slot time that a request can take, in microseconds; a route that has not been measured can take
+    /// any.
+    fn size(&self, job: &Job) -> f64 {
+        if self.times.knows(job.route) {
+            self.times.cost(job.route)
+        } else {
+            UNMEASURED
+        }
+    }
+
     /// When a request can no longer finish in time if it has not started.
     fn due(&self, job: &Job) -> Time {
         let fast = u64::try_from(self.times.fast(job.route).as_micros()).unwrap_or(u64::MAX);
@@ -137,7 +149,7 @@
         let rank = job.rank.index();
         let waits = |queue: &Queue| !queue.is_empty();
         let first = !self.queues[..=rank].iter().any(waits);
-        if self.has_free_slot() && (first || cost < self.most_cost(now, rank)) {
+        if self.has_free_slot() && (first || self.size(job) < self.most_size(now, rank)) {
             return Duration::ZERO;
         }
         let lanes = &self.queues[rank].lanes;
@@ -231,9 +243,15 @@
         if !self.make_room(&job, decisions) {
             return;
         }
+        let size = self.size(&job);
         let queue = &mut self.queues[job.rank.index()];
         queue.note_accepted();
-        queue.lanes.push(Waiting { job, cost, due });
+        queue.lanes.push(Waiting {
+            job,
+            cost,
+            size,
+            due,
+        });
         self.next_due = Some(self.next_due.map_or(due, |next| next.min(due)));
         self.fill(now, decisions);
     }
@@ -244,13 +262,13 @@
         };
         let saturated = !self.has_free_slot();
         let running = self.running.remove(at);
-        let ratio = if finish.shed {
-            1.0
+        let excess = if finish.shed {
+            0.0
         } else {
             self.times.learn(now, running.route, finish.latency)
         };
         self.limit
-            .learn(now, finish.latency, ratio, finish.shed, saturated);
+            .learn(now, finish.latency, excess, finish.shed, saturated);
         self.fill(now, decisions);
     }
 
--- a/components/admit/src/ranked/dispatch.rs
+++ b/components/admit/src/ranked/dispatch.rs
@@ -17,22 +17,26 @@
 /// by chance varies with its square root.
 const HEADROOM: f64 = 0.5;
 
+/// Above the size of every request.
+const NO_BOUND: f64 = f64::INFINITY;
+
 impl Ranked {
-    /// Cost that a request of the rank has to stay below to take a slot: long requests leave as many
-    /// slots as more urgent ranks use on average, and a little more.
-    pub(super) fn most_cost(&self, now: Time, rank: usize) -> f64 {
+    /// Size that a request of the rank has to stay below to take a slot: long requests, and those
+    /// that have not been measured, leave as many slots as more urgent ranks use on average, and a
+    /// little more.
+    pub(super) fn most_size(&self, now: Time, rank: usize) -> f64 {
         let urgent = &self.queues[..rank];
         let demand: f64 = urgent.iter().map(|it| it.demand(now)).sum();
         let usual = urgent.iter().map(|it| it.cost).fold(0.0, f64::max);
         let long = usual * LONG;
         if usual == 0.0 {
-            return f64::INFINITY;
+            return NO_BOUND;
         }
         let places = f64::from(self.limit.get()) - demand - HEADROOM * demand.sqrt();
         let running = self.running.iter();
-        let taken = running.filter(|it| it.rank >= rank && it.cost >= long);
+        let taken = running.filter(|it| it.rank >= rank && it.size >= long);
         if (taken.count() as f64) < places.floor().max(1.0) {
-            f64::INFINITY
+            NO_BOUND
         } else {
             long
         }
@@ -41,7 +45,7 @@
     /// The rank whose request is dispatched next, and whether it is so by its share.
     fn next_rank(&self, now: Time) -> Option<(usize, bool)> {
         let next_cost = |rank: usize| {
-            let most = self.most_cost(now, rank);
+            let most = self.most_size(now, rank);
             self.queues[rank].lanes.next_cost(most)
         };
         let urgent = (0..Rank::COUNT).find(|rank| next_cost(*rank).is_some())?;
@@ -61,7 +65,7 @@
             let Some((rank, by_share)) = self.next_rank(now) else {
                 break;
             };
-            let most = self.most_cost(now, rank);
+            let most = self.most_size(now, rank);
             let Some(waiting) = self.queues[rank].lanes.pop(most) else {
                 break;
             };
@@ -84,7 +88,9 @@
         waiting: &Waiting,
         decisions: &mut Vec<Decision>,
     ) {
-        let Waiting { job, cost, .. } = *waiting;
+        let Waiting {
+            job, cost, size, ..
+        } = *waiting;
         self.queues[rank].lanes.charge(waiting);
         if by_share {
             self.share.spend(cost);
@@ -102,7 +108,7 @@
             ticket: job.ticket,
             route: job.route,
             rank,
-            cost,
+            size,
         };
         self.running.insert(at, running);
         decisions.push(Decision::Start(job.ticket));
--- a/components/admit/src/ranked/lanes.rs
+++ b/components/admit/src/ranked/lanes.rs
@@ -17,6 +17,8 @@
     pub(crate) job: Job,
     /// Slot time that it will take, in microseconds.
     pub(crate) cost: f64,
+    /// The same, but without bound if the route has not been measured.
+    pub(crate) size: f64,
     /// When it can no longer finish in time if it has not started.
     pub(crate) due: Time,
 }
@@ -90,7 +92,7 @@
         self.work += waiting.cost;
     }
 
-    /// Takes out the next request that costs less than `most`.
+    /// Takes out the next request whose size is less than `most`.
     pub(crate) fn pop(&mut self, most: f64) -> Option<Waiting> {
         let at = self.next_lane(most)?;
         let waiting = self.lanes[at].jobs.pop_front()?;
@@ -115,7 +117,7 @@
         }
     }
 
-    /// Cost of the next request that costs less than `most`.
+    /// Cost of the next request whose size is less than `most`.
     pub(crate) fn next_cost(&self, most: f64) -> Option<f64> {
         let at = self.next_lane(most)?;
         self.lanes[at].jobs.front().map(|waiting| waiting.cost)
@@ -212,7 +214,7 @@
 
     fn next_lane(&self, most: f64) -> Option<usize> {
         let waiting = self.lanes.iter().enumerate();
-        let fits = |lane: &Lane| lane.jobs.front().is_some_and(|it| it.cost < most);
+        let fits = |lane: &Lane| lane.jobs.front().is_some_and(|it| it.size < most);
         let waiting = waiting.filter(|(_, lane)| fits(lane));
         let next = waiting.min_by(|a, b| a.1.pass.total_cmp(&b.1.pass));
         next.map(|(at, _)| at)
--- a/components/admit/src/ranked/limit.rs
+++ b/components/admit/src/ranked/limit.rs
@@ -12,9 +12,9 @@
 const COLD_PART: u32 = 4;
 /// Growth with each good finish on a cold start: half as much again in each round of requests.
 const RAMP_STEP: f64 = 0.5;
-/// Mean ratio of latency to its base from which a window counts as congested. The base lies up to a
-/// third under the mean of times that vary by chance, so a lower bound would cut without need.
-const TOLERANCE: f64 = 2.0;
+/// Mean excess from which a window counts as congested: twice the time without contention. The base
+/// lies somewhat under times that vary by chance, so a lower bound would cut without need.
+const TOLERANCE: f64 = std::f64::consts::LN_2;
 const DECREASE: f64 = 0.9;
 /// Finished requests in a window at least.
 const MIN_WINDOW: f64 = 32.0;
@@ -26,7 +26,7 @@
     limit: f64,
     ramping: bool,
     samples: f64,
-    ratios: f64,
+    excess: f64,
     saturated: bool,
     cut_at: Time,
 }
@@ -47,13 +47,14 @@
         self.limit = self.limit.min(f64::from(slots));
     }
 
-    /// Takes in a finished request: how long it ran, its latency over the base, whether the upstream
-    /// shed it, and whether the limit held others back.
+    /// Takes in a finished request: how long it ran, the logarithm of its latency over the base,
+    /// whether the upstream shed it, and whether the limit held others back. The logarithm keeps a
+    /// few requests of a route whose base is not known well from looking like congestion of all.
     pub(crate) fn learn(
         &mut self,
         now: Time,
         latency: Duration,
-        ratio: f64,
+        excess: f64,
         shed: bool,
         saturated: bool,
     ) {
@@ -68,7 +69,7 @@
             self.limit += RAMP_STEP;
         }
         self.samples += 1.0;
-        self.ratios += ratio;
+        self.excess += excess;
         self.saturated |= saturated;
         if self.samples >= MIN_WINDOW.max(self.limit * 2.0) {
             self.close_window(now);
@@ -80,7 +81,7 @@
     }
 
     fn close_window(&mut self, now: Time) {
-        if self.ratios / self.samples > TOLERANCE {
+        if self.excess / self.samples > TOLERANCE {
             return self.cut(now);
         }
         if self.saturated {
@@ -97,6 +98,6 @@
     }
 
     fn open_window(&mut self) {
-        (self.samples, self.ratios, self.saturated) = (0.0, 0.0, false);
+        (self.samples, self.excess, self.saturated) = (0.0, 0.0, false);
     }
 }
--- a/components/admit/src/ranked/times.rs
+++ b/components/admit/src/ranked/times.rs
@@ -11,6 +11,9 @@
 const SMOOTH_GAIN: f64 = 1.0 / 32.0;
 /// Weight with which the base follows a lower mean.
 const BASE_GAIN: f64 = 1.0 / 16.0;
+/// Samples from which a base is known. The first requests to finish are the shortest ones, so a base
+/// from few samples is too low and makes all others look congested.
+const BASE_SAMPLES: u32 = 8;
 /// Growth of the base a second while the mean is higher: a lasting slow-down is taken for normal
 /// after half a minute, one that the concurrency causes is not.
 const BASE_GROWTH: f64 = 0.02;
@@ -27,7 +30,9 @@
 #[derive(Clone, Copy, Debug)]
 struct Stat {
     route: RouteId,
+    samples: u32,
     mean: f64,
+    /// Mean of the samples' logarithms, and where that lies without contention.
     smooth: f64,
     base: f64,
     fast: f64,
@@ -45,29 +50,41 @@
 }
 
 impl Times {
-    /// Takes in a sample; gives its ratio to what the route takes without contention.
+    /// Takes in a sample; gives the logarithm of its ratio to what the route takes without
+    /// contention.
     pub(crate) fn learn(&mut self, now: Time, route: RouteId, latency: Duration) -> f64 {
         let sample = (latency.as_micros() as f64).max(1.0);
         self.mean = follow(self.mean, sample, MEAN_GAIN);
         let Some(stat) = self.stat(now, route, sample) else {
-            return 1.0;
+            return 0.0;
         };
         let seconds = now.since(stat.last).as_secs_f64();
         stat.last = now;
-        stat.mean = follow(stat.mean, sample, MEAN_GAIN);
-        stat.smooth = follow(stat.smooth, sample, SMOOTH_GAIN);
-        stat.base = if stat.smooth < stat.base {
-            follow(stat.base, stat.smooth, BASE_GAIN)
-        } else {
-            stat.smooth.min(stat.base * (1.0 + BASE_GROWTH * seconds))
-        };
+        stat.samples = stat.samples.saturating_add(1);
+        let first = 1.0 / f64::from(stat.samples);
+        stat.mean = follow(stat.mean, sample, MEAN_GAIN.max(first));
+        stat.smooth += (sample.ln() - stat.smooth) * SMOOTH_GAIN.max(first);
         let step = if sample < stat.fast {
             -FAST_DOWN
         } else {
             FAST_UP
         };
         stat.fast *= 1.0 + step;
-        sample / stat.base
+        if stat.samples < BASE_SAMPLES {
+            stat.base = stat.smooth;
+            return 0.0;
+        }
+        stat.base = if stat.smooth < stat.base {
+            stat.base + (stat.smooth - stat.base) * BASE_GAIN
+        } else {
+            stat.smooth.min(stat.base + BASE_GROWTH * seconds)
+        };
+        sample.ln() - stat.base
+    }
+
+    /// Whether the route has been measured.
+    pub(crate) fn knows(&self, route: RouteId) -> bool {
+        self.position(route).is_ok()
     }
 
     /// Expected slot time of a request; 0 before anything is learned.
@@ -110,9 +127,10 @@
             }
             let stat = Stat {
                 route,
+                samples: 0,
                 mean: sample,
-                smooth: sample,
-                base: sample,
+                smooth: sample.ln(),
+                base: sample.ln(),
                 fast: sample / 2.0,
                 last: now,
                 probed: now,
