Keep up with expiries beyond 2,000 requests a second

Cause: a clean-up of the ledger drops at most 512 entries and ran each 250 ms, so a node with more than 2,048 requests a second filled its ledger and then refused what may not be repeated. Found by reading.

Change: a clean-up that leaves due entries is followed by the next after 10 ms.

Conclusion: wake_many_expired of traffic/tests/owner.rs drops 4,000 entries within 0.2 s; with the 250 ms pause it took 2 s.

--- a/components/traffic/src/owner.rs
+++ b/components/traffic/src/owner.rs
@@ -34,6 +34,8 @@
 const LEDGER_BOUND: usize = 100_000;
 /// Shortest time between two clean-ups of the ledger, so that each one drops many entries.
 const CLEAN_PERIOD: Duration = Duration::from_millis(250);
+/// Time until the next clean-up if one did not drop all; keeps up with 50,000 requests a second.
+const CLEAN_PAUSE: Duration = Duration::from_millis(10);
 /// Time after which a refused sender may try again while the endpoint leaves or is not ready.
 const AWAY_RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -341,8 +343,10 @@
 
     fn wake(&mut self, now: Time, _random: &mut dyn Random, effects: &mut Vec<Effect>) {
         if now >= self.next_clean {
-            self.next_clean = now + CLEAN_PERIOD;
             self.ledger.expire(now);
+            let more = self.ledger.next_expiry().is_some_and(|due| due <= now);
+            let pause = if more { CLEAN_PAUSE } else { CLEAN_PERIOD };
+            self.next_clean = now + pause;
         }
         let mut decisions = Vec::new();
         self.admission.wake(now, &mut decisions);
--- a/components/traffic/tests/owner.rs
+++ b/components/traffic/tests/owner.rs
@@ -245,3 +245,22 @@
         Outcome::Fenced
     );
 }
+
+/// Guards against a ledger that fills because clean-ups drop fewer entries than requests add.
+#[rstest]
+fn wake_many_expired() {
+    let mut owner = new_owner(4);
+    for tag in 1..=4_000 {
+        step(&mut owner, 1, Input::Offered(other(tag)));
+        step(&mut owner, 2, finished(tag, Verdict::Ran));
+    }
+    let mut now = EXPIRES.0 + 6_000_000;
+    let mut wakes = 0;
+    while let Some(due) = owner.next_wake() {
+        now = now.max(due.0);
+        owner.wake(Time(now), &mut Seeded::new(1), &mut Vec::new());
+        wakes += 1;
+    }
+    assert!(wakes <= 10, "{wakes}");
+    assert!(now <= EXPIRES.0 + 6_200_000);
+}
