--- a/components/admit/src/ranked.rs
+++ b/components/admit/src/ranked.rs
@@ -260,15 +260,19 @@
         let Ok(at) = self.running.binary_search_by_key(&ticket, |it| it.ticket) else {
             return;
         };
-        let saturated = !self.has_free_slot();
+        let count = self.running.len();
         let running = self.running.remove(at);
         let excess = if finish.shed {
             0.0
         } else {
             self.times.learn(now, running.route, finish.latency)
         };
-        self.limit
-            .learn(now, finish.latency, excess, finish.shed, saturated);
+        let trial_failed = self
+            .limit
+            .learn(now, finish.latency, excess, finish.shed, count);
+        if trial_failed {
+            self.times.rebase();
+        }
         self.fill(now, decisions);
     }
 
--- a/components/traffic/tests/entry.rs
+++ b/components/traffic/tests/entry.rs
@@ -134,6 +134,7 @@
             left: None,
             outer_retries: false,
             replayable: true,
+            onward: false,
         };
         let picture = Arc::clone(&self.picture);
         self.step(now, Input::Arrived { picture, head })
