Show early shedding in the flood tables

Cause: nothing showed whether the entry sheds at all in a flood. Change: a column with the part of the requests that it refused on the owners' reports.

--- a/components/simulate/examples/floods.rs
+++ b/components/simulate/examples/floods.rs
@@ -19,9 +19,10 @@
     let result = setting.measure();
     let cells: Vec<String> = result.routes.iter().map(cell).collect();
     println!(
-        "| {name} | {admission} | {} | {:.0} | {} |",
+        "| {name} | {admission} | {} | {:.0} | {:.1}% | {} |",
         cells.join(" | "),
         result.rate,
+        100.0 * result.shed_early,
         result.broken
     );
 }
@@ -37,10 +38,10 @@
 fn main() {
     let paths: Vec<&str> = PATHS.iter().map(|(_, path)| *path).collect();
     println!(
-        "| load | plug-in | {} | answers/s | broken |",
+        "| load | plug-in | {} | answers/s | shed early | broken |",
         paths.join(" | ")
     );
-    println!("|---|---|{}---|---|", "---|".repeat(paths.len()));
+    println!("|---|---|{}---|---|---|", "---|".repeat(paths.len()));
     for admission in ["ranked", "fifo"] {
         print("calm", admission, None, 1);
         for (route, name) in [(4, "/sheets"), (0, "/slots")] {
--- a/components/simulate/src/flood.rs
+++ b/components/simulate/src/flood.rs
@@ -6,6 +6,7 @@
 use crate::check::Ending;
 use crate::plan::PATHS;
 use crate::plan::Plan;
+use errors::Reason;
 use kernel::Time;
 
 /// Index of `/sheets` in [`PATHS`].
@@ -54,6 +55,8 @@
     pub routes: Vec<Service>,
     /// Answers a second over all routes.
     pub rate: f64,
+    /// Part of the requests that the entry refused on the owners' reports.
+    pub shed_early: f64,
     /// Promises that were broken.
     pub broken: usize,
 }
@@ -83,11 +86,22 @@
         Result {
             routes,
             rate: good as f64 / seconds,
+            shed_early: count_shed(&world),
             broken: world.history.check().len(),
         }
     }
 }
 
+fn count_shed(world: &World) -> f64 {
+    let calls = world.history.calls.iter();
+    let counted: Vec<_> = calls.filter(|call| call.arrived >= WARM_UP).collect();
+    let shed = counted.iter().filter(|call| {
+        let reason = Reason::ShedEarly;
+        matches!(call.ended, Some((_, Ending::Refused { reason: found, .. })) if found == reason)
+    });
+    shed.count() as f64 / counted.len().max(1) as f64
+}
+
 fn serve(world: &World, route: usize) -> Service {
     let calls = world.history.calls.iter();
     let counted = calls.filter(|call| call.route == route && call.arrived >= WARM_UP);
