--- a/components/admit/src/ranked/limit.rs
+++ b/components/admit/src/ranked/limit.rs
@@ -14,15 +14,15 @@
 const COLD_PART: u32 = 4;
 /// Growth with each good finish on a cold start: half as much again in each round of requests.
 const RAMP_STEP: f64 = 0.5;
-/// Mean ratio of latency to its base from which a window counts as congested. The base lies up to a
-/// third under the mean of times that vary by chance, so a lower bound would cut without need.
-const TOLERANCE: f64 = 2.0;
+/// Mean excess from which a window counts as congested: twice the time without contention. The base
+/// lies somewhat under times that vary by chance, so a lower bound would cut without need.
+const TOLERANCE: f64 = std::f64::consts::LN_2;
 const DECREASE: f64 = 0.9;
 /// Part of the limit that is kept on trial; a smaller step would drown in the noise of a window.
 const TRIAL: f64 = 0.7;
-/// Part of the latency before the trial from which the trial has failed: half-way between the fall
-/// that concurrency would cause and none.
-const TRIAL_FAILED: f64 = 0.85;
+/// Fall of the excess up to which the trial has failed: to 85% of the latency before, half-way
+/// between the fall that concurrency would cause and none.
+const TRIAL_FALL: f64 = 0.16;
 /// Finished requests in a window at least.
 const MIN_WINDOW: f64 = 32.0;
 /// Finished requests in a trial, for a mean that is steadier.
@@ -39,7 +39,7 @@
     /// The limit was lowered to see whether the latency falls with it.
     Trial {
         limit_before: f64,
-        ratio_before: f64,
+        excess_before: f64,
     },
 }
 
@@ -50,7 +50,7 @@
     limit: f64,
     ramping: bool,
     samples: f64,
-    ratios: f64,
+    excess: f64,
     saturated: bool,
     cut_at: Time,
     phase: Phase,
@@ -72,14 +72,15 @@
         self.limit = self.limit.min(f64::from(slots));
     }
 
-    /// Takes in a finished request: how long it ran, its latency over the base, whether the upstream
-    /// shed it, and how many ran until now. Tells whether a trial has failed, so that the
-    /// present latency is the normal one.
+    /// Takes in a finished request: how long it ran, the logarithm of its latency over the base,
+    /// whether the upstream shed it, and how many ran until now. The logarithm keeps a few requests
+    /// of a route whose base is not known well from looking like congestion of all. Tells whether a
+    /// trial has failed, so that the present latency is the normal one.
     pub(crate) fn learn(
         &mut self,
         now: Time,
         latency: Duration,
-        ratio: f64,
+        excess: f64,
         shed: bool,
         running: usize,
     ) -> bool {
@@ -101,7 +102,7 @@
             self.limit += RAMP_STEP;
         }
         self.samples += 1.0;
-        self.ratios += ratio;
+        self.excess += excess;
         self.saturated |= running >= self.get() as usize;
         let least = match self.phase {
             Phase::Trial { .. } => TRIAL_WINDOW,
@@ -117,14 +118,14 @@
 
     /// Ends a window; tells whether a trial has failed.
     fn close_window(&mut self, now: Time) -> bool {
-        let ratio = self.ratios / self.samples;
+        let excess = self.excess / self.samples;
         // A limit that holds nobody back is not what makes requests slow.
-        let congested = ratio > TOLERANCE && self.saturated;
+        let congested = excess > TOLERANCE && self.saturated;
         match std::mem::take(&mut self.phase) {
             Phase::Trial {
                 limit_before,
-                ratio_before,
-            } if ratio > ratio_before * TRIAL_FAILED => {
+                excess_before,
+            } if excess > excess_before - TRIAL_FALL => {
                 self.limit = limit_before;
                 self.open_window();
                 return true;
@@ -132,7 +133,7 @@
             Phase::Suspect if congested => {
                 self.phase = Phase::Trial {
                     limit_before: self.limit,
-                    ratio_before: ratio,
+                    excess_before: excess,
                 };
                 self.cut(now, TRIAL);
                 return false;
@@ -155,6 +156,6 @@
     }
 
     fn open_window(&mut self) {
-        (self.samples, self.ratios, self.saturated) = (0.0, 0.0, false);
+        (self.samples, self.excess, self.saturated) = (0.0, 0.0, false);
     }
 }
--- a/components/simulate/src/flood.rs
+++ b/components/simulate/src/flood.rs
@@ -6,8 +6,11 @@
 use crate::check::Ending;
 use crate::plan::PATHS;
 use crate::plan::Plan;
+use errors::Reason;
 use kernel::Time;
 
+/// Index of `/sheets` in [`PATHS`].
+const SHEETS: usize = 4;
 /// Slots of each owner.
 pub const SLOTS: u32 = 10;
 /// Requests a second that the three owners can serve: 30 slots of 20 ms.
@@ -24,6 +27,8 @@
     pub admission: &'static str,
     /// The route that floods, if any, and its extra load in multiples of the capacity.
     pub flood: Option<(usize, f64)>,
+    /// How many times longer requests to `/sheets` take at the upstream.
+    pub sheets_length: u32,
     /// Length of the load in seconds.
     pub seconds: u64,
     /// Seed of arrivals and service times.
@@ -50,6 +55,8 @@
     pub routes: Vec<Service>,
     /// Answers a second over all routes.
     pub rate: f64,
+    /// Part of the requests that the entry refused on the owners' reports.
+    pub shed_early: f64,
     /// Promises that were broken.
     pub broken: usize,
 }
@@ -61,12 +68,15 @@
         let mut plan = Plan::new(self.seed);
         plan.admission = self.admission;
         plan.slots = SLOTS;
+        plan.lengths[SHEETS] = self.sheets_length;
         for (route, rate) in CALM.iter().enumerate() {
-            plan.add_load(route, *rate, Time(0), until);
+            let rate = rate / f64::from(plan.lengths[route]);
+            plan.add_load(route, rate, Time(0), until);
         }
         if let Some((route, times)) = self.flood {
             plan.seed += 1;
-            plan.add_load(route, times * CAPACITY, Time(0), until);
+            let rate = times * CAPACITY / f64::from(plan.lengths[route]);
+            plan.add_load(route, rate, Time(0), until);
             plan.seed -= 1;
         }
         let world = World::new(plan).run();
@@ -76,11 +86,22 @@
         Result {
             routes,
             rate: good as f64 / seconds,
+            shed_early: count_shed(&world),
             broken: world.history.check().len(),
         }
     }
 }
 
+fn count_shed(world: &World) -> f64 {
+    let calls = world.history.calls.iter();
+    let counted: Vec<_> = calls.filter(|call| call.arrived >= WARM_UP).collect();
+    let shed = counted.iter().filter(|call| {
+        let reason = Reason::ShedEarly;
+        matches!(call.ended, Some((_, Ending::Refused { reason: found, .. })) if found == reason)
+    });
+    shed.count() as f64 / counted.len().max(1) as f64
+}
+
 fn serve(world: &World, route: usize) -> Service {
     let calls = world.history.calls.iter();
     let counted = calls.filter(|call| call.route == route && call.arrived >= WARM_UP);
--- a/components/traffic/src/entry.rs
+++ b/components/traffic/src/entry.rs
@@ -126,7 +126,7 @@
         };
         call.begin(attempt);
         let route = call.way;
-        self.memory.get_mut(attempt.node).in_flight += 1;
+        self.memory.occupy(attempt.node, route.rank);
         self.health.note_sent(scene.now, attempt.node);
         scene.effects.push(Effect::Forward {
             call: key,
@@ -143,6 +143,7 @@
             return;
         };
         let (now, node) = (scene.now, attempt.node);
+        let judged = call.judge(&report);
         if let Some(load) = report.load {
             self.memory.note_load(now, node, load);
         }
@@ -153,7 +154,9 @@
                 self.memory.note_away(now, node, time);
             }
         }
-        self.health.record(now, node, !is_node_fault(report.reason));
+        if let Some(good) = judged {
+            self.health.record(now, node, good);
+        }
         match report.reason {
             None => scene.effects.push(Effect::Deliver { call: key }),
             Some(reason) => self.fail(scene, key, reason, report),
@@ -227,7 +230,10 @@
             return;
         };
         let verdict = match outcome {
-            Outcome::Running => return scene.effects.push(Effect::Wait { call: key }),
+            Outcome::Running => {
+                call.heard = true;
+                return scene.effects.push(Effect::Wait { call: key });
+            }
             Outcome::Done { stored: true, .. } => return self.fetch(scene, key),
             Outcome::Done {
                 verdict: Verdict::Ran,
@@ -269,9 +275,10 @@
     }
 
     fn release(&mut self, key: CallKey) {
-        let attempt = self.calls.get(key).and_then(|call| call.attempt);
-        if let Some(attempt) = attempt {
-            self.memory.release(attempt.node);
+        if let Some(call) = self.calls.get(key)
+            && let Some(attempt) = call.attempt
+        {
+            self.memory.release(attempt.node, call.way.rank);
         }
     }
 }
@@ -343,14 +350,6 @@
     }
 }
 
-/// Whether a failure speaks against the node rather than for a full or leaving one.
-fn is_node_fault(reason: Option<Reason>) -> bool {
-    matches!(
-        reason,
-        Some(Reason::ConnectFailed | Reason::ConnectionBroken | Reason::ConnectionSilent)
-    )
-}
-
 /// Whether a refusal means that the node takes no request at all for a while.
 fn is_away(reason: Reason) -> bool {
     matches!(
