--- a/components/accept/tests/accept/race.rs
+++ b/components/accept/tests/accept/race.rs
@@ -100,8 +100,11 @@
             }
         }
         for operator in &mut pair {
-            while operator.outcome.is_none() {
-                operator.advance(&mut fake, Fault::None);
+            // Bounded, so that a machine that does not end fails the test instead of holding it up.
+            for _ in 0..1_000 {
+                if operator.outcome.is_none() {
+                    operator.advance(&mut fake, Fault::None);
+                }
             }
         }
         fake.land_late();
