--- a/lab/src/scenario/converge.rs
+++ b/lab/src/scenario/converge.rs
@@ -93,15 +93,15 @@
         let before = Cost::read(&fleet).await?;
         let watcher = Watcher::start(fleet.admins(), WATCH_PERIOD);
         tokio::time::sleep(length).await;
-        let missed = watcher
-            .seen()
-            .iter()
-            .filter(|it| it.live < nodes as u64)
-            .count();
+        let seen = watcher.seen();
+        let short = seen.iter().filter(|it| it.live < nodes as u64).count();
+        let drops = count_drops(&seen);
         drop(watcher);
         before.print_since(&fleet, "idle").await?;
         notes.push(format!(
-            "{nodes} nodes idle: {missed} looks with a live member held dead"
+            "{nodes} nodes idle: {drops} false deaths; {short} of {} looks at a node that did not \
+             know all yet",
+            seen.len()
         ));
         let before = Cost::read(&fleet).await?;
         let changes = change_often(&mut fleet, length, args.period).await?;
@@ -131,6 +131,14 @@
     Ok(())
 }
 
+/// Times that a node dropped a live member while all nodes lived.
+fn count_drops(seen: &[Seen]) -> usize {
+    let mut seen: Vec<&Seen> = seen.iter().collect();
+    seen.sort_by_key(|it| (&it.node, it.at_us));
+    let dropped = |pair: &&[&Seen]| pair[0].node == pair[1].node && pair[1].live < pair[0].live;
+    seen.windows(2).filter(dropped).count()
+}
+
 async fn change_often(fleet: &mut Fleet, length: Duration, period: u64) -> Result<u32, Error> {
     let until = Instant::now() + length;
     let mut changes = 0;
