--- a/components/member/src/exchange.rs
+++ b/components/member/src/exchange.rs
@@ -31,6 +31,9 @@
 /// Time until the next comparison after much news, and after any.
 const MUCH_NEWS_PAUSE: Duration = Duration::from_secs(2);
 const NEWS_PAUSE: Duration = Duration::from_secs(8);
+/// Age up to which comparisons follow one another like after much news. Nodes that start together
+/// know few others at first.
+const YOUNG: Duration = Duration::from_secs(10);
 /// Contacts that are kept.
 const MAX_CONTACTS: usize = 64;
 
@@ -87,6 +90,10 @@
         }
     }
 
+    fn is_young(&self, now: Time) -> bool {
+        self.synced && now.since(self.started) < YOUNG
+    }
+
     /// Time after which all contacts had their chance.
     fn give_up(&self) -> Time {
         let contacts = u32::try_from(self.contacts.len()).unwrap_or(u32::MAX);
@@ -159,7 +166,7 @@
             }
             Some(answer) => {
                 if !std::mem::replace(&mut self.exchange.synced, true) {
-                    self.exchange.next = now + spread_out(self.limits.sync_period, random);
+                    self.exchange.next = now + MUCH_NEWS_PAUSE;
                 }
                 if let Body::Members(members) = &answer.body {
                     self.take_table(now, members, out);
@@ -222,7 +229,11 @@
         self.forget_ended(now);
         if self.exchange.synced || self.exchange.alone {
             self.exchange.joining = false;
-            self.exchange.next = now + spread_out(self.limits.sync_period, random);
+            self.exchange.next = if self.exchange.is_young(now) {
+                now + MUCH_NEWS_PAUSE
+            } else {
+                now + spread_out(self.limits.sync_period, random)
+            };
             let member = self.pick_live(random, &[]).map(|(to, _)| to);
             if let Some(to) = member.or_else(|| self.next_contact(random)) {
                 self.compare(to, out);
