Count an upstream's own failures against its endpoint

Cause: one of five upstreams that answers 500 at once looked idle to p2c and drew work; only broken and silent connections counted against an endpoint's health. Ruled out: the ejection itself (its tests pass; it was never told) and refusals with a declared status, which stay healthy. Change: a report says whether the answer has a status of 500 or more; the answer is relayed all the same.

--- a/components/http1/src/attempt.rs
+++ b/components/http1/src/attempt.rs
@@ -210,6 +210,7 @@
                 reason: Some(saved.body.failure().unwrap_or(refusal.reason)),
                 retry_after: refusal.retry_after,
                 load: Some(shared.desk.load()),
+                failed: false,
             },
         },
     }
@@ -274,6 +275,7 @@
 
 /// Reads what an owner's answer says of the request.
 pub(crate) fn begun(response: Response<Payload>) -> Begun {
+    let failed = response.status().is_server_error();
     let headers = response.headers();
     let verdict = parse_header::<Verdict>(headers, header::VERDICT).unwrap_or(Verdict::MayHaveRun);
     let reason = parse_header::<Reason>(headers, header::REASON);
@@ -289,6 +291,7 @@
             reason,
             retry_after,
             load,
+            failed,
         },
     }
 }
@@ -299,6 +302,7 @@
         reason: Some(reason),
         retry_after: Duration::ZERO,
         load: None,
+        failed: false,
     };
     Begun {
         response: Response::new(full("")),
--- a/components/simulate/src/node.rs
+++ b/components/simulate/src/node.rs
@@ -218,6 +218,7 @@
             reason: Some(refusal.reason),
             retry_after: refusal.retry_after,
             load: Some(self.nodes[at].machine.load()),
+            failed: false,
         };
         self.answer(task, report, None);
     }
@@ -269,6 +270,7 @@
             reason,
             retry_after: Duration::ZERO,
             load: Some(self.nodes[at].machine.load()),
+            failed: false,
         };
         if verdict == Verdict::NotRun {
             self.history
--- a/components/simulate/src/shell.rs
+++ b/components/simulate/src/shell.rs
@@ -329,5 +329,6 @@
         reason: Some(reason),
         retry_after: Duration::ZERO,
         load: None,
+        failed: false,
     }
 }
--- a/components/traffic/src/entry.rs
+++ b/components/traffic/src/entry.rs
@@ -347,6 +347,7 @@
         reason: Some(Reason::ConnectionSilent),
         retry_after: Duration::ZERO,
         load: None,
+        failed: false,
     }
 }
 
--- a/components/traffic/src/entry/call.rs
+++ b/components/traffic/src/entry/call.rs
@@ -105,8 +105,10 @@
                 let heard = self.heard || report.load.is_some();
                 (!heard).then_some(false)
             }
+            // A failure that comes quickly makes the endpoint look idle, so it would draw more work.
+            None => Some(!report.failed),
             // A full or leaving node answers, so it is healthy.
-            Some(_) | None => Some(true),
+            Some(_) => Some(true),
         }
     }
 
--- a/components/traffic/src/entry/message.rs
+++ b/components/traffic/src/entry/message.rs
@@ -94,6 +94,8 @@
     pub retry_after: Duration,
     /// Load that the owner reported.
     pub load: Option<Load>,
+    /// Whether the answer says that the upstream failed; it is relayed all the same.
+    pub failed: bool,
 }
 
 /// What a call needs.
--- a/components/traffic/tests/entry.rs
+++ b/components/traffic/tests/entry.rs
@@ -168,6 +168,7 @@
             reason: None,
             retry_after: Duration::ZERO,
             load,
+            failed: false,
         };
         self.answer(now, call, report);
         self.step(now, Input::Ended { call });
@@ -196,6 +197,7 @@
         reason: Some(reason),
         retry_after: Duration::ZERO,
         load: None,
+        failed: false,
     }
 }
 
@@ -404,3 +406,32 @@
         assert_eq!(refused(&effects).map(|it| it.verdict), Some(Verdict::Ran));
     }
 }
+
+/// Guards against an endpoint whose upstream answers 500 at once and draws work by looking idle.
+#[rstest]
+fn judge_upstream_failure() {
+    let mut rig = Rig::new(100, 1..=6);
+    let mut failing = None;
+    let mut sent = 0;
+    for at in 0..300 {
+        let now = at * SECOND / 100;
+        let (call, attempt) = forwarded(&rig.arrive(now, "GET", "/calm"));
+        let bad = *failing.get_or_insert(attempt.node) == attempt.node;
+        sent += u32::from(bad);
+        let report = Report {
+            verdict: Verdict::Ran,
+            reason: None,
+            retry_after: Duration::ZERO,
+            load: None,
+            failed: bad,
+        };
+        let effects = rig.answer(now, call, report);
+        assert!(
+            matches!(effects[..], [Effect::Deliver { .. }]),
+            "{effects:?}"
+        );
+        rig.step(now, Input::Ended { call });
+    }
+    // Its share of 300 requests would be 50.
+    assert!(sent <= 10, "{sent} requests to the failing endpoint");
+}
