--- a/components/daemon/src/run.rs
+++ b/components/daemon/src/run.rs
@@ -1,5 +1,7 @@
 //! Running of a node from start to end.
 
+use std::io;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::time::Duration;
@@ -23,8 +25,10 @@
 use control::Life;
 use control::Machine;
 use control::Picture;
+use errors::Reason;
 use front::Addresses;
 use front::Desk;
+use front::Front;
 use front::Parts;
 use ids::Domain;
 use ids::Incarnation;
@@ -41,6 +45,8 @@
 use member::Table;
 use settings::Settings;
 use telemetry::Counters;
+use transport::Sender;
+use transport::Transport;
 use transport::calls;
 
 /// Inputs that wait for the control thread.
@@ -91,29 +97,16 @@
 ) -> Result<(), Error> {
     let counters = Arc::new(Counters::new()?);
     let clock = Monotonic::new();
-    let me = Member {
-        id: NodeId(rand::random()),
-        address: Address {
-            peer: settings.listen.peer,
-            requests: settings.listen.requests,
-            admin: settings.listen.admin,
-        },
-        domain: Domain::new(&settings.domain),
-        incarnation: Incarnation(1),
-        status: Status::Alive,
-        stage: Stage::Warming,
-        upstream: None,
-    };
+    let me = describe_self(settings);
     let id = me.id;
-    let first = Picture::new(
+    let picture = Arc::new(ArcSwap::from_pointee(Picture::new(
         id,
         me.domain.clone(),
         Life::Joining,
         None,
         &Table::default(),
         0,
-    );
-    let picture = Arc::new(ArcSwap::from_pointee(first));
+    )));
     let desk = Arc::new(Desk::new(Parts {
         me: id,
         clock,
@@ -128,59 +121,11 @@
     let (inputs, receiver) = mpsc::channel(INPUT_BOUND);
     let waiting = Arc::new(Mutex::new(Waiting::default()));
 
-    let datagrams = inputs.clone();
-    let dropped = Arc::clone(&counters);
-    let inbox = Box::new(move |from, message| {
-        if datagrams
-            .try_send(Input::Datagram { from, message })
-            .is_err()
-        {
-            dropped.count_drop(errors::Reason::QueueOverflow);
-        }
-    });
-    let listen = |key, address| {
-        move |error| Error::Listen {
-            key,
-            address,
-            error,
-        }
-    };
-    let sender = plugins
-        .transport
-        .open(settings.listen.peer, inbox, Arc::clone(&counters))
-        .await
-        .map_err(listen("peer", settings.listen.peer))?;
-    let handler = Handler {
-        inputs: inputs.clone(),
-        waiting: Arc::clone(&waiting),
-        desk: Arc::clone(&desk),
-    };
-    let answering = calls::listen(settings.listen.peer, handler)
-        .await
-        .map_err(listen("peer", settings.listen.peer))?;
-    tokio::spawn(answering);
-    let admin = TcpListener::bind(settings.listen.admin)
-        .await
-        .map_err(listen("admin", settings.listen.admin))?;
-    let node = admin::Node::new(Arc::clone(&desk), inputs.clone(), settings::print(settings));
-    tokio::spawn(admin::serve(admin, node));
-
+    let sender = open_transport(settings, plugins.transport.as_ref(), &inputs, &counters).await?;
+    listen_for_nodes(settings, &inputs, &waiting, &desk).await?;
+    listen_for_operators(settings, &inputs, &desk).await?;
     let stop = CancellationToken::new();
-    let addresses = Addresses {
-        callers: settings.listen.callers,
-        requests: settings.listen.requests,
-        upstream: settings.upstream,
-    };
-    let front = plugins.front;
-    let serving = {
-        let desk = Arc::clone(&desk);
-        let stop = stop.clone();
-        let start = async move { front.start(addresses, desk, stop).await };
-        match traffic.spawn(start).await {
-            Ok(started) => traffic.spawn(started.map_err(Error::Front)?),
-            Err(error) => return Err(Error::Start(error.into())),
-        }
-    };
+    let serving = start_front(settings, plugins.front, &traffic, &desk, &stop).await?;
     let timers = Arc::clone(&desk);
     traffic.spawn(async move { timers.run_timers().await });
 
@@ -194,12 +139,8 @@
         counters,
         watch: None,
     };
-    let mut machine = Machine::new(
-        me,
-        settings.contacts.clone(),
-        Limits::default(),
-        clock.now(),
-    );
+    let contacts = settings.contacts.clone();
+    let mut machine = Machine::new(me, contacts, Limits::default(), clock.now());
     let mut random = Seeded::from_system();
     info!(node = id.to_string().as_str(); "node started");
     let driving = drive(&mut machine, receiver, &mut effects, &clock, &mut random);
@@ -212,6 +153,110 @@
     Ok(())
 }
 
+/// The node's first statement about itself.
+fn describe_self(settings: &Settings) -> Member {
+    Member {
+        id: NodeId(rand::random()),
+        address: Address {
+            peer: settings.listen.peer,
+            requests: settings.listen.requests,
+            admin: settings.listen.admin,
+        },
+        domain: Domain::new(&settings.domain),
+        incarnation: Incarnation(1),
+        status: Status::Alive,
+        stage: Stage::Warming,
+        upstream: None,
+    }
+}
+
+fn refuse_address(key: &'static str, address: SocketAddr) -> impl Fn(io::Error) -> Error {
+    move |error| Error::Listen {
+        key,
+        address,
+        error,
+    }
+}
+
+/// Opens the transport; a message that the control thread has no room for is dropped and counted.
+async fn open_transport(
+    settings: &Settings,
+    transport: &dyn Transport,
+    inputs: &mpsc::Sender<Input>,
+    counters: &Arc<Counters>,
+) -> Result<Arc<dyn Sender>, Error> {
+    let datagrams = inputs.clone();
+    let dropped = Arc::clone(counters);
+    let inbox = Box::new(move |from, message| {
+        let input = Input::Datagram { from, message };
+        if datagrams.try_send(input).is_err() {
+            dropped.count_drop(Reason::QueueOverflow);
+        }
+    });
+    let address = settings.listen.peer;
+    transport
+        .open(address, inbox, Arc::clone(counters))
+        .await
+        .map_err(refuse_address("peer", address))
+}
+
+/// Answers control calls of other nodes on the control thread.
+async fn listen_for_nodes(
+    settings: &Settings,
+    inputs: &mpsc::Sender<Input>,
+    waiting: &Arc<Mutex<Waiting>>,
+    desk: &Arc<Desk>,
+) -> Result<(), Error> {
+    let handler = Handler {
+        inputs: inputs.clone(),
+        waiting: Arc::clone(waiting),
+        desk: Arc::clone(desk),
+    };
+    let address = settings.listen.peer;
+    let answering = calls::listen(address, handler)
+        .await
+        .map_err(refuse_address("peer", address))?;
+    tokio::spawn(answering);
+    Ok(())
+}
+
+/// Answers operators and the upstream's announcements on the control thread.
+async fn listen_for_operators(
+    settings: &Settings,
+    inputs: &mpsc::Sender<Input>,
+    desk: &Arc<Desk>,
+) -> Result<(), Error> {
+    let address = settings.listen.admin;
+    let listener = TcpListener::bind(address)
+        .await
+        .map_err(refuse_address("admin", address))?;
+    let printed = settings::print(settings);
+    let node = admin::Node::new(Arc::clone(desk), inputs.clone(), printed);
+    tokio::spawn(admin::serve(listener, node));
+    Ok(())
+}
+
+/// Starts the front end on the traffic threads.
+async fn start_front(
+    settings: &Settings,
+    front: Box<dyn Front>,
+    traffic: &runtime::Handle,
+    desk: &Arc<Desk>,
+    stop: &CancellationToken,
+) -> Result<JoinHandle<()>, Error> {
+    let addresses = Addresses {
+        callers: settings.listen.callers,
+        requests: settings.listen.requests,
+        upstream: settings.upstream,
+    };
+    let (desk, stop) = (Arc::clone(desk), stop.clone());
+    let start = async move { front.start(addresses, desk, stop).await };
+    match traffic.spawn(start).await {
+        Ok(started) => Ok(traffic.spawn(started.map_err(Error::Front)?)),
+        Err(error) => Err(Error::Start(error.into())),
+    }
+}
+
 /// Passes SIGTERM and SIGINT on.
 fn take_signals() -> Result<mpsc::Receiver<()>, Error> {
     let mut terminate = signal(SignalKind::terminate())?;
