--- a/components/admin/src/explain.rs
+++ b/components/admin/src/explain.rs
@@ -5,12 +5,12 @@
 use crate::RouteView;
 use crate::view::describe_stage;
 use control::Endpoint;
-use control::Picture;
+use control::Topology;
 use member::Stage;
 
 /// Explains a request by method and path (without query).
-pub(crate) fn explain(picture: &Picture, method: &str, path: &str) -> Explanation {
-    let Some(snapshot) = &picture.snapshot else {
+pub(crate) fn explain(topology: &Topology, method: &str, path: &str) -> Explanation {
+    let Some(snapshot) = &topology.snapshot else {
         return Explanation {
             why: "the node holds no configuration yet".into(),
             ..Explanation::default()
@@ -53,20 +53,20 @@
         route: Some(RouteView::new(snapshot, route)),
         why: why.into(),
         passed_over,
-        endpoints: picture
+        endpoints: topology
             .endpoints_of(route.service)
-            .map(|(_, endpoint)| describe_endpoint(picture, endpoint))
+            .map(|(_, endpoint)| describe_endpoint(topology, endpoint))
             .collect(),
     }
 }
 
-fn describe_endpoint(picture: &Picture, endpoint: &Endpoint) -> Choice {
+fn describe_endpoint(topology: &Topology, endpoint: &Endpoint) -> Choice {
     let why = match endpoint.stage {
         Stage::Warming => "not ready yet",
         Stage::Draining => "leaving: takes no new requests",
         Stage::Gone => "has left",
-        Stage::Ready if endpoint.node == picture.me => "own upstream",
-        Stage::Ready if endpoint.domain == picture.domain => "same failure domain: preferred",
+        Stage::Ready if endpoint.node == topology.me => "own upstream",
+        Stage::Ready if endpoint.domain == topology.domain => "same failure domain: preferred",
         Stage::Ready => "other failure domain: used when the own one has no room",
     };
     Choice {
--- a/components/admin/src/handle.rs
+++ b/components/admin/src/handle.rs
@@ -27,7 +27,7 @@
 use crate::query::read_query;
 use crate::view::list_members;
 use control::Input;
-use front::Desk;
+use front::Driver;
 
 /// Longest accepted body, in bytes; an announcement has about 100.
 const MAX_BODY_BYTES: usize = 4 * 1024;
@@ -37,7 +37,7 @@
 /// What the admin listener shows and steers.
 #[derive(Clone)]
 pub struct Node {
-    desk: Arc<Desk>,
+    driver: Arc<Driver>,
     inputs: mpsc::Sender<Input>,
     settings: Arc<str>,
 }
@@ -46,9 +46,9 @@
 
 impl Node {
     /// A node with its settings as text.
-    pub fn new(desk: Arc<Desk>, inputs: mpsc::Sender<Input>, settings: String) -> Self {
+    pub fn new(driver: Arc<Driver>, inputs: mpsc::Sender<Input>, settings: String) -> Self {
         Self {
-            desk,
+            driver,
             inputs,
             settings: Arc::from(settings),
         }
@@ -75,11 +75,11 @@
             return answer;
         }
         match path {
-            "/status" => give(&Status::new(&self.desk)),
-            "/members" => give(&list_members(&self.desk.picture())),
+            "/status" => give(&Status::new(&self.driver)),
+            "/members" => give(&list_members(&self.driver.topology())),
             "/explain" => self.explain(request.uri().query()),
             "/settings" => text(&self.settings),
-            "/metrics" => match self.desk.counters().encode() {
+            "/metrics" => match self.driver.counters().encode() {
                 Ok(metrics) => text(&metrics),
                 Err(error) => refuse(StatusCode::INTERNAL_SERVER_ERROR, error.to_string()),
             },
@@ -92,7 +92,7 @@
     fn explain(&self, query: Option<&str>) -> Answer {
         let method = read_query(query, "method");
         match method.and_then(|method| Ok((method, read_query(query, "path")?))) {
-            Ok((method, path)) => give(&explain(&self.desk.picture(), &method, &path)),
+            Ok((method, path)) => give(&explain(&self.driver.topology(), &method, &path)),
             Err(message) => refuse(StatusCode::BAD_REQUEST, message),
         }
     }
@@ -113,8 +113,8 @@
         };
         let read = serde_json::from_slice::<Announcement>(&body);
         let read = read.map_err(|error| error.to_string()).and_then(|it| {
-            let picture = self.desk.picture();
-            let snapshot = picture.snapshot.as_ref();
+            let topology = self.driver.topology();
+            let snapshot = topology.snapshot.as_ref();
             let listed = snapshot.is_some_and(|known| known.find_service(&it.service).is_some());
             Ok((it.into_input().map_err(str::to_owned)?, listed))
         });
--- a/components/admin/src/lib.rs
+++ b/components/admin/src/lib.rs
@@ -1,7 +1,7 @@
 //! Operators' HTTP of a node: status, members, explanations, metrics, settings, drain; and the
 //! announcements of the upstream.
 //!
-//! Reads published pictures and sends inputs to the control thread; decides nothing itself. The
+//! Reads published topologies and sends inputs to the control thread; decides nothing itself. The
 //! bodies are public, so that `medlarctl` reads what the node writes.
 
 mod explain;
--- a/components/admin/src/view.rs
+++ b/components/admin/src/view.rs
@@ -9,8 +9,8 @@
 use config::Route;
 use config::Snapshot;
 use control::Life;
-use control::Picture;
-use front::Desk;
+use control::Topology;
+use front::Driver;
 use member::Member;
 use member::Stage;
 use member::Status as Liveness;
@@ -141,18 +141,18 @@
 }
 
 impl Status {
-    pub(crate) fn new(desk: &Desk) -> Self {
-        let picture = desk.picture();
-        let load = desk.load();
-        let snapshot = picture.snapshot.as_ref();
-        let own = picture.own.as_ref();
-        let report = &picture.report;
+    pub(crate) fn new(driver: &Driver) -> Self {
+        let topology = driver.topology();
+        let load = driver.load();
+        let snapshot = topology.snapshot.as_ref();
+        let own = topology.own.as_ref();
+        let report = &topology.report;
         let last = report.last_refusal.as_ref();
-        let live = picture.members().iter().filter(|it| it.is_live());
+        let live = topology.members().iter().filter(|it| it.is_live());
         Self {
-            node: picture.me.to_string(),
-            domain: picture.domain.to_string(),
-            life: describe_life(picture.life).to_owned(),
+            node: topology.me.to_string(),
+            domain: topology.domain.to_string(),
+            life: describe_life(topology.life).to_owned(),
             version: snapshot.map_or(0, |it| it.version().0),
             digest: snapshot.map_or_else(String::new, |it| it.digest().to_string()),
             service: own.map_or_else(String::new, |(_, it)| it.service.to_string()),
@@ -193,8 +193,8 @@
 }
 
 /// Body of `GET /members`.
-pub(crate) fn list_members(picture: &Picture) -> Vec<MemberView> {
-    picture
+pub(crate) fn list_members(topology: &Topology) -> Vec<MemberView> {
+    topology
         .members()
         .iter()
         .map(|member| MemberView::new(member))
--- a/components/admin/tests/admin.rs
+++ b/components/admin/tests/admin.rs
@@ -19,8 +19,8 @@
 use admin::Status;
 use control::Input;
 use control::Life;
-use control::Picture;
-use front::Desk;
+use control::Topology;
+use front::Driver;
 use front::Parts;
 use ids::Domain;
 use ids::Incarnation;
@@ -75,7 +75,7 @@
     }
 }
 
-fn picture() -> Picture {
+fn topology() -> Topology {
     let mut table = Table::default();
     for entry in [
         member(1, "huesca", Stage::Ready),
@@ -85,7 +85,7 @@
         table.merge(entry);
     }
     let snapshot = config::compile(TEXT, Version(7)).expect("valid");
-    Picture::new(
+    Topology::new(
         NodeId(1),
         Domain::new("huesca"),
         Life::Serving,
@@ -104,10 +104,10 @@
         plugin::build("health", &HEALTHS, "outcomes", &params).expect("registered"),
     );
     let admission = plugin::build("admission", &ADMISSIONS, "ranked", &params).expect("registered");
-    let desk = Desk::new(Parts {
+    let driver = Driver::new(Parts {
         me: NodeId(1),
         clock: Monotonic::new(),
-        picture: Arc::new(ArcSwap::from_pointee(picture())),
+        topology: Arc::new(ArcSwap::from_pointee(topology())),
         entry,
         owner: traffic::owner::Machine::new(NodeId(1), admission),
         counters: Arc::new(Counters::new().expect("counters")),
@@ -117,7 +117,7 @@
         .await
         .expect("a free port");
     let address = listener.local_addr().expect("bound");
-    let node = Node::new(Arc::new(desk), inputs, "instance: i1\n".into());
+    let node = Node::new(Arc::new(driver), inputs, "instance: i1\n".into());
     tokio::spawn(admin::serve(listener, node));
     (address, receiver)
 }
--- a/components/control/src/lib.rs
+++ b/components/control/src/lib.rs
@@ -1,13 +1,13 @@
 //! The control machine of a node: membership and configuration distribution together.
 //!
-//! Runs on the control thread alone. It publishes a [`Picture`], the immutable view that traffic
+//! Runs on the control thread alone. It publishes a [`Topology`], the immutable view that traffic
 //! threads route by, whenever the configuration or the membership changes.
 
 mod life;
 mod machine;
 mod message;
 mod own;
-mod picture;
+mod topology;
 
 pub use life::Joining;
 pub use life::Leaving;
@@ -18,6 +18,6 @@
 pub use message::Effect;
 pub use message::Input;
 pub use message::Token;
-pub use picture::Endpoint;
-pub use picture::EndpointKey;
-pub use picture::Picture;
+pub use topology::Endpoint;
+pub use topology::EndpointKey;
+pub use topology::Topology;
--- a/components/control/src/machine.rs
+++ b/components/control/src/machine.rs
@@ -7,7 +7,7 @@
 use crate::Effect;
 use crate::Input;
 use crate::Life;
-use crate::Picture;
+use crate::Topology;
 use crate::life::Cycle;
 use crate::own::Own;
 use ids::Domain;
@@ -21,7 +21,7 @@
 
 /// Members told at once of a newer version or of a change of the upstream.
 const PUSH_FANOUT: usize = 4;
-/// Least time between two pictures, so that a burst of statements costs one.
+/// Least time between two topologies, so that a burst of statements costs one.
 const PICTURE_PAUSE: Duration = Duration::from_millis(20);
 /// A timer that fires this late tells that the process was paused.
 const PAUSE: Duration = Duration::from_secs(1);
@@ -160,21 +160,21 @@
         }
     }
 
-    /// When the next picture may be published, if there is a reason for one.
-    fn next_picture(&self) -> Option<Time> {
+    /// When the next topology may be published, if there is a reason for one.
+    fn next_topology(&self) -> Option<Time> {
         let earliest = self.published.map_or(Time(0), |it| it + PICTURE_PAUSE);
         self.changed.then_some(earliest)
     }
 
     fn publish_when_due(&mut self, now: Time, effects: &mut Vec<Effect>) {
-        if self.next_picture().is_none_or(|due| due > now) {
+        if self.next_topology().is_none_or(|due| due > now) {
             return;
         }
         self.changed = false;
         self.published = Some(now);
         self.generation = self.generation.wrapping_add(1);
         let current = self.spread.history().current();
-        let picture = Picture::new(
+        let topology = Topology::new(
             self.members.id(),
             self.domain.clone(),
             self.life(),
@@ -183,7 +183,7 @@
             self.generation,
         );
         let report = self.spread.report().clone();
-        effects.push(Effect::Publish(Arc::new(picture.with_report(report))));
+        effects.push(Effect::Publish(Arc::new(topology.with_report(report))));
     }
 
     /// Announces the state of the own upstream if it differs from what members know.
@@ -220,7 +220,7 @@
             Input::Datagram { from, message } => {
                 let stamp = message.gossip().stamp;
                 self.members.receive(now, from, message, &mut out.members);
-                self.spread.hear(now, from, stamp, &mut out.spread);
+                self.spread.receive_stamp(now, from, stamp, &mut out.spread);
             }
             Input::PullAsked { token, have } => {
                 let offer = self.spread.offer(have);
@@ -236,7 +236,7 @@
             }
             Input::Synced { from, answer } => {
                 let stamp = answer.as_ref().map(|it| it.stamp).unwrap_or_default();
-                self.spread.hear(now, from, stamp, &mut out.spread);
+                self.spread.receive_stamp(now, from, stamp, &mut out.spread);
                 self.members
                     .receive_answer(now, from, answer, random, &mut out.members);
             }
@@ -298,7 +298,7 @@
             .into_iter()
             .chain(self.spread.next_wake())
             .chain(self.own.next_wake())
-            .chain(self.next_picture())
+            .chain(self.next_topology())
             .min()
     }
 }
--- a/components/control/src/message.rs
+++ b/components/control/src/message.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use crate::Picture;
+use crate::Topology;
 use config::Record;
 use ids::Domain;
 use ids::Version;
@@ -83,7 +83,7 @@
         addresses: Vec<SocketAddr>,
     },
     /// Route by this from now on.
-    Publish(Arc<Picture>),
+    Publish(Arc<Topology>),
     /// A record was refused.
     Refused { version: Version, message: String },
 }
--- a/components/control/src/picture.rs
+++ b/components/control/src/topology.rs
@@ -16,7 +16,7 @@
 use member::Upstream;
 use spread::Report;
 
-/// Address of an endpoint in a picture.
+/// Address of an endpoint in a topology.
 pub type EndpointKey = Key<Endpoint>;
 
 /// A live endpoint of a service that the configuration lists.
@@ -38,7 +38,7 @@
 
 /// Immutable view of configuration and membership.
 #[derive(Clone, Debug)]
-pub struct Picture {
+pub struct Topology {
     /// The node itself.
     pub me: NodeId,
     /// Its failure domain.
@@ -58,8 +58,8 @@
     by_service: Vec<(ServiceKey, EndpointKey)>,
 }
 
-impl Picture {
-    /// A picture of these members; `generation` differs from that of the picture before.
+impl Topology {
+    /// A topology of these members; `generation` differs from that of the topology before.
     pub fn new(
         me: NodeId,
         domain: Domain,
@@ -105,7 +105,7 @@
         }
     }
 
-    /// The picture with this report.
+    /// The topology with this report.
     pub fn with_report(self, report: Report) -> Self {
         Self { report, ..self }
     }
@@ -115,7 +115,7 @@
         &self.members
     }
 
-    /// The endpoint at `key`, if the key is of this picture.
+    /// The endpoint at `key`, if the key is of this topology.
     pub fn endpoint(&self, key: EndpointKey) -> Option<&Endpoint> {
         self.endpoints.get(key)
     }
--- a/components/control/tests/fleet/driver/checker.rs
+++ b/components/control/tests/fleet/driver/checker.rs
@@ -8,7 +8,7 @@
 use crate::driver::SECOND;
 use config::Record;
 use control::Life;
-use control::Picture;
+use control::Topology;
 use ids::Digest;
 use ids::NodeId;
 use ids::Version;
@@ -31,7 +31,7 @@
     Impaired,
     Restored,
     /// The process routes by this from now on.
-    Published(Arc<Picture>),
+    Published(Arc<Topology>),
 }
 
 #[derive(Default)]
@@ -56,7 +56,7 @@
     impaired: bool,
     /// Since when nothing is wrong.
     clear: u64,
-    picture: Option<Arc<Picture>>,
+    topology: Option<Arc<Topology>>,
 }
 
 impl History {
@@ -96,27 +96,27 @@
                     id,
                     impaired: view.impaired,
                     clear: now,
-                    picture: None,
+                    topology: None,
                 };
             }
             Fact::Ended => view.id = None,
             Fact::Impaired => view.impaired = true,
             Fact::Restored => (view.impaired, view.clear) = (false, now),
-            Fact::Published(picture) => {
-                for promise in self.check_picture(view.picture.as_deref(), picture) {
+            Fact::Published(topology) => {
+                for promise in self.check_topology(view.topology.as_deref(), topology) {
                     broken.push(format!("{promise} at {now} us, node {at}"));
                 }
-                view.picture = Some(Arc::clone(picture));
+                view.topology = Some(Arc::clone(topology));
             }
         }
     }
 
-    /// P1, P2 and P3 of one picture after another.
-    fn check_picture(&self, before: Option<&Picture>, picture: &Picture) -> Vec<&'static str> {
+    /// P1, P2 and P3 of one topology after another.
+    fn check_topology(&self, before: Option<&Topology>, topology: &Topology) -> Vec<&'static str> {
         let mut broken = Vec::new();
         let before = before.and_then(|it| it.snapshot.as_ref());
-        let Some(snapshot) = &picture.snapshot else {
-            let lost = before.is_some() || picture.life == Life::Serving;
+        let Some(snapshot) = &topology.snapshot else {
+            let lost = before.is_some() || topology.life == Life::Serving;
             return lost.then_some("P1: no configuration").into_iter().collect();
         };
         if before.is_some_and(|it| it.version() > snapshot.version()) {
@@ -135,7 +135,7 @@
                 broken.push("P2: route without its service");
                 continue;
             };
-            let mut endpoints = picture.endpoints_of(route.service);
+            let mut endpoints = topology.endpoints_of(route.service);
             if !endpoints.all(|(_, it)| name_service(it.requests, self.services) == *service.name) {
                 broken.push("P2: route to an endpoint of another service");
             }
@@ -157,18 +157,18 @@
             .map(|(_, version, _)| *version)
             .max()
             .unwrap_or_default();
-        let snapshot = view.picture.as_ref().and_then(|it| it.snapshot.as_ref());
+        let snapshot = view.topology.as_ref().and_then(|it| it.snapshot.as_ref());
         if snapshot.map_or(Version::NONE, |it| it.version()) < newest {
             broken.push(format!(
                 "P9: version {newest} not in force at {now} us, node {at}"
             ));
         }
-        let Some((picture, snapshot)) = view.picture.as_ref().zip(snapshot) else {
+        let Some((topology, snapshot)) = view.topology.as_ref().zip(snapshot) else {
             return;
         };
         let endpoints = snapshot
             .services()
-            .flat_map(|(key, _)| picture.endpoints_of(key));
+            .flat_map(|(key, _)| topology.endpoints_of(key));
         for (_, endpoint) in endpoints.filter(|(_, it)| it.stage == Stage::Ready) {
             let left =
                 |(time, id): &(u64, NodeId)| *id == endpoint.node && time + DRAIN_LIMIT <= now;
--- a/components/control/tests/fleet/driver/mod.rs
+++ b/components/control/tests/fleet/driver/mod.rs
@@ -15,8 +15,8 @@
 use control::Effect;
 use control::Input;
 use control::Machine;
-use control::Picture;
 use control::Token;
+use control::Topology;
 use ids::Digest;
 use ids::Domain;
 use ids::Incarnation;
@@ -50,7 +50,7 @@
     process: u64,
     wake_at: u64,
     inbox: Vec<Input>,
-    pub(crate) picture: Option<Arc<Picture>>,
+    pub(crate) topology: Option<Arc<Topology>>,
 }
 
 /// What goes wrong for all nodes.
@@ -95,7 +95,7 @@
     pub(crate) faults: Faults,
     pub(crate) tally: Tally,
     pub(crate) history: History,
-    /// Whether pictures go into the history and datagrams through their encoding.
+    /// Whether topologies go into the history and datagrams through their encoding.
     pub(crate) record: bool,
     /// Hash over all effects, if wanted.
     pub(crate) trace: Option<Digest>,
@@ -151,7 +151,7 @@
             process: 0,
             wake_at: u64::MAX,
             inbox: Vec::new(),
-            picture: None,
+            topology: None,
         });
         self.start(at);
         at
--- a/components/control/tests/fleet/driver/network.rs
+++ b/components/control/tests/fleet/driver/network.rs
@@ -54,12 +54,12 @@
                 self.tally.call_bytes += size(&wire::sync::Answer::from(&answer));
                 self.answer(token, None, Some(answer));
             }
-            Effect::Publish(picture) => {
+            Effect::Publish(topology) => {
                 if self.record {
-                    let fact = Fact::Published(Arc::clone(&picture));
+                    let fact = Fact::Published(Arc::clone(&topology));
                     self.history.add(self.now, at, fact);
                 }
-                self.nodes[at].picture = Some(picture);
+                self.nodes[at].topology = Some(topology);
             }
             Effect::Refused { .. } => {}
             call => {
--- a/components/control/tests/fleet/faults.rs
+++ b/components/control/tests/fleet/faults.rs
@@ -10,7 +10,7 @@
 use crate::driver::checker::write_record;
 use crate::driver::checker::write_text;
 use control::Input;
-use control::Picture;
+use control::Topology;
 use ids::Digest;
 use member::Stage;
 
@@ -295,13 +295,13 @@
 #[case::older_version("P1", 1, ["q", "q"])]
 #[case::other_endpoints("P2", 2, ["s0", "s1"])]
 #[case::other_text("P3", 2, ["1002", "1003"])]
-#[case::old_picture("P7", 0, ["", ""])]
+#[case::old_topology("P7", 0, ["", ""])]
 #[case::missing_version("P9", 0, ["", ""])]
 fn check_planted(#[case] promise: &str, #[case] version: u64, #[case] swapped: [&str; 2]) {
     let mut fleet = Fleet::serving(5, 6);
     fleet.accept(2);
     fleet.run(6.0);
-    let kept = fleet.nodes[4].picture.clone().unwrap();
+    let kept = fleet.nodes[4].topology.clone().unwrap();
     assert_eq!(fleet.history.broken, Vec::<String>::new());
     match promise {
         "P9" => fleet
@@ -316,9 +316,9 @@
                 .replace(swapped[1], swapped[0]);
             let text = text.replace('x', swapped[1]);
             let snapshot = Arc::new(config::compile(&text, ids::Version(version)).unwrap());
-            let mut picture = Picture::clone(&kept);
-            picture.snapshot = Some(snapshot);
-            let fact = Fact::Published(Arc::new(picture));
+            let mut topology = Topology::clone(&kept);
+            topology.snapshot = Some(snapshot);
+            let fact = Fact::Published(Arc::new(topology));
             fleet.history.add(fleet.now, 4, fact);
         }
     }
--- a/components/control/tests/fleet/measure.rs
+++ b/components/control/tests/fleet/measure.rs
@@ -110,7 +110,7 @@
     while fleet.now < begin + 60 * SECOND && times[2] == 0 {
         fleet.run(0.01);
         let up: Vec<_> = fleet.nodes.iter().filter(|it| it.up).collect();
-        let version_of = |it: &Node| Some(it.picture.as_ref()?.snapshot.as_ref()?.version());
+        let version_of = |it: &Node| Some(it.topology.as_ref()?.snapshot.as_ref()?.version());
         let ready = up
             .iter()
             .filter(|it| version_of(it) == Some(ids::Version(version)));
@@ -129,7 +129,7 @@
     times
 }
 
-/// Milliseconds until no picture has work for a node that drains, or that was killed.
+/// Milliseconds until no topology has work for a node that drains, or that was killed.
 fn withdraw(fleet: &mut Fleet, at: usize, drain: bool) -> u64 {
     let id = fleet.nodes[at].machine.id();
     let begin = fleet.now;
@@ -139,9 +139,9 @@
         fleet.kill(at);
     }
     let lists = |node: &Node| {
-        let picture = node.picture.as_ref()?;
-        let services = picture.snapshot.as_ref()?.services();
-        let mut endpoints = services.flat_map(|(key, _)| picture.endpoints_of(key));
+        let topology = node.topology.as_ref()?;
+        let services = topology.snapshot.as_ref()?.services();
+        let mut endpoints = services.flat_map(|(key, _)| topology.endpoints_of(key));
         Some(endpoints.any(|(_, it)| it.node == id && it.stage == Stage::Ready))
     };
     while fleet.now < begin + 60 * SECOND {
--- a/components/control/tests/upstream.rs
+++ b/components/control/tests/upstream.rs
@@ -1,4 +1,4 @@
-//! Life of the node's own upstream and the pictures that are published.
+//! Life of the node's own upstream and the topologies that are published.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -10,7 +10,7 @@
 use control::Input;
 use control::Life;
 use control::Machine;
-use control::Picture;
+use control::Topology;
 use ids::Domain;
 use ids::Incarnation;
 use ids::NodeId;
@@ -29,7 +29,7 @@
     machine: Machine,
     random: Seeded,
     now: Time,
-    pictures: Vec<(Time, Arc<Picture>)>,
+    topologies: Vec<(Time, Arc<Topology>)>,
 }
 
 impl Node {
@@ -52,14 +52,14 @@
             machine: Machine::new(me, contacts.to_vec(), Limits::default(), Time(0)),
             random: Seeded::new(1),
             now: Time(0),
-            pictures: Vec::new(),
+            topologies: Vec::new(),
         }
     }
 
     fn keep(&mut self, effects: Vec<Effect>) {
         for effect in effects {
-            if let Effect::Publish(picture) = effect {
-                self.pictures.push((self.now, picture));
+            if let Effect::Publish(topology) = effect {
+                self.topologies.push((self.now, topology));
             }
         }
     }
@@ -134,7 +134,7 @@
     assert_eq!(node.stage(), Some(expected));
 }
 
-/// Guards against pictures without news, and against a burst of them.
+/// Guards against topologies without news, and against a burst of them.
 #[rstest]
 fn publish_coalesced() {
     let mut node = Node::new(&[]);
@@ -144,14 +144,14 @@
         node.run(Duration::from_millis(1));
     }
     node.run(Duration::from_secs(5));
-    let times: Vec<Time> = node.pictures.iter().map(|it| it.0).collect();
+    let times: Vec<Time> = node.topologies.iter().map(|it| it.0).collect();
     assert!(
         times
             .windows(2)
             .all(|it| it[1].since(it[0]) >= Duration::from_millis(20))
     );
     assert_eq!(times.len(), 6);
-    let own = node.pictures.last().and_then(|it| it.1.own.clone());
+    let own = node.topologies.last().and_then(|it| it.1.own.clone());
     assert_eq!(own.map(|it| it.1.slots), Some(100));
 }
 
@@ -187,7 +187,7 @@
         revision,
     }));
     node.run(Duration::from_secs(10));
-    let served = node.pictures.iter().find(|it| it.1.life == Life::Serving);
+    let served = node.topologies.iter().find(|it| it.1.life == Life::Serving);
     let served = served.map(|it| it.0.since(Time(0)).as_secs());
     assert_eq!(served, Some(seconds));
 }
--- a/components/daemon/src/executor.rs
+++ b/components/daemon/src/executor.rs
@@ -17,9 +17,9 @@
 use control::Effect;
 use control::Input;
 use control::Life;
-use control::Picture;
 use control::Token;
-use front::Desk;
+use control::Topology;
+use front::Driver;
 use ids::Domain;
 use kernel::control::Executor;
 use member::Stage;
@@ -80,8 +80,8 @@
     pub(crate) store: Arc<dyn Store>,
     pub(crate) inputs: mpsc::Sender<Input>,
     pub(crate) waiting: Arc<Mutex<Waiting>>,
-    pub(crate) picture: Arc<ArcSwap<Picture>>,
-    pub(crate) desk: Arc<Desk>,
+    pub(crate) topology: Arc<ArcSwap<Topology>>,
+    pub(crate) driver: Arc<Driver>,
     pub(crate) counters: Arc<Counters>,
     pub(crate) watch: Option<JoinHandle<()>>,
 }
@@ -114,7 +114,7 @@
                 expected,
                 addresses,
             } => self.write_contacts(&domain, expected, &addresses),
-            Effect::Publish(picture) => self.publish(picture),
+            Effect::Publish(topology) => self.publish(topology),
             Effect::Refused { version, message } => {
                 warn!(version = version.0, error = message.as_str(); "configuration refused");
             }
@@ -223,23 +223,23 @@
         }
     }
 
-    fn publish(&mut self, picture: Arc<Picture>) {
-        let old = self.picture.load_full();
-        states::count_changes(&self.counters, &old, &picture);
+    fn publish(&mut self, topology: Arc<Topology>) {
+        let old = self.topology.load_full();
+        states::count_changes(&self.counters, &old, &topology);
         let before = old.snapshot.as_ref().map(|it| it.version());
-        let now = picture.snapshot.as_ref().map(|it| it.version());
-        let own = picture.own.clone();
-        let leaving = picture.life == Life::Leaving;
-        self.picture.store(picture);
+        let now = topology.snapshot.as_ref().map(|it| it.version());
+        let own = topology.own.clone();
+        let leaving = topology.life == Life::Leaving;
+        self.topology.store(topology);
         if leaving {
-            self.desk.drain();
+            self.driver.drain();
         }
         if let Some(version) = now.filter(|version| Some(*version) != before) {
             self.counters.set_version(version.0);
             info!(version = version.0; "configuration in force");
         }
         let (stage, slots) = own.map_or((Stage::Warming, 0), |(stage, it)| (stage, it.slots));
-        self.desk
+        self.driver
             .step_owner(traffic::owner::Input::Upstream { stage, slots });
     }
 }
--- a/components/daemon/src/lib.rs
+++ b/components/daemon/src/lib.rs
@@ -1,7 +1,7 @@
 //! The node process: wires settings, plug-ins, the control thread and the traffic threads.
 //!
 //! The calling thread becomes the control thread: it alone steps the control machine. The traffic
-//! threads run the front end and read the published pictures.
+//! threads run the front end and read the published topologies.
 
 mod build;
 mod executor;
--- a/components/daemon/src/peer.rs
+++ b/components/daemon/src/peer.rs
@@ -11,7 +11,7 @@
 use crate::executor::Waiting;
 use control::Input;
 use control::Token;
-use front::Desk;
+use front::Driver;
 use ids::Digest;
 use ids::Version;
 use member::Stamp;
@@ -26,7 +26,7 @@
 pub(crate) struct Handler {
     pub(crate) inputs: mpsc::Sender<Input>,
     pub(crate) waiting: Arc<Mutex<Waiting>>,
-    pub(crate) desk: Arc<Desk>,
+    pub(crate) driver: Arc<Driver>,
 }
 
 impl Handler {
@@ -61,6 +61,6 @@
     }
 
     async fn outcome(self, _: Context, question: Question) -> Outcome {
-        self.desk.tell_outcome(question.into()).await.into()
+        self.driver.report_outcome(question.into()).await.into()
     }
 }
--- a/components/daemon/src/run.rs
+++ b/components/daemon/src/run.rs
@@ -24,10 +24,10 @@
 use control::Input;
 use control::Life;
 use control::Machine;
-use control::Picture;
+use control::Topology;
 use errors::Reason;
 use front::Addresses;
-use front::Desk;
+use front::Driver;
 use front::Front;
 use front::Parts;
 use ids::Domain;
@@ -99,7 +99,7 @@
     let clock = Monotonic::new();
     let me = describe_self(settings);
     let id = me.id;
-    let picture = Arc::new(ArcSwap::from_pointee(Picture::new(
+    let topology = Arc::new(ArcSwap::from_pointee(Topology::new(
         id,
         me.domain.clone(),
         Life::Joining,
@@ -107,26 +107,26 @@
         &Table::default(),
         0,
     )));
-    let desk = Arc::new(Desk::new(Parts {
+    let driver = Arc::new(Driver::new(Parts {
         me: id,
         clock,
-        picture: Arc::clone(&picture),
+        topology: Arc::clone(&topology),
         entry: traffic::entry::Machine::new(plugins.balance, plugins.retry, plugins.health),
         owner: traffic::owner::Machine::new(id, plugins.admission),
         counters: Arc::clone(&counters),
     }));
-    // The counters are part of the desk, which must not keep itself alive.
-    let observed = Arc::downgrade(&desk);
+    // The counters are part of the driver, which must not keep itself alive.
+    let observed = Arc::downgrade(&driver);
     counters.observe(move || observed.upgrade().map(|it| it.gauges()).unwrap_or_default());
     let (inputs, receiver) = mpsc::channel(INPUT_BOUND);
     let waiting = Arc::new(Mutex::new(Waiting::default()));
 
     let sender = open_transport(settings, plugins.transport.as_ref(), &inputs, &counters).await?;
-    listen_for_nodes(settings, &inputs, &waiting, &desk).await?;
-    listen_for_operators(settings, &inputs, &desk).await?;
+    listen_for_nodes(settings, &inputs, &waiting, &driver).await?;
+    listen_for_operators(settings, &inputs, &driver).await?;
     let stop = CancellationToken::new();
-    let serving = start_front(settings, plugins.front, &traffic, &desk, &stop).await?;
-    let timers = Arc::clone(&desk);
+    let serving = start_front(settings, plugins.front, &traffic, &driver, &stop).await?;
+    let timers = Arc::clone(&driver);
     traffic.spawn(async move { timers.run_timers().await });
 
     let mut effects = Effects {
@@ -134,8 +134,8 @@
         store: Arc::from(plugins.store),
         inputs: inputs.clone(),
         waiting,
-        picture,
-        desk: Arc::clone(&desk),
+        topology,
+        driver: Arc::clone(&driver),
         counters,
         watch: None,
     };
@@ -144,7 +144,7 @@
     let mut random = Seeded::from_system();
     info!(node = id.to_string().as_str(); "node started");
     let driving = drive(&mut machine, receiver, &mut effects, &clock, &mut random);
-    let leaving = leave(settings, &desk, inputs, stop, serving, stops);
+    let leaving = leave(settings, &driver, inputs, stop, serving, stops);
     tokio::select! {
         () = driving => {}
         done = leaving => done?,
@@ -205,12 +205,12 @@
     settings: &Settings,
     inputs: &mpsc::Sender<Input>,
     waiting: &Arc<Mutex<Waiting>>,
-    desk: &Arc<Desk>,
+    driver: &Arc<Driver>,
 ) -> Result<(), Error> {
     let handler = Handler {
         inputs: inputs.clone(),
         waiting: Arc::clone(waiting),
-        desk: Arc::clone(desk),
+        driver: Arc::clone(driver),
     };
     let address = settings.listen.peer;
     let answering = calls::listen(address, handler)
@@ -224,14 +224,14 @@
 async fn listen_for_operators(
     settings: &Settings,
     inputs: &mpsc::Sender<Input>,
-    desk: &Arc<Desk>,
+    driver: &Arc<Driver>,
 ) -> Result<(), Error> {
     let address = settings.listen.admin;
     let listener = TcpListener::bind(address)
         .await
         .map_err(refuse_address("admin", address))?;
     let printed = settings::print(settings);
-    let node = admin::Node::new(Arc::clone(desk), inputs.clone(), printed);
+    let node = admin::Node::new(Arc::clone(driver), inputs.clone(), printed);
     tokio::spawn(admin::serve(listener, node));
     Ok(())
 }
@@ -241,7 +241,7 @@
     settings: &Settings,
     front: Box<dyn Front>,
     traffic: &runtime::Handle,
-    desk: &Arc<Desk>,
+    driver: &Arc<Driver>,
     stop: &CancellationToken,
 ) -> Result<JoinHandle<()>, Error> {
     let addresses = Addresses {
@@ -249,8 +249,8 @@
         requests: settings.listen.requests,
         upstream: settings.upstream,
     };
-    let (desk, stop) = (Arc::clone(desk), stop.clone());
-    let start = async move { front.start(addresses, desk, stop).await };
+    let (driver, stop) = (Arc::clone(driver), stop.clone());
+    let start = async move { front.start(addresses, driver, stop).await };
     match traffic.spawn(start).await {
         Ok(started) => Ok(traffic.spawn(started.map_err(Error::Front)?)),
         Err(error) => Err(Error::Start(error.into())),
@@ -278,7 +278,7 @@
 /// Waits for a reason to leave, then drains: stop advertising, refuse, finish, close, leave.
 async fn leave(
     settings: &Settings,
-    desk: &Desk,
+    driver: &Driver,
     inputs: mpsc::Sender<Input>,
     stop: CancellationToken,
     serving: JoinHandle<()>,
@@ -286,17 +286,17 @@
 ) -> Result<(), Error> {
     tokio::select! {
         _ = stops.recv() => {}
-        () = desk.leaving().cancelled() => {}
-        () = desk.drained().cancelled() => {}
+        () = driver.leaving().cancelled() => {}
+        () = driver.drained().cancelled() => {}
     }
     let limit = Duration::from_millis(settings.drain_limit_ms);
-    info!(running = desk.load().running, forwarded = desk.open_calls(); "draining");
+    info!(running = driver.load().running, forwarded = driver.open_calls(); "draining");
     let drain = async {
         // The channel is open as long as the control loop runs.
         let _ = inputs.send(Input::Drain).await;
-        desk.drain();
+        driver.drain();
         tokio::join!(
-            desk.finish(),
+            driver.finish(),
             tokio::time::sleep(DRAIN_LINGER.min(limit / 2))
         );
         stop.cancel();
@@ -311,7 +311,7 @@
     };
     Err(Error::Cut {
         why,
-        running: desk.load().running,
-        forwarded: desk.open_calls(),
+        running: driver.load().running,
+        forwarded: driver.open_calls(),
     })
 }
--- a/components/daemon/src/states.rs
+++ b/components/daemon/src/states.rs
@@ -1,16 +1,16 @@
 //! Counts of state changes.
 
 use control::Life;
-use control::Picture;
+use control::Topology;
 use member::Stage;
 use telemetry::Counters;
 
-/// Counts the changes between two pictures.
-pub(crate) fn count_changes(counters: &Counters, before: &Picture, now: &Picture) {
+/// Counts the changes between two topologies.
+pub(crate) fn count_changes(counters: &Counters, before: &Topology, now: &Topology) {
     if before.life != now.life {
         counters.count_state("node", name_life(now.life));
     }
-    let stage = |picture: &Picture| picture.own.as_ref().map(|(stage, _)| *stage);
+    let stage = |topology: &Topology| topology.own.as_ref().map(|(stage, _)| *stage);
     if let Some(stage) = stage(now).filter(|it| Some(*it) != stage(before)) {
         counters.count_state("upstream", name_stage(stage));
     }
--- a/components/front/src/desk.rs
+++ b/components/front/src/driver.rs
@@ -13,7 +13,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::Permit;
-use control::Picture;
+use control::Topology;
 use ids::NodeId;
 use ids::RequestId;
 use kernel::Clock;
@@ -32,14 +32,14 @@
 /// Longest sleep of the timer task.
 const LONGEST_SLEEP: Duration = Duration::from_secs(1);
 
-/// What a desk is made of.
+/// What a driver is made of.
 pub struct Parts {
     /// The node itself.
     pub me: NodeId,
     /// Clock of the process.
     pub clock: Monotonic,
     /// View published by the control thread.
-    pub picture: Arc<ArcSwap<Picture>>,
+    pub topology: Arc<ArcSwap<Topology>>,
     /// Entry machine.
     pub entry: entry::Machine,
     /// Owner machine.
@@ -72,10 +72,10 @@
 }
 
 /// Runs the traffic machines of a node.
-pub struct Desk {
+pub struct Driver {
     me: NodeId,
     clock: Monotonic,
-    picture: Arc<ArcSwap<Picture>>,
+    topology: Arc<ArcSwap<Topology>>,
     entry: Mutex<Entry>,
     owner: Mutex<Owner>,
     owner_changed: Notify,
@@ -91,8 +91,8 @@
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-impl Desk {
-    /// A desk of these parts.
+impl Driver {
+    /// A driver of these parts.
     pub fn new(parts: Parts) -> Self {
         let entry = Entry {
             machine: parts.entry,
@@ -107,7 +107,7 @@
         Self {
             me: parts.me,
             clock: parts.clock,
-            picture: parts.picture,
+            topology: parts.topology,
             entry: Mutex::new(entry),
             owner: Mutex::new(owner),
             owner_changed: Notify::new(),
@@ -134,8 +134,8 @@
     }
 
     /// The present view of the fleet.
-    pub fn picture(&self) -> Arc<Picture> {
-        self.picture.load_full()
+    pub fn topology(&self) -> Arc<Topology> {
+        self.topology.load_full()
     }
 
     /// Whether the node finishes what runs and takes no new requests.
@@ -243,12 +243,12 @@
     }
 
     /// Answers an outcome query of another node.
-    pub async fn tell_outcome(&self, question: owner::Question) -> Outcome {
+    pub async fn report_outcome(&self, question: owner::Question) -> Outcome {
         let (sender, receiver) = oneshot::channel();
         {
             let mut owner = lock(&self.owner);
             let tag = owner.add(Waiter::Query(sender));
-            self.step_locked(&mut owner, owner::Input::Asked { tag, question });
+            self.step_locked(&mut owner, owner::Input::OutcomeAsked { tag, question });
         }
         receiver.await.unwrap_or(Outcome::Unknown)
     }
@@ -313,7 +313,7 @@
                         cancelled.cancel();
                     }
                 }
-                owner::Effect::Tell { tag, outcome } => {
+                owner::Effect::ReportOutcome { tag, outcome } => {
                     if let Some(Waiter::Query(sender)) = owner.take(tag) {
                         let _ = sender.send(outcome);
                     }
--- a/components/front/src/lib.rs
+++ b/components/front/src/lib.rs
@@ -1,10 +1,10 @@
 //! Traffic side of a node, below any protocol.
 //!
-//! [`Desk`] runs the pure entry and owner machines under short locks and turns their effects into
+//! [`Driver`] runs the pure entry and owner machines under short locks and turns their effects into
 //! futures. [`Front`] is the extension point of the front ends that speak a protocol with callers,
 //! nodes and the upstream; each is a crate of its own.
 
-mod desk;
+mod driver;
 mod permit;
 mod query;
 
@@ -21,8 +21,8 @@
 use kernel::plugin::EXTENSIONS;
 use kernel::plugin::Extension;
 
-pub use desk::Desk;
-pub use desk::Parts;
+pub use driver::Driver;
+pub use driver::Parts;
 pub use permit::Permit;
 pub use query::query_outcome;
 
@@ -56,6 +56,10 @@
 /// Speaks a protocol with callers, nodes and the upstream.
 pub trait Front: Send + Sync {
     /// Listens on the addresses; the inner future serves until `stop`.
-    fn start(&self, addresses: Addresses, desk: Arc<Desk>, stop: CancellationToken)
-    -> Starting<'_>;
+    fn start(
+        &self,
+        addresses: Addresses,
+        driver: Arc<Driver>,
+        stop: CancellationToken,
+    ) -> Starting<'_>;
 }
--- a/components/front/src/permit.rs
+++ b/components/front/src/permit.rs
@@ -4,23 +4,23 @@
 
 use tokio_util::sync::CancellationToken;
 
-use crate::Desk;
+use crate::Driver;
 use errors::Verdict;
 use traffic::owner::Input;
 
 /// Held from the offer of a request to its end; dropping it tells the owner machine that the request
 /// was given up.
 pub struct Permit {
-    desk: Arc<Desk>,
+    driver: Arc<Driver>,
     tag: u64,
     cancelled: Option<CancellationToken>,
     ended: bool,
 }
 
 impl Permit {
-    pub(crate) fn new(desk: Arc<Desk>, tag: u64) -> Self {
+    pub(crate) fn new(driver: Arc<Driver>, tag: u64) -> Self {
         Self {
-            desk,
+            driver,
             tag,
             cancelled: None,
             ended: false,
@@ -44,7 +44,7 @@
     /// Ends the request with what the upstream has shown.
     pub fn finish(mut self, verdict: Verdict, shed: bool, stored: bool) {
         self.ended = true;
-        self.desk.end(
+        self.driver.end(
             self.tag,
             Input::Finished {
                 tag: self.tag,
@@ -64,9 +64,9 @@
         let tag = self.tag;
         // A queued request is cancelled; one that was started may have run. The machine ignores
         // the input that does not fit.
-        self.desk.step_owner(Input::Cancelled { tag });
+        self.driver.step_owner(Input::Cancelled { tag });
         let verdict = Verdict::MayHaveRun;
-        self.desk.end(
+        self.driver.end(
             tag,
             Input::Finished {
                 tag,
--- a/components/http1/src/attempt.rs
+++ b/components/http1/src/attempt.rs
@@ -34,8 +34,8 @@
 use traffic::entry::CallKey;
 use traffic::entry::Effect;
 use traffic::entry::Input;
+use traffic::entry::Profile;
 use traffic::entry::Report;
-use traffic::entry::Way;
 use traffic::owner::Offer;
 use traffic::owner::Question;
 use wire::header;
@@ -73,15 +73,15 @@
     shared: &Arc<Shared>,
     saved: &mut Saved,
     call: CallKey,
-    way: Way,
+    profile: Profile,
     attempt: Attempt,
 ) -> Sent {
-    if attempt.node == shared.desk.me() {
-        return Sent::Begun(send_local(shared, saved, way, attempt).await);
+    if attempt.node == shared.driver.me() {
+        return Sent::Begun(send_local(shared, saved, profile, attempt).await);
     }
     let idle = match shared
         .nodes
-        .take(attempt.requests, attempt.node, shared.desk.clock())
+        .take(attempt.requests, attempt.node, shared.driver.clock())
         .await
     {
         Ok(idle) => idle,
@@ -95,8 +95,8 @@
         expires,
         given_up: false,
     };
-    let mut answer = pin!(send_remote(shared, saved, way, attempt, idle, expires));
-    let deadline = Instant::from_std(shared.desk.clock().instant(attempt.deadline));
+    let mut answer = pin!(send_remote(shared, saved, profile, attempt, idle, expires));
+    let deadline = Instant::from_std(shared.driver.clock().instant(attempt.deadline));
     let mut asking = pin!(None);
     let mut due = (Instant::now() + FIRST_SILENCE).min(deadline);
     loop {
@@ -137,7 +137,7 @@
 
 /// Asks the owner what became of an attempt, and fetches its stored answer if need be.
 async fn ask(shared: &Shared, question: Question, call: CallKey, attempt: Attempt) -> Sent {
-    let effects = shared.desk.step_entry(Input::Silent { call });
+    let effects = shared.driver.step_entry(Input::Silent { call });
     let given_up = effects
         .iter()
         .any(|effect| matches!(effect, Effect::Query { give_up: true, .. }));
@@ -146,26 +146,26 @@
         ..question
     };
     let outcome = query_outcome(attempt.peer, question).await;
-    let picture = shared.desk.picture();
-    let mut effects = shared.desk.step_entry(Input::Told {
+    let topology = shared.driver.topology();
+    let mut effects = shared.driver.step_entry(Input::OutcomeKnown {
         call,
-        picture,
+        topology,
         outcome,
     });
     while effects
         .iter()
         .any(|effect| matches!(effect, Effect::Fetch { .. }))
     {
-        let (address, clock) = (attempt.requests, shared.desk.clock());
+        let (address, clock) = (attempt.requests, shared.driver.clock());
         let fetched = shared
             .nodes
             .fetch(address, attempt.node, question.id, clock);
         let fetched = fetched.await;
-        let picture = shared.desk.picture();
+        let topology = shared.driver.topology();
         let found = fetched.is_some();
-        effects = shared.desk.step_entry(Input::Fetched {
+        effects = shared.driver.step_entry(Input::Fetched {
             call,
-            picture,
+            topology,
             found,
         });
         if let Some(response) = fetched {
@@ -176,14 +176,19 @@
 }
 
 /// Runs an attempt at this node's own upstream.
-async fn send_local(shared: &Arc<Shared>, saved: &mut Saved, way: Way, attempt: Attempt) -> Begun {
+async fn send_local(
+    shared: &Arc<Shared>,
+    saved: &mut Saved,
+    profile: Profile,
+    attempt: Attempt,
+) -> Begun {
     let Some(request) = copy(saved) else {
         return failed(Verdict::MayHaveRun, Reason::ConnectionBroken);
     };
-    let picture = shared.desk.picture();
-    let snapshot = picture.snapshot.as_ref();
+    let topology = shared.driver.topology();
+    let snapshot = topology.snapshot.as_ref();
     let weight = snapshot
-        .and_then(|it| it.route(it.find_route_by_id(way.route)?))
+        .and_then(|it| it.route(it.find_route_by_id(profile.route)?))
         .map_or(1, |route| route.weight);
     let offer = Offer {
         tag: 0,
@@ -191,10 +196,10 @@
         attempt: attempt.number,
         meant_for: attempt.node,
         expires: attempt.deadline,
-        route: way.route,
-        rank: way.rank,
+        route: profile.route,
+        rank: profile.rank,
         weight,
-        idempotent: way.idempotent,
+        idempotent: profile.idempotent,
     };
     let work = Work {
         offer,
@@ -209,7 +214,7 @@
                 verdict: refusal.verdict,
                 reason: Some(saved.body.failure().unwrap_or(refusal.reason)),
                 retry_after: refusal.retry_after,
-                load: Some(shared.desk.load()),
+                load: Some(shared.driver.load()),
                 failed: false,
             },
         },
@@ -220,7 +225,7 @@
 async fn send_remote(
     shared: &Arc<Shared>,
     saved: &mut Saved,
-    way: Way,
+    profile: Profile,
     attempt: Attempt,
     idle: Idle,
     expires: Time,
@@ -230,7 +235,7 @@
     };
     let values = [
         (header::REQUEST_ID, saved.id.to_string()),
-        (header::ROUTE, way.route.to_string()),
+        (header::ROUTE, profile.route.to_string()),
         (header::OWNER, attempt.node.to_string()),
         (header::EXPIRES, expires.0.to_string()),
         (header::ATTEMPT, attempt.number.to_string()),
@@ -250,11 +255,13 @@
                 link,
             };
             let shared = Arc::clone(shared);
-            let deadline = Instant::from_std(shared.desk.clock().instant(attempt.deadline));
+            let deadline = Instant::from_std(shared.driver.clock().instant(attempt.deadline));
             let on_end = move |end| {
                 if let End::Whole(Some(link)) = end {
                     let idle = Idle { link, remote };
-                    shared.nodes.keep(attempt.requests, idle, shared.desk.now());
+                    shared
+                        .nodes
+                        .keep(attempt.requests, idle, shared.driver.now());
                 }
             };
             let payload = Payload::Relay(Box::new(Relay::new(source, deadline, on_end)));
--- a/components/http1/src/caller.rs
+++ b/components/http1/src/caller.rs
@@ -40,7 +40,7 @@
 use traffic::entry::Effect;
 use traffic::entry::Head;
 use traffic::entry::Input;
-use traffic::entry::Way;
+use traffic::entry::Profile;
 use wire::header;
 
 /// Value of `medlar-retry-owner` by which a level further out says that it retries.
@@ -55,8 +55,8 @@
 impl Drop for Guard {
     fn drop(&mut self) {
         if let Some(call) = self.call.take() {
-            self.shared.desk.counters().count_drop(Reason::CallerLeft);
-            self.shared.desk.step_entry(Input::Ended { call });
+            self.shared.driver.counters().count_drop(Reason::CallerLeft);
+            self.shared.driver.step_entry(Input::Ended { call });
         }
     }
 }
@@ -64,7 +64,7 @@
 impl Guard {
     fn end(mut self) {
         if let Some(call) = self.call.take() {
-            self.shared.desk.step_entry(Input::Ended { call });
+            self.shared.driver.step_entry(Input::Ended { call });
         }
     }
 }
@@ -81,7 +81,7 @@
         // must be closed (RFC 9112, 6.1).
         Ok(response) => (response, chunked),
         Err(refusal) => {
-            let counters = shared.desk.counters();
+            let counters = shared.driver.counters();
             counters.count_refusal("entry", refusal.reason);
             let close = [Reason::Malformed, Reason::TooLarge, Reason::DeadlinePassed];
             (answer::refuse(refusal), close.contains(&refusal.reason))
@@ -98,7 +98,7 @@
     shared: &Arc<Shared>,
     mut request: Request<Incoming>,
 ) -> Result<Response<Payload>, Refusal> {
-    let arrived = shared.desk.now();
+    let arrived = shared.driver.now();
     check_head(&mut request).map_err(not_run)?;
     let (mut parts, body) = request.into_parts();
     let body = Intake::read(body).await.map_err(not_run)?;
@@ -109,7 +109,8 @@
         .is_some_and(|value| value.as_bytes() == RETRIES);
     let parent = parse_header::<RequestId>(headers, header::REQUEST_ID);
     // Matters only while the node leaves, so the look is left out before.
-    let onward = shared.desk.is_leaving() && parent.is_some_and(|id| shared.desk.is_running(id));
+    let onward =
+        shared.driver.is_leaving() && parent.is_some_and(|id| shared.driver.is_running(id));
     clean_request(headers);
     let head = Head {
         id: RequestId(rand::random()),
@@ -125,18 +126,18 @@
         parts,
         body,
     };
-    let picture = shared.desk.picture();
-    let effects = shared.desk.step_entry(Input::Arrived { picture, head });
+    let topology = shared.driver.topology();
+    let effects = shared.driver.step_entry(Input::Arrived { topology, head });
     let mut guard = Guard {
         shared: Arc::clone(shared),
         call: None,
     };
     let result = carry_out(shared, &mut saved, effects, &mut guard).await;
-    let (response, way, attempt) = result.inspect_err(|refusal| {
+    let (response, profile, attempt) = result.inspect_err(|refusal| {
         guard.call = None;
         log_unknown(saved.id, *refusal);
     })?;
-    Ok(relay(response, guard, way, attempt, arrived))
+    Ok(relay(response, guard, profile, attempt, arrived))
 }
 
 /// Logs a refusal of a request that may have run; the others have counters only.
@@ -158,7 +159,7 @@
 fn relay(
     response: Response<Payload>,
     guard: Guard,
-    way: Way,
+    profile: Profile,
     attempt: Attempt,
     arrived: Time,
 ) -> Response<Payload> {
@@ -166,13 +167,13 @@
     remove_own_headers(&mut parts.headers);
     remove_hop_headers(&mut parts.headers);
     let shared = Arc::clone(&guard.shared);
-    let deadline = Instant::from_std(shared.desk.clock().instant(attempt.deadline));
+    let deadline = Instant::from_std(shared.driver.clock().instant(attempt.deadline));
     let on_end = move |end| {
-        let counters = shared.desk.counters();
+        let counters = shared.driver.counters();
         match end {
             End::Whole(_) => {
-                let seconds = shared.desk.now().since(arrived).as_secs_f64();
-                counters.count_request(way.rank, seconds);
+                let seconds = shared.driver.now().since(arrived).as_secs_f64();
+                counters.count_request(profile.rank, seconds);
             }
             End::Broken(reason) => counters.count_drop(reason),
             End::Dropped => counters.count_drop(Reason::CallerLeft),
@@ -189,14 +190,16 @@
     saved: &mut Saved,
     effects: Vec<Effect>,
     guard: &mut Guard,
-) -> Result<(Response<Payload>, Way, Attempt), Refusal> {
+) -> Result<(Response<Payload>, Profile, Attempt), Refusal> {
     let mut effects = effects;
     loop {
         let mut forward = None;
         for effect in effects.drain(..) {
             match effect {
-                Effect::Retrying { reason } => shared.desk.counters().count_retry(reason),
-                Effect::Denied { reason } => shared.desk.counters().count_refusal("retry", reason),
+                Effect::Retrying { reason } => shared.driver.counters().count_retry(reason),
+                Effect::Denied { reason } => {
+                    shared.driver.counters().count_refusal("retry", reason)
+                }
                 Effect::Refuse { refusal } => return Err(refusal),
                 Effect::Forward {
                     call,
@@ -212,7 +215,7 @@
                 | Effect::Deliver { .. } => {}
             }
         }
-        let Some((call, way, attempt)) = forward else {
+        let Some((call, profile, attempt)) = forward else {
             return Err(Refusal {
                 reason: Reason::OutcomeUnknown,
                 verdict: Verdict::MayHaveRun,
@@ -222,21 +225,21 @@
         if !attempt.wait.is_zero() {
             tokio::time::sleep(attempt.wait).await;
         }
-        match attempt::send(shared, saved, call, way, attempt).await {
+        match attempt::send(shared, saved, call, profile, attempt).await {
             Sent::Begun(begun) => {
-                let picture = shared.desk.picture();
+                let topology = shared.driver.topology();
                 let report = begun.report;
-                effects = shared.desk.step_entry(Input::Answered {
+                effects = shared.driver.step_entry(Input::Answered {
                     call,
-                    picture,
+                    topology,
                     report,
                 });
                 if delivers(&effects) {
-                    return Ok((begun.response, way, attempt));
+                    return Ok((begun.response, profile, attempt));
                 }
             }
             Sent::Fetched(response, next) if delivers(&next) => {
-                return Ok((response, way, attempt));
+                return Ok((response, profile, attempt));
             }
             Sent::Fetched(_, next) => effects = next,
             Sent::Decided(next) => effects = next,
--- a/components/http1/src/lib.rs
+++ b/components/http1/src/lib.rs
@@ -1,6 +1,6 @@
 //! Front end `http1`: HTTP/1.1 with callers, other nodes and the upstream.
 //!
-//! Translates between HTTP and the machines that [`front::Desk`] runs; it makes no decision about
+//! Translates between HTTP and the machines that [`front::Driver`] runs; it makes no decision about
 //! routing, admission or retries itself.
 
 mod answer;
@@ -28,7 +28,7 @@
 use tokio_util::sync::CancellationToken;
 
 use front::Addresses;
-use front::Desk;
+use front::Driver;
 use front::FRONTS;
 use front::Front;
 use front::Serving;
@@ -49,7 +49,7 @@
 
 /// State that all connections of the front end share.
 struct Shared {
-    desk: Arc<Desk>,
+    driver: Arc<Driver>,
     nodes: Arc<pool::Pool>,
     upstream: upstream::Client,
     answers: stored::Answers,
@@ -60,8 +60,8 @@
     async fn sweep(&self) {
         loop {
             tokio::time::sleep(pool::SWEEP_PERIOD).await;
-            let now = self.desk.now();
-            self.nodes.sweep(self.desk.clock());
+            let now = self.driver.now();
+            self.nodes.sweep(self.driver.clock());
             self.upstream.sweep(now);
             self.answers.sweep(now);
         }
@@ -72,14 +72,14 @@
     fn start(
         &self,
         addresses: Addresses,
-        desk: Arc<Desk>,
+        driver: Arc<Driver>,
         stop: CancellationToken,
     ) -> Starting<'_> {
         Box::pin(async move {
             let callers = bind("callers", addresses.callers).await?;
             let requests = bind("requests", addresses.requests).await?;
             let shared = Arc::new(Shared {
-                desk,
+                driver,
                 nodes: Arc::default(),
                 upstream: upstream::Client::new(addresses.upstream),
                 answers: stored::Answers::default(),
--- a/components/http1/src/listen.rs
+++ b/components/http1/src/listen.rs
@@ -103,7 +103,7 @@
         let answer = handle(Arc::clone(&shared), Arc::clone(&session), request);
         async move {
             let mut response = answer.await;
-            if shared.desk.is_leaving() {
+            if shared.driver.is_leaving() {
                 let headers = response.headers_mut();
                 headers.insert(CONNECTION, HeaderValue::from_static("close"));
             }
@@ -132,7 +132,7 @@
         } else {
             Reason::Malformed
         };
-        counters.desk.counters().count_refusal("listener", reason);
+        counters.driver.counters().count_refusal("listener", reason);
     }
 }
 
--- a/components/http1/src/node.rs
+++ b/components/http1/src/node.rs
@@ -60,7 +60,7 @@
             .unwrap_or_else(answer::refuse),
         Err(reason) => answer::refuse(not_run(reason)),
     };
-    answer::set_load(response.headers_mut(), shared.desk.load());
+    answer::set_load(response.headers_mut(), shared.driver.load());
     response
 }
 
@@ -89,8 +89,8 @@
     let mut response = Response::new(full(""));
     let headers = response.headers_mut();
     let values = [
-        (header::OWNER, shared.desk.me().to_string()),
-        (CLOCK, shared.desk.now().0.to_string()),
+        (header::OWNER, shared.driver.me().to_string()),
+        (CLOCK, shared.driver.now().0.to_string()),
     ];
     for (name, value) in values {
         if let Ok(value) = HeaderValue::from_str(&value) {
@@ -115,11 +115,11 @@
 fn read_offer(shared: &Shared, headers: &HeaderMap) -> Option<Offer> {
     let route: RouteId = parse_header(headers, header::ROUTE)?;
     let expires = Time(parse_header(headers, header::EXPIRES)?);
-    if expires > shared.desk.now() + MAX_EXPIRY {
+    if expires > shared.driver.now() + MAX_EXPIRY {
         return None;
     }
-    let picture = shared.desk.picture();
-    let snapshot = picture.snapshot.as_ref();
+    let topology = shared.driver.topology();
+    let snapshot = topology.snapshot.as_ref();
     // A route that this node does not know yet is served at the least urgent rank.
     let known = snapshot.and_then(|it| it.route(it.find_route_by_id(route)?));
     Some(Offer {
--- a/components/http1/src/run.rs
+++ b/components/http1/src/run.rs
@@ -67,7 +67,7 @@
 /// Runs a request once it is admitted. If the future is dropped, a queued request is cancelled; a
 /// running one is cancelled only if it is idempotent, since otherwise its answer may be asked for.
 pub(crate) async fn run(shared: &Arc<Shared>, work: Work) -> Result<Done, Refusal> {
-    let permit = shared.desk.admit(work.offer).await?;
+    let permit = shared.driver.admit(work.offer).await?;
     if work.offer.idempotent {
         return run_repeatable(shared, permit, work).await;
     }
@@ -146,7 +146,7 @@
             &bytes,
         );
     permit.finish(verdict(shed), shed, stored);
-    shared.upstream.keep(link, shared.desk.now());
+    shared.upstream.keep(link, shared.driver.now());
     Ok(Done {
         response: Response::from_parts(parts, full(bytes)),
         stored,
@@ -160,8 +160,8 @@
     work: Work,
 ) -> Result<(Begun, Permit), Refusal> {
     let offer = work.offer;
-    let now = shared.desk.now();
-    let deadline = Instant::from_std(shared.desk.clock().instant(offer.expires));
+    let now = shared.driver.now();
+    let deadline = Instant::from_std(shared.driver.clock().instant(offer.expires));
     let request = prepare(work.request, &offer, now.until(offer.expires));
     let cancelled = permit.cancelled();
     let sent = tokio::select! {
@@ -204,7 +204,7 @@
         End::Whole(link) => {
             permit.finish(verdict(shed), shed, false);
             if let Some(link) = link {
-                shared.upstream.keep(link, shared.desk.now());
+                shared.upstream.keep(link, shared.driver.now());
             }
         }
         End::Broken(_) | End::Dropped => permit.finish(Verdict::MayHaveRun, shed, false),
@@ -287,16 +287,16 @@
 
 /// Connections that the upstream accepts.
 fn connections(shared: &Shared) -> usize {
-    let picture = shared.desk.picture();
-    let own = picture.own.as_ref();
+    let topology = shared.driver.topology();
+    let own = topology.own.as_ref();
     own.map_or(1, |(_, upstream)| {
         usize::try_from(upstream.connections).unwrap_or(usize::MAX)
     })
 }
 
 fn is_not_run_status(shared: &Shared, route: RouteId, status: u16) -> bool {
-    let picture = shared.desk.picture();
-    let Some(snapshot) = picture.snapshot.as_ref() else {
+    let topology = shared.driver.topology();
+    let Some(snapshot) = topology.snapshot.as_ref() else {
         return false;
     };
     let route = snapshot
--- a/components/http1/tests/connections.rs
+++ b/components/http1/tests/connections.rs
@@ -107,7 +107,7 @@
     caller.send(send_body(method, "/wait/700", 0)).await;
     wait_until("request", || seen.count() == 1).await;
     drop(caller);
-    wait_until("end", || owner.desk.load().running == 0).await;
+    wait_until("end", || owner.driver.load().running == 0).await;
     assert_eq!(seen.cancelled.load(SeqCst), usize::from(cancelled));
 }
 
@@ -126,9 +126,9 @@
     wait_until("request", || seen.count() == 1).await;
     let mut second = Caller::connect(node.callers).await;
     second.send(send_body(method, "/x", 5)).await;
-    wait_until("queue", || owner.desk.load().queued == 1).await;
+    wait_until("queue", || owner.driver.load().queued == 1).await;
     drop(second);
-    wait_until("cancellation", || owner.desk.load().queued == 0).await;
+    wait_until("cancellation", || owner.driver.load().queued == 0).await;
     assert_eq!(first.receive().await.unwrap().status(), 200);
     assert_eq!(seen.count(), 1);
 }
@@ -201,7 +201,7 @@
     let owner = Node::start(address, 10, 10).await;
     let mut sender = Caller::connect(owner.requests).await;
     let route = ids::RouteId::from_parts("POST", "/**");
-    let expires = owner.desk.now().0 + 3_000_000;
+    let expires = owner.driver.now().0 + 3_000_000;
     let id = ids::RequestId(77);
     let headers = format!(
         "medlar-request-id: {id}\r\nmedlar-attempt: 1\r\nmedlar-route: {route}\r\nmedlar-owner: {}\r\nmedlar-expires-us: {expires}",
--- a/components/http1/tests/support/mod.rs
+++ b/components/http1/tests/support/mod.rs
@@ -20,9 +20,9 @@
 use balance as _;
 use config::Snapshot;
 use control::Life;
-use control::Picture;
+use control::Topology;
 use front::Addresses;
-use front::Desk;
+use front::Driver;
 use front::FRONTS;
 use front::Parts;
 
@@ -68,7 +68,7 @@
 "#;
 
 #[derive(Clone)]
-struct Handler(Arc<Desk>);
+struct Handler(Arc<Driver>);
 
 impl Peer for Handler {
     async fn sync(self, _: Context, _: wire::sync::Ask) -> Option<wire::sync::Answer> {
@@ -80,7 +80,7 @@
     }
 
     async fn outcome(self, _: Context, question: Question) -> Outcome {
-        self.0.tell_outcome(question.into()).await.into()
+        self.0.report_outcome(question.into()).await.into()
     }
 }
 
@@ -90,10 +90,10 @@
     pub(crate) callers: SocketAddr,
     pub(crate) requests: SocketAddr,
     pub(crate) peer: SocketAddr,
-    pub(crate) desk: Arc<Desk>,
+    pub(crate) driver: Arc<Driver>,
     pub(crate) stop: CancellationToken,
     pub(crate) serving: tokio::task::JoinHandle<()>,
-    picture: Arc<ArcSwap<Picture>>,
+    topology: Arc<ArcSwap<Topology>>,
 }
 
 impl Node {
@@ -114,8 +114,8 @@
         let clock = Monotonic::new();
         let counters = Arc::new(Counters::new().unwrap());
         let domain = Domain::new("d");
-        let first = Picture::new(id, domain, Life::Joining, None, &Table::default(), 0);
-        let picture = Arc::new(ArcSwap::from_pointee(first));
+        let first = Topology::new(id, domain, Life::Joining, None, &Table::default(), 0);
+        let topology = Arc::new(ArcSwap::from_pointee(first));
         let none = Params::default();
         let admission = build("admission", &ADMISSIONS, admission, &none).unwrap();
         let entry = traffic::entry::Machine::new(
@@ -123,10 +123,10 @@
             build("retry", &RETRIES, "budget", &none).unwrap(),
             build("health", &HEALTHS, health, &none).unwrap(),
         );
-        let desk = Arc::new(Desk::new(Parts {
+        let driver = Arc::new(Driver::new(Parts {
             me: id,
             clock,
-            picture: Arc::clone(&picture),
+            topology: Arc::clone(&topology),
             entry,
             owner: traffic::owner::Machine::new(id, admission),
             counters,
@@ -139,21 +139,21 @@
             requests,
             upstream,
         };
-        let starting = front.start(addresses, Arc::clone(&desk), stop.clone());
+        let starting = front.start(addresses, Arc::clone(&driver), stop.clone());
         let serving = tokio::spawn(starting.await.unwrap());
-        let handler = Handler(Arc::clone(&desk));
+        let handler = Handler(Arc::clone(&driver));
         tokio::spawn(transport::calls::listen(peer, handler).await.unwrap());
-        let timers = Arc::clone(&desk);
+        let timers = Arc::clone(&driver);
         tokio::spawn(async move { timers.run_timers().await });
         let node = Self {
             id,
             callers,
             requests,
             peer,
-            desk,
+            driver,
             stop,
             serving,
-            picture,
+            topology,
         };
         node.set_stage(Stage::Ready, slots);
         node.know(&[(&node, slots, connections)], Life::Serving);
@@ -163,10 +163,10 @@
     /// Tells the owner of its upstream's stage.
     pub(crate) fn set_stage(&self, stage: Stage, slots: u32) {
         let input = traffic::owner::Input::Upstream { stage, slots };
-        self.desk.step_owner(input);
+        self.driver.step_owner(input);
     }
 
-    /// Publishes a picture of these nodes with their slots and connections.
+    /// Publishes a topology of these nodes with their slots and connections.
     pub(crate) fn know(&self, nodes: &[(&Node, u32, u32)], life: Life) {
         let mut table = Table::default();
         for (node, slots, connections) in nodes {
@@ -175,12 +175,12 @@
         self.publish(&table, life);
     }
 
-    /// Publishes a picture of these members.
+    /// Publishes a topology of these members.
     pub(crate) fn publish(&self, table: &Table, life: Life) {
         let snapshot: Arc<Snapshot> = Arc::new(config::compile(TEXT, Version(1)).unwrap());
         let domain = Domain::new("d");
-        let picture = Picture::new(self.id, domain, life, Some(snapshot), table, 1);
-        self.picture.store(Arc::new(picture));
+        let topology = Topology::new(self.id, domain, life, Some(snapshot), table, 1);
+        self.topology.store(Arc::new(topology));
     }
 
     /// The node as a member that owns a ready upstream.
@@ -190,7 +190,7 @@
 
     /// Value of the counter with these labels; 0 if it was never counted.
     pub(crate) fn counter(&self, line: &str) -> u64 {
-        let text = self.desk.counters().encode().unwrap();
+        let text = self.driver.counters().encode().unwrap();
         let found = text.lines().find(|it| it.starts_with(line));
         found.map_or(0, |it| it.rsplit(' ').next().unwrap().parse().unwrap())
     }
--- a/components/member/src/machine.rs
+++ b/components/member/src/machine.rs
@@ -165,7 +165,7 @@
         }
         self.meet(now, from, sender, out);
         for update in &message.gossip().updates {
-            self.take(now, update);
+            self.apply_update(now, update);
         }
         for id in std::mem::take(&mut self.doubted) {
             if let Some(to) = self.table.get(id).map(|it| it.address.peer) {
--- a/components/member/src/merge.rs
+++ b/components/member/src/merge.rs
@@ -14,8 +14,8 @@
 use kernel::Time;
 
 impl Machine {
-    /// Takes a statement of a message in.
-    pub(crate) fn take(&mut self, now: Time, update: &Update) {
+    /// Applies a statement from a message.
+    pub(crate) fn apply_update(&mut self, now: Time, update: &Update) {
         let member = &update.member;
         if member.id == self.me {
             self.refute(member);
@@ -27,7 +27,7 @@
             return;
         }
         if member.status == Status::Dead && self.is_hasty(now, member) {
-            self.doubt(now, update);
+            self.suspect_first(now, update);
             return;
         }
         self.defend_address(member);
@@ -57,7 +57,7 @@
 
     /// Takes a statement of death as one of suspicion. Nodes that were cut off have declared deaths
     /// that are wrong here; the member itself is told, so that it can refute at once.
-    fn doubt(&mut self, now: Time, update: &Update) {
+    fn suspect_first(&mut self, now: Time, update: &Update) {
         let member = with_status(&update.member, Status::Suspect);
         let by = update.by;
         let update = Update { member, by };
--- a/components/simulate/src/deliver.rs
+++ b/components/simulate/src/deliver.rs
@@ -32,7 +32,7 @@
                     let tag = self.nodes[at].tag();
                     let asker = (shell, question.attempt);
                     self.nodes[at].queries.insert(tag, asker);
-                    self.step_owner(at, owner::Input::Asked { tag, question });
+                    self.step_owner(at, owner::Input::OutcomeAsked { tag, question });
                 }
             }
             Message::Tell {
--- a/components/simulate/src/lib.rs
+++ b/components/simulate/src/lib.rs
@@ -29,7 +29,7 @@
 
 use config::Snapshot;
 use control::Life;
-use control::Picture;
+use control::Topology;
 use ids::Domain;
 use ids::Incarnation;
 use ids::NodeId;
@@ -88,7 +88,7 @@
     entry_random: Seeded,
     nodes: Vec<Node>,
     shells: Vec<Shell>,
-    picture: Arc<Picture>,
+    topology: Arc<Topology>,
     snapshot: Arc<Snapshot>,
     generation: u32,
     seq: u64,
@@ -121,7 +121,7 @@
             entry,
             nodes,
             shells: Vec::new(),
-            picture: Arc::new(Picture::new(
+            topology: Arc::new(Topology::new(
                 NodeId(99),
                 Domain::new("a"),
                 Life::Serving,
@@ -232,7 +232,7 @@
             });
         }
         self.generation += 1;
-        self.picture = Arc::new(Picture::new(
+        self.topology = Arc::new(Topology::new(
             NodeId(99),
             Domain::new("a"),
             Life::Serving,
--- a/components/simulate/src/node.rs
+++ b/components/simulate/src/node.rs
@@ -142,7 +142,7 @@
                 Effect::Start { tag } => self.start(at, tag),
                 Effect::Refuse { tag, refusal } => self.refused(at, tag, refusal),
                 Effect::Abort { tag } => self.finish(at, tag, Verdict::MayHaveRun, false),
-                Effect::Tell { tag, outcome } => {
+                Effect::ReportOutcome { tag, outcome } => {
                     let query = self.nodes[at].queries.remove(&tag);
                     if let Some((shell, attempt)) = query {
                         let id = self.shells[shell].id;
--- a/components/simulate/src/shell.rs
+++ b/components/simulate/src/shell.rs
@@ -25,8 +25,8 @@
 use traffic::entry::Effect;
 use traffic::entry::Head;
 use traffic::entry::Input;
+use traffic::entry::Profile;
 use traffic::entry::Report;
-use traffic::entry::Way;
 use traffic::ledger::Outcome;
 use traffic::owner::Offer;
 use traffic::owner::Question;
@@ -79,8 +79,8 @@
             replayable: true,
             onward: false,
         };
-        let picture = Arc::clone(&self.picture);
-        self.step_entry(shell, Input::Arrived { picture, head });
+        let topology = Arc::clone(&self.topology);
+        self.step_entry(shell, Input::Arrived { topology, head });
     }
 
     fn step_entry(&mut self, shell: usize, input: Input) {
@@ -122,7 +122,7 @@
         !self.shells[shell].closed && self.number(shell) == attempt
     }
 
-    fn forward(&mut self, shell: usize, call: CallKey, way: Way, attempt: Attempt) {
+    fn forward(&mut self, shell: usize, call: CallKey, profile: Profile, attempt: Attempt) {
         self.cancel(shell);
         let it = &mut self.shells[shell];
         if it.call.is_none() {
@@ -131,32 +131,32 @@
         }
         let it = &mut self.shells[shell];
         (it.call, it.attempt, it.pending) = (Some(call), Some(attempt), None);
-        self.send_offer(shell, way, attempt, attempt.node);
-        if self.plan.plant == Some(Plant::RunTwice) && !way.idempotent {
+        self.send_offer(shell, profile, attempt, attempt.node);
+        if self.plan.plant == Some(Plant::RunTwice) && !profile.idempotent {
             let other = self.nodes.iter().find(|it| it.id != attempt.node);
             if let Some((node, requests)) = other.map(|it| (it.id, it.address)) {
                 let attempt = Attempt {
                     requests,
                     ..attempt
                 };
-                self.send_offer(shell, way, attempt, node);
+                self.send_offer(shell, profile, attempt, node);
             }
         }
         let silence = attempt.wait + FIRST_SILENCE;
         self.schedule(silence, Event::Silence(shell, attempt.number));
     }
 
-    fn send_offer(&mut self, shell: usize, way: Way, attempt: Attempt, node: NodeId) {
+    fn send_offer(&mut self, shell: usize, profile: Profile, attempt: Attempt, node: NodeId) {
         let offer = Offer {
             tag: 0,
             id: self.shells[shell].id,
             attempt: attempt.number,
             meant_for: node,
             expires: on_clock_of(node, attempt.deadline),
-            route: way.route,
-            rank: way.rank,
+            route: profile.route,
+            rank: profile.rank,
             weight: 1,
-            idempotent: way.idempotent,
+            idempotent: profile.idempotent,
         };
         let to = attempt.requests;
         self.send_after(attempt.wait, Message::Offer { to, shell, offer });
@@ -273,10 +273,10 @@
         };
         if self.is_current(shell, attempt) {
             self.shells[shell].payload = payload;
-            let picture = Arc::clone(&self.picture);
+            let topology = Arc::clone(&self.topology);
             let input = Input::Answered {
                 call,
-                picture,
+                topology,
                 report,
             };
             self.step_entry(shell, input);
@@ -289,10 +289,10 @@
         };
         if self.is_current(shell, attempt) && self.shells[shell].pending == Some(Kind::Query) {
             self.shells[shell].pending = None;
-            let picture = Arc::clone(&self.picture);
-            let input = Input::Told {
+            let topology = Arc::clone(&self.topology);
+            let input = Input::OutcomeKnown {
                 call,
-                picture,
+                topology,
                 outcome,
             };
             self.step_entry(shell, input);
@@ -306,11 +306,11 @@
         if self.is_current(shell, attempt) && self.shells[shell].pending == Some(Kind::Fetch) {
             self.shells[shell].pending = None;
             self.shells[shell].payload = payload;
-            let picture = Arc::clone(&self.picture);
+            let topology = Arc::clone(&self.topology);
             let found = payload.is_some();
             let input = Input::Fetched {
                 call,
-                picture,
+                topology,
                 found,
             };
             self.step_entry(shell, input);
--- a/components/spread/src/machine.rs
+++ b/components/spread/src/machine.rs
@@ -59,7 +59,7 @@
 
 /// What became of a record.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Taken {
+enum Applied {
     InForce,
     NotNewer,
     Refused,
@@ -139,7 +139,7 @@
                     self.report.behind += 1;
                     out.push(Output::Reported);
                 } else if let Some(record) = record {
-                    self.take(record.clone(), out);
+                    self.apply_record(record.clone(), out);
                 }
             }
             StoreEvent::Unreadable { .. } => {
@@ -166,7 +166,13 @@
     }
 
     /// Another node has `stamp`: pulls if that is newer.
-    pub fn hear(&mut self, now: Time, from: SocketAddr, stamp: Stamp, out: &mut Vec<Output>) {
+    pub fn receive_stamp(
+        &mut self,
+        now: Time,
+        from: SocketAddr,
+        stamp: Stamp,
+        out: &mut Vec<Output>,
+    ) {
         let have = self.history.stamp();
         if stamp.version > have.version && !self.refused.contains(stamp) {
             self.pull.add_teller(from, stamp);
@@ -185,9 +191,9 @@
         random: &mut dyn Random,
         out: &mut Vec<Output>,
     ) {
-        let taken = match offer {
-            None | Some(Offer::Same) => Taken::NotNewer,
-            Some(Offer::Whole(record)) => self.take(record, out),
+        let applied = match offer {
+            None | Some(Offer::Same) => Applied::NotNewer,
+            Some(Offer::Whole(record)) => self.apply_record(record, out),
             Some(Offer::Changes { record, delta }) => {
                 let newer = record.version > self.history.stamp().version;
                 let text = self
@@ -198,18 +204,18 @@
                 match text {
                     Some(text) => {
                         let text = Arc::from(text);
-                        self.take(Record { text, ..record }, out)
+                        self.apply_record(Record { text, ..record }, out)
                     }
                     None if newer && self.pull.ask_whole(now, from) => {
                         let have = without_text(self.history.stamp());
                         out.push(Output::Pull { from, have });
                         return;
                     }
-                    None => Taken::NotNewer,
+                    None => Applied::NotNewer,
                 }
             }
         };
-        if taken == Taken::InForce {
+        if applied == Applied::InForce {
             self.pull.succeed();
         }
         let refused = &self.refused;
@@ -237,33 +243,33 @@
     }
 
     /// Puts a record in force if it is newer and whole; otherwise nothing changes.
-    fn take(&mut self, record: Record, out: &mut Vec<Output>) -> Taken {
+    fn apply_record(&mut self, record: Record, out: &mut Vec<Output>) -> Applied {
         let stamp = Stamp {
             version: record.version,
             digest: record.digest,
         };
         if stamp.version <= self.history.stamp().version {
             self.note_conflict(stamp, out);
-            return Taken::NotNewer;
+            return Applied::NotNewer;
         }
         // The hash tells nothing of a text that does not match it, so that it is not remembered.
         if Digest::from_bytes(record.text.as_bytes()) != record.digest {
             self.report.corrupt += 1;
             out.push(Output::Reported);
-            return Taken::Corrupt;
+            return Applied::Corrupt;
         }
         if self.refused.contains(stamp) {
-            return Taken::Refused;
+            return Applied::Refused;
         }
         match Accepted::from_record(record) {
             Ok(accepted) => {
                 self.history.advance(accepted);
                 out.push(Output::Changed);
-                Taken::InForce
+                Applied::InForce
             }
             Err(faults) => {
                 self.refuse(stamp, faults.first().map(ToString::to_string), out);
-                Taken::Refused
+                Applied::Refused
             }
         }
     }
--- a/components/spread/tests/machine.rs
+++ b/components/spread/tests/machine.rs
@@ -74,9 +74,10 @@
         node
     }
 
-    fn hear(&mut self, host: u8, stamp: Stamp) -> Vec<Output> {
+    fn receive_stamp(&mut self, host: u8, stamp: Stamp) -> Vec<Output> {
         let mut out = Vec::new();
-        self.machine.hear(self.now, teller(host), stamp, &mut out);
+        self.machine
+            .receive_stamp(self.now, teller(host), stamp, &mut out);
         out
     }
 
@@ -131,8 +132,8 @@
 fn pull_other_teller(#[case] answers: bool) {
     let mut node = Node::new();
     let newer = stamp(&record(6, &text(6)));
-    assert_eq!(pulls(&node.hear(1, newer)).len(), 1);
-    assert_eq!(pulls(&node.hear(2, newer)).len(), 0);
+    assert_eq!(pulls(&node.receive_stamp(1, newer)).len(), 1);
+    assert_eq!(pulls(&node.receive_stamp(2, newer)).len(), 0);
     if answers {
         node.offer(1, None);
     }
@@ -154,7 +155,7 @@
         format,
         ..record(6, &text)
     };
-    node.hear(1, stamp(&bad));
+    node.receive_stamp(1, stamp(&bad));
     let out = node.offer(1, Offer::Whole(bad.clone()));
     assert!(out.iter().any(|it| matches!(
         it,
@@ -165,7 +166,7 @@
     )));
     assert_eq!((node.version(), node.machine.report().refused), (5, 1));
     node.now = node.now + Duration::from_secs(5);
-    assert_eq!(pulls(&node.hear(2, stamp(&bad))).len(), 0);
+    assert_eq!(pulls(&node.receive_stamp(2, stamp(&bad))).len(), 0);
     node.offer(2, Offer::Whole(bad));
     assert_eq!(node.machine.report().refused, 1);
 }
@@ -180,7 +181,7 @@
         record: newer.clone(),
         delta,
     };
-    node.hear(1, stamp(&newer));
+    node.receive_stamp(1, stamp(&newer));
     let asked = pulls(&node.offer(1, offer.clone()));
     assert_eq!(asked[0].1.digest, Digest::default());
     assert_eq!(pulls(&node.offer(1, offer)).len(), 0);
@@ -197,9 +198,9 @@
 fn ignore_update(#[case] update: Record, #[case] corrupt: u64, #[case] conflicts: u64) {
     let mut node = Node::new();
     let before = node.machine.history().stamp();
-    node.hear(3, stamp(&update));
+    node.receive_stamp(3, stamp(&update));
     node.offer(3, Offer::Whole(update.clone()));
-    node.hear(4, stamp(&update));
+    node.receive_stamp(4, stamp(&update));
     let report = node.machine.report();
     assert_eq!(node.machine.history().stamp(), before);
     assert_eq!((report.corrupt, report.conflicts), (corrupt, conflicts));
--- a/components/traffic/src/entry.rs
+++ b/components/traffic/src/entry.rs
@@ -16,7 +16,7 @@
 
 use crate::Refusal;
 use crate::ledger::Outcome;
-use control::Picture;
+use control::Topology;
 use errors::Reason;
 use errors::Verdict;
 use kernel::Arena;
@@ -32,8 +32,8 @@
 pub use message::Effect;
 pub use message::Head;
 pub use message::Input;
+pub use message::Profile;
 pub use message::Report;
-pub use message::Way;
 
 /// Time after which a refused caller may try again.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
@@ -51,7 +51,7 @@
 /// Surroundings of one step.
 struct Scene<'a> {
     now: Time,
-    picture: &'a Picture,
+    topology: &'a Topology,
     random: &'a mut dyn Random,
     effects: &'a mut Vec<Effect>,
 }
@@ -92,7 +92,7 @@
     }
 
     fn arrive(&mut self, scene: &mut Scene<'_>, head: &Head) {
-        let call = match Call::find(scene.now, scene.picture, head) {
+        let call = match Call::find(scene.now, scene.topology, head) {
             Ok(call) => call,
             Err(reason) => return refuse(scene, not_run(reason)),
         };
@@ -106,7 +106,7 @@
 
     fn forward(&mut self, scene: &mut Scene<'_>, key: CallKey, wait: Duration) {
         let chosen = self.choose(scene, key);
-        let endpoint = chosen.and_then(|chosen| scene.picture.endpoint(chosen));
+        let endpoint = chosen.and_then(|chosen| scene.topology.endpoint(chosen));
         let Some((endpoint, call)) = endpoint.zip(self.calls.get_mut(key)) else {
             // An earlier attempt may have run.
             let call = self.calls.remove(key);
@@ -125,7 +125,7 @@
             wait,
         };
         call.begin(attempt);
-        let route = call.way;
+        let route = call.profile;
         self.memory.occupy(attempt.node, route.rank);
         self.health.note_sent(scene.now, attempt.node);
         scene.effects.push(Effect::Forward {
@@ -148,7 +148,7 @@
             self.memory.note_load(now, node, load);
         }
         if let Some(reason) = report.reason {
-            self.refused.note(now, call.way.route, reason);
+            self.refused.note(now, call.profile.route, reason);
             if is_away(reason) {
                 let time = report.retry_after.max(RETRY_AFTER);
                 self.memory.note_away(now, node, time);
@@ -165,7 +165,7 @@
 
     /// Tries a failed attempt again or refuses the call.
     fn fail(&mut self, scene: &mut Scene<'_>, key: CallKey, reason: Reason, report: Report) {
-        let elsewhere = self.has_other(scene.now, scene.picture, key);
+        let elsewhere = self.has_other(scene.now, scene.topology, key);
         let Some(call) = self.calls.get_mut(key) else {
             return;
         };
@@ -211,21 +211,21 @@
     /// Whether a queued attempt is better tried elsewhere. A route that is not idempotent waits on:
     /// if the answer to the query were lost, a request that would have run becomes unknown.
     fn gives_up(&mut self, now: Time, key: CallKey) -> bool {
-        let Some(picture) = self.pool.picture() else {
+        let Some(topology) = self.pool.topology() else {
             return false;
         };
-        let elsewhere = self.has_other(now, &picture, key);
+        let elsewhere = self.has_other(now, &topology, key);
         self.calls.get(key).is_some_and(|call| {
             let report = silent_report(Verdict::NotRun);
             let failure = call.failure(now, Reason::ConnectionSilent, &report, elsewhere);
-            call.way.idempotent
+            call.profile.idempotent
                 && call.silences >= GIVE_UP_SILENCES
                 && elsewhere
                 && self.retry.would_allow(now, failure)
         })
     }
 
-    fn told(&mut self, scene: &mut Scene<'_>, key: CallKey, outcome: Outcome) {
+    fn receive_outcome(&mut self, scene: &mut Scene<'_>, key: CallKey, outcome: Outcome) {
         let Some(call) = self.calls.get_mut(key) else {
             return;
         };
@@ -278,7 +278,7 @@
         if let Some(call) = self.calls.get(key)
             && let Some(attempt) = call.attempt
         {
-            self.memory.release(attempt.node, call.way.rank);
+            self.memory.release(attempt.node, call.profile.rank);
         }
     }
 }
@@ -294,11 +294,11 @@
         random: &mut dyn Random,
         effects: &mut Vec<Effect>,
     ) {
-        let picture = match &input {
-            Input::Arrived { picture, .. }
-            | Input::Answered { picture, .. }
-            | Input::Told { picture, .. }
-            | Input::Fetched { picture, .. } => Arc::clone(picture),
+        let topology = match &input {
+            Input::Arrived { topology, .. }
+            | Input::Answered { topology, .. }
+            | Input::OutcomeKnown { topology, .. }
+            | Input::Fetched { topology, .. } => Arc::clone(topology),
             Input::Silent { call } => return self.silent(now, *call, effects),
             Input::Ended { call } => {
                 self.release(*call);
@@ -306,17 +306,17 @@
                 return;
             }
         };
-        self.observe(now, &picture);
+        self.observe(now, &topology);
         let scene = &mut Scene {
             now,
-            picture: &picture,
+            topology: &topology,
             random,
             effects,
         };
         match input {
             Input::Arrived { head, .. } => self.arrive(scene, &head),
             Input::Answered { call, report, .. } => self.answered(scene, call, report),
-            Input::Told { call, outcome, .. } => self.told(scene, call, outcome),
+            Input::OutcomeKnown { call, outcome, .. } => self.receive_outcome(scene, call, outcome),
             Input::Fetched { call, found, .. } => self.fetched(scene, call, found),
             Input::Silent { .. } | Input::Ended { .. } => {}
         }
--- a/components/traffic/src/entry/call.rs
+++ b/components/traffic/src/entry/call.rs
@@ -4,11 +4,11 @@
 
 use crate::entry::Attempt;
 use crate::entry::Head;
+use crate::entry::Profile;
 use crate::entry::Report;
-use crate::entry::Way;
 use config::ServiceKey;
 use control::Life;
-use control::Picture;
+use control::Topology;
 use errors::Reason;
 use errors::Verdict;
 use ids::NodeId;
@@ -19,7 +19,7 @@
 /// A request that the entry works on.
 #[derive(Debug)]
 pub struct Call {
-    pub(crate) way: Way,
+    pub(crate) profile: Profile,
     pub(crate) service: ServiceId,
     pub(crate) deadline: Time,
     service_name: Arc<str>,
@@ -41,12 +41,12 @@
 
 impl Call {
     /// Finds the route of a request that arrived.
-    pub(crate) fn find(now: Time, picture: &Picture, head: &Head) -> Result<Self, Reason> {
+    pub(crate) fn find(now: Time, topology: &Topology, head: &Head) -> Result<Self, Reason> {
         // What runs is finished, and it can depend on an onward call.
-        if picture.life == Life::Leaving && !head.onward {
+        if topology.life == Life::Leaving && !head.onward {
             return Err(Reason::Draining);
         }
-        let snapshot = picture.snapshot.as_ref().ok_or(Reason::NoConfiguration)?;
+        let snapshot = topology.snapshot.as_ref().ok_or(Reason::NoConfiguration)?;
         let key = snapshot
             .find_route(&head.method, &head.path)
             .ok_or(Reason::NoRoute)?;
@@ -59,7 +59,7 @@
             return Err(Reason::DeadlinePassed);
         }
         Ok(Self {
-            way: Way {
+            profile: Profile {
                 route: route.id,
                 rank: route.rank,
                 idempotent: route.idempotent,
@@ -79,9 +79,9 @@
         })
     }
 
-    /// The service in this picture, which can be newer than the one that the call began with.
-    pub(crate) fn service_in(&self, picture: &Picture) -> Option<ServiceKey> {
-        picture.snapshot.as_ref()?.find_service(&self.service_name)
+    /// The service in this topology, which can be newer than the one that the call began with.
+    pub(crate) fn service_in(&self, topology: &Topology) -> Option<ServiceKey> {
+        topology.snapshot.as_ref()?.find_service(&self.service_name)
     }
 
     /// Notes that an attempt begins.
@@ -124,7 +124,7 @@
             service: self.service,
             verdict: report.verdict,
             reason,
-            idempotent: self.way.idempotent,
+            idempotent: self.profile.idempotent,
             attempts: self.attempt.map_or(0, |attempt| attempt.number),
             left: now.until(self.deadline),
             outer_retries: self.outer_retries,
--- a/components/traffic/src/entry/message.rs
+++ b/components/traffic/src/entry/message.rs
@@ -7,7 +7,7 @@
 use crate::Refusal;
 use crate::entry::CallKey;
 use crate::ledger::Outcome;
-use control::Picture;
+use control::Topology;
 use errors::Reason;
 use errors::Verdict;
 use ids::NodeId;
@@ -58,25 +58,25 @@
 #[derive(Clone, Debug)]
 pub enum Input {
     /// A caller's request arrived.
-    Arrived { picture: Arc<Picture>, head: Head },
+    Arrived { topology: Arc<Topology>, head: Head },
     /// The answer to an attempt has begun.
     Answered {
         call: CallKey,
-        picture: Arc<Picture>,
+        topology: Arc<Topology>,
         report: Report,
     },
     /// Nothing has come back for the silence bound.
     Silent { call: CallKey },
     /// The owner told what became of the attempt.
-    Told {
+    OutcomeKnown {
         call: CallKey,
-        picture: Arc<Picture>,
+        topology: Arc<Topology>,
         outcome: Outcome,
     },
     /// The owner gave the stored answer, which the shell holds, or could not.
     Fetched {
         call: CallKey,
-        picture: Arc<Picture>,
+        topology: Arc<Topology>,
         found: bool,
     },
     /// The caller left, or the answer has been relayed to its end or broke off.
@@ -104,7 +104,7 @@
     /// Send the request.
     Forward {
         call: CallKey,
-        route: Way,
+        route: Profile,
         attempt: Attempt,
     },
     /// Ask the owner what became of the attempt; with `give_up` it cancels the attempt if that has
@@ -130,7 +130,7 @@
 
 /// What a route asks of each attempt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Way {
+pub struct Profile {
     /// Identity of the route.
     pub route: RouteId,
     /// Urgency.
--- a/components/traffic/src/entry/pick.rs
+++ b/components/traffic/src/entry/pick.rs
@@ -8,23 +8,23 @@
 use crate::entry::Scene;
 use crate::entry::pool;
 use control::EndpointKey;
-use control::Picture;
+use control::Topology;
 use ids::NodeId;
 use kernel::Time;
 use policy::Candidate;
 
 impl Machine {
-    /// Takes in a changed picture: forgets nodes that left it.
-    pub(super) fn observe(&mut self, now: Time, picture: &Arc<Picture>) {
-        if !self.pool.change(picture) {
+    /// Takes in a changed topology: forgets nodes that left it.
+    pub(super) fn observe(&mut self, now: Time, topology: &Arc<Topology>) {
+        if !self.pool.change(topology) {
             return;
         }
-        let Some(snapshot) = picture.snapshot.as_ref() else {
+        let Some(snapshot) = topology.snapshot.as_ref() else {
             return;
         };
         let mut ready = Vec::new();
         for (service, _) in snapshot.services() {
-            let nodes = pool::ready_nodes(picture, service);
+            let nodes = pool::ready_nodes(topology, service);
             self.memory.note_ready(now, &nodes);
             ready.extend(nodes);
         }
@@ -35,35 +35,37 @@
 
     /// Whether all owners refuse the call's rank and its route.
     pub(super) fn sheds(&mut self, scene: &mut Scene<'_>, call: &Call) -> bool {
-        let Some(service) = call.service_in(scene.picture) else {
+        let Some(service) = call.service_in(scene.topology) else {
             return false;
         };
         let subset = self.pool.subset(service);
         let refuses = |key: &EndpointKey| {
-            let endpoint = scene.picture.endpoint(*key);
+            let endpoint = scene.topology.endpoint(*key);
             let seen = endpoint.and_then(|endpoint| self.memory.get(endpoint.node));
-            seen.is_some_and(|seen| seen.refuses(scene.now, call.way.rank))
+            seen.is_some_and(|seen| seen.refuses(scene.now, call.profile.rank))
         };
         !subset.is_empty()
             && subset.iter().all(refuses)
-            && self.refused.sheds(scene.now, call.way.route, scene.random)
+            && self
+                .refused
+                .sheds(scene.now, call.profile.route, scene.random)
     }
 
     pub(super) fn choose(&mut self, scene: &mut Scene<'_>, key: CallKey) -> Option<EndpointKey> {
         let now = scene.now;
         let call = self.calls.get(key)?;
-        let service = call.service_in(scene.picture)?;
-        let rank = call.way.rank;
+        let service = call.service_in(scene.topology)?;
+        let rank = call.profile.rank;
         let mut options = Vec::new();
         for key in self.pool.subset(service) {
-            let Some(endpoint) = scene.picture.endpoint(*key) else {
+            let Some(endpoint) = scene.topology.endpoint(*key) else {
                 continue;
             };
             let seen = self.memory.get(endpoint.node);
             let ramp = seen.map_or(policy::FULL_WEIGHT, |seen| seen.ramp(now));
             let candidate = Candidate {
                 node: endpoint.node,
-                near: endpoint.domain == scene.picture.domain,
+                near: endpoint.domain == scene.topology.domain,
                 in_flight: seen.map_or(0, |seen| seen.in_flight(rank)),
                 slots: endpoint.slots,
                 load: seen.and_then(|seen| seen.aged_load(now, rank)),
@@ -77,7 +79,7 @@
         options.retain(|(_, it)| healthy.binary_search(&it.node).is_ok());
         prefer(&mut options, |node| !self.is_away(now, node));
         prefer(&mut options, |node| !call.tried.contains(&node));
-        if !call.way.idempotent {
+        if !call.profile.idempotent {
             prefer(&mut options, |node| !self.health.is_on_trial(now, node));
         }
         let (keys, candidates): (Vec<_>, Vec<_>) = options.into_iter().unzip();
@@ -90,16 +92,16 @@
     }
 
     /// Whether an endpoint is left that the call has not tried and that takes requests.
-    pub(super) fn has_other(&mut self, now: Time, picture: &Picture, key: CallKey) -> bool {
+    pub(super) fn has_other(&mut self, now: Time, topology: &Topology, key: CallKey) -> bool {
         let Some(call) = self.calls.get(key) else {
             return false;
         };
-        let Some(service) = call.service_in(picture) else {
+        let Some(service) = call.service_in(topology) else {
             return false;
         };
         let memory = &self.memory;
         self.pool.subset(service).iter().any(|key| {
-            picture.endpoint(*key).is_some_and(|endpoint| {
+            topology.endpoint(*key).is_some_and(|endpoint| {
                 let away = memory
                     .get(endpoint.node)
                     .is_some_and(|seen| seen.is_away(now));
--- a/components/traffic/src/entry/pool.rs
+++ b/components/traffic/src/entry/pool.rs
@@ -4,7 +4,7 @@
 
 use config::ServiceKey;
 use control::EndpointKey;
-use control::Picture;
+use control::Topology;
 use ids::NodeId;
 use member::Stage;
 
@@ -13,32 +13,32 @@
 /// Endpoints of the subset that come from the entry's own failure domain, where it has that many.
 const NEAR: usize = 10;
 
-/// The ready endpoints of each service in one picture, cut to subsets.
+/// The ready endpoints of each service in one topology, cut to subsets.
 #[derive(Debug, Default)]
 pub(crate) struct Pool {
-    picture: Option<Arc<Picture>>,
+    topology: Option<Arc<Topology>>,
     /// Sorted by service.
     subsets: Vec<(ServiceKey, Vec<EndpointKey>)>,
 }
 
 impl Pool {
-    /// Changes to another picture; tells whether it is another one.
-    pub(crate) fn change(&mut self, picture: &Arc<Picture>) -> bool {
+    /// Changes to another topology; tells whether it is another one.
+    pub(crate) fn change(&mut self, topology: &Arc<Topology>) -> bool {
         if self
-            .picture
+            .topology
             .as_ref()
-            .is_some_and(|known| Arc::ptr_eq(known, picture))
+            .is_some_and(|known| Arc::ptr_eq(known, topology))
         {
             return false;
         }
-        self.picture = Some(Arc::clone(picture));
+        self.topology = Some(Arc::clone(topology));
         self.subsets.clear();
         true
     }
 
-    /// The picture in use.
-    pub(crate) fn picture(&self) -> Option<Arc<Picture>> {
-        self.picture.clone()
+    /// The topology in use.
+    pub(crate) fn topology(&self) -> Option<Arc<Topology>> {
+        self.topology.clone()
     }
 
     /// The endpoints that this entry uses for a service.
@@ -50,9 +50,9 @@
             Ok(at) => at,
             Err(at) => {
                 let subset = self
-                    .picture
+                    .topology
                     .as_ref()
-                    .map_or(Vec::new(), |picture| cut(picture, service));
+                    .map_or(Vec::new(), |topology| cut(topology, service));
                 self.subsets.insert(at, (service, subset));
                 at
             }
@@ -62,8 +62,8 @@
 }
 
 /// Nodes of the ready endpoints of a service.
-pub(crate) fn ready_nodes(picture: &Picture, service: ServiceKey) -> Vec<NodeId> {
-    picture
+pub(crate) fn ready_nodes(topology: &Topology, service: ServiceKey) -> Vec<NodeId> {
+    topology
         .endpoints_of(service)
         .filter(|(_, endpoint)| endpoint.stage == Stage::Ready)
         .map(|(_, endpoint)| endpoint.node)
@@ -72,13 +72,13 @@
 
 /// Chooses by rendezvous hashing, so that the subsets of all entries cover the endpoints evenly and
 /// an endpoint that leaves changes only the subsets that it was in.
-fn cut(picture: &Picture, service: ServiceKey) -> Vec<EndpointKey> {
-    let mut ready: Vec<_> = picture
+fn cut(topology: &Topology, service: ServiceKey) -> Vec<EndpointKey> {
+    let mut ready: Vec<_> = topology
         .endpoints_of(service)
         .filter(|(_, endpoint)| endpoint.stage == Stage::Ready)
         .map(|(key, endpoint)| {
-            let near = endpoint.domain == picture.domain;
-            (score(picture.me, endpoint.node), near, key)
+            let near = endpoint.domain == topology.domain;
+            (score(topology.me, endpoint.node), near, key)
         })
         .collect();
     if ready.len() > SUBSET {
--- a/components/traffic/src/entry/seen.rs
+++ b/components/traffic/src/entry/seen.rs
@@ -25,7 +25,7 @@
 pub(crate) struct Seen {
     node: NodeId,
     /// When it became ready; `None` if it was ready before the entry knew the service, or if it has
-    /// left the picture.
+    /// left the topology.
     ready_since: Option<Time>,
     /// Requests that the node has not answered, by rank.
     in_flight: [u32; Rank::COUNT],
@@ -88,7 +88,7 @@
     }
 }
 
-/// Memory of all nodes in the picture.
+/// Memory of all nodes in the topology.
 #[derive(Debug, Default)]
 pub(crate) struct Memory {
     /// Sorted by node.
--- a/components/traffic/src/owner.rs
+++ b/components/traffic/src/owner.rs
@@ -223,7 +223,12 @@
         }
     }
 
-    fn tell(&mut self, now: Time, question: Question, effects: &mut Vec<Effect>) -> Outcome {
+    fn report_outcome(
+        &mut self,
+        now: Time,
+        question: Question,
+        effects: &mut Vec<Effect>,
+    ) -> Outcome {
         // A process that was replaced at its address leaves no ledger to its successor.
         if question.meant_for != self.me {
             return Outcome::Unknown;
@@ -331,9 +336,9 @@
                 self.finish(now, tag, (verdict, shed, stored), effects);
             }
             Input::Cancelled { tag } => self.cancel(now, tag, effects),
-            Input::Asked { tag, question } => {
-                let outcome = self.tell(now, question, effects);
-                effects.push(Effect::Tell { tag, outcome });
+            Input::OutcomeAsked { tag, question } => {
+                let outcome = self.report_outcome(now, question, effects);
+                effects.push(Effect::ReportOutcome { tag, outcome });
             }
             Input::Upstream { stage, slots } => self.set_stage(now, stage, slots, effects),
             Input::Drain => self.stage = self.stage.max(Stage::Draining),
--- a/components/traffic/src/owner/message.rs
+++ b/components/traffic/src/owner/message.rs
@@ -66,8 +66,8 @@
     },
     /// The sender left or no longer needs the answer.
     Cancelled { tag: u64 },
-    /// A sender asks what became of a request; answered by [`Effect::Tell`].
-    Asked { tag: u64, question: Question },
+    /// A sender asks what became of a request; answered by [`Effect::ReportOutcome`].
+    OutcomeAsked { tag: u64, question: Question },
     /// The upstream announced itself.
     Upstream { stage: Stage, slots: u32 },
     /// The node leaves: what was accepted is finished, new requests are refused.
@@ -84,7 +84,7 @@
     /// Cancel the request at the upstream.
     Abort { tag: u64 },
     /// Answer an outcome query.
-    Tell { tag: u64, outcome: Outcome },
+    ReportOutcome { tag: u64, outcome: Outcome },
     /// All that was accepted before the drain has ended.
     Drained,
 }
--- a/components/traffic/tests/entry.rs
+++ b/components/traffic/tests/entry.rs
@@ -9,7 +9,7 @@
 use balance::Two;
 use config::Snapshot;
 use control::Life;
-use control::Picture;
+use control::Topology;
 use errors::Reason;
 use errors::Verdict;
 use health::Outcomes;
@@ -55,7 +55,7 @@
     machine: Machine,
     random: Seeded,
     snapshot: Arc<Snapshot>,
-    picture: Arc<Picture>,
+    topology: Arc<Topology>,
     me: NodeId,
     generation: u32,
 }
@@ -73,12 +73,12 @@
         );
         let domain = Domain::new("d0");
         let table = Table::default();
-        let picture = Picture::new(me, domain, Life::Serving, None, &table, 0);
+        let topology = Topology::new(me, domain, Life::Serving, None, &table, 0);
         let mut rig = Self {
             machine,
             random: Seeded::new(9),
             snapshot,
-            picture: Arc::new(picture),
+            topology: Arc::new(topology),
             me,
             generation: 0,
         };
@@ -109,7 +109,7 @@
             });
         }
         self.generation += 1;
-        self.picture = Arc::new(Picture::new(
+        self.topology = Arc::new(Topology::new(
             self.me,
             Domain::new("d0"),
             Life::Serving,
@@ -136,25 +136,25 @@
             replayable: true,
             onward: false,
         };
-        let picture = Arc::clone(&self.picture);
-        self.step(now, Input::Arrived { picture, head })
+        let topology = Arc::clone(&self.topology);
+        self.step(now, Input::Arrived { topology, head })
     }
 
     fn answer(&mut self, now: u64, call: CallKey, report: Report) -> Vec<Effect> {
-        let picture = Arc::clone(&self.picture);
+        let topology = Arc::clone(&self.topology);
         let input = Input::Answered {
             call,
-            picture,
+            topology,
             report,
         };
         self.step(now, input)
     }
 
     fn tell(&mut self, now: u64, call: CallKey, outcome: Outcome) -> Vec<Effect> {
-        let picture = Arc::clone(&self.picture);
-        let input = Input::Told {
+        let topology = Arc::clone(&self.topology);
+        let input = Input::OutcomeKnown {
             call,
-            picture,
+            topology,
             outcome,
         };
         self.step(now, input)
@@ -263,7 +263,7 @@
     assert!(unused < 20, "{unused} of 200");
 }
 
-/// Guards against memory of nodes that left the picture.
+/// Guards against memory of nodes that left the topology.
 #[rstest]
 fn arrive_churn() {
     let mut rig = Rig::new(99, 0..10);
@@ -385,10 +385,10 @@
     let mut effects = rig.tell(1, call, done);
     if stored {
         assert_eq!(effects, [Effect::Fetch { call, attempt }]);
-        let picture = Arc::clone(&rig.picture);
+        let topology = Arc::clone(&rig.topology);
         let fetched = Input::Fetched {
             call,
-            picture,
+            topology,
             found,
         };
         effects = rig.step(2, fetched.clone());
--- a/components/traffic/tests/owner.rs
+++ b/components/traffic/tests/owner.rs
@@ -80,7 +80,7 @@
         expires: EXPIRES,
         given_up,
     };
-    Input::Asked { tag, question }
+    Input::OutcomeAsked { tag, question }
 }
 
 fn finished(tag: u64, verdict: Verdict) -> Input {
@@ -101,7 +101,7 @@
 
 fn told(effects: &[Effect]) -> Outcome {
     let told = effects.iter().find_map(|effect| match effect {
-        Effect::Tell { outcome, .. } => Some(*outcome),
+        Effect::ReportOutcome { outcome, .. } => Some(*outcome),
         _ => None,
     });
     told.expect("a query is answered")
@@ -229,7 +229,7 @@
         expires: EXPIRES,
         given_up: false,
     };
-    let effects = step(&mut owner, 1, Input::Asked { tag: 9, question });
+    let effects = step(&mut owner, 1, Input::OutcomeAsked { tag: 9, question });
     assert_eq!(told(&effects), Outcome::Unknown);
 }
 
