Drop the header medlar-version, which no node sent or read

Found by comparing the documented headers with their uses: the owner looks the route up by its identity, so it needs no version of the sender.

--- a/components/wire/src/header.rs
+++ b/components/wire/src/header.rs
@@ -15,8 +15,6 @@
 pub const EXPIRES: &str = "medlar-expires-us";
 /// Number of the attempt, from 1.
 pub const ATTEMPT: &str = "medlar-attempt";
-/// Version of the configuration that the sender routes by.
-pub const VERSION: &str = "medlar-version";
 /// `1` if a level further out retries.
 pub const RETRY_OWNER: &str = "medlar-retry-owner";
 /// Name of the verdict.
