Let one rule start or delay a call to the store

Reading and contacts each spent the call budget, kept the delayed call and chose the limit of the answer in a copy of the same lines. Call::start now does it for both; limits and order are as before.

--- a/components/spread/src/backoff.rs
+++ b/components/spread/src/backoff.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use crate::Output;
 use kernel::Random;
 use kernel::Time;
 
@@ -9,6 +10,9 @@
 /// load of a node on the store whatever happens.
 const BURST: u32 = 4;
 const REFILL: Duration = Duration::from_secs(1);
+/// Times after which an answer counts as lost.
+const CALL_LIMIT: Duration = Duration::from_secs(5);
+const WATCH_LIMIT: Duration = Duration::from_secs(30);
 
 /// Full-jitter exponential backoff.
 #[derive(Debug)]
@@ -97,6 +101,30 @@
 }
 
 impl Call {
+    /// Makes a call if the budget allows it, and delays it otherwise.
+    pub(crate) fn start(
+        now: Time,
+        budget: &mut Budget,
+        call: Output,
+        delayed: &mut Option<Output>,
+        out: &mut Vec<Output>,
+    ) -> Self {
+        let watching = matches!(call, Output::Watch { .. });
+        let limit = if watching { WATCH_LIMIT } else { CALL_LIMIT };
+        match budget.take(now) {
+            Ok(()) => {
+                out.push(call);
+                let until = now + limit;
+                Self::Busy { until, watching }
+            }
+            // A read instead would spend what the delayed call waits for, again and again.
+            Err(later) => {
+                *delayed = Some(call);
+                Self::Due(later)
+            }
+        }
+    }
+
     pub(crate) fn next_wake(self) -> Option<Time> {
         match self {
             Self::Off => None,
--- a/components/spread/src/contacts.rs
+++ b/components/spread/src/contacts.rs
@@ -20,9 +20,6 @@
 const MAX_ADDRESSES: usize = 8;
 /// Time between two reads, and least time between two writes of a node.
 const PERIOD: Duration = Duration::from_secs(30);
-/// Time after which an answer counts as lost.
-const CALL_LIMIT: Duration = Duration::from_secs(5);
-
 /// What the store said of the contacts.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum ContactsEvent {
@@ -94,20 +91,7 @@
     }
 
     fn start(&mut self, now: Time, budget: &mut Budget, call: Output, out: &mut Vec<Output>) {
-        self.call = match budget.take(now) {
-            Ok(()) => {
-                out.push(call);
-                Call::Busy {
-                    until: now + CALL_LIMIT,
-                    watching: false,
-                }
-            }
-            // A read instead would spend what the delayed call waits for, again and again.
-            Err(later) => {
-                self.delayed = Some(call);
-                Call::Due(later)
-            }
-        };
+        self.call = Call::start(now, budget, call, &mut self.delayed, out);
     }
 
     pub(crate) fn receive(
--- a/components/spread/src/feed.rs
+++ b/components/spread/src/feed.rs
@@ -1,7 +1,5 @@
 //! Reading, watching and writing back the configuration key of the store.
 
-use std::time::Duration;
-
 use crate::Output;
 use crate::backoff::Backoff;
 use crate::backoff::Budget;
@@ -10,10 +8,6 @@
 use kernel::Random;
 use kernel::Time;
 
-/// Times after which an answer counts as lost.
-const CALL_LIMIT: Duration = Duration::from_secs(5);
-const WATCH_LIMIT: Duration = Duration::from_secs(30);
-
 /// Revision of a key in the store.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Revision(pub u64);
@@ -88,20 +82,7 @@
     }
 
     fn start(&mut self, now: Time, budget: &mut Budget, call: Output, out: &mut Vec<Output>) {
-        let watching = matches!(call, Output::Watch { .. });
-        let limit = if watching { WATCH_LIMIT } else { CALL_LIMIT };
-        self.call = match budget.take(now) {
-            Ok(()) => {
-                out.push(call);
-                let until = now + limit;
-                Call::Busy { until, watching }
-            }
-            // A read instead would spend what the delayed call waits for, again and again.
-            Err(later) => {
-                self.delayed = Some(call);
-                Call::Due(later)
-            }
-        };
+        self.call = Call::start(now, budget, call, &mut self.delayed, out);
     }
 
     /// Goes on after an answer of the store. `newer` is the record in force if the store has an
