Route by host and longest prefix, with weighted targets and bounds on callers

The users' operators route by host and path prefix, split routes by weight, bound the upstreams of a request and state an objective; the text could say none of it. A prefix matches only with its final slash, so the tree by segments, which takes /a for /a/**, was not reused for it.

--- a/components/config/benches/compile.rs
+++ b/components/config/benches/compile.rs
@@ -27,10 +27,10 @@
     let mut at = 0;
     measure("find_route", 200_000, || {
         at = (at + 7) % ROUTES;
-        assert!(black_box(snapshot.find_route("GET", &paths[at])).is_some());
+        assert!(black_box(snapshot.find_route(None, "GET", &paths[at])).is_some());
     });
     measure("find_route, no route", 200_000, || {
-        assert!(black_box(snapshot.find_route("GET", "/api/v1/s5/none/77/state")).is_none());
+        assert!(black_box(snapshot.find_route(None, "GET", "/api/v1/s5/none/77/state")).is_none());
     });
     let new = text
         .replace("r500/", "changed/")
--- a/components/config/src/compile.rs
+++ b/components/config/src/compile.rs
@@ -5,11 +5,14 @@
 use serde_saphyr::Spanned;
 
 use crate::Fault;
+use crate::Limits;
 use crate::Service;
 use crate::ServiceKey;
 use crate::Snapshot;
+use crate::Target;
 use crate::depends::find_circle;
 use crate::parse::parse;
+use crate::prefix::Prefixes;
 use crate::rules;
 use crate::rules::MAX_DEPENDS;
 use crate::rules::MAX_ROUTES;
@@ -33,9 +36,11 @@
 pub fn compile(text: &str, version: Version) -> Result<Snapshot, Vec<Fault>> {
     let source = parse(text)?;
     let mut build = Build::new(text, version);
+    build.snapshot.limits = rules::check_limits(source.limits.as_ref(), &mut build.faults);
     build.add_services(&source);
     build.add_dependencies(&source);
     build.add_routes(&source);
+    build.add_host_routes(&source);
     build.finish()
 }
 
@@ -60,6 +65,8 @@
             by_name: Vec::new(),
             by_id: Vec::new(),
             tree: Tree::default(),
+            prefixes: Prefixes::default(),
+            limits: Limits::default(),
         };
         Self {
             snapshot,
@@ -89,6 +96,7 @@
                 name: Arc::from(name.value.as_str()),
                 depends: Vec::new(),
                 not_run_statuses,
+                connections: rules::check_connections(service, &mut self.faults),
             });
             self.service_lines.push(line(service));
             let at = self.snapshot.by_name.partition_point(|known| {
@@ -196,6 +204,49 @@
         }
     }
 
+    fn add_host_routes(&mut self, source: &source::Text) {
+        let line = |route: &source::HostRoute| route.prefix.referenced.line();
+        let room = MAX_ROUTES.saturating_sub(self.route_lines.len());
+        let too_many = rules::check_count(&source.routes, room, "routes", line);
+        self.faults.extend(too_many);
+        for written in source.routes.iter().take(room) {
+            let targets = self.find_targets(written);
+            let Some(route) = rules::check_host_route(targets, written, &mut self.faults) else {
+                continue;
+            };
+            let key = self.snapshot.routes.insert(route);
+            self.route_lines.push(line(written));
+            let (host, prefix) = (&written.host.value, &written.prefix.value);
+            if let Some(earlier) = self.snapshot.prefixes.insert(host, prefix, key) {
+                let at = self.route_lines[earlier.index()];
+                let message = format!("{host} has the prefix {prefix} already in line {at}");
+                self.faults
+                    .push(Fault::at(&written.prefix, message, "remove one"));
+            }
+        }
+    }
+
+    fn find_targets(&mut self, written: &source::HostRoute) -> Vec<Target> {
+        let mut targets = Vec::with_capacity(written.targets.len());
+        for target in written.targets.iter().take(MAX_DEPENDS) {
+            let name = &target.service;
+            match self.snapshot.find_service(&name.value) {
+                Some(service) => targets.push(Target {
+                    service,
+                    weight: rules::check_share(target.weight.as_ref(), &mut self.faults),
+                }),
+                None if self.faults.len() >= MAX_FAULTS => {}
+                None => {
+                    let message =
+                        format!("service {:?} is not listed", rules::shorten(&name.value));
+                    let hint = "list it under services";
+                    self.faults.push(Fault::at(name, message, hint));
+                }
+            }
+        }
+        targets
+    }
+
     fn finish(mut self) -> Result<Snapshot, Vec<Fault>> {
         if !self.faults.is_empty() {
             self.faults.truncate(MAX_FAULTS);
--- a/components/config/src/pattern.rs
+++ b/components/config/src/pattern.rs
@@ -50,6 +50,14 @@
         Ok(Self { segments })
     }
 
+    /// The pattern of all paths that begin with `prefix`, which ends with a slash.
+    pub(crate) fn from_prefix(prefix: &str) -> Self {
+        let literals = prefix.split('/').filter(|part| !part.is_empty());
+        let mut segments: Vec<_> = literals.map(|it| Segment::Literal(it.to_owned())).collect();
+        segments.push(Segment::Rest);
+        Self { segments }
+    }
+
     /// The segments.
     pub(crate) fn segments(&self) -> &[Segment] {
         &self.segments
--- a/components/config/src/rules.rs
+++ b/components/config/src/rules.rs
@@ -5,9 +5,11 @@
 use serde_saphyr::Spanned;
 
 use crate::Fault;
+use crate::Limits;
 use crate::Pattern;
 use crate::Route;
 use crate::ServiceKey;
+use crate::Target;
 use crate::source;
 use crate::suggest_name;
 use ids::Rank;
@@ -27,6 +29,22 @@
 const MAX_DEADLINE_MS: u64 = 60_000;
 const MAX_WEIGHT: u64 = 1_000;
 const DEFAULT_WEIGHT: u32 = 1;
+/// Largest weight of one target of a route.
+const MAX_SHARE: u64 = 1_000_000;
+/// Largest bound on the upstreams that one request may be sent to.
+const MAX_ATTEMPTS: u64 = 100;
+/// Largest bound on the connections of an upstream.
+const MAX_CONNECTIONS: u64 = 100_000;
+/// Longest host, in bytes (RFC 1035), with a port.
+const MAX_HOST_BYTES: usize = 260;
+/// Longest prefix, in bytes.
+const MAX_PREFIX: usize = 1_024;
+/// Largest bound on the head of a request, in bytes.
+const MAX_HEAD_BYTES: u64 = 1024 * 1024;
+/// Largest bound on the body of a request, in bytes.
+const MAX_BODY_BYTES: u64 = 16 * 1024 * 1024 * 1024;
+/// Largest bound on a caller's pause, in milliseconds.
+const MAX_PAUSE_MS: u64 = 3_600_000;
 /// Methods that a route can have. CONNECT and TRACE concern the proxy itself.
 const METHODS: [&str; 7] = ["DELETE", "GET", "HEAD", "OPTIONS", "PATCH", "POST", "PUT"];
 /// Methods that are safe by RFC 9110. PUT and DELETE are not repeated without the operator's word,
@@ -128,17 +146,124 @@
     let safe = SAFE_METHODS.contains(&route.method.value.as_str());
     Some(Route {
         id: RouteId::from_parts(&route.method.value, &route.path.value),
-        service,
+        targets: vec![Target { service, weight: 1 }],
+        host: None,
         method: route.method.value.clone(),
         pattern: pattern.ok()?,
         path: route.path.value.clone(),
         rank: Rank(u8::try_from(route.rank.value).ok()?),
         deadline: Duration::from_millis(route.deadline_ms.value),
+        objective: None,
+        attempts: None,
         idempotent: route.idempotent.unwrap_or(safe),
         weight: weight.map_or(Some(DEFAULT_WEIGHT), |it| u32::try_from(it).ok())?,
     })
 }
 
+/// Checks one route by host and prefix; adds what is wrong with it to `faults`.
+pub(crate) fn check_host_route(
+    targets: Vec<Target>,
+    route: &source::HostRoute,
+    faults: &mut Vec<Fault>,
+) -> Option<Route> {
+    let before = faults.len();
+    let host = &route.host;
+    let plain = |byte: u8| byte.is_ascii_alphanumeric() || b"-._:[]".contains(&byte);
+    if host.value.is_empty() || host.value.len() > MAX_HOST_BYTES || !host.value.bytes().all(plain)
+    {
+        let message = format!("{:?} is not a host", shorten(&host.value));
+        let hint = "write the name or the address as the Host header has it";
+        faults.push(Fault::at(host, message, hint));
+    }
+    let prefix = &route.prefix.value;
+    let bounded = prefix.starts_with('/') && prefix.ends_with('/') && prefix.len() <= MAX_PREFIX;
+    if !bounded || prefix.contains(['?', '#']) || prefix.chars().any(char::is_whitespace) {
+        let message = format!("{:?} is not a prefix of paths", shorten(prefix));
+        let hint = "a prefix begins and ends with '/' and has at most 1024 bytes";
+        faults.push(Fault::at(&route.prefix, message, hint));
+    }
+    if route.targets.is_empty() {
+        let message = "the route goes to no service".to_owned();
+        faults.push(Fault::at(&route.prefix, message, "list one under targets"));
+    }
+    if targets.iter().all(|target| target.weight == 0) && !targets.is_empty() {
+        let message = "all targets have the weight 0".to_owned();
+        faults.push(Fault::at(&route.prefix, message, "give one a weight"));
+    }
+    let most_rank = Rank::COUNT as u64 - 1;
+    faults.extend(check_range(&route.rank, 0, most_rank, "rank"));
+    let times = [
+        ("deadline_ms", Some(&route.deadline_ms), MAX_DEADLINE_MS),
+        ("objective_ms", route.objective_ms.as_ref(), MAX_DEADLINE_MS),
+        ("attempts", route.attempts.as_ref(), MAX_ATTEMPTS),
+        ("weight", route.weight.as_ref(), MAX_WEIGHT),
+    ];
+    for (key, value, most) in times {
+        faults.extend(value.and_then(|value| check_range(value, 1, most, key)));
+    }
+    if faults.len() > before {
+        return None;
+    }
+    let number = |value: &Spanned<u64>| u32::try_from(value.value).ok();
+    let millis = |value: &Spanned<u64>| Duration::from_millis(value.value);
+    Some(Route {
+        id: RouteId::from_parts(&host.value, prefix),
+        targets,
+        host: Some(host.value.clone()),
+        method: "*".to_owned(),
+        pattern: Pattern::from_prefix(prefix),
+        path: prefix.clone(),
+        rank: Rank(u8::try_from(route.rank.value).ok()?),
+        deadline: millis(&route.deadline_ms),
+        objective: route.objective_ms.as_ref().map(millis),
+        attempts: route.attempts.as_ref().and_then(number),
+        idempotent: route.idempotent,
+        weight: route.weight.as_ref().map_or(Some(DEFAULT_WEIGHT), number)?,
+    })
+}
+
+/// The weight of one target; adds what is wrong with it to `faults`.
+pub(crate) fn check_share(weight: Option<&Spanned<u64>>, faults: &mut Vec<Fault>) -> u32 {
+    let Some(weight) = weight else {
+        return DEFAULT_WEIGHT;
+    };
+    faults.extend(check_range(weight, 0, MAX_SHARE, "weight"));
+    u32::try_from(weight.value.min(MAX_SHARE)).unwrap_or(DEFAULT_WEIGHT)
+}
+
+/// The connections that each upstream of the service accepts.
+pub(crate) fn check_connections(service: &source::Service, faults: &mut Vec<Fault>) -> Option<u32> {
+    let written = service.connections.as_ref()?;
+    faults.extend(check_range(written, 1, MAX_CONNECTIONS, "connections"));
+    u32::try_from(written.value).ok()
+}
+
+/// The bounds on callers, with a default for each that the text does not set.
+pub(crate) fn check_limits(written: Option<&source::Limits>, faults: &mut Vec<Fault>) -> Limits {
+    let mut limits = Limits::default();
+    let Some(written) = written else {
+        return limits;
+    };
+    let mut read = |key, value: Option<&Spanned<u64>>, most| {
+        let value = value?;
+        faults.extend(check_range(value, 1, most, key));
+        Some(value.value.min(most))
+    };
+    if let Some(bytes) = read("head_bytes", written.head_bytes.as_ref(), MAX_HEAD_BYTES) {
+        limits.head_bytes = usize::try_from(bytes).unwrap_or(limits.head_bytes);
+    }
+    if let Some(bytes) = read("body_bytes", written.body_bytes.as_ref(), MAX_BODY_BYTES) {
+        limits.body_bytes = bytes;
+    }
+    if let Some(millis) = read("head_ms", written.head_ms.as_ref(), MAX_PAUSE_MS) {
+        limits.head_time = Duration::from_millis(millis);
+    }
+    if let Some(millis) = read("idle_ms", written.idle_ms.as_ref(), MAX_PAUSE_MS) {
+        limits.idle_time = Duration::from_millis(millis);
+    }
+    limits
+}
+
 fn check_method(method: &Spanned<String>) -> Option<Fault> {
     let written = method.value.as_str();
     if METHODS.contains(&written) {
--- a/components/config/src/snapshot.rs
+++ b/components/config/src/snapshot.rs
@@ -3,7 +3,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::Limits;
 use crate::Pattern;
+use crate::prefix::Prefixes;
 use crate::tree::Tree;
 use ids::Digest;
 use ids::Rank;
@@ -29,6 +31,17 @@
     pub depends: Vec<ServiceKey>,
     /// Upstream statuses that mean that the request did not run, sorted.
     pub not_run_statuses: Vec<u16>,
+    /// Connections that each of its upstreams accepts; `None` if the text sets no bound.
+    pub connections: Option<u32>,
+}
+
+/// One part of a route's requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Target {
+    /// The service that serves it.
+    pub service: ServiceKey,
+    /// Share of the requests, relative to the other targets.
+    pub weight: u32,
 }
 
 /// A route of the configuration.
@@ -36,9 +49,11 @@
 pub struct Route {
     /// Identity across versions.
     pub id: RouteId,
-    /// The service that serves it.
-    pub service: ServiceKey,
-    /// HTTP method in capitals.
+    /// The services that serve it; at least one.
+    pub targets: Vec<Target>,
+    /// Host that it is for; `None` if any.
+    pub host: Option<String>,
+    /// HTTP method in capitals; `*` stands for any.
     pub method: String,
     /// Paths that it covers.
     pub pattern: Pattern,
@@ -48,12 +63,38 @@
     pub rank: Rank,
     /// Longest time from arrival to answer.
     pub deadline: Duration,
+    /// Time within which an answer is worth most to its caller, if the operator has said so.
+    pub objective: Option<Duration>,
+    /// Upstreams that one request may be sent to, if the operator bounds it.
+    pub attempts: Option<u32>,
     /// Whether a request can run more than once without harm.
     pub idempotent: bool,
     /// Share among the routes of its rank.
     pub weight: u32,
 }
 
+impl Route {
+    /// The target of a request whose position among all requests is `position`, from 0 to below
+    /// the sum of the weights.
+    pub fn target_at(&self, position: usize) -> Option<ServiceKey> {
+        let mut left = position;
+        for target in &self.targets {
+            let weight = usize::try_from(target.weight).unwrap_or(usize::MAX);
+            match left.checked_sub(weight) {
+                Some(rest) => left = rest,
+                None => return Some(target.service),
+            }
+        }
+        None
+    }
+
+    /// Sum of the weights of all targets.
+    pub fn total_weight(&self) -> usize {
+        let weights = self.targets.iter().map(|it| it.weight);
+        weights.map(|it| usize::try_from(it).unwrap_or(0)).sum()
+    }
+}
+
 /// An immutable compiled configuration.
 #[derive(Clone, Debug)]
 pub struct Snapshot {
@@ -67,6 +108,9 @@
     pub(crate) by_id: Vec<(RouteId, RouteKey)>,
     /// Search by method and path.
     pub(crate) tree: Tree,
+    /// Search by host and prefix.
+    pub(crate) prefixes: Prefixes,
+    pub(crate) limits: Limits,
 }
 
 impl Snapshot {
@@ -80,6 +124,11 @@
         self.digest
     }
 
+    /// Bounds on what a caller sends.
+    pub fn limits(&self) -> &Limits {
+        &self.limits
+    }
+
     /// The service at `key`, if the key is of this snapshot.
     pub fn service(&self, key: ServiceKey) -> Option<&Service> {
         self.services.get(key)
@@ -119,15 +168,19 @@
 
     /// The route that takes a request; `path` is without query.
     ///
-    /// Of all routes of the method that cover the path, it is the one whose pattern is first segment
-    /// by segment: literal before `{name}` before `**`.
-    pub fn find_route(&self, method: &str, path: &str) -> Option<RouteKey> {
-        self.tree.find(method, path)
+    /// Of the routes of the host it is the one with the longest prefix of the path. Otherwise, of all
+    /// routes of the method that cover the path, it is the one whose pattern is first segment by
+    /// segment: literal before `{name}` before `**`.
+    pub fn find_route(&self, host: Option<&str>, method: &str, path: &str) -> Option<RouteKey> {
+        let by_host = host.and_then(|host| self.prefixes.find(host, path));
+        by_host.or_else(|| self.tree.find(method, path))
     }
 
     /// All routes that cover a request, in the order of match; for explanations, not for traffic.
     pub fn list_matches(&self, method: &str, path: &str) -> Vec<RouteKey> {
-        let covers = |route: &Route| route.method == method && route.pattern.matches(path);
+        let covers = |route: &Route| {
+            route.host.is_none() && route.method == method && route.pattern.matches(path)
+        };
         let mut found: Vec<_> = self.routes().filter(|(_, it)| covers(it)).collect();
         found.sort_by(|(_, a), (_, b)| a.pattern.cmp(&b.pattern));
         found.into_iter().map(|(key, _)| key).collect()
--- a/components/config/src/source.rs
+++ b/components/config/src/source.rs
@@ -13,7 +13,22 @@
 pub(crate) struct Text {
     #[serde(default)]
     pub(crate) format: Option<Spanned<u64>>,
+    #[serde(default)]
+    pub(crate) limits: Option<Limits>,
     pub(crate) services: Vec<Service>,
+    #[serde(default)]
+    pub(crate) routes: Vec<HostRoute>,
+}
+
+/// Bounds on what a caller sends.
+#[derive(Debug)]
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct Limits {
+    pub(crate) head_bytes: Option<Spanned<u64>>,
+    pub(crate) body_bytes: Option<Spanned<u64>>,
+    pub(crate) head_ms: Option<Spanned<u64>>,
+    pub(crate) idle_ms: Option<Spanned<u64>>,
 }
 
 /// One service.
@@ -27,6 +42,8 @@
     #[serde(default)]
     pub(crate) not_run_statuses: Vec<Spanned<u64>>,
     #[serde(default)]
+    pub(crate) connections: Option<Spanned<u64>>,
+    #[serde(default)]
     pub(crate) routes: Vec<Route>,
 }
 
@@ -44,3 +61,32 @@
     #[serde(default)]
     pub(crate) weight: Option<Spanned<u64>>,
 }
+
+/// One route by host and prefix.
+#[derive(Debug)]
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct HostRoute {
+    pub(crate) host: Spanned<String>,
+    pub(crate) prefix: Spanned<String>,
+    pub(crate) rank: Spanned<u64>,
+    pub(crate) deadline_ms: Spanned<u64>,
+    pub(crate) idempotent: bool,
+    #[serde(default)]
+    pub(crate) objective_ms: Option<Spanned<u64>>,
+    #[serde(default)]
+    pub(crate) attempts: Option<Spanned<u64>>,
+    #[serde(default)]
+    pub(crate) weight: Option<Spanned<u64>>,
+    pub(crate) targets: Vec<Target>,
+}
+
+/// One service that a route goes to.
+#[derive(Debug)]
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct Target {
+    pub(crate) service: Spanned<String>,
+    #[serde(default)]
+    pub(crate) weight: Option<Spanned<u64>>,
+}
--- a/components/config/tests/compile.rs
+++ b/components/config/tests/compile.rs
@@ -40,7 +40,7 @@
 )]
 #[case::unknown_far(
     "services: []\nareas: []\n",
-    "line 2: unknown field \"areas\"; known here: format, services"
+    "line 2: unknown field \"areas\"; known here: format, limits, services, routes"
 )]
 #[case::missing_field(
     "services:\n  - depends: []\n",
@@ -194,7 +194,7 @@
 }
 
 fn found<'a>(snapshot: &'a Snapshot, path: &str) -> Option<&'a str> {
-    let key = snapshot.find_route("GET", path)?;
+    let key = snapshot.find_route(None, "GET", path)?;
     snapshot.route(key).map(|route| route.path.as_str())
 }
 
@@ -215,7 +215,7 @@
     for _ in 0..2 {
         let snapshot = compile(&with_paths(&paths), Version(1)).expect("valid");
         assert_eq!(found(&snapshot, path), expected);
-        assert_eq!(snapshot.find_route("POST", path), None);
+        assert_eq!(snapshot.find_route(None, "POST", path), None);
         paths.reverse();
     }
 }
@@ -353,6 +353,6 @@
         let paths: Vec<&str> = paths.iter().map(String::as_str).collect();
         let snapshot = compile(&with_paths(&paths), Version(1)).expect("distinct shapes have an order");
         let matches = snapshot.list_matches("GET", &path);
-        assert_eq!(snapshot.find_route("GET", &path), matches.first().copied());
+        assert_eq!(snapshot.find_route(None, "GET", &path), matches.first().copied());
     }
 }
