--- a/components/admin/src/explain.rs
+++ b/components/admin/src/explain.rs
@@ -22,7 +22,7 @@
         .and_then(|it| Some((it, snapshot.route(it)?)))
     else {
         let others = ["DELETE", "GET", "HEAD", "OPTIONS", "PATCH", "POST", "PUT"];
-        let known = |other: &&str| snapshot.find_route(other, path).is_some();
+        let known = |other: &&str| snapshot.find_route(None, other, path).is_some();
         let others: Vec<_> = others.into_iter().filter(known).collect();
         let why = if others.is_empty() {
             format!(
@@ -53,8 +53,10 @@
         route: Some(RouteView::new(snapshot, route)),
         why: why.into(),
         passed_over,
-        endpoints: topology
-            .endpoints_of(route.service)
+        endpoints: route
+            .targets
+            .iter()
+            .flat_map(|target| topology.endpoints_of(target.service))
             .map(|(_, endpoint)| describe_endpoint(topology, endpoint))
             .collect(),
     }
--- a/components/admin/src/lib.rs
+++ b/components/admin/src/lib.rs
@@ -13,6 +13,7 @@
 
 pub use handle::Node;
 pub use serve::serve;
+pub use serve::serve_requests;
 pub use upstream::Announcement;
 pub use upstream::State;
 pub use view::Choice;
--- a/components/admin/src/serve.rs
+++ b/components/admin/src/serve.rs
@@ -4,6 +4,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
@@ -33,11 +38,25 @@
 /// Connections over the bound wait in the listener's backlog. Each holds its place for at most
 /// [`CONNECTION_LIMIT`], so that silent ones cannot shut operators out for longer.
 pub async fn serve(listener: TcpListener, node: Node) -> Result<(), Infallible> {
+    let handle = move |request| {
+        let node = node.clone();
+        async move { node.handle(request).await }
+    };
+    serve_requests(listener, handle).await;
+    Ok(())
+}
+
+/// Serves a listener for operators or for the instance's surroundings within the same bounds.
+pub async fn serve_requests<H, F>(listener: TcpListener, handle: H)
+where
+    H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
+    F: Future<Output = Response<Full<Bytes>>> + Send + 'static,
+{
     let places = Arc::new(Semaphore::new(MAX_CONNECTIONS));
     loop {
         let Ok(place) = Arc::clone(&places).acquire_owned().await else {
             // The semaphore is never closed.
-            return Ok(());
+            return;
         };
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
@@ -47,19 +66,23 @@
                 continue;
             }
         };
-        let node = node.clone();
+        let handle = handle.clone();
         tokio::spawn(async move {
             // Errors are those of the other end; passing the limit closes the connection.
-            let _ = timeout(CONNECTION_LIMIT, converse(stream, node)).await;
+            let _ = timeout(CONNECTION_LIMIT, converse(stream, handle)).await;
             drop(place);
         });
     }
 }
 
-async fn converse(stream: TcpStream, node: Node) -> Result<(), hyper::Error> {
+async fn converse<H, F>(stream: TcpStream, handle: H) -> Result<(), hyper::Error>
+where
+    H: Fn(Request<Incoming>) -> F,
+    F: Future<Output = Response<Full<Bytes>>>,
+{
     let service = service_fn(move |request| {
-        let node = node.clone();
-        async move { Ok::<_, Infallible>(node.handle(request).await) }
+        let answer = handle(request);
+        async move { Ok::<_, Infallible>(answer.await) }
     });
     http1::Builder::new()
         .timer(TokioTimer::new())
--- a/components/admin/src/upstream.rs
+++ b/components/admin/src/upstream.rs
@@ -60,9 +60,14 @@
         };
         let upstream = Upstream {
             service: Arc::from(self.service),
+            instance: None,
             slots: self.slots,
             connections: self.connections,
         };
-        Ok(Input::Announced { stage, upstream })
+        Ok(Input::Announced {
+            stage,
+            upstream,
+            order: None,
+        })
     }
 }
--- a/components/admin/src/view.rs
+++ b/components/admin/src/view.rs
@@ -203,9 +203,11 @@
 
 impl RouteView {
     pub(crate) fn new(snapshot: &Snapshot, route: &Route) -> Self {
-        let service = snapshot.service(route.service);
+        let targets = route.targets.iter();
+        let services =
+            targets.filter_map(|it| Some(snapshot.service(it.service)?.name.to_string()));
         Self {
-            service: service.map_or_else(String::new, |it| it.name.to_string()),
+            service: services.collect::<Vec<_>>().join(", "),
             method: route.method.clone(),
             path: route.path.clone(),
             rank: route.rank.0,
--- a/components/admin/tests/admin.rs
+++ b/components/admin/tests/admin.rs
@@ -39,6 +39,7 @@
 use policy::HEALTHS;
 use policy::RETRIES;
 use telemetry::Counters;
+use traffic::owner::UpstreamEnd;
 
 // Without these the linker would drop the plug-ins with their registrations.
 use admit as _;
@@ -69,6 +70,7 @@
         stage,
         upstream: Some(Upstream {
             service: Arc::from("reservas"),
+            instance: None,
             slots: 10,
             connections: 100,
         }),
@@ -109,7 +111,7 @@
         clock: Monotonic::new(),
         topology: Arc::new(ArcSwap::from_pointee(topology())),
         entry,
-        owner: traffic::owner::Machine::new(NodeId(1), admission),
+        owner: traffic::owner::Machine::new(NodeId(1), admission, UpstreamEnd::Leave),
         counters: Arc::new(Counters::new().expect("counters")),
     });
     let (inputs, receiver) = mpsc::channel(8);
--- a/components/control/src/lib.rs
+++ b/components/control/src/lib.rs
@@ -18,6 +18,7 @@
 pub use message::Effect;
 pub use message::Input;
 pub use message::Token;
+pub use own::Order;
 pub use topology::Endpoint;
 pub use topology::EndpointKey;
 pub use topology::Topology;
--- a/components/control/src/machine.rs
+++ b/components/control/src/machine.rs
@@ -64,6 +64,13 @@
         }
     }
 
+    /// The same with the failure domains that the fleet is known to have.
+    #[must_use]
+    pub fn with_domains(mut self, domains: Vec<Domain>) -> Self {
+        self.spread.set_domains(domains);
+        self
+    }
+
     /// Identity of the node.
     pub fn id(&self) -> NodeId {
         self.members.id()
@@ -248,8 +255,16 @@
                 self.spread
                     .receive_contacts(now, event, view, random, &mut out.spread);
             }
-            Input::Announced { stage, upstream } => {
-                self.own.announce(now, stage, upstream);
+            Input::Announced {
+                stage,
+                upstream,
+                order,
+            } => {
+                self.own.announce(now, stage, upstream, order);
+                self.announce(random, out);
+            }
+            Input::Departed { instance, order } => {
+                self.own.depart(&instance, order);
                 self.announce(random, out);
             }
             Input::Drain => {
--- a/components/control/src/message.rs
+++ b/components/control/src/message.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use crate::Order;
 use crate::Topology;
 use config::Record;
 use ids::Domain;
@@ -46,7 +47,16 @@
     /// The store said something of the contacts.
     Contacts(ContactsEvent),
     /// The upstream of this node announced itself.
-    Announced { stage: Stage, upstream: Upstream },
+    Announced {
+        stage: Stage,
+        upstream: Upstream,
+        order: Option<Order>,
+    },
+    /// A run of the upstream of this node takes no more requests and will end.
+    Departed {
+        instance: Arc<str>,
+        order: Option<Order>,
+    },
     /// An operator or a signal asks the node to leave.
     Drain,
     /// The traffic side has finished all that ran.
--- a/components/control/src/own.rs
+++ b/components/control/src/own.rs
@@ -61,9 +61,20 @@
     }
 }
 
+/// Place of an announcement among all that the runs of an upstream make.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Order {
+    /// Start of the run, in milliseconds of Unix time on the upstream's clock.
+    pub born: u64,
+    /// Number of the announcement within the run.
+    pub sequence: u64,
+}
+
 /// The upstream that this node owns.
 #[derive(Debug, Default)]
 pub(crate) struct Own {
+    /// The newest announcement; announcements can be delayed and cross.
+    newest: Option<Order>,
     slot: Slot,
     lease: Option<Time>,
     leaving: bool,
@@ -85,7 +96,17 @@
 
     /// Takes an announcement of the upstream in. One that is no step forward, or that changes what
     /// the upstream is, starts a new life of the endpoint.
-    pub(crate) fn announce(&mut self, now: Time, stage: Stage, upstream: Upstream) {
+    pub(crate) fn announce(
+        &mut self,
+        now: Time,
+        stage: Stage,
+        upstream: Upstream,
+        order: Option<Order>,
+    ) {
+        if order.is_some() && order <= self.newest {
+            return;
+        }
+        self.newest = self.newest.max(order);
         let stage = if self.leaving {
             stage.max(Stage::Draining)
         } else {
@@ -103,6 +124,23 @@
         }
     }
 
+    /// Ends the endpoint if it is this run of the upstream. Announcements of the run that are still
+    /// on their way change nothing.
+    pub(crate) fn depart(&mut self, instance: &str, order: Option<Order>) {
+        let known = self
+            .slot
+            .state()
+            .and_then(|(_, upstream)| upstream.instance.as_deref());
+        if known != Some(instance) || order.is_some_and(|it| Some(it) < self.newest) {
+            return;
+        }
+        self.newest = self.newest.map(|newest| Order {
+            sequence: u64::MAX,
+            ..newest
+        });
+        self.move_to(Stage::Gone);
+    }
+
     /// Ends the endpoint if its upstream has stopped announcing itself.
     pub(crate) fn expire(&mut self, now: Time) {
         if self.lease.is_some_and(|lease| lease <= now) {
--- a/components/control/tests/fleet/driver/checker.rs
+++ b/components/control/tests/fleet/driver/checker.rs
@@ -131,11 +131,11 @@
             broken.push("P3: text that was never accepted");
         }
         for (_, route) in snapshot.routes() {
-            let Some(service) = snapshot.service(route.service) else {
+            let Some(service) = snapshot.service(route.targets[0].service) else {
                 broken.push("P2: route without its service");
                 continue;
             };
-            let mut endpoints = topology.endpoints_of(route.service);
+            let mut endpoints = topology.endpoints_of(route.targets[0].service);
             if !endpoints.all(|(_, it)| name_service(it.requests, self.services) == *service.name) {
                 broken.push("P2: route to an endpoint of another service");
             }
--- a/components/control/tests/fleet/driver/mod.rs
+++ b/components/control/tests/fleet/driver/mod.rs
@@ -283,11 +283,19 @@
                         Arc::from(checker::name_service(self.nodes[at].address, self.services));
                     let (slots, connections) = (10, 100);
                     let upstream = Upstream {
+                        instance: None,
                         service,
                         slots,
                         connections,
                     };
-                    self.input(at, Input::Announced { stage, upstream });
+                    self.input(
+                        at,
+                        Input::Announced {
+                            stage,
+                            upstream,
+                            order: None,
+                        },
+                    );
                 }
                 self.push(self.now + 3 * SECOND, Event::Renew(at, process));
             }
--- a/components/control/tests/upstream.rs
+++ b/components/control/tests/upstream.rs
@@ -74,10 +74,15 @@
     fn announce(&mut self, stage: Stage, slots: u32) {
         let upstream = Upstream {
             service: Arc::from("planta"),
+            instance: None,
             slots,
             connections: 9,
         };
-        self.input(Input::Announced { stage, upstream });
+        self.input(Input::Announced {
+            stage,
+            upstream,
+            order: None,
+        });
     }
 
     fn run(&mut self, time: Duration) {
--- a/components/daemon/src/build.rs
+++ b/components/daemon/src/build.rs
@@ -1,6 +1,8 @@
 //! Building of plug-ins by the names in the settings.
 
 use crate::Error;
+use front::AGENTS;
+use front::Agent;
 use front::FRONTS;
 use front::Front;
 use kernel::Plugin;
@@ -23,6 +25,7 @@
 /// One plug-in of each extension point.
 pub(crate) struct Plugins {
     pub(crate) store: Box<dyn Store>,
+    pub(crate) agent: Box<dyn Agent>,
     pub(crate) front: Box<dyn Front>,
     pub(crate) transport: Box<dyn Transport>,
     pub(crate) admission: Box<dyn Admission>,
@@ -35,6 +38,7 @@
     pub(crate) fn from_settings(settings: &Settings) -> Result<Self, Error> {
         Ok(Self {
             store: build("store", &STORES, &settings.store)?,
+            agent: build("agent", &AGENTS, &settings.agent)?,
             front: build("front", &FRONTS, &settings.front)?,
             transport: build("transport", &TRANSPORTS, &settings.transport)?,
             admission: build("admission", &ADMISSIONS, &settings.admission)?,
--- a/components/daemon/src/executor.rs
+++ b/components/daemon/src/executor.rs
@@ -84,6 +84,8 @@
     pub(crate) driver: Arc<Driver>,
     pub(crate) counters: Arc<Counters>,
     pub(crate) watch: Option<JoinHandle<()>>,
+    /// Failure domains that the fleet is known to have.
+    pub(crate) domains: Vec<Domain>,
 }
 
 impl Executor<Effect> for Effects {
@@ -108,7 +110,10 @@
             Effect::WatchStore { after } => self.call_store(Some(after)),
             Effect::StopWatch => self.stop_watch(),
             Effect::WriteStore { expected, record } => self.write_store(expected, &record),
-            Effect::ReadContacts { domain } => self.read_contacts(&domain),
+            Effect::ReadContacts { domain } => {
+                self.read_contacts(&domain);
+                self.read_other_contacts(&domain);
+            }
             Effect::WriteContacts {
                 domain,
                 expected,
@@ -201,6 +206,23 @@
         });
     }
 
+    /// Reads the contacts of the other failure domains.
+    fn read_other_contacts(&self, own: &Domain) {
+        for domain in self.domains.iter().filter(|it| *it != own) {
+            let store = Arc::clone(&self.store);
+            let key = contacts_key(domain);
+            self.counters.count_store_call("read");
+            self.report(async move {
+                let found = store.read(&key).await;
+                let found = found.inspect_err(log_failure).ok().flatten();
+                let addresses = found.and_then(|it| decode_contacts(&it.value));
+                Input::Contacts(ContactsEvent::Others {
+                    addresses: addresses.unwrap_or_default(),
+                })
+            });
+        }
+    }
+
     fn write_contacts(&self, domain: &Domain, expected: Revision, addresses: &[SocketAddr]) {
         let store = Arc::clone(&self.store);
         let key = contacts_key(domain);
--- a/components/daemon/src/lib.rs
+++ b/components/daemon/src/lib.rs
@@ -43,6 +43,10 @@
         Front(error: io::Error) {
             display("listen.{error}")
         }
+        /// The agent cannot listen; its error begins with the address.
+        Agent(error: io::Error) {
+            display("agent: {error}")
+        }
         /// The node ended before all that ran was finished.
         Cut { why: &'static str, running: u32, forwarded: usize } {
             display("{why}; cut off: {running} running and {forwarded} forwarded requests")
--- a/components/daemon/src/run.rs
+++ b/components/daemon/src/run.rs
@@ -45,6 +45,7 @@
 use member::Table;
 use settings::Settings;
 use telemetry::Counters;
+use traffic::owner::UpstreamEnd;
 use transport::Sender;
 use transport::Transport;
 use transport::calls;
@@ -53,11 +54,6 @@
 const INPUT_BOUND: usize = 1_024;
 /// Time for the last gossip of a leaving node to go out.
 const LEAVE_TIME: Duration = Duration::from_millis(300);
-
-/// Shortest time between the first refusal and the end of the listeners. Other nodes check or close
-/// idle connections each second; within this time each of them learns that the connection closes,
-/// so that no request crosses the close.
-const DRAIN_LINGER: Duration = Duration::from_millis(1_500);
 /// Signals that wait to be taken.
 const STOP_BOUND: usize = 2;
 
@@ -112,7 +108,7 @@
         clock,
         topology: Arc::clone(&topology),
         entry: traffic::entry::Machine::new(plugins.balance, plugins.retry, plugins.health),
-        owner: traffic::owner::Machine::new(id, plugins.admission),
+        owner: traffic::owner::Machine::new(id, plugins.admission, read_end(settings)),
         counters: Arc::clone(&counters),
     }));
     // The counters are part of the driver, which must not keep itself alive.
@@ -126,6 +122,8 @@
     listen_for_operators(settings, &inputs, &driver).await?;
     let stop = CancellationToken::new();
     let serving = start_front(settings, plugins.front, &traffic, &driver, &stop).await?;
+    let agent = plugins.agent.start(Arc::clone(&driver), inputs.clone());
+    tokio::spawn(agent.await.map_err(Error::Agent)?);
     let timers = Arc::clone(&driver);
     traffic.spawn(async move { timers.run_timers().await });
 
@@ -138,9 +136,11 @@
         driver: Arc::clone(&driver),
         counters,
         watch: None,
+        domains: settings.domains.iter().map(|it| Domain::new(it)).collect(),
     };
     let contacts = settings.contacts.clone();
-    let mut machine = Machine::new(me, contacts, Limits::default(), clock.now());
+    let mut machine = Machine::new(me, contacts, Limits::default(), clock.now())
+        .with_domains(effects.domains.clone());
     let mut random = Seeded::from_system();
     info!(node = id.to_string().as_str(); "node started");
     let driving = drive(&mut machine, receiver, &mut effects, &clock, &mut random);
@@ -153,6 +153,13 @@
     Ok(())
 }
 
+fn read_end(settings: &Settings) -> UpstreamEnd {
+    match settings.upstream_end {
+        settings::UpstreamEnd::Leave => UpstreamEnd::Leave,
+        settings::UpstreamEnd::Stay => UpstreamEnd::Stay,
+    }
+}
+
 /// The node's first statement about itself.
 fn describe_self(settings: &Settings) -> Member {
     Member {
@@ -290,17 +297,16 @@
         () = driver.drained().cancelled() => {}
     }
     let limit = Duration::from_millis(settings.drain_limit_ms);
+    let linger = Duration::from_millis(settings.drain_linger_ms);
     info!(running = driver.load().running, forwarded = driver.open_calls(); "draining");
     let drain = async {
         // The channel is open as long as the control loop runs.
         let _ = inputs.send(Input::Drain).await;
         driver.drain();
-        tokio::join!(
-            driver.finish(),
-            tokio::time::sleep(DRAIN_LINGER.min(limit / 2))
-        );
+        tokio::time::sleep(linger.min(limit / 2)).await;
         stop.cancel();
         let _ = serving.await;
+        driver.finish().await;
         let _ = inputs.send(Input::Drained).await;
         tokio::time::sleep(LEAVE_TIME).await;
     };
--- /dev/null
+++ b/components/front/src/agent.rs
@@ -0,0 +1,52 @@
+//! Extension point of the agents, which speak with the surroundings of an instance.
+
+use std::sync::Arc;
+
+use linkme::distributed_slice;
+use tokio::sync::mpsc;
+
+use crate::Driver;
+use crate::Starting;
+use control::Input;
+use kernel::Plugin;
+use kernel::plugin;
+use kernel::plugin::EXTENSIONS;
+use kernel::plugin::Extension;
+
+/// Registered agents.
+#[distributed_slice]
+pub static AGENTS: [Plugin<dyn Agent>];
+
+#[distributed_slice(EXTENSIONS)]
+static EXTENSION: Extension = Extension {
+    kind: "agent",
+    names: || plugin::list_names(&AGENTS),
+};
+
+/// Listens for announcements of the upstream and for questions about the node's readiness, in the
+/// protocol of the instance's surroundings.
+pub trait Agent: Send + Sync {
+    /// Listens; the inner future serves until it is dropped.
+    fn start(&self, driver: Arc<Driver>, inputs: mpsc::Sender<Input>) -> Starting<'_>;
+}
+
+#[distributed_slice(AGENTS)]
+static NONE: Plugin<dyn Agent> = Plugin {
+    name: "none",
+    make: |params| {
+        params.check_names(&[])?;
+        Ok(Box::new(Absent))
+    },
+};
+
+/// No agent: the admin address takes announcements.
+struct Absent;
+
+impl Agent for Absent {
+    fn start(&self, _: Arc<Driver>, _: mpsc::Sender<Input>) -> Starting<'_> {
+        Box::pin(async {
+            let serving: crate::Serving = Box::pin(std::future::pending());
+            Ok(serving)
+        })
+    }
+}
--- a/components/front/src/lib.rs
+++ b/components/front/src/lib.rs
@@ -4,6 +4,7 @@
 //! futures. [`Front`] is the extension point of the front ends that speak a protocol with callers,
 //! nodes and the upstream; each is a crate of its own.
 
+mod agent;
 mod driver;
 mod permit;
 mod query;
@@ -21,6 +22,8 @@
 use kernel::plugin::EXTENSIONS;
 use kernel::plugin::Extension;
 
+pub use agent::AGENTS;
+pub use agent::Agent;
 pub use driver::Driver;
 pub use driver::Parts;
 pub use permit::Permit;
--- a/components/http1/src/answer.rs
+++ b/components/http1/src/answer.rs
@@ -4,56 +4,40 @@
 
 use hyper::HeaderMap;
 use hyper::Response;
-use hyper::StatusCode;
-use hyper::header::CONTENT_TYPE;
 use hyper::header::HeaderValue;
-use hyper::header::RETRY_AFTER;
-use serde_json::json;
 
+use crate::Dialect;
 use crate::body::Payload;
 use crate::body::full;
+use crate::dialect::status_of;
 use errors::Reason;
 use errors::Verdict;
 use policy::Load;
 use traffic::Refusal;
 use wire::header;
 
-/// Status by which callers see a refusal.
-fn status(refusal: Refusal) -> StatusCode {
-    match (refusal.reason, refusal.verdict) {
-        (Reason::NoRoute, _) => StatusCode::NOT_FOUND,
-        (Reason::TooLarge, _) => StatusCode::PAYLOAD_TOO_LARGE,
-        (Reason::Malformed, Verdict::NotRun) => StatusCode::BAD_REQUEST,
-        (Reason::DeadlinePassed | Reason::ConnectionSilent, Verdict::MayHaveRun) => {
-            StatusCode::GATEWAY_TIMEOUT
-        }
-        (_, Verdict::NotRun) => StatusCode::SERVICE_UNAVAILABLE,
-        (_, Verdict::MayHaveRun | Verdict::Ran) => StatusCode::BAD_GATEWAY,
-    }
+/// An answer of the node itself to a caller.
+pub(crate) fn refuse(dialect: &dyn Dialect, refusal: Refusal) -> Response<Payload> {
+    let notice = dialect.refuse(refusal);
+    let mut response = Response::new(full(notice.body));
+    *response.status_mut() = notice.status;
+    *response.headers_mut() = notice.headers;
+    response
 }
 
-/// An answer that says why a request is refused and whether it may have run.
-pub(crate) fn refuse(refusal: Refusal) -> Response<Payload> {
-    let body = json!({
-        "reason": refusal.reason.name(),
-        "verdict": refusal.verdict.name(),
-        "message": refusal.reason.summary(),
-    });
-    let mut response = Response::new(full(format!("{body}\n")));
-    *response.status_mut() = status(refusal);
+/// An answer of the node itself to another node: why a request is refused and whether it may have
+/// run.
+pub(crate) fn refuse_node(refusal: Refusal) -> Response<Payload> {
+    let mut response = Response::new(full(""));
+    *response.status_mut() = status_of(refusal);
+    let millis = refusal.retry_after.as_millis().to_string();
     let headers = response.headers_mut();
-    headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
-    headers.insert(
-        header::REASON,
-        HeaderValue::from_static(refusal.reason.name()),
-    );
-    headers.insert(
-        header::VERDICT,
-        HeaderValue::from_static(refusal.verdict.name()),
-    );
-    let seconds = refusal.retry_after.as_millis().div_ceil(1_000);
-    if let Ok(value) = HeaderValue::from_str(&seconds.to_string()) {
-        headers.insert(RETRY_AFTER, value);
+    let reason = HeaderValue::from_static(refusal.reason.name());
+    headers.insert(header::REASON, reason);
+    let verdict = HeaderValue::from_static(refusal.verdict.name());
+    headers.insert(header::VERDICT, verdict);
+    if let Ok(millis) = HeaderValue::from_str(&millis) {
+        headers.insert(header::RETRY_AFTER, millis);
     }
     response
 }
--- a/components/http1/src/attempt.rs
+++ b/components/http1/src/attempt.rs
@@ -98,7 +98,12 @@
     let mut answer = pin!(send_remote(shared, saved, profile, attempt, idle, expires));
     let deadline = Instant::from_std(shared.driver.clock().instant(attempt.deadline));
     let mut asking = pin!(None);
-    let mut due = (Instant::now() + FIRST_SILENCE).min(deadline);
+    // Work that takes as long as the operator expects is no silence.
+    let first_silence = profile
+        .objective
+        .map_or(FIRST_SILENCE, |it| it.max(FIRST_SILENCE));
+    let next_silence = first_silence.max(NEXT_SILENCE);
+    let mut due = (Instant::now() + first_silence).min(deadline);
     loop {
         let idle = asking.is_none();
         tokio::select! {
@@ -112,7 +117,7 @@
                     return sent;
                 }
                 asking.set(None);
-                due = (Instant::now() + NEXT_SILENCE).min(deadline);
+                due = (Instant::now() + next_silence).min(deadline);
             }
             () = tokio::time::sleep_until(if idle { due } else { deadline }) => {
                 if Instant::now() >= deadline {
@@ -290,7 +295,7 @@
         .get(header::LOAD)
         .and_then(|value| header::parse_load(value.to_str().ok()?));
     let retry_after =
-        parse_header(headers, "retry-after").map_or(Duration::ZERO, Duration::from_secs);
+        parse_header(headers, header::RETRY_AFTER).map_or(Duration::ZERO, Duration::from_millis);
     Begun {
         response,
         report: Report {
--- a/components/http1/src/caller.rs
+++ b/components/http1/src/caller.rs
@@ -3,10 +3,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use hyper::HeaderMap;
 use hyper::Request;
 use hyper::Response;
 use hyper::body::Incoming;
 use hyper::header::CONNECTION;
+use hyper::header::HOST;
 use hyper::header::HeaderValue;
 use hyper::header::TRANSFER_ENCODING;
 use log::warn;
@@ -15,7 +17,6 @@
 use crate::Shared;
 use crate::answer;
 use crate::answer::not_run;
-use crate::answer::parse_header;
 use crate::attempt;
 use crate::attempt::Saved;
 use crate::attempt::Sent;
@@ -41,10 +42,6 @@
 use traffic::entry::Head;
 use traffic::entry::Input;
 use traffic::entry::Profile;
-use wire::header;
-
-/// Value of `medlar-retry-owner` by which a level further out says that it retries.
-const RETRIES: &[u8] = b"1";
 
 /// Ends the call if the caller leaves before the answer is relayed.
 struct Guard {
@@ -84,7 +81,10 @@
             let counters = shared.driver.counters();
             counters.count_refusal("entry", refusal.reason);
             let close = [Reason::Malformed, Reason::TooLarge, Reason::DeadlinePassed];
-            (answer::refuse(refusal), close.contains(&refusal.reason))
+            (
+                answer::refuse(&*shared.dialect, refusal),
+                close.contains(&refusal.reason),
+            )
         }
     };
     if close {
@@ -103,21 +103,18 @@
     let (mut parts, body) = request.into_parts();
     let body = Intake::read(body).await.map_err(not_run)?;
     let headers = &mut parts.headers;
-    let left = parse_header(headers, header::DEADLINE).map(Duration::from_micros);
-    let outer_retries = headers
-        .get(header::RETRY_OWNER)
-        .is_some_and(|value| value.as_bytes() == RETRIES);
-    let parent = parse_header::<RequestId>(headers, header::REQUEST_ID);
+    let wish = shared.dialect.read_head(headers);
     // Matters only while the node leaves, so the look is left out before.
-    let onward =
-        shared.driver.is_leaving() && parent.is_some_and(|id| shared.driver.is_running(id));
+    let running = |id| shared.driver.is_running(id);
+    let onward = shared.driver.is_leaving() && (wish.stays || wish.parent.is_some_and(running));
     clean_request(headers);
     let head = Head {
         id: RequestId(rand::random()),
+        host: read_host(&parts.headers),
         method: parts.method.as_str().to_owned(),
         path: parts.uri.path().to_owned(),
-        left,
-        outer_retries,
+        left: wish.left,
+        outer_retries: wish.outer_retries,
         replayable: body.is_whole(),
         onward,
     };
@@ -140,6 +137,13 @@
     Ok(relay(response, guard, profile, attempt, arrived))
 }
 
+/// The host that the caller asks for, without its port.
+fn read_host(headers: &HeaderMap) -> Option<String> {
+    let host = headers.get(HOST)?.to_str().ok()?;
+    let name = host.rsplit_once(':').map_or(host, |(name, _)| name);
+    Some(name.to_ascii_lowercase())
+}
+
 /// Logs a refusal of a request that may have run; the others have counters only.
 fn log_unknown(id: RequestId, refusal: Refusal) {
     static LINES: Limiter = Limiter::new(Duration::from_secs(1));
--- a/components/http1/src/lib.rs
+++ b/components/http1/src/lib.rs
@@ -8,6 +8,7 @@
 mod body;
 mod caller;
 mod clock;
+mod dialect;
 mod headers;
 mod intake;
 mod link;
@@ -27,6 +28,13 @@
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 
+pub use dialect::DIALECTS;
+pub use dialect::Dialect;
+pub use dialect::Dispatch;
+pub use dialect::Notice;
+pub use dialect::Proof;
+pub use dialect::Wish;
+pub use dialect::status_of;
 use front::Addresses;
 use front::Driver;
 use front::FRONTS;
@@ -34,22 +42,31 @@
 use front::Serving;
 use front::Starting;
 use kernel::Plugin;
+use kernel::plugin;
 
 #[distributed_slice(FRONTS)]
 static PLUGIN: Plugin<dyn Front> = Plugin {
     name: "http1",
     make: |params| {
-        params.check_names(&[])?;
-        Ok(Box::new(Http1))
+        let name = params.get(DIALECT).unwrap_or(dialect::OWN);
+        let dialect = plugin::build(DIALECT, &DIALECTS, name, &params.without(DIALECT))?;
+        Ok(Box::new(Http1 {
+            dialect: Arc::from(dialect),
+        }))
     },
 };
 
-#[derive(Clone, Copy, Debug)]
-struct Http1;
+/// Param that names the dialect; the other params are the dialect's.
+const DIALECT: &str = "dialect";
+
+struct Http1 {
+    dialect: Arc<dyn Dialect>,
+}
 
 /// State that all connections of the front end share.
 struct Shared {
     driver: Arc<Driver>,
+    dialect: Arc<dyn Dialect>,
     nodes: Arc<pool::Pool>,
     upstream: upstream::Client,
     answers: stored::Answers,
@@ -80,6 +97,7 @@
             let requests = bind("requests", addresses.requests).await?;
             let shared = Arc::new(Shared {
                 driver,
+                dialect: Arc::clone(&self.dialect),
                 nodes: Arc::default(),
                 upstream: upstream::Client::new(addresses.upstream),
                 answers: stored::Answers::default(),
--- a/components/http1/src/node.rs
+++ b/components/http1/src/node.rs
@@ -57,8 +57,8 @@
     let mut response = match check_head(&mut request) {
         Ok(()) => serve(&shared, &session, request)
             .await
-            .unwrap_or_else(answer::refuse),
-        Err(reason) => answer::refuse(not_run(reason)),
+            .unwrap_or_else(answer::refuse_node),
+        Err(reason) => answer::refuse_node(not_run(reason)),
     };
     answer::set_load(response.headers_mut(), shared.driver.load());
     response
@@ -104,7 +104,7 @@
 fn fetch(shared: &Shared, id: &str) -> Response<Payload> {
     let stored = id.parse().ok().and_then(|id| shared.answers.get(id));
     stored.unwrap_or_else(|| {
-        answer::refuse(Refusal {
+        answer::refuse_node(Refusal {
             reason: Reason::OutcomeUnknown,
             verdict: errors::Verdict::MayHaveRun,
             retry_after: Duration::ZERO,
--- a/components/http1/src/run.rs
+++ b/components/http1/src/run.rs
@@ -17,6 +17,8 @@
 use hyper::http::response::Parts;
 use tokio::time::Instant;
 
+use crate::Dispatch;
+use crate::Proof;
 use crate::Shared;
 use crate::body::End;
 use crate::body::Payload;
@@ -28,10 +30,11 @@
 use crate::link::Link;
 use crate::stored;
 use crate::upstream::Failure;
+use config::Service;
+use control::Topology;
 use errors::Reason;
 use errors::Verdict;
 use front::Permit;
-use ids::RouteId;
 use traffic::Refusal;
 use traffic::owner::Offer;
 use wire::header;
@@ -162,7 +165,18 @@
     let offer = work.offer;
     let now = shared.driver.now();
     let deadline = Instant::from_std(shared.driver.clock().instant(offer.expires));
-    let request = prepare(work.request, &offer, now.until(offer.expires));
+    let mut request = work.request;
+    let trace = shared.dialect.trace(request.headers()).cloned();
+    let topology = shared.driver.topology();
+    let upstream = topology.own.as_ref().map(|(_, upstream)| upstream);
+    let dispatch = Dispatch {
+        id: offer.id,
+        left: now.until(offer.expires),
+        instance: upstream.and_then(|it| it.instance.as_deref()),
+    };
+    shared
+        .dialect
+        .mark_dispatch(request.headers_mut(), &dispatch);
     let cancelled = permit.cancelled();
     let sent = tokio::select! {
         biased;
@@ -177,10 +191,17 @@
         Err(failure) => return Err(give_up(permit, failure)),
     };
     let (mut parts, body) = response.into_parts();
-    if !is_framed(&parts, work.head_only) {
+    if !shared.dialect.takes_unframed() && !is_framed(&parts, work.head_only) {
         return Err(give_up(permit, (Verdict::MayHaveRun, Reason::Malformed)));
     }
-    let shed = is_not_run_status(shared, offer.route, parts.status.as_u16());
+    let listed = is_not_run_status(shared, parts.status.as_u16());
+    let shed = match shared.dialect.judge(trace.as_ref(), &parts, listed) {
+        Proof::Ran => false,
+        Proof::NotRun => true,
+        Proof::Foreign => {
+            return Err(give_up(permit, (Verdict::MayHaveRun, Reason::Malformed)));
+        }
+    };
     mark(&mut parts.headers, shed);
     let begun = Begun {
         parts,
@@ -270,38 +291,25 @@
     }
 }
 
-fn prepare(mut request: Request<Payload>, offer: &Offer, left: Duration) -> Request<Payload> {
-    let headers = request.headers_mut();
-    let values = [
-        (header::REQUEST_ID, offer.id.to_string()),
-        (header::DEADLINE, left.as_micros().to_string()),
-    ];
-    for (name, value) in values {
-        if let Ok(value) = HeaderValue::from_str(&value) {
-            headers.insert(name, value);
-        }
-    }
-    headers.insert(header::RETRY_OWNER, HeaderValue::from_static("1"));
-    request
-}
-
 /// Connections that the upstream accepts.
 fn connections(shared: &Shared) -> usize {
     let topology = shared.driver.topology();
     let own = topology.own.as_ref();
-    own.map_or(1, |(_, upstream)| {
-        usize::try_from(upstream.connections).unwrap_or(usize::MAX)
-    })
+    let announced = own.map_or(1, |(_, upstream)| upstream.connections);
+    let listed = own_service(&topology).and_then(|service| service.connections);
+    let bound = listed.map_or(announced, |listed| listed.min(announced));
+    usize::try_from(bound).unwrap_or(usize::MAX)
 }
 
-fn is_not_run_status(shared: &Shared, route: RouteId, status: u16) -> bool {
+fn is_not_run_status(shared: &Shared, status: u16) -> bool {
     let topology = shared.driver.topology();
-    let Some(snapshot) = topology.snapshot.as_ref() else {
-        return false;
-    };
-    let route = snapshot
-        .find_route_by_id(route)
-        .and_then(|key| snapshot.route(key));
-    let service = route.and_then(|route| snapshot.service(route.service));
+    let service = own_service(&topology);
     service.is_some_and(|service| service.not_run_statuses.binary_search(&status).is_ok())
 }
+
+/// The service of the node's own upstream, if the configuration lists it.
+fn own_service(topology: &Topology) -> Option<&Service> {
+    let (_, upstream) = topology.own.as_ref()?;
+    let snapshot = topology.snapshot.as_ref()?;
+    snapshot.service(snapshot.find_service(&upstream.service)?)
+}
--- a/components/http1/tests/support/mod.rs
+++ b/components/http1/tests/support/mod.rs
@@ -48,6 +48,7 @@
 
 use retry as _;
 use telemetry::Counters;
+use traffic::owner::UpstreamEnd;
 use wire::control::Offer;
 use wire::control::Outcome;
 use wire::control::Peer;
@@ -128,7 +129,7 @@
             clock,
             topology: Arc::clone(&topology),
             entry,
-            owner: traffic::owner::Machine::new(id, admission),
+            owner: traffic::owner::Machine::new(id, admission, UpstreamEnd::Leave),
             counters,
         }));
         let (callers, requests, peer) = (free_address(), free_address(), free_address());
@@ -216,6 +217,7 @@
         status: Status::Alive,
         stage: Stage::Ready,
         upstream: Some(Announced {
+            instance: None,
             service: Arc::from("s"),
             slots,
             connections,
--- a/components/kernel/src/plugin.rs
+++ b/components/kernel/src/plugin.rs
@@ -87,6 +87,14 @@
         }
     }
 
+    /// The params without this one.
+    pub fn without(&self, name: &str) -> Self {
+        let others = self.values.iter().filter(|(known, _)| known != name);
+        Self {
+            values: others.cloned().collect(),
+        }
+    }
+
     fn position(&self, name: &str) -> Result<usize, usize> {
         self.values
             .binary_search_by(|(known, _)| known.as_str().cmp(name))
--- a/components/member/src/endpoint.rs
+++ b/components/member/src/endpoint.rs
@@ -21,6 +21,8 @@
 pub struct Upstream {
     /// Name of its service.
     pub service: Arc<str>,
+    /// Identity of its present run, if it has one; another run at its address has another one.
+    pub instance: Option<Arc<str>>,
     /// Requests that it runs at once.
     pub slots: u32,
     /// Connections that it accepts.
--- a/components/policy/src/retry.rs
+++ b/components/policy/src/retry.rs
@@ -37,6 +37,11 @@
     pub idempotent: bool,
     /// Attempts so far, this one included.
     pub attempts: u32,
+    /// Upstreams that it was or may have been sent to; an owner that holds a request back sends it
+    /// to none.
+    pub upstreams: u32,
+    /// Upstreams that it may be sent to, if the operator bounds it.
+    pub most_upstreams: Option<u32>,
     /// Time until the deadline.
     pub left: Duration,
     /// Whether a level further out retries.
--- a/components/retry/src/budget.rs
+++ b/components/retry/src/budget.rs
@@ -141,7 +141,9 @@
         if failure.outer_retries {
             return Err(Reason::OuterRetries);
         }
-        if failure.attempts >= self.attempts || !failure.replayable {
+        let most = failure.most_upstreams;
+        let spent = most.is_some_and(|most| failure.upstreams >= most);
+        if spent || failure.attempts >= self.attempts || !failure.replayable {
             return Err(Reason::AttemptsSpent);
         }
         // The owner's wait is about that owner; another one can be tried at once.
@@ -153,13 +155,23 @@
         if wait >= failure.left {
             return Err(Reason::DeadlineTooShort);
         }
-        if !self.has_credit(now, failure.service) {
+        if draws_on_budget(failure) && !self.has_credit(now, failure.service) {
             return Err(Reason::BudgetSpent);
         }
         Ok(wait)
     }
 }
 
+/// Whether the next attempt adds load: a repeat of work that an upstream has, or one more attempt at a
+/// service whose owners are full. An owner that is away has no work from the attempt.
+fn draws_on_budget(failure: &Failure) -> bool {
+    let away = matches!(
+        failure.reason,
+        Reason::ConnectFailed | Reason::Draining | Reason::NoEndpoint | Reason::Warming
+    );
+    failure.upstreams > 0 || !away
+}
+
 impl Retry for Budget {
     fn count_first(&mut self, now: Time, service: ServiceId) {
         let tally = self.tally(now, service);
@@ -180,7 +192,9 @@
             // At most half of the time left is spent on waiting by chance.
             .min((failure.left - wait) / 2);
         let micros = random.below(usize::try_from(jitter.as_micros()).unwrap_or(usize::MAX));
-        self.tally(now, failure.service).retries += ONE;
+        if draws_on_budget(&failure) {
+            self.tally(now, failure.service).retries += ONE;
+        }
         Ok(wait + Duration::from_micros(micros as u64))
     }
 
--- a/components/retry/tests/budget.rs
+++ b/components/retry/tests/budget.rs
@@ -25,6 +25,8 @@
     reason: Reason::QueueFull,
     idempotent: false,
     attempts: 1,
+    upstreams: 1,
+    most_upstreams: None,
     left: Duration::from_millis(200),
     outer_retries: false,
     replayable: true,
--- a/components/settings/src/check.rs
+++ b/components/settings/src/check.rs
@@ -66,6 +66,16 @@
             MAX_DRAIN_MS,
             drain,
         );
+        let linger = self.number(
+            "drain_linger_ms",
+            written.drain_linger_ms.as_ref(),
+            "milliseconds",
+            MAX_DRAIN_MS,
+            settings::DEFAULT_DRAIN_LINGER_MS,
+        );
+        let domains = written.domains.iter();
+        let domains = domains.filter_map(|domain| self.name("domains", domain));
+        let domains: Vec<_> = domains.collect();
         let plugged = |plugged: Option<_>, name| plugged.unwrap_or_else(|| settings::named(name));
         Some(Settings {
             instance: instance?,
@@ -79,8 +89,12 @@
             upstream: upstream?,
             contacts,
             traffic_threads: usize::try_from(threads?).ok()?,
+            domains,
             drain_limit_ms: drain?,
+            drain_linger_ms: linger?,
+            upstream_end: written.upstream_end,
             store: written.store,
+            agent: plugged(written.agent, settings::DEFAULT_AGENT),
             front: plugged(written.front, settings::DEFAULT_FRONT),
             transport: plugged(written.transport, settings::DEFAULT_TRANSPORT),
             admission: plugged(written.admission, settings::DEFAULT_ADMISSION),
--- a/components/settings/src/lib.rs
+++ b/components/settings/src/lib.rs
@@ -17,3 +17,4 @@
 pub use settings::Param;
 pub use settings::Plugged;
 pub use settings::Settings;
+pub use settings::UpstreamEnd;
--- a/components/settings/src/settings.rs
+++ b/components/settings/src/settings.rs
@@ -11,6 +11,10 @@
 /// most calls.
 pub(crate) const DEFAULT_THREADS: u64 = 1;
 pub(crate) const DEFAULT_DRAIN_LIMIT_MS: u64 = 30_000;
+/// Other nodes check or close idle connections each second; within this time each of them learns
+/// that the connection closes, so that no request crosses the close.
+pub(crate) const DEFAULT_DRAIN_LINGER_MS: u64 = 1_500;
+pub(crate) const DEFAULT_AGENT: &str = "none";
 pub(crate) const DEFAULT_FRONT: &str = "http1";
 pub(crate) const DEFAULT_TRANSPORT: &str = "udp";
 pub(crate) const DEFAULT_ADMISSION: &str = "ranked";
@@ -34,10 +38,18 @@
     pub contacts: Vec<SocketAddr>,
     /// Threads that carry traffic, besides the control thread.
     pub traffic_threads: usize,
+    /// All failure domains of the fleet, to find nodes of each through the store.
+    pub domains: Vec<String>,
     /// Longest drain, in milliseconds.
     pub drain_limit_ms: u64,
+    /// Time from the start of a drain to the end of the listeners, in milliseconds.
+    pub drain_linger_ms: u64,
+    /// What the node does when its upstream has left.
+    pub upstream_end: UpstreamEnd,
     /// Store plug-in.
     pub store: Plugged,
+    /// Agent plug-in.
+    pub agent: Plugged,
     /// Front end plug-in.
     pub front: Plugged,
     /// Transport plug-in.
@@ -52,6 +64,18 @@
     pub health: Plugged,
 }
 
+/// What a node does when its upstream has left.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum UpstreamEnd {
+    /// It leaves too.
+    #[default]
+    Leave,
+    /// It goes on as an entry and waits for another run of the upstream.
+    Stay,
+}
+
 /// Addresses that a node listens on; all are reached by other instances but `callers`, which is
 /// also reached by callers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/components/settings/src/written.rs
+++ b/components/settings/src/written.rs
@@ -4,6 +4,7 @@
 use serde_saphyr::Spanned;
 
 use crate::Plugged;
+use crate::UpstreamEnd;
 
 /// The whole file.
 #[derive(Debug)]
@@ -17,8 +18,14 @@
     #[serde(default)]
     pub(crate) contacts: Vec<Spanned<String>>,
     pub(crate) traffic_threads: Option<Spanned<String>>,
+    #[serde(default)]
+    pub(crate) domains: Vec<Spanned<String>>,
     pub(crate) drain_limit_ms: Option<Spanned<String>>,
+    pub(crate) drain_linger_ms: Option<Spanned<String>>,
+    #[serde(default)]
+    pub(crate) upstream_end: UpstreamEnd,
     pub(crate) store: Plugged,
+    pub(crate) agent: Option<Plugged>,
     pub(crate) front: Option<Plugged>,
     pub(crate) transport: Option<Plugged>,
     pub(crate) admission: Option<Plugged>,
--- a/components/settings/tests/settings.rs
+++ b/components/settings/tests/settings.rs
@@ -169,7 +169,7 @@
 // Guards against a setting that the manual lacks, or whose default it states wrongly.
 #[test]
 fn settings_documented() {
-    let manual = include_str!("../../../docs/operations.md");
+    let manual = include_str!("../../../docs/OPERATIONS.md");
     let text = VALID.replace("contacts: [127.33.0.1:8002, 127.33.0.2:8002]\n", "");
     let settings = parse(Path::new("node.yaml"), &text).expect("valid");
     let mut keys = Vec::new();
@@ -209,7 +209,7 @@
 // Guards against the sample of the manual being refused.
 #[test]
 fn parse_sample() {
-    let manual = include_str!("../../../docs/operations.md");
+    let manual = include_str!("../../../docs/OPERATIONS.md");
     let settings = manual.split("## Settings").nth(1).expect("a section");
     let sample = settings
         .split("```yaml\n")
--- a/components/simulate/src/lib.rs
+++ b/components/simulate/src/lib.rs
@@ -226,6 +226,7 @@
                 stage: node.stage,
                 upstream: Some(Upstream {
                     service: Arc::from("stock"),
+                    instance: None,
                     slots: self.plan.slots,
                     connections: 100,
                 }),
--- a/components/simulate/src/node.rs
+++ b/components/simulate/src/node.rs
@@ -66,7 +66,7 @@
             id,
             address: SocketAddr::from(([127, 0, 0, 1], 1_000 + at as u16)),
             stage: Stage::Ready,
-            machine: owner::Machine::new(id, admission),
+            machine: owner::Machine::new(id, admission, owner::UpstreamEnd::Leave),
             paused: false,
             gone: false,
             held: Vec::new(),
--- a/components/simulate/src/shell.rs
+++ b/components/simulate/src/shell.rs
@@ -72,6 +72,7 @@
         let (method, path) = PATHS[route];
         let head = Head {
             id,
+            host: None,
             method: method.to_owned(),
             path: path.to_owned(),
             left: None,
--- a/components/spread/src/backoff.rs
+++ b/components/spread/src/backoff.rs
@@ -31,9 +31,10 @@
         }
     }
 
-    /// Backoff of calls to the store.
+    /// Backoff of calls to the store. A configuration has to be in force within 4 s, so that the
+    /// longest wait is half of that; only the watchers call, and each of them once at a time.
     pub(crate) const fn for_store() -> Self {
-        Self::new(Duration::from_millis(500), Duration::from_secs(30))
+        Self::new(Duration::from_millis(500), Duration::from_secs(2))
     }
 
     pub(crate) fn reset(&mut self) {
--- a/components/spread/src/contacts.rs
+++ b/components/spread/src/contacts.rs
@@ -30,6 +30,8 @@
     },
     /// The write has ended, with or without effect.
     Written,
+    /// The key of another failure domain holds these addresses.
+    Others { addresses: Vec<SocketAddr> },
     /// The call failed.
     Failed,
 }
@@ -42,6 +44,8 @@
     delayed: Option<Output>,
     backoff: Backoff,
     written: Option<Time>,
+    /// Failure domains that the fleet is known to have.
+    domains: Vec<Domain>,
     /// The last list had addresses that are not known to live.
     doubted: bool,
 }
@@ -53,6 +57,7 @@
             delayed: None,
             backoff: Backoff::for_store(),
             written: None,
+            domains: Vec::new(),
             doubted: false,
         }
     }
@@ -63,6 +68,20 @@
         self.call.next_wake()
     }
 
+    pub(crate) fn set_domains(&mut self, domains: Vec<Domain>) {
+        self.domains = domains;
+    }
+
+    /// Whether no live node of a failure domain is known. Nodes of that domain may know only
+    /// themselves too, so that neither side would ever hear of the other.
+    fn lacks_domain(&self, table: &Table) -> bool {
+        let known = |domain: &Domain| {
+            let mut members = table.members().iter();
+            members.any(|it| it.is_live() && it.domain == *domain)
+        };
+        !self.domains.iter().all(known)
+    }
+
     pub(crate) fn set_watcher(&mut self, on: bool, now: Time) {
         match (on, self.call) {
             (true, Call::Off) => self.call = Call::Due(now),
@@ -102,13 +121,17 @@
         (budget, random): (&mut Budget, &mut dyn Random),
         out: &mut Vec<Output>,
     ) {
-        if let ContactsEvent::Value { addresses, .. } = &event {
+        if let ContactsEvent::Value { addresses, .. } | ContactsEvent::Others { addresses } = &event
+        {
             out.push(Output::Contacts(addresses.clone()));
         }
+        if matches!(event, ContactsEvent::Others { .. }) {
+            return;
+        }
         if !matches!(self.call, Call::Busy { .. }) {
             return;
         }
-        let lone = table.live_count() <= 1;
+        let lone = table.live_count() <= 1 || self.lacks_domain(table);
         self.call = match event {
             ContactsEvent::Failed => Call::Due(now + self.backoff.wait(random)),
             // A lone node looks for others soon.
--- a/components/spread/src/machine.rs
+++ b/components/spread/src/machine.rs
@@ -116,6 +116,11 @@
         self.ask_next(now, out);
     }
 
+    /// Sets the failure domains that the fleet is known to have.
+    pub fn set_domains(&mut self, domains: Vec<Domain>) {
+        self.contacts.set_domains(domains);
+    }
+
     /// Starts or ends watching.
     pub fn set_watcher(&mut self, on: bool, now: Time, out: &mut Vec<Output>) {
         self.feed.set_watcher(on, now, out);
--- a/components/store/src/etcd.rs
+++ b/components/store/src/etcd.rs
@@ -1,40 +1,31 @@
 //! Plug-in `etcd-json`: the JSON form of the etcd v3 protocol over HTTP.
 
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
-use bytes::Bytes;
 use http_body_util::BodyExt;
-use http_body_util::Full;
-use http_body_util::Limited;
-use hyper::Request;
-use hyper::Response;
-use hyper::body::Incoming;
-use hyper::client::conn::http1;
-use hyper_util::rt::TokioIo;
+use hyper::Method;
+use hyper::StatusCode;
 use linkme::distributed_slice;
 use serde_json::Value;
 use serde_json::json;
-use tokio::net::TcpStream;
 use tokio::time::timeout;
 
 use crate::Call;
+use crate::Client;
 use crate::Entry;
 use crate::Error;
 use crate::STORES;
 use crate::Store;
 use crate::Swap;
+use crate::http::MAX_ANSWER_BYTES;
+use crate::http::unknown;
 use kernel::Plugin;
 use kernel::plugin;
 use kernel::plugin::Params;
 use spread::Revision;
 
-/// Longest answer: a value of a megabyte in base64, with its envelope.
-const MAX_ANSWER_BYTES: usize = 1_500_000;
-const DEFAULT_TIMEOUT_MS: u64 = 2_000;
-const MAX_TIMEOUT_MS: u64 = 60_000;
 /// Longest wait of one watch call; ends watches on connections that went silent.
 const WATCH_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -47,70 +38,30 @@
 /// Client of one store address.
 #[derive(Clone, Debug)]
 struct Etcd {
-    address: SocketAddr,
-    timeout: Duration,
+    client: Client,
 }
 
 impl Etcd {
     fn from_params(params: &Params) -> Result<Self, plugin::Error> {
-        params.check_names(&["address", "timeout_ms"])?;
-        let address = params.get("address").unwrap_or_default();
-        Ok(Self {
-            address: address.parse().map_err(|_| plugin::Error::Param {
-                name: "address".to_owned(),
-                value: address.to_owned(),
-                expected: "an IP address with a port",
-            })?,
-            timeout: read_timeout(params)?,
-        })
-    }
-
-    /// Sends one request on a connection of its own.
-    async fn send(&self, path: &str, body: &Value) -> Result<Response<Incoming>, Error> {
-        // Without a connection nothing was sent, so a write cannot have taken effect.
-        let stream = match timeout(self.timeout / 2, TcpStream::connect(self.address)).await {
-            Ok(stream) => stream.map_err(unreachable)?,
-            Err(_) => return Err(unreachable("no connection in time")),
-        };
-        let (mut sender, connection) = http1::handshake(TokioIo::new(stream))
-            .await
-            .map_err(unreachable)?;
-        tokio::spawn(connection);
-        let request = Request::post(path)
-            .header("host", self.address.to_string())
-            .header("content-type", "application/json")
-            .body(Full::new(Bytes::from(body.to_string())))
-            .map_err(unreachable)?;
-        let response = sender.send_request(request).await.map_err(unknown)?;
-        let status = response.status();
-        if status.is_success() {
-            return Ok(response);
-        }
-        let message = format!("status {status}");
-        // A gateway can answer 5xx after the write went through.
-        if status.is_client_error() {
-            return Err(Error::Refused { message });
-        }
-        Err(Error::Unknown { message })
+        let client = Client::from_params(params)?;
+        Ok(Self { client })
     }
 
     async fn call(&self, path: &str, body: Value) -> Result<Value, Error> {
-        let answer = async {
-            let response = self.send(path, &body).await?;
-            let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES);
-            let bytes = body.collect().await.map_err(unknown)?.to_bytes();
-            serde_json::from_slice(&bytes).map_err(unknown)
-        };
-        timeout(self.timeout, answer).await.unwrap_or_else(|_| {
-            Err(Error::Unknown {
-                message: format!("no answer in {:?}", self.timeout),
-            })
-        })
+        let called = self
+            .client
+            .call(Method::POST, path, Some(&body), Duration::ZERO);
+        let (status, answer) = called.await?;
+        check(status)?;
+        Ok(answer)
     }
 
     /// Reads a watch stream up to its first event.
     async fn wait(&self, body: Value) -> Result<Option<Entry>, Error> {
-        let mut body = self.send("/v3/watch", &body).await?.into_body();
+        let response = self.client.send(Method::POST, "/v3/watch", Some(&body));
+        let response = response.await?;
+        check(response.status())?;
+        let mut body = response.into_body();
         let mut buffer = Vec::new();
         while let Some(frame) = body.frame().await {
             let Ok(data) = frame.map_err(unknown)?.into_data() else {
@@ -193,16 +144,14 @@
     }
 }
 
-fn read_timeout(params: &Params) -> Result<Duration, plugin::Error> {
-    let millis = params.number("timeout_ms", DEFAULT_TIMEOUT_MS)?;
-    if (1..=MAX_TIMEOUT_MS).contains(&millis) {
-        return Ok(Duration::from_millis(millis));
+fn check(status: StatusCode) -> Result<(), Error> {
+    let message = format!("status {status}");
+    // A gateway can answer 5xx after the write went through.
+    match status {
+        status if status.is_success() => Ok(()),
+        status if status.is_client_error() => Err(Error::Refused { message }),
+        _ => Err(Error::Unknown { message }),
     }
-    Err(plugin::Error::Param {
-        name: "timeout_ms".to_owned(),
-        value: millis.to_string(),
-        expected: "1 to 60000 milliseconds",
-    })
 }
 
 fn read_entry(kv: &Value) -> Option<Entry> {
@@ -210,15 +159,3 @@
     let revision = Revision(kv["mod_revision"].as_str()?.parse().ok()?);
     Some(Entry { value, revision })
 }
-
-fn unreachable(error: impl ToString) -> Error {
-    Error::Unreachable {
-        message: error.to_string(),
-    }
-}
-
-fn unknown(error: impl ToString) -> Error {
-    Error::Unknown {
-        message: error.to_string(),
-    }
-}
--- a/components/store/src/lib.rs
+++ b/components/store/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod contacts;
 mod etcd;
+mod http;
 mod record;
 
 use std::pin::Pin;
@@ -21,6 +22,7 @@
 pub use contacts::contacts_key;
 pub use contacts::decode_contacts;
 pub use contacts::encode_contacts;
+pub use http::Client;
 pub use record::CONFIG_KEY;
 pub use record::decode_record;
 pub use record::encode_record;
--- a/components/traffic/src/entry.rs
+++ b/components/traffic/src/entry.rs
@@ -92,7 +92,7 @@
     }
 
     fn arrive(&mut self, scene: &mut Scene<'_>, head: &Head) {
-        let call = match Call::find(scene.now, scene.topology, head) {
+        let call = match Call::find(scene.now, scene.topology, head, scene.random) {
             Ok(call) => call,
             Err(reason) => return refuse(scene, not_run(reason)),
         };
@@ -170,6 +170,7 @@
             return;
         };
         call.verdict = call.verdict.max(report.verdict);
+        call.count_upstream(reason, report.verdict);
         let verdict = call.verdict;
         let failure = call.failure(scene.now, reason, &report, elsewhere);
         self.release(key);
--- a/components/traffic/src/entry/call.rs
+++ b/components/traffic/src/entry/call.rs
@@ -13,6 +13,7 @@
 use errors::Verdict;
 use ids::NodeId;
 use ids::ServiceId;
+use kernel::Random;
 use kernel::Time;
 use policy::Failure;
 
@@ -25,6 +26,10 @@
     service_name: Arc<str>,
     outer_retries: bool,
     replayable: bool,
+    /// Upstreams that the request may be sent to, if the operator bounds it.
+    most_upstreams: Option<u32>,
+    /// Upstreams that it was or may have been sent to.
+    upstreams: u32,
     pub(crate) attempt: Option<Attempt>,
     pub(crate) tried: Vec<NodeId>,
     /// What is known of the execution over all attempts that have failed.
@@ -41,17 +46,24 @@
 
 impl Call {
     /// Finds the route of a request that arrived.
-    pub(crate) fn find(now: Time, topology: &Topology, head: &Head) -> Result<Self, Reason> {
+    pub(crate) fn find(
+        now: Time,
+        topology: &Topology,
+        head: &Head,
+        random: &mut dyn Random,
+    ) -> Result<Self, Reason> {
         // What runs is finished, and it can depend on an onward call.
         if topology.life == Life::Leaving && !head.onward {
             return Err(Reason::Draining);
         }
         let snapshot = topology.snapshot.as_ref().ok_or(Reason::NoConfiguration)?;
         let key = snapshot
-            .find_route(&head.method, &head.path)
+            .find_route(head.host.as_deref(), &head.method, &head.path)
             .ok_or(Reason::NoRoute)?;
         let route = snapshot.route(key).ok_or(Reason::NoRoute)?;
-        let service = snapshot.service(route.service).ok_or(Reason::NoRoute)?;
+        let target = route.target_at(random.below(route.total_weight()));
+        let service = target.and_then(|target| snapshot.service(target));
+        let service = service.ok_or(Reason::NoRoute)?;
         let left = head
             .left
             .map_or(route.deadline, |left| left.min(route.deadline));
@@ -63,7 +75,10 @@
                 route: route.id,
                 rank: route.rank,
                 idempotent: route.idempotent,
+                objective: route.objective,
             },
+            most_upstreams: route.attempts,
+            upstreams: 0,
             service: service.id,
             service_name: Arc::clone(&service.name),
             deadline: now + left,
@@ -112,6 +127,13 @@
         }
     }
 
+    /// Counts the upstream of an attempt that has failed, unless its owner held the request back.
+    pub(crate) fn count_upstream(&mut self, reason: Reason, verdict: Verdict) {
+        if verdict != Verdict::NotRun || reason == Reason::UpstreamRefused {
+            self.upstreams += 1;
+        }
+    }
+
     /// The failure of the present attempt, as the retry policy sees it.
     pub(crate) fn failure(
         &self,
@@ -126,6 +148,8 @@
             reason,
             idempotent: self.profile.idempotent,
             attempts: self.attempt.map_or(0, |attempt| attempt.number),
+            upstreams: self.upstreams,
+            most_upstreams: self.most_upstreams,
             left: now.until(self.deadline),
             outer_retries: self.outer_retries,
             replayable: self.replayable,
--- a/components/traffic/src/entry/message.rs
+++ b/components/traffic/src/entry/message.rs
@@ -22,6 +22,8 @@
 pub struct Head {
     /// Identity.
     pub id: RequestId,
+    /// Host that the caller asked for.
+    pub host: Option<String>,
     /// HTTP method in capitals.
     pub method: String,
     /// Path without query.
@@ -32,7 +34,8 @@
     pub outer_retries: bool,
     /// Whether the body can be sent again.
     pub replayable: bool,
-    /// Whether a request that runs at the node's own upstream depends on it.
+    /// Whether a leaving node takes it all the same, such as for a request that runs at the node's
+    /// own upstream and depends on it.
     pub onward: bool,
 }
 
@@ -137,4 +140,6 @@
     pub rank: Rank,
     /// Whether the request can run more than once.
     pub idempotent: bool,
+    /// Time within which an answer is worth most, if the operator has said so.
+    pub objective: Option<Duration>,
 }
--- a/components/traffic/src/owner.rs
+++ b/components/traffic/src/owner.rs
@@ -53,12 +53,26 @@
     /// Sorted by tag.
     open: Vec<(u64, Phase)>,
     next_clean: Time,
+    /// What an end of the upstream means for the node.
+    end: UpstreamEnd,
+    /// Whether the node takes no new requests, whatever the upstream announces.
+    leaving: bool,
     drained: bool,
 }
 
+/// What an end of the upstream means for the node.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum UpstreamEnd {
+    /// The node has done its work and leaves too.
+    #[default]
+    Leave,
+    /// The node waits for another run of the upstream.
+    Stay,
+}
+
 impl Machine {
     /// An owner whose upstream has not announced itself.
-    pub fn new(me: NodeId, admission: Box<dyn Admission>) -> Self {
+    pub fn new(me: NodeId, admission: Box<dyn Admission>, end: UpstreamEnd) -> Self {
         Self {
             me,
             stage: Stage::Warming,
@@ -66,6 +80,8 @@
             ledger: Ledger::new(LEDGER_BOUND),
             open: Vec::new(),
             next_clean: Time::default(),
+            end,
+            leaving: false,
             drained: false,
         }
     }
@@ -287,7 +303,8 @@
     }
 
     fn set_stage(&mut self, now: Time, stage: Stage, slots: u32, effects: &mut Vec<Effect>) {
-        if self.stage >= Stage::Draining && stage < Stage::Draining {
+        let back = self.stage >= Stage::Draining && stage < Stage::Draining;
+        if back && (self.leaving || self.end == UpstreamEnd::Leave) {
             return;
         }
         self.stage = stage;
@@ -307,7 +324,8 @@
     }
 
     fn report_drained(&mut self, effects: &mut Vec<Effect>) {
-        if self.stage >= Stage::Draining && self.open.is_empty() && !self.drained {
+        let ends = self.leaving || self.end == UpstreamEnd::Leave;
+        if ends && self.stage >= Stage::Draining && self.open.is_empty() && !self.drained {
             self.drained = true;
             effects.push(Effect::Drained);
         }
@@ -341,7 +359,10 @@
                 effects.push(Effect::ReportOutcome { tag, outcome });
             }
             Input::Upstream { stage, slots } => self.set_stage(now, stage, slots, effects),
-            Input::Drain => self.stage = self.stage.max(Stage::Draining),
+            Input::Drain => {
+                self.leaving = true;
+                self.stage = self.stage.max(Stage::Draining);
+            }
         }
         self.report_drained(effects);
     }
--- a/components/traffic/tests/entry.rs
+++ b/components/traffic/tests/entry.rs
@@ -103,6 +103,7 @@
                 stage: Stage::Ready,
                 upstream: Some(Upstream {
                     service: Arc::from("stock"),
+                    instance: None,
                     slots: 10,
                     connections: 100,
                 }),
@@ -129,6 +130,7 @@
     fn arrive(&mut self, now: u64, method: &str, path: &str) -> Vec<Effect> {
         let head = Head {
             id: RequestId(1),
+            host: None,
             method: method.to_owned(),
             path: path.to_owned(),
             left: None,
--- a/components/traffic/tests/owner.rs
+++ b/components/traffic/tests/owner.rs
@@ -23,6 +23,7 @@
 use traffic::owner::Machine;
 use traffic::owner::Offer;
 use traffic::owner::Question;
+use traffic::owner::UpstreamEnd;
 
 const ME: NodeId = NodeId(1);
 const ID: RequestId = RequestId(77);
@@ -30,7 +31,7 @@
 
 fn new_owner(slots: u32) -> Machine {
     let admission = Ranked::from_params(&Params::default()).expect("default params are valid");
-    let mut owner = Machine::new(ME, Box::new(admission));
+    let mut owner = Machine::new(ME, Box::new(admission), UpstreamEnd::Leave);
     if slots > 0 {
         step(&mut owner, 0, ready(slots));
     }
--- a/components/wire/src/header.rs
+++ b/components/wire/src/header.rs
@@ -21,6 +21,8 @@
 pub const VERDICT: &str = "medlar-verdict";
 /// Name of the reason of a refusal.
 pub const REASON: &str = "medlar-reason";
+/// Time after which an owner that refused takes the request, in milliseconds.
+pub const RETRY_AFTER: &str = "medlar-retry-after-ms";
 /// Load of the owner: running, queued, limit, accepted rank, then queued by rank, separated by
 /// commas.
 pub const LOAD: &str = "medlar-load";
--- a/components/wire/src/member_entry.rs
+++ b/components/wire/src/member_entry.rs
@@ -30,9 +30,12 @@
     incarnation: u64,
     status: u8,
     stage: u8,
-    upstream: Option<(String, u32, u32)>,
+    upstream: Option<Upstreams>,
 }
 
+/// Service, run, slots and connections of an upstream.
+type Upstreams = (String, Option<String>, u32, u32);
+
 const STATUSES: [Status; 4] = [Status::Alive, Status::Suspect, Status::Dead, Status::Left];
 const STAGES: [Stage; 4] = [Stage::Warming, Stage::Ready, Stage::Draining, Stage::Gone];
 
@@ -47,10 +50,11 @@
             incarnation: member.incarnation.0,
             status: member.status as u8,
             stage: member.stage as u8,
-            upstream: member
-                .upstream
-                .as_ref()
-                .map(|it| (it.service.as_ref().to_owned(), it.slots, it.connections)),
+            upstream: member.upstream.as_ref().map(|it| {
+                let instance = it.instance.as_deref().map(str::to_owned);
+                let service = it.service.as_ref().to_owned();
+                (service, instance, it.slots, it.connections)
+            }),
         }
     }
 }
@@ -63,8 +67,10 @@
         }
         let upstream = match self.upstream {
             Some((service, ..)) if service.len() > MAX_NAME_BYTES => return None,
-            Some((service, slots, connections)) => Some(Upstream {
+            Some((_, Some(instance), ..)) if instance.len() > MAX_NAME_BYTES => return None,
+            Some((service, instance, slots, connections)) => Some(Upstream {
                 service: Arc::from(service),
+                instance: instance.map(Arc::from),
                 slots,
                 connections,
             }),
--- a/components/wire/tests/datagram.rs
+++ b/components/wire/tests/datagram.rs
@@ -43,6 +43,7 @@
             stage: Stage::Ready,
             upstream: Some(Upstream {
                 service: Arc::from("reservas"),
+                instance: None,
                 slots: 10,
                 connections: 100,
             }),
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -4,6 +4,9 @@
 
 use std::process::ExitCode;
 
+// Without this the linker would drop the plug-ins with their registrations.
+use platform as _;
+
 fn main() -> ExitCode {
     match cli::parse() {
         Ok(cli) => cli::run(&cli),
--- a/tests/docs.rs
+++ b/tests/docs.rs
@@ -7,7 +7,7 @@
 use config::Draft;
 use errors::Reason;
 
-const MANUAL: &str = include_str!("../docs/operations.md");
+const MANUAL: &str = include_str!("../docs/OPERATIONS.md");
 const COUNTERS: &str = include_str!("../components/telemetry/src/counters.rs");
 
 /// First cells of the table in a section of the manual, sorted.
