Serve requests that can meet their objective before those that cannot

Giving connections from the upstream's own address rank 0 was tried and reverted: callers share that address. Change: two queues a rank, the second for what can no longer meet its objective; the objective counts from the caller's first attempt, which the time left tells; an owner that outlives its upstream sends what waits elsewhere.

--- a/components/admit/src/ranked.rs
+++ b/components/admit/src/ranked.rs
@@ -1,7 +1,9 @@
 //! Bounded queues by rank: the most urgent request runs first.
 //!
-//! A request that cannot finish in time is refused when it arrives. Lower ranks keep a small share,
-//! the routes of a rank share it by weight, and the limit on running requests is learned.
+//! A request that cannot finish in time is refused when it arrives. One that can no longer meet its
+//! objective goes behind all that can: in an overload, a queue by age alone would serve every request
+//! too late. Lower ranks keep a small share, the routes of a rank share it by weight, and the limit on
+//! running requests is learned.
 
 mod dispatch;
 mod lanes;
@@ -38,6 +40,9 @@
 /// Waiting requests of a rank that a more urgent one does not displace, so that the rank's share has
 /// something to dispatch.
 const KEPT_PLACES: usize = 4;
+/// Queues: one for each rank with the requests that can meet their objective, then one for each rank
+/// with those that cannot.
+const LEVELS: usize = Rank::COUNT * 2;
 /// Least part of the slots that is assumed to be left by more urgent ranks.
 const LEAST_PART: f64 = 0.01;
 /// Size of a request whose route has not been measured; above all that are.
@@ -69,11 +74,13 @@
     limit: Limit,
     times: Times,
     share: Share,
-    queues: [Queue; Rank::COUNT],
+    queues: [Queue; LEVELS],
     /// Sorted by ticket.
     running: Vec<Running>,
-    /// Lower rank that got the share last.
+    /// Lower level that got the share last.
     turn: usize,
+    /// No waiting request misses its objective before.
+    next_miss: Option<Time>,
     /// No waiting request becomes hopeless before.
     next_due: Option<Time>,
 }
@@ -94,6 +101,7 @@
             queues: Default::default(),
             running: Vec::new(),
             turn: 0,
+            next_miss: None,
             next_due: None,
         })
     }
@@ -145,8 +153,7 @@
     }
 
     /// Estimated wait of a request that arrives now.
-    fn wait(&self, now: Time, job: &Job, cost: f64) -> Duration {
-        let rank = job.rank.index();
+    fn wait(&self, now: Time, rank: usize, job: &Job, cost: f64) -> Duration {
         let waits = |queue: &Queue| !queue.is_empty();
         let first = !self.queues[..=rank].iter().any(waits);
         if self.has_free_slot() && (first || self.size(job) < self.most_size(now, rank)) {
@@ -163,6 +170,40 @@
             .clamp(SHORTEST_RETRY, LONGEST_RETRY)
     }
 
+    /// When a request can no longer meet its objective if it has not started.
+    fn misses(&self, job: &Job) -> Option<Time> {
+        let objective = job.objective?;
+        let fast = u64::try_from(self.times.fast(job.route).as_micros()).unwrap_or(u64::MAX);
+        Some(Time(objective.0.saturating_sub(fast)))
+    }
+
+    /// Moves what can no longer meet its objective behind what can, and refuses what would then wait
+    /// for too long.
+    fn demote(&mut self, now: Time, decisions: &mut Vec<Decision>) {
+        if self.next_miss.is_none_or(|due| due > now) {
+            return;
+        }
+        for rank in 0..Rank::COUNT {
+            let mut missed = Vec::new();
+            let misses = |waiting: &Waiting| waiting.misses;
+            self.queues[rank].lanes.extract(now, misses, &mut missed);
+            for waiting in missed {
+                let level = rank + Rank::COUNT;
+                let lanes = &self.queues[level].lanes;
+                let (job, cost) = (waiting.job, waiting.cost);
+                let before = lanes.work_before(job.route, job.weight, cost);
+                let wait = self.wait_for(level, before);
+                if now + wait > waiting.due || lanes.len() >= self.bound {
+                    self.refuse(&job, late_reason(now, &job), decisions);
+                } else {
+                    self.queues[level].lanes.push(waiting);
+                }
+            }
+        }
+        let queues = self.queues[..Rank::COUNT].iter();
+        self.next_miss = queues.filter_map(|it| it.lanes.first(|it| it.misses)).min();
+    }
+
     fn refuse(&mut self, job: &Job, reason: Reason, decisions: &mut Vec<Decision>) {
         let rank = job.rank.index();
         decisions.push(Decision::Refuse {
@@ -174,8 +215,7 @@
     }
 
     /// Makes room for a request; refuses it or another one where there is none.
-    fn make_room(&mut self, job: &Job, decisions: &mut Vec<Decision>) -> bool {
-        let rank = job.rank.index();
+    fn make_room(&mut self, rank: usize, job: &Job, decisions: &mut Vec<Decision>) -> bool {
         if self.queues[rank].lanes.len() >= self.bound {
             let bound = self.bound;
             let lanes = &mut self.queues[rank].lanes;
@@ -188,7 +228,7 @@
         if self.queued() < self.total {
             return true;
         }
-        let below = (rank + 1..Rank::COUNT).rev();
+        let below = (rank + 1..LEVELS).rev();
         let mut below = below.filter(|rank| self.queues[*rank].lanes.len() > KEPT_PLACES);
         if let Some(displaced) = below
             .next()
@@ -229,9 +269,11 @@
     fn offer(&mut self, now: Time, job: Job, decisions: &mut Vec<Decision>) {
         let cost = self.times.cost(job.route);
         self.queues[job.rank.index()].note_offer(now, cost);
-        let due = self.due(&job);
-        let wait = self.wait(now, &job, cost);
-        let mut due = due;
+        let misses = self.misses(&job);
+        let missed = misses.is_some_and(|it| it <= now);
+        let level = job.rank.index() + if missed { Rank::COUNT } else { 0 };
+        let wait = self.wait(now, level, &job, cost);
+        let mut due = self.due(&job);
         if now + wait > due {
             let alone = wait.is_zero() && job.expires > now;
             if !alone || !self.times.probe(now, job.route) {
@@ -240,18 +282,20 @@
             }
             due = job.expires;
         }
-        if !self.make_room(&job, decisions) {
+        if !self.make_room(level, &job, decisions) {
             return;
         }
         let size = self.size(&job);
-        let queue = &mut self.queues[job.rank.index()];
-        queue.note_accepted();
-        queue.lanes.push(Waiting {
+        self.queues[job.rank.index()].note_accepted();
+        self.queues[level].lanes.push(Waiting {
             job,
             cost,
             size,
             due,
+            misses,
         });
+        let miss = misses.filter(|_| !missed);
+        self.next_miss = self.next_miss.into_iter().chain(miss).min();
         self.next_due = Some(self.next_due.map_or(due, |next| next.min(due)));
         self.fill(now, decisions);
     }
@@ -283,32 +327,36 @@
     }
 
     fn wake(&mut self, now: Time, decisions: &mut Vec<Decision>) {
+        self.demote(now, decisions);
         if self.next_due.is_none_or(|due| due > now) {
-            return;
+            return self.fill(now, decisions);
         }
         let mut late = Vec::new();
         for queue in &mut self.queues {
-            queue.lanes.extract_late(now, &mut late);
+            queue.lanes.extract(now, |it| Some(it.due), &mut late);
         }
         for waiting in late {
             let reason = late_reason(now, &waiting.job);
             self.refuse(&waiting.job, reason, decisions);
         }
         let queues = self.queues.iter();
-        self.next_due = queues.filter_map(|it| it.lanes.first_due()).min();
+        self.next_due = queues
+            .filter_map(|it| it.lanes.first(|it| Some(it.due)))
+            .min();
         self.fill(now, decisions);
     }
 
     fn next_wake(&self) -> Option<Time> {
-        self.next_due
+        self.next_due.into_iter().chain(self.next_miss).min()
     }
 
     fn load(&self) -> Load {
-        let closed = self.queues.iter().position(Queue::is_closed);
+        let mut queues = self.queues[..Rank::COUNT].iter();
+        let closed = queues.position(Queue::is_closed);
         let accepted = closed.map_or(Rank::COUNT - 1, |rank| rank.saturating_sub(1));
         let waiting = |queue: &Queue| u32::try_from(queue.lanes.len()).unwrap_or(u32::MAX);
         Load {
-            waiting: self.queues.each_ref().map(waiting),
+            waiting: std::array::from_fn(|rank| waiting(&self.queues[rank])),
             running: u32::try_from(self.running.len()).unwrap_or(u32::MAX),
             queued: u32::try_from(self.queued()).unwrap_or(u32::MAX),
             limit: self.limit.get(),
--- a/components/admit/src/ranked/dispatch.rs
+++ b/components/admit/src/ranked/dispatch.rs
@@ -1,10 +1,10 @@
 //! Choice of the waiting request that gets a free slot.
 
+use crate::ranked::LEVELS;
 use crate::ranked::Ranked;
 use crate::ranked::Running;
 use crate::ranked::lanes::Waiting;
 use crate::ranked::late_reason;
-use ids::Rank;
 use kernel::Time;
 use policy::Decision;
 
@@ -48,9 +48,9 @@
             let most = self.most_size(now, rank);
             self.queues[rank].lanes.next_cost(most)
         };
-        let urgent = (0..Rank::COUNT).find(|rank| next_cost(*rank).is_some())?;
+        let urgent = (0..LEVELS).find(|rank| next_cost(*rank).is_some())?;
         let pressed = self.is_pressed(&self.queues[urgent]);
-        let below = Rank::COUNT - urgent - 1;
+        let below = LEVELS - urgent - 1;
         let mut by_turn = (0..below).map(|step| urgent + 1 + (self.turn + step) % below);
         let due = by_turn.find(|rank| {
             let cost = next_cost(*rank);
@@ -61,6 +61,7 @@
 
     /// Gives free slots to waiting requests.
     pub(super) fn fill(&mut self, now: Time, decisions: &mut Vec<Decision>) {
+        self.demote(now, decisions);
         while self.has_free_slot() {
             let Some((rank, by_share)) = self.next_rank(now) else {
                 break;
@@ -94,7 +95,7 @@
         self.queues[rank].lanes.charge(waiting);
         if by_share {
             self.share.spend(cost);
-            self.turn = self.turn.wrapping_add(1) % Rank::COUNT;
+            self.turn = self.turn.wrapping_add(1) % LEVELS;
         } else if self.queues[rank + 1..].iter().any(|it| !it.is_empty()) {
             self.share.earn(cost, self.times.mean());
         }
--- a/components/admit/src/ranked/lanes.rs
+++ b/components/admit/src/ranked/lanes.rs
@@ -21,6 +21,8 @@
     pub(crate) size: f64,
     /// When it can no longer finish in time if it has not started.
     pub(crate) due: Time,
+    /// When it can no longer meet its objective if it has not started.
+    pub(crate) misses: Option<Time>,
 }
 
 #[derive(Debug)]
@@ -176,12 +178,17 @@
         false
     }
 
-    /// Takes out those that can no longer finish in time.
-    pub(crate) fn extract_late(&mut self, now: Time, out: &mut Vec<Waiting>) {
+    /// Takes out those whose time, as `time` gives it, has come.
+    pub(crate) fn extract(
+        &mut self,
+        now: Time,
+        time: impl Fn(&Waiting) -> Option<Time>,
+        out: &mut Vec<Waiting>,
+    ) {
         for at in 0..self.lanes.len() {
             let first = out.len();
             self.lanes[at].jobs.retain(|waiting| {
-                let goes = waiting.due <= now;
+                let goes = time(waiting).is_some_and(|time| time <= now);
                 if goes {
                     out.push(*waiting);
                 }
@@ -193,10 +200,10 @@
         }
     }
 
-    /// When the first one can no longer finish in time.
-    pub(crate) fn first_due(&self) -> Option<Time> {
+    /// The first time of all that wait.
+    pub(crate) fn first(&self, time: impl Fn(&Waiting) -> Option<Time>) -> Option<Time> {
         let jobs = self.lanes.iter().flat_map(|lane| &lane.jobs);
-        jobs.map(|waiting| waiting.due).min()
+        jobs.filter_map(time).min()
     }
 
     fn drop_last(&mut self, at: usize) -> Option<Waiting> {
--- a/components/admit/tests/limit.rs
+++ b/components/admit/tests/limit.rs
@@ -62,6 +62,7 @@
                 rank: Rank(0),
                 weight: 1,
                 expires: Time(ticket * 1_000_000 / rate) + DEADLINE,
+                objective: None,
             };
             admission.offer(Time(now), job, &mut decisions);
         } else {
@@ -194,6 +195,7 @@
                 rank: Rank(0),
                 weight: 1,
                 expires: Time(now) + 10 * DEADLINE,
+                objective: None,
             };
             ranked.offer(Time(now), job, &mut decisions);
         }
--- a/components/admit/tests/ranked.rs
+++ b/components/admit/tests/ranked.rs
@@ -37,6 +37,7 @@
         rank: Rank(rank),
         weight: 1,
         expires,
+        objective: None,
     }
 }
 
@@ -279,3 +280,38 @@
         prop_assert_eq!(ranked.load().queued, 0);
     }
 }
+
+/// Guards against an overload in which a queue by age serves every request after its objective.
+#[rstest]
+#[case::same_rank(0)]
+#[case::lower_rank(1)]
+fn fill_missed_objective(#[case] rank: u8) {
+    let mut ranked = new_ranked(&[]);
+    set_slots(&mut ranked, 1);
+    offer(&mut ranked, 0, job(1, 0, 1, FAR));
+    finish(&mut ranked, 100 * MS, 1, 100);
+    offer(&mut ranked, 100 * MS, job(2, 0, 1, FAR));
+    let objective = Some(Time(300 * MS));
+    offer(
+        &mut ranked,
+        101 * MS,
+        Job {
+            objective,
+            ..job(3, 0, 1, FAR)
+        },
+    );
+    // At 250 ms the third request can no longer end by 300 ms; the fourth can end by 500 ms.
+    let objective = Some(Time(500 * MS));
+    offer(
+        &mut ranked,
+        240 * MS,
+        Job {
+            objective,
+            ..job(4, rank, 1, FAR)
+        },
+    );
+    let started = finish(&mut ranked, 250 * MS, 2, 150);
+    assert_eq!(started, [Decision::Start(Ticket(4))]);
+    let started = finish(&mut ranked, 350 * MS, 4, 100);
+    assert_eq!(started, [Decision::Start(Ticket(3))]);
+}
--- a/components/http1/src/attempt.rs
+++ b/components/http1/src/attempt.rs
@@ -88,6 +88,7 @@
         Err(reason) => return Sent::Begun(failed(Verdict::NotRun, reason)),
     };
     let expires = idle.remote.translate(attempt.deadline);
+    let objective = attempt.objective.map(|it| idle.remote.translate(it));
     let question = Question {
         id: saved.id,
         meant_for: attempt.node,
@@ -95,7 +96,14 @@
         expires,
         given_up: false,
     };
-    let mut answer = pin!(send_remote(shared, saved, profile, attempt, idle, expires));
+    let mut answer = pin!(send_remote(
+        shared,
+        saved,
+        profile,
+        attempt,
+        idle,
+        (expires, objective)
+    ));
     let deadline = Instant::from_std(shared.driver.clock().instant(attempt.deadline));
     let mut asking = pin!(None);
     // Work that takes as long as the operator expects is no silence.
@@ -201,6 +209,7 @@
         attempt: attempt.number,
         meant_for: attempt.node,
         expires: attempt.deadline,
+        objective: attempt.objective,
         route: profile.route,
         rank: profile.rank,
         weight,
@@ -233,11 +242,12 @@
     profile: Profile,
     attempt: Attempt,
     idle: Idle,
-    expires: Time,
+    (expires, objective): (Time, Option<Time>),
 ) -> Begun {
     let Some(mut request) = copy(saved) else {
         return failed(Verdict::MayHaveRun, Reason::ConnectionBroken);
     };
+    let objective = objective.map(|it| (header::OBJECTIVE, it.0.to_string()));
     let values = [
         (header::REQUEST_ID, saved.id.to_string()),
         (header::ROUTE, profile.route.to_string()),
@@ -245,7 +255,7 @@
         (header::EXPIRES, expires.0.to_string()),
         (header::ATTEMPT, attempt.number.to_string()),
     ];
-    for (name, value) in values {
+    for (name, value) in values.into_iter().chain(objective) {
         if let Ok(value) = HeaderValue::from_str(&value) {
             request.headers_mut().insert(name, value);
         }
--- a/components/http1/src/caller.rs
+++ b/components/http1/src/caller.rs
@@ -106,7 +106,7 @@
     let wish = shared.dialect.read_head(headers);
     // Matters only while the node leaves, so the look is left out before.
     let running = |id| shared.driver.is_running(id);
-    let onward = shared.driver.is_leaving() && (wish.stays || wish.parent.is_some_and(running));
+    let stays = shared.driver.is_leaving() && (wish.stays || wish.parent.is_some_and(running));
     clean_request(headers);
     let head = Head {
         id: RequestId(rand::random()),
@@ -116,7 +116,7 @@
         left: wish.left,
         outer_retries: wish.outer_retries,
         replayable: body.is_whole(),
-        onward,
+        stays,
     };
     let mut saved = Saved {
         id: head.id,
--- a/components/http1/src/node.rs
+++ b/components/http1/src/node.rs
@@ -27,6 +27,7 @@
 use crate::run::run;
 use errors::Reason;
 use ids::NodeId;
+use ids::Rank;
 use ids::RequestId;
 use ids::RouteId;
 use kernel::Time;
@@ -120,7 +121,6 @@
     }
     let topology = shared.driver.topology();
     let snapshot = topology.snapshot.as_ref();
-    // A route that this node does not know yet is served at the least urgent rank.
     let known = snapshot.and_then(|it| it.route(it.find_route_by_id(route)?));
     Some(Offer {
         tag: 0,
@@ -129,7 +129,9 @@
         meant_for: parse_header::<NodeId>(headers, header::OWNER)?,
         expires,
         route,
-        rank: known.map_or(ids::Rank(u8::MAX), |route| route.rank),
+        objective: parse_header(headers, header::OBJECTIVE).map(Time),
+        // A route that this node does not know yet is served at the least urgent rank.
+        rank: known.map_or(Rank(u8::MAX), |route| route.rank),
         weight: known.map_or(1, |route| route.weight),
         // A route that this node does not know yet runs at most once.
         idempotent: known.is_some_and(|route| route.idempotent),
--- a/components/policy/src/admission.rs
+++ b/components/policy/src/admission.rs
@@ -40,6 +40,8 @@
     pub weight: u32,
     /// When its answer is no longer of use.
     pub expires: Time,
+    /// Until when its answer is worth most, if that is known; later it is worth less.
+    pub objective: Option<Time>,
 }
 
 /// What becomes of a request.
--- a/components/simulate/src/shell.rs
+++ b/components/simulate/src/shell.rs
@@ -78,7 +78,7 @@
             left: None,
             outer_retries: false,
             replayable: true,
-            onward: false,
+            stays: false,
         };
         let topology = Arc::clone(&self.topology);
         self.step_entry(shell, Input::Arrived { topology, head });
@@ -154,6 +154,7 @@
             attempt: attempt.number,
             meant_for: node,
             expires: on_clock_of(node, attempt.deadline),
+            objective: attempt.objective.map(|it| on_clock_of(node, it)),
             route: profile.route,
             rank: profile.rank,
             weight: 1,
--- a/components/traffic/src/entry.rs
+++ b/components/traffic/src/entry.rs
@@ -2,6 +2,7 @@
 
 mod call;
 mod message;
+mod patience;
 mod pick;
 mod pool;
 mod seen;
@@ -10,6 +11,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use patience::Patience;
 use pool::Pool;
 use seen::Memory;
 use shed::Refused;
@@ -65,6 +67,7 @@
     memory: Memory,
     pool: Pool,
     refused: Refused,
+    patience: Patience,
 }
 
 impl Machine {
@@ -78,6 +81,7 @@
             memory: Memory::default(),
             pool: Pool::default(),
             refused: Refused::default(),
+            patience: Patience::default(),
         }
     }
 
@@ -92,10 +96,17 @@
     }
 
     fn arrive(&mut self, scene: &mut Scene<'_>, head: &Head) {
-        let call = match Call::find(scene.now, scene.topology, head, scene.random) {
+        let mut call = match Call::find(scene.now, scene.topology, head, scene.random) {
             Ok(call) => call,
             Err(reason) => return refuse(scene, not_run(reason)),
         };
+        if let Some(objective) = call.profile.objective {
+            let route = call.profile.route;
+            let left = head.left;
+            let age = left.map(|left| self.patience.age(scene.now, route, left));
+            let age = age.unwrap_or_default();
+            call.objective = Some(scene.now + objective.saturating_sub(age));
+        }
         if self.sheds(scene, &call) {
             return refuse(scene, not_run(Reason::ShedEarly));
         }
@@ -122,6 +133,7 @@
             requests: endpoint.requests,
             peer: endpoint.peer,
             deadline: call.deadline,
+            objective: call.objective,
             wait,
         };
         call.begin(attempt);
--- a/components/traffic/src/entry/call.rs
+++ b/components/traffic/src/entry/call.rs
@@ -23,6 +23,8 @@
     pub(crate) profile: Profile,
     pub(crate) service: ServiceId,
     pub(crate) deadline: Time,
+    /// Until when the answer is worth most.
+    pub(crate) objective: Option<Time>,
     service_name: Arc<str>,
     outer_retries: bool,
     replayable: bool,
@@ -53,7 +55,7 @@
         random: &mut dyn Random,
     ) -> Result<Self, Reason> {
         // What runs is finished, and it can depend on an onward call.
-        if topology.life == Life::Leaving && !head.onward {
+        if topology.life == Life::Leaving && !head.stays {
             return Err(Reason::Draining);
         }
         let snapshot = topology.snapshot.as_ref().ok_or(Reason::NoConfiguration)?;
@@ -82,6 +84,7 @@
             service: service.id,
             service_name: Arc::clone(&service.name),
             deadline: now + left,
+            objective: None,
             outer_retries: head.outer_retries,
             replayable: head.replayable,
             attempt: None,
--- a/components/traffic/src/entry/message.rs
+++ b/components/traffic/src/entry/message.rs
@@ -36,7 +36,7 @@
     pub replayable: bool,
     /// Whether a leaving node takes it all the same, such as for a request that runs at the node's
     /// own upstream and depends on it.
-    pub onward: bool,
+    pub stays: bool,
 }
 
 /// Where to send a request and with what.
@@ -52,6 +52,8 @@
     pub peer: SocketAddr,
     /// When the answer is no longer of use.
     pub deadline: Time,
+    /// Until when the answer is worth most.
+    pub objective: Option<Time>,
     /// Wait before sending.
     pub wait: Duration,
 }
--- a/components/traffic/src/owner.rs
+++ b/components/traffic/src/owner.rs
@@ -115,6 +115,7 @@
             rank: offer.rank,
             weight: offer.weight,
             expires: offer.expires,
+            objective: offer.objective,
         };
         let mut decisions = Vec::new();
         self.admission.offer(now, job, &mut decisions);
@@ -308,6 +309,7 @@
             return;
         }
         self.stage = stage;
+        self.hold_back(now, effects);
         let slots = match stage {
             Stage::Warming => 0,
             // What was accepted is finished, even if the upstream no longer announces slots.
@@ -319,6 +321,21 @@
         self.carry_out(now, decisions, effects);
     }
 
+    /// Sends what waits elsewhere once the upstream leaves. Where the node leaves with its upstream,
+    /// nothing arrives any more and what waits is finished instead.
+    fn hold_back(&mut self, now: Time, effects: &mut Vec<Effect>) {
+        if self.stage < Stage::Draining || self.end == UpstreamEnd::Leave {
+            return;
+        }
+        let open = self.open.iter();
+        let waiting = open.filter(|(_, phase)| matches!(phase, Phase::Queued(_)));
+        let waiting: Vec<u64> = waiting.map(|(tag, _)| *tag).collect();
+        for tag in waiting {
+            self.admission.cancel(now, Ticket(tag));
+            self.refuse(tag, Reason::Draining, AWAY_RETRY_AFTER, effects);
+        }
+    }
+
     fn position(&self, tag: u64) -> Result<usize, usize> {
         self.open.binary_search_by_key(&tag, |(known, _)| *known)
     }
@@ -362,6 +379,7 @@
             Input::Drain => {
                 self.leaving = true;
                 self.stage = self.stage.max(Stage::Draining);
+                self.hold_back(now, effects);
             }
         }
         self.report_drained(effects);
--- a/components/traffic/src/owner/message.rs
+++ b/components/traffic/src/owner/message.rs
@@ -23,6 +23,8 @@
     pub meant_for: NodeId,
     /// When its answer is no longer of use, on this node's clock.
     pub expires: Time,
+    /// Until when its answer is worth most, on this node's clock.
+    pub objective: Option<Time>,
     /// Its route.
     pub route: RouteId,
     /// Its urgency.
--- a/components/traffic/tests/entry.rs
+++ b/components/traffic/tests/entry.rs
@@ -136,7 +136,7 @@
             left: None,
             outer_retries: false,
             replayable: true,
-            onward: false,
+            stays: false,
         };
         let topology = Arc::clone(&self.topology);
         self.step(now, Input::Arrived { topology, head })
--- a/components/traffic/tests/owner.rs
+++ b/components/traffic/tests/owner.rs
@@ -30,8 +30,12 @@
 const EXPIRES: Time = Time(1_000_000);
 
 fn new_owner(slots: u32) -> Machine {
+    new_owner_that(UpstreamEnd::Leave, slots)
+}
+
+fn new_owner_that(end: UpstreamEnd, slots: u32) -> Machine {
     let admission = Ranked::from_params(&Params::default()).expect("default params are valid");
-    let mut owner = Machine::new(ME, Box::new(admission), UpstreamEnd::Leave);
+    let mut owner = Machine::new(ME, Box::new(admission), end);
     if slots > 0 {
         step(&mut owner, 0, ready(slots));
     }
@@ -58,6 +62,7 @@
         attempt,
         meant_for: ME,
         expires: EXPIRES,
+        objective: None,
         route: RouteId(1),
         rank: Rank(0),
         weight: 1,
@@ -219,6 +224,36 @@
     assert!(step(&mut owner, 8, ready(4)).is_empty());
 }
 
+/// Guards against a request that waits at the owner and reaches a leaving upstream seconds after
+/// that has announced its end, although other upstreams could serve it.
+#[rstest]
+#[case::by_signal(Input::Drain)]
+#[case::by_announcement(Input::Upstream { stage: Stage::Draining, slots: 1 })]
+#[case::gone(Input::Upstream { stage: Stage::Gone, slots: 1 })]
+fn drain_waiting_stays(#[case] drain: Input) {
+    let mut owner = new_owner_that(UpstreamEnd::Stay, 1);
+    step(&mut owner, 1, Input::Offered(other(1)));
+    step(&mut owner, 2, Input::Offered(other(2)));
+    let refused = step(&mut owner, 3, drain);
+    assert_eq!(refusal(&refused), (Reason::Draining, Verdict::NotRun));
+    let ended = step(&mut owner, 4, finished(1, Verdict::Ran));
+    assert!(!ended.iter().any(|it| matches!(it, Effect::Start { .. })));
+}
+
+/// Guards against a node that takes no work any more because one run of its upstream has ended.
+#[rstest]
+fn upstream_returns_stays() {
+    let mut owner = new_owner_that(UpstreamEnd::Stay, 1);
+    let gone = Input::Upstream {
+        stage: Stage::Gone,
+        slots: 1,
+    };
+    assert!(step(&mut owner, 1, gone).is_empty());
+    step(&mut owner, 2, ready(1));
+    let started = step(&mut owner, 3, Input::Offered(other(1)));
+    assert_eq!(started, [Effect::Start { tag: 1 }]);
+}
+
 /// Guards against a process that tells "not run" of a request that ran at the one before it.
 #[rstest]
 fn ask_replaced_owner() {
--- a/components/wire/src/header.rs
+++ b/components/wire/src/header.rs
@@ -13,6 +13,8 @@
 pub const OWNER: &str = "medlar-owner";
 /// Time on the owner's clock after which the request must not start, in microseconds.
 pub const EXPIRES: &str = "medlar-expires-us";
+/// Time on the owner's clock until which the answer is worth most, in microseconds.
+pub const OBJECTIVE: &str = "medlar-objective-us";
 /// Number of the attempt, from 1.
 pub const ATTEMPT: &str = "medlar-attempt";
 /// `1` if a level further out retries.
