Share the retry budget of a service among the nodes

Cause: each node had a reserve of its own and counts that were halved every 5 s, so that a fleet could retry up to twice the part that is allowed in one window. Change: a token bucket a service; the fleet's reserve is divided by the instances that are known, also those that do not answer.

--- a/components/control/src/topology.rs
+++ b/components/control/src/topology.rs
@@ -115,6 +115,15 @@
         &self.members
     }
 
+    /// Instances that are known, also those whose node does not answer: it may work all the same.
+    pub fn count_instances(&self) -> usize {
+        let members = self.members.iter();
+        let mut addresses: Vec<_> = members.map(|it| it.address.peer).collect();
+        addresses.sort_unstable();
+        addresses.dedup();
+        addresses.len()
+    }
+
     /// The endpoint at `key`, if the key is of this topology.
     pub fn endpoint(&self, key: EndpointKey) -> Option<&Endpoint> {
         self.endpoints.get(key)
--- a/components/policy/src/retry.rs
+++ b/components/policy/src/retry.rs
@@ -67,6 +67,9 @@
         random: &mut dyn Random,
     ) -> Result<Duration, Reason>;
 
+    /// Takes in how many nodes share a budget.
+    fn set_nodes(&mut self, _nodes: usize) {}
+
     /// Whether `allow` would permit a retry now; spends nothing.
     fn would_allow(&self, now: Time, failure: Failure) -> bool;
 }
--- a/components/retry/src/budget.rs
+++ b/components/retry/src/budget.rs
@@ -1,8 +1,10 @@
 //! Retries as a bounded share of first tries.
 //!
-//! Each service counts its first tries and its retries; both counts are halved every few seconds, so
-//! that a quiet time saves up nothing and a past burst is forgotten. A service whose counts have
-//! decayed to zero is dropped, which bounds the state by the services in use.
+//! Each service has a token bucket. A first try adds a part of a token, and time adds the node's share
+//! of a reserve, which a service with few requests could not retry without. The bucket holds no more
+//! than that share, so that a quiet time saves up little, and in any window all nodes together retry
+//! at most that part of the first tries and the reserve twice. A service whose bucket is full is
+//! dropped, which bounds the state by the services in use.
 
 use std::time::Duration;
 
@@ -22,13 +24,10 @@
 
 const DEFAULT_PERCENT: u64 = 10;
 const DEFAULT_ATTEMPTS: u64 = 3;
-/// Retries that a service may make whatever its first tries; without them a service with few
-/// requests could never retry.
+/// Retries that a node may make for a service in one window whatever its first tries.
 const DEFAULT_RESERVE: u64 = 3;
-/// Time after which the counts are halved.
-const HALF_LIFE: Duration = Duration::from_secs(5);
-/// Counts are kept in hundredths of a request.
-const ONE: u64 = 100;
+/// Time in which the reserve comes back.
+const WINDOW: Duration = Duration::from_secs(10);
 /// Upper bound of the random wait before the first retry; doubles with each attempt.
 const FIRST_WAIT: Duration = Duration::from_millis(5);
 /// Upper bound of the random part of any wait.
@@ -41,96 +40,95 @@
 };
 
 #[derive(Clone, Copy, Debug)]
-struct Tally {
+struct Bucket {
     service: ServiceId,
-    firsts: u64,
-    retries: u64,
-    halved: Time,
-}
-
-impl Tally {
-    fn decay(&mut self, now: Time) {
-        let halvings = now.since(self.halved).as_micros() / HALF_LIFE.as_micros();
-        let halvings = u32::try_from(halvings).unwrap_or(u32::MAX);
-        if halvings > 0 {
-            self.halved = self.halved + HALF_LIFE.saturating_mul(halvings);
-            self.firsts = self.firsts.checked_shr(halvings).unwrap_or(0);
-            self.retries = self.retries.checked_shr(halvings).unwrap_or(0);
-        }
-    }
+    tokens: f64,
+    filled: Time,
 }
 
 /// Budget of each service.
 #[derive(Debug)]
 pub struct Budget {
-    percent: u64,
+    /// Tokens that a first try adds.
+    part: f64,
     attempts: u32,
-    reserve: u64,
+    /// Tokens that a bucket holds and that come back in a window.
+    reserve: f64,
+    /// Reserve of all nodes together; 0 if each node has its own.
+    slack: f64,
     /// Sorted by service.
-    tallies: Vec<Tally>,
+    buckets: Vec<Bucket>,
 }
 
 impl Budget {
-    /// Reads `percent` (retries as a share of first tries), `attempts` (tries of one request) and
-    /// `reserve` (retries that do not depend on first tries).
+    /// Reads `percent` (retries as a share of first tries), `attempts` (tries of one request),
+    /// `reserve` (retries of a node in a window that do not depend on first tries) and `slack` (the
+    /// same for all nodes together, in place of `reserve`).
     pub fn from_params(params: &Params) -> Result<Self, Error> {
-        params.check_names(&["attempts", "percent", "reserve"])?;
+        params.check_names(&["attempts", "percent", "reserve", "slack"])?;
         let attempts = params.number("attempts", DEFAULT_ATTEMPTS)?;
         let reserve = params.number("reserve", DEFAULT_RESERVE)?;
+        let percent = params.number("percent", DEFAULT_PERCENT)?.min(100);
         Ok(Self {
-            percent: params.number("percent", DEFAULT_PERCENT)?.min(100),
+            part: percent as f64 / 100.0,
             attempts: u32::try_from(attempts).unwrap_or(u32::MAX),
-            reserve: reserve.saturating_mul(ONE),
-            tallies: Vec::new(),
+            reserve: reserve as f64,
+            slack: params.number("slack", 0)? as f64,
+            buckets: Vec::new(),
         })
     }
 
-    /// Services that the budget holds counts of.
+    /// Services that the budget holds a bucket of.
     pub fn services(&self) -> usize {
-        self.tallies.len()
+        self.buckets.len()
     }
 
-    fn tally(&mut self, now: Time, service: ServiceId) -> &mut Tally {
+    /// Tokens of a bucket at `now`.
+    fn tokens(&self, now: Time, bucket: &Bucket) -> f64 {
+        let windows = now.since(bucket.filled).as_secs_f64() / WINDOW.as_secs_f64();
+        (bucket.tokens + self.reserve * windows).min(self.most())
+    }
+
+    /// Most tokens of a bucket; a whole one even if the node's share of the reserve is less.
+    fn most(&self) -> f64 {
+        self.reserve.max(1.0)
+    }
+
+    fn bucket(&mut self, now: Time, service: ServiceId) -> &mut Bucket {
         let at = match self.position(service) {
             Ok(at) => at,
             Err(_) => {
-                self.drop_idle(now);
+                self.drop_full(now);
                 let at = self.position(service).unwrap_or_else(|at| at);
-                let tally = Tally {
+                let bucket = Bucket {
                     service,
-                    firsts: 0,
-                    retries: 0,
-                    halved: now,
+                    tokens: self.most(),
+                    filled: now,
                 };
-                self.tallies.insert(at, tally);
+                self.buckets.insert(at, bucket);
                 at
             }
         };
-        let tally = &mut self.tallies[at];
-        tally.decay(now);
-        tally
+        let tokens = self.tokens(now, &self.buckets[at]);
+        let bucket = &mut self.buckets[at];
+        (bucket.tokens, bucket.filled) = (tokens, now);
+        bucket
     }
 
-    fn drop_idle(&mut self, now: Time) {
-        for tally in &mut self.tallies {
-            tally.decay(now);
-        }
-        self.tallies
-            .retain(|tally| tally.firsts > 0 || tally.retries > 0);
+    fn drop_full(&mut self, now: Time) {
+        let mut buckets = std::mem::take(&mut self.buckets);
+        buckets.retain(|bucket| self.tokens(now, bucket) < self.most());
+        self.buckets = buckets;
     }
 
     fn position(&self, service: ServiceId) -> Result<usize, usize> {
-        self.tallies
-            .binary_search_by_key(&service, |tally| tally.service)
+        self.buckets
+            .binary_search_by_key(&service, |bucket| bucket.service)
     }
 
     fn has_credit(&self, now: Time, service: ServiceId) -> bool {
-        let mut tally = match self.position(service) {
-            Ok(at) => self.tallies[at],
-            Err(_) => return self.reserve >= ONE,
-        };
-        tally.decay(now);
-        tally.retries + ONE <= tally.firsts * self.percent / 100 + self.reserve
+        let known = self.position(service).ok();
+        known.map_or(self.most(), |at| self.tokens(now, &self.buckets[at])) >= 1.0
     }
 
     /// The shortest wait before the next attempt, or why there is none.
@@ -174,8 +172,9 @@
 
 impl Retry for Budget {
     fn count_first(&mut self, now: Time, service: ServiceId) {
-        let tally = self.tally(now, service);
-        tally.firsts = tally.firsts.saturating_add(ONE);
+        let (part, most) = (self.part, self.most());
+        let bucket = self.bucket(now, service);
+        bucket.tokens = (bucket.tokens + part).min(most);
     }
 
     fn allow(
@@ -193,11 +192,18 @@
             .min((failure.left - wait) / 2);
         let micros = random.below(usize::try_from(jitter.as_micros()).unwrap_or(usize::MAX));
         if draws_on_budget(&failure) {
-            self.tally(now, failure.service).retries += ONE;
+            self.bucket(now, failure.service).tokens -= 1.0;
         }
         Ok(wait + Duration::from_micros(micros as u64))
     }
 
+    fn set_nodes(&mut self, nodes: usize) {
+        if self.slack > 0.0 {
+            // Half for what a bucket holds, half for what comes back in a window.
+            self.reserve = self.slack / 2.0 / nodes.max(1) as f64;
+        }
+    }
+
     fn would_allow(&self, now: Time, failure: Failure) -> bool {
         self.check(now, &failure).is_ok()
     }
--- a/components/retry/tests/budget.rs
+++ b/components/retry/tests/budget.rs
@@ -114,3 +114,16 @@
         prop_assert!(retries.len() as f64 <= tenth + 3.0 + 1.5 * halvings);
     }
 }
+
+/// Guards against a fleet whose nodes together retry more than the reserve that they share.
+#[rstest]
+#[case::few(4, 7)]
+#[case::many(14, 2)]
+fn set_nodes_share(#[case] nodes: usize, #[case] expected: usize) {
+    let params = Params::from_pairs([("slack".to_owned(), "56".to_owned())]);
+    let mut budget = Budget::from_params(&params).expect("the params are valid");
+    budget.set_nodes(nodes);
+    let mut random = Seeded::new(1);
+    let allowed = (0..100).filter(|_| budget.allow(Time(0), FAILURE, &mut random).is_ok());
+    assert_eq!(allowed.count(), expected);
+}
--- a/components/traffic/src/entry/pick.rs
+++ b/components/traffic/src/entry/pick.rs
@@ -19,6 +19,7 @@
         if !self.pool.change(topology) {
             return;
         }
+        self.retry.set_nodes(topology.count_instances());
         let Some(snapshot) = topology.snapshot.as_ref() else {
             return;
         };
