Let long work that missed its objective leave room to urgent ranks

Ruled out: the share of lower ranks (a dispatch of 15 ms earns 0.8 ms), the learned limit (13 of 13). Change: the rule compares ranks, whichever queue a request is in. fill_missed_long fails without it.

--- a/components/admit/src/ranked.rs
+++ b/components/admit/src/ranked.rs
@@ -60,7 +60,7 @@
 struct Running {
     ticket: Ticket,
     route: RouteId,
-    rank: usize,
+    level: usize,
     size: f64,
 }
 
--- a/components/admit/src/ranked/dispatch.rs
+++ b/components/admit/src/ranked/dispatch.rs
@@ -5,6 +5,7 @@
 use crate::ranked::Running;
 use crate::ranked::lanes::Waiting;
 use crate::ranked::late_reason;
+use ids::Rank;
 use kernel::Time;
 use policy::Decision;
 
@@ -24,7 +25,9 @@
     /// Size that a request of the rank has to stay below to take a slot: long requests, and those
     /// that have not been measured, leave as many slots as more urgent ranks use on average, and a
     /// little more.
-    pub(super) fn most_size(&self, now: Time, rank: usize) -> f64 {
+    pub(super) fn most_size(&self, now: Time, level: usize) -> f64 {
+        // What missed its objective leaves the same room to more urgent ranks as what did not.
+        let rank = level % Rank::COUNT;
         let urgent = &self.queues[..rank];
         let demand: f64 = urgent.iter().map(|it| it.demand(now)).sum();
         let usual = urgent.iter().map(|it| it.cost).fold(0.0, f64::max);
@@ -34,7 +37,7 @@
         }
         let places = f64::from(self.limit.get()) - demand - HEADROOM * demand.sqrt();
         let running = self.running.iter();
-        let taken = running.filter(|it| it.rank >= rank && it.size >= long);
+        let taken = running.filter(|it| it.level % Rank::COUNT >= rank && it.size >= long);
         if (taken.count() as f64) < places.floor().max(1.0) {
             NO_BOUND
         } else {
@@ -84,7 +87,7 @@
 
     fn start(
         &mut self,
-        rank: usize,
+        level: usize,
         by_share: bool,
         waiting: &Waiting,
         decisions: &mut Vec<Decision>,
@@ -92,23 +95,23 @@
         let Waiting {
             job, cost, size, ..
         } = *waiting;
-        self.queues[rank].lanes.charge(waiting);
+        self.queues[level].lanes.charge(waiting);
         if by_share {
             self.share.spend(cost);
             self.turn = self.turn.wrapping_add(1) % LEVELS;
-        } else if self.queues[rank + 1..].iter().any(|it| !it.is_empty()) {
+        } else if self.queues[level + 1..].iter().any(|it| !it.is_empty()) {
             self.share.earn(cost, self.times.mean());
         }
         let part = (cost / self.times.mean().max(1.0)).clamp(0.1, 10.0) * SHARE_GAIN;
         for (at, queue) in self.queues.iter_mut().enumerate() {
-            let target = if at == rank { 1.0 } else { 0.0 };
+            let target = if at == level { 1.0 } else { 0.0 };
             queue.busy += (target - queue.busy) * part;
         }
         let at = self.running.partition_point(|it| it.ticket < job.ticket);
         let running = Running {
             ticket: job.ticket,
             route: job.route,
-            rank,
+            level,
             size,
         };
         self.running.insert(at, running);
--- a/components/admit/tests/ranked.rs
+++ b/components/admit/tests/ranked.rs
@@ -315,3 +315,27 @@
     let started = finish(&mut ranked, 350 * MS, 4, 100);
     assert_eq!(started, [Decision::Start(Ticket(3))]);
 }
+
+/// Guards against long requests that missed their objective taking all slots before short urgent
+/// ones, whose callers then wait for a slot longer than they can.
+#[rstest]
+fn fill_missed_long() {
+    let mut ranked = new_ranked(&[]);
+    set_slots(&mut ranked, 4);
+    for ticket in 0..40 {
+        let now = ticket * 10 * MS;
+        offer(&mut ranked, now, job(ticket, 0, 1, FAR));
+        finish(&mut ranked, now + 5 * MS, ticket, 10);
+        offer(&mut ranked, now, job(100 + ticket, 2, 2, FAR));
+        finish(&mut ranked, now + 5 * MS, 100 + ticket, 150);
+    }
+    let missed = Some(Time(1));
+    let started = (200..208).flat_map(|ticket| {
+        let job = Job {
+            objective: missed,
+            ..job(ticket, 2, 2, FAR)
+        };
+        offer(&mut ranked, 400 * MS, job)
+    });
+    assert!(started.count() < 4);
+}
