--- a/components/admit/src/ranked.rs
+++ b/components/admit/src/ranked.rs
@@ -10,6 +10,7 @@
 mod limit;
 mod queue;
 mod share;
+mod shedding;
 mod times;
 
 use std::time::Duration;
--- a/components/admit/src/ranked/limit.rs
+++ b/components/admit/src/ranked/limit.rs
@@ -1,13 +1,16 @@
 //! Concurrency limit, learned from latency and shedding.
 //!
 //! Additive increase and multiplicative decrease: a window of finished requests whose latency stays
-//! near the base raises the limit by one if it was in use; a shed request lowers it by a tenth. A
+//! near the base raises the limit by one if it was in use; a shed request lowers it by a tenth, unless
+//! the upstream sheds whatever the limit is. A
 //! window whose latency is a multiple of the base lowers it on trial: if the latency does not fall
 //! with the concurrency, the requests are slow for another reason, such as a route whose requests
 //! differ, and the limit goes back. It never exceeds the declared slots.
 
 use std::time::Duration;
 
+use crate::ranked::shedding::Shedding;
+use crate::ranked::shedding::Verdict;
 use kernel::Time;
 
 /// Part of the slots that a cold upstream starts with.
@@ -54,6 +57,7 @@
     saturated: bool,
     cut_at: Time,
     phase: Phase,
+    shedding: Shedding,
 }
 
 impl Limit {
@@ -93,10 +97,19 @@
         if Time(now.0.saturating_sub(latency.as_micros() as u64)) < self.cut_at {
             return false;
         }
-        if shed {
-            self.phase = Phase::Steady;
-            self.cut(now, DECREASE);
-            return false;
+        match self.shedding.learn(now, shed, self.limit) {
+            Verdict::Keep if shed => return false,
+            Verdict::Keep => {}
+            Verdict::Cut => {
+                self.phase = Phase::Steady;
+                self.cut(now, DECREASE);
+                return false;
+            }
+            Verdict::Restore(limit) => {
+                self.limit = limit.min(f64::from(self.slots));
+                self.open_window();
+                return false;
+            }
         }
         if self.ramping {
             self.limit += RAMP_STEP;
--- a/components/admit/tests/limit.rs
+++ b/components/admit/tests/limit.rs
@@ -32,6 +32,8 @@
     thrash: f64,
     /// Requests from which it sheds.
     sheds_from: usize,
+    /// Share of requests that it sheds whatever it runs.
+    sheds: f64,
 }
 
 #[derive(Default)]
@@ -92,7 +94,9 @@
                 let beyond = (running as f64 - upstream.cores).max(0.0);
                 let sharing = (running as f64 / upstream.cores).max(1.0);
                 let slow = sharing * (1.0 + upstream.thrash * beyond);
-                let micros = if running > upstream.sheds_from {
+                let faulty =
+                    upstream.sheds > 0.0 && (random.below(1_000) as f64) < upstream.sheds * 1e3;
+                let micros = if running > upstream.sheds_from || faulty {
                     500.0
                 } else {
                     (10_000.0 - 10_000.0 * chance.ln()) * slow
@@ -118,6 +122,7 @@
         cores: 5.0,
         thrash: 0.1,
         sheds_from: usize::MAX,
+        sheds: 0.0,
     };
     let learned = run(&mut ranked(), upstream, 400);
     let mut fifo = Fifo::from_params(&Params::default()).expect("default params are valid");
@@ -134,6 +139,7 @@
         cores: 20.0,
         thrash: 0.0,
         sheds_from: 8,
+        sheds: 0.0,
     };
     let learned = run(&mut ranked(), upstream, 800);
     assert!(learned.shed / learned.ended < 0.05);
@@ -147,6 +153,7 @@
         cores: 20.0,
         thrash: 0.0,
         sheds_from: usize::MAX,
+        sheds: 0.0,
     };
     let learned = run(&mut ranked(), upstream, 1_500);
     assert!(learned.limits / learned.samples > 0.95 * f64::from(SLOTS));
@@ -169,6 +176,7 @@
         cores: 20.0,
         thrash: 0.0,
         sheds_from: usize::MAX,
+        sheds: 0.0,
     };
     run(&mut ranked, upstream, 900);
     assert_eq!(ranked.load().limit, SLOTS);
@@ -223,3 +231,17 @@
     }
     assert!(ranked.load().limit >= SLOTS * 3 / 4, "{:?}", ranked.load());
 }
+
+/// Guards against a limit that falls to one because a faulty upstream sheds half of its requests
+/// whatever it runs, which takes away the other half too.
+#[rstest]
+fn learn_faulty() {
+    let upstream = Upstream {
+        cores: 20.0,
+        thrash: 0.0,
+        sheds_from: usize::MAX,
+        sheds: 0.55,
+    };
+    let learned = run(&mut ranked(), upstream, 1_500);
+    assert!(learned.limits / learned.samples > 0.7 * f64::from(SLOTS));
+}
--- a/components/health/src/outcomes.rs
+++ b/components/health/src/outcomes.rs
@@ -37,6 +37,10 @@
 const RETURN_WEIGHT: u32 = 100;
 /// Weight of a node that would be ejected if the bound on ejections allowed it, in thousandths.
 const SPARED_WEIGHT: u32 = 50;
+/// Weight of an outcome in the share of requests that an upstream sheds.
+const SHED_GAIN: f64 = 1.0 / 16.0;
+/// Least weight of an upstream that sheds, in thousandths, so that its recovery is noticed.
+const SHEDDING_WEIGHT: u32 = 50;
 /// At most one in so many endpoints is ejected.
 const EJECTED_PART: usize = 3;
 
@@ -66,6 +70,8 @@
     halved: Time,
     ejections: u32,
     last_ejection: Time,
+    /// Share of requests that the upstream sheds.
+    shed: f64,
 }
 
 /// Outcomes of the requests to each node.
@@ -90,6 +96,7 @@
             halved: now,
             ejections: 0,
             last_ejection: Time::default(),
+            shed: 0.0,
         }
     }
 
@@ -177,6 +184,17 @@
         record.in_a_row >= self.failures || (outcomes >= MIN_OUTCOMES && share)
     }
 
+    /// The record of a node; a new one if there is none.
+    fn record_of(&mut self, now: Time, node: NodeId) -> usize {
+        match self.position(node) {
+            Ok(at) => at,
+            Err(at) => {
+                self.records.insert(at, Record::new(node, now));
+                at
+            }
+        }
+    }
+
     fn get(&self, node: NodeId) -> Option<&Record> {
         self.position(node).ok().map(|at| &self.records[at])
     }
@@ -189,13 +207,7 @@
 
 impl Health for Outcomes {
     fn record(&mut self, now: Time, node: NodeId, good: bool) {
-        let at = match self.position(node) {
-            Ok(at) => at,
-            Err(at) => {
-                self.records.insert(at, Record::new(node, now));
-                at
-            }
-        };
+        let at = self.record_of(now, node);
         self.records[at].count(now, good);
         match (self.records[at].standing(now), good) {
             (Standing::In { .. }, _) => {
@@ -226,6 +238,13 @@
         nodes.retain(|node| !barred.iter().any(|(_, it)| it == node));
     }
 
+    fn note_shed(&mut self, now: Time, node: NodeId, shed: bool) {
+        let at = self.record_of(now, node);
+        let target = if shed { 1.0 } else { 0.0 };
+        let record = &mut self.records[at];
+        record.shed += (target - record.shed) * SHED_GAIN;
+    }
+
     fn note_sent(&mut self, now: Time, node: NodeId) {
         if let Ok(at) = self.position(node) {
             let record = &mut self.records[at];
@@ -244,13 +263,17 @@
         let Some(record) = self.get(node) else {
             return FULL_WEIGHT;
         };
+        let kept = 1.0 - record.shed;
+        // A request is lost with the upstream that sheds it, so that its weight falls faster than
+        // what it does.
+        let full = ((f64::from(FULL_WEIGHT) * kept * kept) as u32).max(SHEDDING_WEIGHT);
         match record.standing(now) {
-            Standing::In { since: None } | Standing::Trial { sent: None } => FULL_WEIGHT,
+            Standing::In { since: None } | Standing::Trial { sent: None } => full,
             Standing::In { since: Some(since) } => {
                 let gained = u128::from(FULL_WEIGHT - RETURN_WEIGHT)
                     * now.since(since).min(RETURN_RAMP).as_millis()
                     / RETURN_RAMP.as_millis();
-                RETURN_WEIGHT + u32::try_from(gained).unwrap_or(0)
+                (RETURN_WEIGHT + u32::try_from(gained).unwrap_or(0)).min(full)
             }
             Standing::Out { .. } | Standing::Trial { sent: Some(_) } => SPARED_WEIGHT,
         }
--- a/components/health/tests/outcomes.rs
+++ b/components/health/tests/outcomes.rs
@@ -111,3 +111,23 @@
     health.retain_known(&[NodeId(3), NodeId(5)]);
     assert_eq!(health.nodes(), 2);
 }
+
+/// Guards against work that goes on to an upstream that sheds half of it while others take all, and
+/// against one that gets none any more.
+#[rstest]
+fn note_shed_weight() {
+    let mut health = Outcomes::from_params(&Params::default()).expect("default params are valid");
+    let node = NodeId(1);
+    for at in 0..100 {
+        health.note_shed(Time(at), node, at % 2 == 0);
+    }
+    assert!((150..400).contains(&health.weigh(Time(100), node)));
+    for at in 100..300 {
+        health.note_shed(Time(at), node, true);
+    }
+    assert!((1..100).contains(&health.weigh(Time(300), node)));
+    for at in 300..400 {
+        health.note_shed(Time(at), node, false);
+    }
+    assert!(health.weigh(Time(400), node) > 950);
+}
--- a/components/http1/src/listen.rs
+++ b/components/http1/src/listen.rs
@@ -101,14 +101,15 @@
     let service = service_fn(move |request| {
         let shared = Arc::clone(&shared);
         let answer = handle(Arc::clone(&shared), Arc::clone(&session), request);
-        async move {
+        // Boxed, so that an idle connection holds no place for a request.
+        Box::pin(async move {
             let mut response = answer.await;
             if shared.driver.is_leaving() {
                 let headers = response.headers_mut();
                 headers.insert(CONNECTION, HeaderValue::from_static("close"));
             }
             Ok::<_, Infallible>(response)
-        }
+        })
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
--- a/components/policy/src/health.rs
+++ b/components/policy/src/health.rs
@@ -27,6 +27,9 @@
     /// A request to `node` went well or failed for a reason that lies with the node.
     fn record(&mut self, now: Time, node: NodeId, good: bool);
 
+    /// The upstream of `node` shed a request or took one.
+    fn note_shed(&mut self, _now: Time, _node: NodeId, _shed: bool) {}
+
     /// Takes out of `nodes` (sorted) those that are ejected, within the bound on ejections.
     fn retain_healthy(&mut self, now: Time, nodes: &mut Vec<NodeId>);
 
--- a/components/traffic/src/entry.rs
+++ b/components/traffic/src/entry.rs
@@ -166,6 +166,9 @@
                 self.memory.note_away(now, node, time);
             }
         }
+        if matches!(report.reason, None | Some(Reason::UpstreamRefused)) {
+            self.health.note_shed(now, node, report.reason.is_some());
+        }
         if let Some(good) = judged {
             self.health.record(now, node, good);
         }
