Take callers' limits from the configuration, read settings again, probe the store

Change: head, body and idle bounds of the configuration in force; the settings file is read again on SIGHUP or when it has changed, and a bad one is refused; the system probes connections to the store each second.

--- a/components/daemon/src/lib.rs
+++ b/components/daemon/src/lib.rs
@@ -6,6 +6,7 @@
 mod build;
 mod executor;
 mod peer;
+mod reload;
 mod run;
 mod states;
 
--- a/components/daemon/src/run.rs
+++ b/components/daemon/src/run.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::path::Path;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::time::Duration;
@@ -21,6 +22,7 @@
 use crate::executor::Effects;
 use crate::executor::Waiting;
 use crate::peer::Handler;
+use crate::reload;
 use control::Input;
 use control::Life;
 use control::Machine;
@@ -57,14 +59,22 @@
 /// Signals that wait to be taken.
 const STOP_BOUND: usize = 2;
 
-/// Runs a node until a signal or an operator tells it to leave; the calling thread becomes the
-/// control thread.
-pub fn run(settings: &Settings) -> Result<(), Error> {
-    run_until(settings, None)
+/// Runs a node with the settings of the file at `path` until a signal or an operator tells it to
+/// leave; the calling thread becomes the control thread.
+pub fn run(path: &Path, settings: &Settings) -> Result<(), Error> {
+    run_node(settings, Some(path), None)
 }
 
 /// Runs a node that `stops` tell to leave in place of signals; a second one ends it at once.
 pub fn run_until(settings: &Settings, stops: Option<mpsc::Receiver<()>>) -> Result<(), Error> {
+    run_node(settings, None, stops)
+}
+
+fn run_node(
+    settings: &Settings,
+    path: Option<&Path>,
+    stops: Option<mpsc::Receiver<()>>,
+) -> Result<(), Error> {
     let plugins = Plugins::from_settings(settings)?;
     let traffic = runtime::Builder::new_multi_thread()
         .worker_threads(settings.traffic_threads)
@@ -79,6 +89,10 @@
             Some(stops) => stops,
             None => take_signals()?,
         };
+        if let Some(path) = path {
+            let hangups = signal(SignalKind::hangup())?;
+            tokio::spawn(reload::follow(path.to_owned(), settings.clone(), hangups));
+        }
         serve(settings, plugins, traffic.handle().clone(), stops).await
     });
     traffic.shutdown_background();
--- a/components/http1/src/caller.rs
+++ b/components/http1/src/caller.rs
@@ -101,7 +101,9 @@
     let arrived = shared.driver.now();
     check_head(&mut request).map_err(not_run)?;
     let (mut parts, body) = request.into_parts();
-    let body = Intake::read(body).await.map_err(not_run)?;
+    let body = Intake::read(body, shared.limits().body_bytes)
+        .await
+        .map_err(not_run)?;
     let headers = &mut parts.headers;
     let wish = shared.dialect.read_head(headers);
     // Matters only while the node leaves, so the look is left out before.
--- a/components/http1/src/intake.rs
+++ b/components/http1/src/intake.rs
@@ -18,9 +18,6 @@
 
 /// Longest body of a request that is kept for another try, in bytes.
 pub(crate) const SMALL_BODY_BYTES: usize = 64 * 1024;
-/// Longest body of a request, in bytes.
-pub(crate) const MAX_BODY_BYTES: u64 = 16 * 1024 * 1024;
-
 /// The body of a request.
 pub(crate) enum Intake {
     /// Small, in hand.
@@ -30,9 +27,9 @@
 }
 
 impl Intake {
-    /// Reads a body, or its beginning if it is large.
-    pub(crate) async fn read(mut body: Incoming) -> Result<Self, Reason> {
-        if body.size_hint().lower() > MAX_BODY_BYTES {
+    /// Reads a body of at most `most` bytes, or its beginning if it is large.
+    pub(crate) async fn read(mut body: Incoming, most: u64) -> Result<Self, Reason> {
+        if body.size_hint().lower() > most {
             return Err(Reason::TooLarge);
         }
         if body.is_end_stream() {
@@ -46,7 +43,7 @@
         if whole {
             return Ok(Self::Whole(bytes));
         }
-        let left = MAX_BODY_BYTES.saturating_sub(bytes.len() as u64);
+        let left = most.saturating_sub(bytes.len() as u64);
         let fate = Fate::default();
         let stream = Stream::new(bytes, body, left, Arc::clone(&fate));
         Ok(Self::Stream(Some(Payload::Stream(Box::new(stream))), fate))
--- a/components/http1/src/lib.rs
+++ b/components/http1/src/lib.rs
@@ -28,6 +28,7 @@
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 
+use config::Limits;
 pub use dialect::DIALECTS;
 pub use dialect::Dialect;
 pub use dialect::Dispatch;
@@ -73,6 +74,13 @@
 }
 
 impl Shared {
+    /// Bounds on callers in force.
+    fn limits(&self) -> Limits {
+        let topology = self.driver.topology();
+        let snapshot = topology.snapshot.as_ref();
+        snapshot.map_or_else(Limits::default, |it| *it.limits())
+    }
+
     /// Closes and forgets what is old until the future is dropped.
     async fn sweep(&self) {
         loop {
--- a/components/http1/src/listen.rs
+++ b/components/http1/src/listen.rs
@@ -26,13 +26,18 @@
 use crate::stall::Stall;
 use errors::Reason;
 use ids::RequestId;
+use kernel::Time;
 
 /// Connections that one listener serves at once.
 const MAX_CONNECTIONS: usize = 4_096;
-/// Longest wait for the head of a request.
-const HEAD_LIMIT: Duration = Duration::from_secs(10);
-/// Longest head of a request, in bytes.
-const MAX_HEAD_BYTES: usize = 16 * 1024;
+/// Time beyond the callers' idle limit for which a connection is kept, so that a request that was sent
+/// within the limit does not cross the close.
+const IDLE_MARGIN: Duration = Duration::from_secs(1);
+/// Least bound that hyper takes for a head, in bytes.
+const LEAST_HEAD_BYTES: usize = 8 * 1024;
+/// Upper bound on the wait for a head; a change of the configuration can make callers idle longer
+/// than they were allowed to when the connection began.
+const LONGEST_WAIT: Duration = Duration::from_secs(600);
 /// Pause after a failed accept, such as when file descriptors run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -40,9 +45,28 @@
 #[derive(Debug, Default)]
 pub(crate) struct Session {
     stored: Mutex<Option<RequestId>>,
+    activity: Mutex<Activity>,
+}
+
+/// When a connection was used.
+#[derive(Clone, Copy, Debug, Default)]
+struct Activity {
+    /// Whether a request is being answered.
+    busy: bool,
+    /// When it last began or ended to answer one, or was opened.
+    since: Time,
 }
 
 impl Session {
+    fn note(&self, busy: bool, since: Time) {
+        let activity = Activity { busy, since };
+        *self.activity.lock().unwrap_or_else(PoisonError::into_inner) = activity;
+    }
+
+    fn activity(&self) -> Activity {
+        *self.activity.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Remembers that the answer to this request is kept.
     pub(crate) fn set_stored(&self, id: RequestId) {
         *self.stored.lock().unwrap_or_else(PoisonError::into_inner) = Some(id);
@@ -97,13 +121,18 @@
     F: Future<Output = Response<Payload>> + Send + 'static,
 {
     let session = Arc::new(Session::default());
-    let counters = Arc::clone(&shared);
+    session.note(false, shared.driver.now());
+    let common = Arc::clone(&shared);
+    let watched = Arc::clone(&session);
     let service = service_fn(move |request| {
         let shared = Arc::clone(&shared);
         let answer = handle(Arc::clone(&shared), Arc::clone(&session), request);
         // Boxed, so that an idle connection holds no place for a request.
+        let session = Arc::clone(&session);
         Box::pin(async move {
+            session.note(true, shared.driver.now());
             let mut response = answer.await;
+            session.note(false, shared.driver.now());
             if shared.driver.is_leaving() {
                 let headers = response.headers_mut();
                 headers.insert(CONNECTION, HeaderValue::from_static("close"));
@@ -111,10 +140,11 @@
             Ok::<_, Infallible>(response)
         })
     });
+    let head_bytes = common.limits().head_bytes.max(LEAST_HEAD_BYTES);
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
-        .header_read_timeout(HEAD_LIMIT)
-        .max_buf_size(MAX_HEAD_BYTES)
+        .header_read_timeout(LONGEST_WAIT)
+        .max_buf_size(head_bytes)
         .serve_connection(Stall::new(stream), service);
     tokio::pin!(connection);
     let ended = tokio::select! {
@@ -123,6 +153,8 @@
             connection.as_mut().graceful_shutdown();
             connection.await
         }
+        // Nothing is being answered, and a head that is not whole by now will not be.
+        () = wait_idle(&common, &watched) => return,
     };
     // Other errors are those of the other end; what they mean for a request shows there.
     if let Err(error) = ended
@@ -133,7 +165,20 @@
         } else {
             Reason::Malformed
         };
-        counters.driver.counters().count_refusal("listener", reason);
+        common.driver.counters().count_refusal("listener", reason);
+    }
+}
+
+/// Waits until the connection has been idle for longer than callers may be.
+async fn wait_idle(shared: &Shared, session: &Session) {
+    loop {
+        let limit = shared.limits().idle_time + IDLE_MARGIN;
+        let Activity { busy, since } = session.activity();
+        let left = limit.saturating_sub(shared.driver.now().since(since));
+        if left.is_zero() && !busy {
+            return;
+        }
+        tokio::time::sleep(if busy { limit } else { left }).await;
     }
 }
 
--- a/components/http1/src/node.rs
+++ b/components/http1/src/node.rs
@@ -72,7 +72,8 @@
 ) -> Result<Response<Payload>, Refusal> {
     let offer = read_offer(shared, request.headers()).ok_or_else(|| not_run(Reason::Malformed))?;
     let (mut parts, body) = request.into_parts();
-    let payload = Intake::read(body).await.map_err(not_run)?.payload();
+    let most = shared.limits().body_bytes;
+    let payload = Intake::read(body, most).await.map_err(not_run)?.payload();
     clean_request(&mut parts.headers);
     let work = Work {
         offer,
--- a/components/store/src/http.rs
+++ b/components/store/src/http.rs
@@ -3,6 +3,10 @@
 //! A call on a connection of its own cannot be held up by one that has gone silent, and its loss says
 //! nothing about other calls.
 
+#[cfg(test)]
+mod tests;
+
+use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -18,6 +22,8 @@
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use serde_json::Value;
+use socket2::SockRef;
+use socket2::TcpKeepalive;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
@@ -27,6 +33,10 @@
 
 /// Longest answer: a value of a megabyte in base64, with its envelope.
 pub(crate) const MAX_ANSWER_BYTES: usize = 1_500_000;
+/// Time between two probes of an idle connection, and probes without answer that end it: a watch that
+/// has gone silent costs less than the 4 s in which a configuration has to be in force.
+const PROBE_PERIOD: Duration = Duration::from_secs(1);
+const LOST_PROBES: u32 = 1;
 const DEFAULT_TIMEOUT_MS: u64 = 2_000;
 const MAX_TIMEOUT_MS: u64 = 60_000;
 
@@ -64,6 +74,7 @@
             Ok(stream) => stream.map_err(unreachable)?,
             Err(_) => return Err(unreachable("no connection in time")),
         };
+        set_probes(&stream).map_err(unreachable)?;
         let (mut sender, connection) = http1::handshake(TokioIo::new(stream))
             .await
             .map_err(unreachable)?;
@@ -105,6 +116,15 @@
     }
 }
 
+/// Has the system probe an idle connection, so that a watch whose connection has gone silent ends.
+fn set_probes(stream: &TcpStream) -> io::Result<()> {
+    let probes = TcpKeepalive::new()
+        .with_time(PROBE_PERIOD)
+        .with_interval(PROBE_PERIOD)
+        .with_retries(LOST_PROBES);
+    SockRef::from(stream).set_tcp_keepalive(&probes)
+}
+
 fn read_timeout(params: &Params) -> Result<Duration, plugin::Error> {
     let millis = params.number("timeout_ms", DEFAULT_TIMEOUT_MS)?;
     if (1..=MAX_TIMEOUT_MS).contains(&millis) {
--- a/node/src/cli.rs
+++ b/node/src/cli.rs
@@ -91,7 +91,7 @@
         return ExitCode::SUCCESS;
     }
     telemetry::init_logs(&settings.instance, &settings.domain);
-    match daemon::run(&settings) {
+    match daemon::run(path, &settings) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => refuse(&error),
     }
