Log each decision that touches a request as a JSON line, bounded and never blocking

Cause: the lines of a node told only refusals that may have run, once a second, and were written to standard error by the thread that served the request. Change: one line a decision at the entry and at the owner with the caller's own id, 20 ordinary and 120 failing ones a second at each side; lines for members, the configuration in force and a lost or regained store; a thread writes them from a bounded queue and counts what it drops. A watch that ended without a change goes on at once instead of counting as a failure.

--- a/components/daemon/src/executor.rs
+++ b/components/daemon/src/executor.rs
@@ -12,6 +12,8 @@
 use tokio::sync::oneshot;
 use tokio::task::JoinHandle;
 
+use crate::beliefs::StoreHealth;
+use crate::beliefs::log_members;
 use crate::states;
 use config::Record;
 use control::Effect;
@@ -27,6 +29,7 @@
 use spread::Revision;
 use spread::StoreEvent;
 use store::CONFIG_KEY;
+use store::Change;
 use store::Entry;
 use store::Store;
 use store::contacts_key;
@@ -35,7 +38,6 @@
 use store::encode_contacts;
 use store::encode_record;
 use telemetry::Counters;
-use telemetry::Limiter;
 use transport::Sender;
 use transport::calls;
 
@@ -86,6 +88,7 @@
     pub(crate) watch: Option<JoinHandle<()>>,
     /// Failure domains that the fleet is known to have.
     pub(crate) domains: Vec<Domain>,
+    pub(crate) store_health: Arc<StoreHealth>,
 }
 
 impl Executor<Effect> for Effects {
@@ -154,15 +157,23 @@
         } else {
             "read"
         });
+        let health = Arc::clone(&self.store_health);
         self.watch = Some(self.report(async move {
             let answer = match watch_after {
                 Some(after) => store.watch(CONFIG_KEY, after).await,
-                None => store.read(CONFIG_KEY).await,
+                None => store.read(CONFIG_KEY).await.map(Change::To),
             };
             Input::Store(match answer {
-                Ok(entry) => read_event(entry),
+                Ok(Change::None) => {
+                    health.note_answer();
+                    StoreEvent::Unchanged
+                }
+                Ok(Change::To(entry)) => {
+                    health.note_answer();
+                    read_event(entry)
+                }
                 Err(error) => {
-                    log_failure(&error);
+                    health.note_failure(&error);
                     StoreEvent::Failed
                 }
             })
@@ -172,6 +183,7 @@
     fn write_store(&mut self, expected: Revision, record: &Record) {
         self.stop_watch();
         let store = Arc::clone(&self.store);
+        let health = Arc::clone(&self.store_health);
         let value = encode_record(record);
         self.counters.count_store_call("write");
         warn!(version = record.version.0; "the store is behind the fleet; writing the record back");
@@ -179,7 +191,7 @@
             Input::Store(match store.swap(CONFIG_KEY, expected, value).await {
                 Ok(_) => StoreEvent::Written,
                 Err(error) => {
-                    log_failure(&error);
+                    health.note_failure(&error);
                     StoreEvent::Failed
                 }
             })
@@ -188,6 +200,7 @@
 
     fn read_contacts(&self, domain: &Domain) {
         let store = Arc::clone(&self.store);
+        let health = Arc::clone(&self.store_health);
         let key = contacts_key(domain);
         self.counters.count_store_call("read");
         self.report(async move {
@@ -199,7 +212,7 @@
                         .unwrap_or_default(),
                 },
                 Err(error) => {
-                    log_failure(&error);
+                    health.note_failure(&error);
                     ContactsEvent::Failed
                 }
             })
@@ -210,11 +223,15 @@
     fn read_other_contacts(&self, own: &Domain) {
         for domain in self.domains.iter().filter(|it| *it != own) {
             let store = Arc::clone(&self.store);
+            let health = Arc::clone(&self.store_health);
             let key = contacts_key(domain);
             self.counters.count_store_call("read");
             self.report(async move {
                 let found = store.read(&key).await;
-                let found = found.inspect_err(log_failure).ok().flatten();
+                let found = found
+                    .inspect_err(|error| health.note_failure(error))
+                    .ok()
+                    .flatten();
                 let addresses = found.and_then(|it| decode_contacts(&it.value));
                 Input::Contacts(ContactsEvent::Others {
                     addresses: addresses.unwrap_or_default(),
@@ -225,6 +242,7 @@
 
     fn write_contacts(&self, domain: &Domain, expected: Revision, addresses: &[SocketAddr]) {
         let store = Arc::clone(&self.store);
+        let health = Arc::clone(&self.store_health);
         let key = contacts_key(domain);
         let value = encode_contacts(addresses);
         self.counters.count_store_call("write");
@@ -232,7 +250,7 @@
             Input::Contacts(match store.swap(&key, expected, value).await {
                 Ok(_) => ContactsEvent::Written,
                 Err(error) => {
-                    log_failure(&error);
+                    health.note_failure(&error);
                     ContactsEvent::Failed
                 }
             })
@@ -248,6 +266,7 @@
     fn publish(&mut self, topology: Arc<Topology>) {
         let old = self.topology.load_full();
         states::count_changes(&self.counters, &old, &topology);
+        log_members(&old, &topology);
         let before = old.snapshot.as_ref().map(|it| it.version());
         let now = topology.snapshot.as_ref().map(|it| it.version());
         let own = topology.own.clone();
@@ -258,7 +277,7 @@
         }
         if let Some(version) = now.filter(|version| Some(*version) != before) {
             self.counters.set_version(version.0);
-            info!(version = version.0; "configuration in force");
+            info!(event = "configuration", version = version.0; "configuration in force");
         }
         let (stage, slots) = own.map_or((Stage::Warming, 0), |(stage, it)| (stage, it.slots));
         self.driver
@@ -283,16 +302,6 @@
     }
 }
 
-fn log_failure(error: &store::Error) {
-    static LINES: Limiter = Limiter::new(Duration::from_secs(5));
-    if let Some(held) = LINES.admit() {
-        warn!(
-            error = error.to_string().as_str(), repeated = held;
-            "store call failed; the node goes on with what it holds and tries again"
-        );
-    }
-}
-
 async fn pull(from: SocketAddr, have: member::Stamp) -> Result<spread::Offer, calls::Error> {
     let client = calls::connect(from, CALL_LIMIT).await?;
     let context = calls::limit_call(CALL_LIMIT);
--- a/components/daemon/src/lib.rs
+++ b/components/daemon/src/lib.rs
@@ -3,6 +3,7 @@
 //! The calling thread becomes the control thread: it alone steps the control machine. The traffic
 //! threads run the front end and read the published topologies.
 
+mod beliefs;
 mod build;
 mod executor;
 mod peer;
--- a/components/daemon/src/run.rs
+++ b/components/daemon/src/run.rs
@@ -150,6 +150,7 @@
         driver: Arc::clone(&driver),
         counters,
         watch: None,
+        store_health: Arc::default(),
         domains: settings.domains.iter().map(|it| Domain::new(it)).collect(),
     };
     let contacts = settings.contacts.clone();
--- a/components/http1/src/caller.rs
+++ b/components/http1/src/caller.rs
@@ -11,7 +11,6 @@
 use hyper::header::HOST;
 use hyper::header::HeaderValue;
 use hyper::header::TRANSFER_ENCODING;
-use log::warn;
 use tokio::time::Instant;
 
 use crate::Shared;
@@ -24,6 +23,8 @@
 use crate::body::Payload;
 use crate::body::Relay;
 use crate::body::Source;
+use crate::events;
+use crate::events::Subject;
 use crate::headers::check_head;
 use crate::headers::clean_request;
 use crate::headers::remove_hop_headers;
@@ -33,8 +34,6 @@
 use errors::Reason;
 use errors::Verdict;
 use ids::RequestId;
-use kernel::Time;
-use telemetry::Limiter;
 use traffic::Refusal;
 use traffic::entry::Attempt;
 use traffic::entry::CallKey;
@@ -110,8 +109,14 @@
     let running = |id| shared.driver.is_running(id);
     let stays = shared.driver.is_leaving() && (wish.stays || wish.parent.is_some_and(running));
     clean_request(headers);
+    let id = RequestId(rand::random());
+    let mut subject = Subject {
+        trace: read_trace(shared, headers, id),
+        arrived,
+        history: String::new(),
+    };
     let head = Head {
-        id: RequestId(rand::random()),
+        id,
         host: read_host(&parts.headers),
         method: parts.method.as_str().to_owned(),
         path: parts.uri.path().to_owned(),
@@ -131,12 +136,12 @@
         shared: Arc::clone(shared),
         call: None,
     };
-    let result = carry_out(shared, &mut saved, effects, &mut guard).await;
+    let result = carry_out(shared, &mut saved, effects, &mut guard, &mut subject).await;
     let (response, profile, attempt) = result.inspect_err(|refusal| {
         guard.call = None;
-        log_unknown(saved.id, *refusal);
+        events::refused(shared, &subject, *refusal);
     })?;
-    Ok(relay(response, guard, profile, attempt, arrived))
+    Ok(relay(response, guard, profile, attempt, subject))
 }
 
 /// The host that the caller asks for, without its port.
@@ -146,19 +151,11 @@
     Some(name.to_ascii_lowercase())
 }
 
-/// Logs a refusal of a request that may have run; the others have counters only.
-fn log_unknown(id: RequestId, refusal: Refusal) {
-    static LINES: Limiter = Limiter::new(Duration::from_secs(1));
-    if refusal.verdict == Verdict::NotRun {
-        return;
-    }
-    if let Some(held) = LINES.admit() {
-        warn!(
-            request = id.to_string().as_str(), reason = refusal.reason.name(),
-            verdict = refusal.verdict.name(), repeated = held;
-            "request failed and may have run"
-        );
-    }
+/// Identity of the request as its caller knows it, or the system's own.
+pub(crate) fn read_trace(shared: &Shared, headers: &HeaderMap, id: RequestId) -> String {
+    let trace = shared.dialect.trace(headers);
+    let trace = trace.and_then(|trace| trace.to_str().ok());
+    trace.map_or_else(|| id.to_string(), str::to_owned)
 }
 
 /// Passes an answer on; its end ends the call.
@@ -167,22 +164,28 @@
     guard: Guard,
     profile: Profile,
     attempt: Attempt,
-    arrived: Time,
+    subject: Subject,
 ) -> Response<Payload> {
     let (mut parts, body) = response.into_parts();
     remove_own_headers(&mut parts.headers);
     remove_hop_headers(&mut parts.headers);
     let shared = Arc::clone(&guard.shared);
     let deadline = Instant::from_std(shared.driver.clock().instant(attempt.deadline));
+    let status = parts.status.as_u16();
     let on_end = move |end| {
+        let broken = match end {
+            End::Whole(_) => None,
+            End::Broken(reason) => Some(reason),
+            End::Dropped => Some(Reason::CallerLeft),
+        };
+        events::answered(&shared, &subject, (status, attempt.node), broken);
         let counters = shared.driver.counters();
-        match end {
-            End::Whole(_) => {
-                let seconds = shared.driver.now().since(arrived).as_secs_f64();
+        match broken {
+            None => {
+                let seconds = shared.driver.now().since(subject.arrived).as_secs_f64();
                 counters.count_request(profile.rank, seconds);
             }
-            End::Broken(reason) => counters.count_drop(reason),
-            End::Dropped => counters.count_drop(Reason::CallerLeft),
+            Some(reason) => counters.count_drop(reason),
         }
         guard.end();
     };
@@ -196,13 +199,17 @@
     saved: &mut Saved,
     effects: Vec<Effect>,
     guard: &mut Guard,
+    subject: &mut Subject,
 ) -> Result<(Response<Payload>, Profile, Attempt), Refusal> {
     let mut effects = effects;
     loop {
         let mut forward = None;
         for effect in effects.drain(..) {
             match effect {
-                Effect::Retrying { reason } => shared.driver.counters().count_retry(reason),
+                Effect::Retrying { reason } => {
+                    shared.driver.counters().count_retry(reason);
+                    events::retried(shared, subject, reason);
+                }
                 Effect::Denied { reason } => {
                     shared.driver.counters().count_refusal("retry", reason)
                 }
@@ -228,6 +235,7 @@
                 retry_after: Duration::ZERO,
             });
         };
+        events::forwarded(shared, subject, attempt);
         if !attempt.wait.is_zero() {
             tokio::time::sleep(attempt.wait).await;
         }
@@ -235,6 +243,9 @@
             Sent::Begun(begun) => {
                 let topology = shared.driver.topology();
                 let report = begun.report;
+                if let Some(reason) = report.reason {
+                    subject.add(attempt.node, reason, report.verdict);
+                }
                 effects = shared.driver.step_entry(Input::Answered {
                     call,
                     topology,
--- a/components/http1/src/lib.rs
+++ b/components/http1/src/lib.rs
@@ -9,6 +9,7 @@
 mod caller;
 mod clock;
 mod dialect;
+mod events;
 mod headers;
 mod intake;
 mod link;
@@ -29,6 +30,7 @@
 use tokio_util::sync::CancellationToken;
 
 use config::Limits;
+
 pub use dialect::DIALECTS;
 pub use dialect::Dialect;
 pub use dialect::Dispatch;
--- a/components/http1/src/run.rs
+++ b/components/http1/src/run.rs
@@ -25,6 +25,8 @@
 use crate::body::Relay;
 use crate::body::Source;
 use crate::body::full;
+use crate::caller::read_trace;
+use crate::events;
 use crate::headers::remove_hop_headers;
 use crate::headers::remove_own_headers;
 use crate::link::Link;
@@ -70,7 +72,11 @@
 /// Runs a request once it is admitted. If the future is dropped, a queued request is cancelled; a
 /// running one is cancelled only if it is idempotent, since otherwise its answer may be asked for.
 pub(crate) async fn run(shared: &Arc<Shared>, work: Work) -> Result<Done, Refusal> {
-    let permit = shared.driver.admit(work.offer).await?;
+    let admitted = shared.driver.admit(work.offer).await;
+    let permit = admitted.inspect_err(|refusal| {
+        let trace = read_trace(shared, work.request.headers(), work.offer.id);
+        events::held_back(&trace, *refusal, shared.driver.load());
+    })?;
     if work.offer.idempotent {
         return run_repeatable(shared, permit, work).await;
     }
@@ -177,6 +183,18 @@
     shared
         .dialect
         .mark_dispatch(request.headers_mut(), &dispatch);
+    let name = read_trace(shared, request.headers(), offer.id);
+    events::dispatched(
+        &name,
+        dispatch.instance,
+        dispatch.left,
+        shared.driver.load(),
+    );
+    let fail = |permit: Permit, status: u16, failure: Failure| {
+        let ran = shared.driver.now().since(now);
+        events::finished(&name, status, ran, Some(failure));
+        give_up(permit, failure)
+    };
     let cancelled = permit.cancelled();
     let sent = tokio::select! {
         biased;
@@ -188,20 +206,32 @@
     };
     let (response, link) = match sent {
         Ok(sent) => sent,
-        Err(failure) => return Err(give_up(permit, failure)),
+        Err(failure) => return Err(fail(permit, 0, failure)),
     };
     let (mut parts, body) = response.into_parts();
+    let status = parts.status.as_u16();
     if !shared.dialect.takes_unframed() && !is_framed(&parts, work.head_only) {
-        return Err(give_up(permit, (Verdict::MayHaveRun, Reason::Malformed)));
+        return Err(fail(
+            permit,
+            status,
+            (Verdict::MayHaveRun, Reason::Malformed),
+        ));
     }
-    let listed = is_not_run_status(shared, parts.status.as_u16());
+    let listed = is_not_run_status(shared, status);
     let shed = match shared.dialect.judge(trace.as_ref(), &parts, listed) {
         Proof::Ran => false,
         Proof::NotRun => true,
         Proof::Foreign => {
-            return Err(give_up(permit, (Verdict::MayHaveRun, Reason::Malformed)));
+            return Err(fail(
+                permit,
+                status,
+                (Verdict::MayHaveRun, Reason::Malformed),
+            ));
         }
     };
+    let ran = shared.driver.now().since(now);
+    let refused = shed.then_some((Verdict::NotRun, Reason::UpstreamRefused));
+    events::finished(&name, status, ran, refused);
     mark(&mut parts.headers, shed);
     let begun = Begun {
         parts,
--- a/components/spread/src/feed.rs
+++ b/components/spread/src/feed.rs
@@ -22,6 +22,8 @@
     },
     /// The key holds something that is no record.
     Unreadable { revision: Revision },
+    /// The watch ended without a change.
+    Unchanged,
     /// The write has ended, with or without effect.
     Written,
     /// The call or the watch failed.
@@ -35,6 +37,8 @@
     /// What is due instead of a read, because the budget was spent.
     delayed: Option<Output>,
     backoff: Backoff,
+    /// Revision after which the last watch began.
+    watched: Revision,
 }
 
 impl Default for Feed {
@@ -43,6 +47,7 @@
             call: Call::Off,
             delayed: None,
             backoff: Backoff::for_store(),
+            watched: Revision::default(),
         }
     }
 }
@@ -102,6 +107,12 @@
         let (missing, revision) = match event {
             StoreEvent::Value { record, revision } => (record.is_none(), *revision),
             StoreEvent::Unreadable { revision } => (false, *revision),
+            StoreEvent::Unchanged => {
+                let call = Output::Watch {
+                    after: self.watched,
+                };
+                return self.start(now, budget, call, out);
+            }
             StoreEvent::Written => {
                 self.call = Call::Due(now);
                 return;
@@ -122,7 +133,10 @@
                 self.call = Call::Due(now);
                 return;
             }
-            None => Output::Watch { after: revision },
+            None => {
+                self.watched = revision;
+                Output::Watch { after: revision }
+            }
         };
         self.start(now, budget, call, out);
     }
--- a/components/spread/src/machine.rs
+++ b/components/spread/src/machine.rs
@@ -151,7 +151,7 @@
                 self.report.corrupt += 1;
                 out.push(Output::Reported);
             }
-            StoreEvent::Written | StoreEvent::Failed => {}
+            StoreEvent::Unchanged | StoreEvent::Written | StoreEvent::Failed => {}
         }
         let means = (&mut self.budget, random);
         self.feed.go_on(now, &event, newer, means, out);
--- a/components/store/src/etcd.rs
+++ b/components/store/src/etcd.rs
@@ -13,6 +13,7 @@
 use tokio::time::timeout;
 
 use crate::Call;
+use crate::Change;
 use crate::Client;
 use crate::Entry;
 use crate::Error;
@@ -128,18 +129,16 @@
         })
     }
 
-    fn watch<'a>(&'a self, key: &'a str, after: Revision) -> Call<'a, Option<Entry>> {
+    fn watch<'a>(&'a self, key: &'a str, after: Revision) -> Call<'a, Change> {
         Box::pin(async move {
             let start = after.0.saturating_add(1).to_string();
             let create = json!({ "key": STANDARD.encode(key), "start_revision": start });
             let body = json!({ "create_request": create });
-            timeout(WATCH_TIMEOUT, self.wait(body))
-                .await
-                .unwrap_or_else(|_| {
-                    Err(Error::Unknown {
-                        message: format!("no change in {WATCH_TIMEOUT:?}"),
-                    })
-                })
+            let waited = timeout(WATCH_TIMEOUT, self.wait(body)).await;
+            // The stream was silent all the time, so that nothing shows that it still works.
+            waited
+                .map(|answer| answer.map(Change::To))
+                .unwrap_or_else(|_| Err(unknown(format!("no change in {WATCH_TIMEOUT:?}"))))
         })
     }
 }
--- a/components/store/src/lib.rs
+++ b/components/store/src/lib.rs
@@ -74,6 +74,15 @@
     Conflict(Option<Entry>),
 }
 
+/// What a watch has seen.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// The key has this value now; `None` if it was deleted.
+    To(Option<Entry>),
+    /// Nothing in the time of the watch.
+    None,
+}
+
 /// Future of a call.
 pub type Call<'a, T> = Pin<Box<dyn Future<Output = Result<T, Error>> + Send + 'a>>;
 
@@ -85,6 +94,6 @@
     /// Writes a key if its revision is `expected`; revision 0 means that the key does not exist.
     fn swap<'a>(&'a self, key: &'a str, expected: Revision, value: Vec<u8>) -> Call<'a, Swap>;
 
-    /// Waits for the first change of a key after a revision; `None` if it was deleted.
-    fn watch<'a>(&'a self, key: &'a str, after: Revision) -> Call<'a, Option<Entry>>;
+    /// Waits for a change of a key after a revision.
+    fn watch<'a>(&'a self, key: &'a str, after: Revision) -> Call<'a, Change>;
 }
--- a/components/store/tests/etcd.rs
+++ b/components/store/tests/etcd.rs
@@ -12,6 +12,7 @@
 use kernel::plugin;
 use kernel::plugin::Params;
 use spread::Revision;
+use store::Change;
 use store::Error;
 use store::STORES;
 use store::Store;
@@ -146,8 +147,9 @@
         &format!("{created}\n{line}\n").replace("\n\n", "\n"),
     );
     let found = match client(serve(body)).watch("k", Revision(7)).await {
-        Ok(Some(_)) => "event".to_owned(),
-        Ok(None) => "deleted".to_owned(),
+        Ok(Change::To(Some(_))) => "event".to_owned(),
+        Ok(Change::To(None)) => "deleted".to_owned(),
+        Ok(Change::None) => "nothing".to_owned(),
         Err(error) => error.to_string(),
     };
     assert!(found.contains(expected), "{found}");
--- a/components/telemetry/src/counters.rs
+++ b/components/telemetry/src/counters.rs
@@ -12,6 +12,7 @@
 use prometheus::TextEncoder;
 use quick_error::quick_error;
 
+use crate::output::count_dropped_lines;
 use errors::Reason;
 use ids::Rank;
 
@@ -135,6 +136,13 @@
             ("medlar_limit", |it| it.limit),
             ("medlar_forwarded", |it| it.forwarded),
         ];
+        let dropped = self
+            .meter
+            .u64_observable_counter("medlar_log_lines_dropped");
+        // The meter keeps the callback; the handle has no other use.
+        let _ = dropped
+            .with_callback(|counter| counter.observe(count_dropped_lines(), &[]))
+            .build();
         for (name, choose) in gauges {
             let read = read.clone();
             let gauge = self.meter.u64_observable_gauge(name);
--- a/components/telemetry/src/limiter.rs
+++ b/components/telemetry/src/limiter.rs
@@ -1,4 +1,4 @@
-//! Limit on repeated log lines.
+//! Limit on log lines.
 
 use std::sync::Mutex;
 use std::sync::PoisonError;
@@ -7,29 +7,39 @@
 
 #[derive(Debug)]
 struct State {
-    /// When a line was last let through.
-    last: Option<Instant>,
-    /// Lines that were held back since.
+    /// When the present period began.
+    since: Option<Instant>,
+    /// Lines that went out in it.
+    sent: u32,
+    /// Lines that were held back since the last one that went out.
     held: u64,
 }
 
-/// Lets the first line of one place through, then one each period with the count of those that
-/// were held back. A place keeps its limiter in a `static`.
+/// Lets the first lines of each period through, with the count of those that were held back before
+/// them. A place keeps its limiter in a `static`.
 #[derive(Debug)]
 pub struct Limiter {
     period: Duration,
+    lines: u32,
     state: Mutex<State>,
 }
 
 impl Limiter {
     /// A limiter that lets one line through each `period`.
     pub const fn new(period: Duration) -> Self {
+        Self::with_lines(1, period)
+    }
+
+    /// A limiter that lets so many lines through each `period`.
+    pub const fn with_lines(lines: u32, period: Duration) -> Self {
         let state = State {
-            last: None,
+            since: None,
+            sent: 0,
             held: 0,
         };
         Self {
             period,
+            lines,
             state: Mutex::new(state),
         }
     }
@@ -43,13 +53,17 @@
     pub fn admit_at(&self, now: Instant) -> Option<u64> {
         let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
         let recent = state
-            .last
-            .is_some_and(|last| now.saturating_duration_since(last) < self.period);
-        if recent {
+            .since
+            .is_some_and(|since| now.saturating_duration_since(since) < self.period);
+        if !recent {
+            state.since = Some(now);
+            state.sent = 0;
+        }
+        if state.sent >= self.lines {
             state.held += 1;
             return None;
         }
-        state.last = Some(now);
+        state.sent += 1;
         Some(std::mem::take(&mut state.held))
     }
 }
--- a/components/telemetry/src/logs.rs
+++ b/components/telemetry/src/logs.rs
@@ -6,12 +6,15 @@
 
 use env_logger::Builder;
 use env_logger::Env;
+use env_logger::Target;
 use log::kv::Error;
 use log::kv::Key;
 use log::kv::Value;
 use log::kv::VisitSource;
 use serde_json::Map;
 
+use crate::output::Output;
+
 /// Environment variable with the log filter, such as `info` or `front=debug`.
 const FILTER_VARIABLE: &str = "MEDLAR_LOG";
 /// tarpc logs each call at `info`.
@@ -32,7 +35,15 @@
     let instance = instance.to_owned();
     let domain = domain.to_owned();
     let env = Env::new().filter_or(FILTER_VARIABLE, DEFAULT_FILTER);
+    let output = match Output::start() {
+        Ok(output) => output,
+        Err(error) => {
+            eprintln!("logs cannot be written: {error}");
+            return;
+        }
+    };
     let started = Builder::from_env(env)
+        .target(Target::Pipe(Box::new(output)))
         .format(move |out, record| {
             let mut fields = Fields(Map::new());
             let since = SystemTime::now()
--- a/node/src/cli.rs
+++ b/node/src/cli.rs
@@ -12,7 +12,7 @@
 /// Exit code of a command line that makes no sense.
 const USAGE: u8 = 2;
 
-/// Run the node beside one upstream. Logs go to standard error as JSON lines; MEDLAR_LOG sets the
+/// Run the node beside one upstream. Logs go to standard output as JSON lines; MEDLAR_LOG sets the
 /// filter (default: info).
 #[derive(Debug)]
 #[derive(FromArgs)]
@@ -91,7 +91,9 @@
         return ExitCode::SUCCESS;
     }
     telemetry::init_logs(&settings.instance, &settings.domain);
-    match daemon::run(path, &settings) {
+    let done = daemon::run(path, &settings);
+    telemetry::finish_logs();
+    match done {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => refuse(&error),
     }
