Ping the addresses of members that left lately

Both nodes of manifest stayed alone, and every call to it failed. Ruled out: the readiness answer and the heartbeats (both were right). Change: members together send 8 pings a second to addresses of members that left in the last minute. A first version pinged dead members too: declare_no_false_death::case_5_after_large_partition failed, since members suspected one another after the partition healed.

--- a/components/member/src/probe.rs
+++ b/components/member/src/probe.rs
@@ -18,6 +18,14 @@
 
 /// One probe in this many also goes to a dead member or a contact, so that parted regions rejoin.
 const LOST_EVERY: usize = 10;
+/// Pings a second that all members together send to the addresses of members that left lately. A
+/// process that starts anew while the store is away knows no other address, so that the others have to
+/// find it. Dead members are found by [`LOST_EVERY`]; more pings across a partition that heals made
+/// members suspect one another.
+const RETURN_PINGS: usize = 8;
+/// Time after a member has left in which its address is pinged; supervisors start a process again
+/// within seconds.
+const RETURN_TIME: Duration = Duration::from_secs(60);
 /// Members whose death another node claims are asked in batches, so that a healed partition does
 /// not flood the network.
 const CHALLENGES: usize = 8;
@@ -120,9 +128,25 @@
             if target.is_none() || random.below(LOST_EVERY) == 0 {
                 self.ping_lost(random, out);
             }
+            self.ping_returning(now, random, out);
         }
     }
 
+    /// Pings the address of a member that left lately.
+    fn ping_returning(&mut self, now: Time, random: &mut dyn Random, out: &mut Vec<Output>) {
+        let recent = self.ended.iter();
+        let recent = recent.filter(|(_, since)| now.since(*since) < RETURN_TIME);
+        let members = recent.filter_map(|(id, _)| self.table.get(*id));
+        let left = members.filter(|it| it.status == Status::Left);
+        let mut lost: Vec<_> = left.map(|it| (it.address.peer, it.id)).collect();
+        lost.retain(|(address, _)| self.table.live_at(*address).is_none());
+        if lost.is_empty() || random.below(self.table.live_count()) >= RETURN_PINGS {
+            return;
+        }
+        let (to, id) = lost[random.below(lost.len())];
+        self.ping(to, Some(id), None, out);
+    }
+
     /// The next live member of the shuffled cycle.
     fn next_target(&mut self, random: &mut dyn Random) -> Option<Arc<Member>> {
         for _ in 0..2 {
--- a/components/member/tests/leave.rs
+++ b/components/member/tests/leave.rs
@@ -80,3 +80,34 @@
     };
     assert_eq!(out.iter().filter(left).count(), expected);
 }
+
+/// Guards against a process that starts anew while the store is away and that nobody finds: the others
+/// knew its address but spoke only to members that live or were lost without a word.
+#[rstest]
+#[case::left_lately(10, true)]
+#[case::left_long_ago(90, false)]
+fn wake_after_leave(#[case] seconds: u64, #[case] expected: bool) {
+    let mut machine = Machine::new(member(100), Vec::new(), Limits::default(), Time(0));
+    let mut random = Seeded::new(1);
+    let mut out = Vec::new();
+    for status in [Status::Alive, Status::Left] {
+        let mut gossip = gossip_of(1);
+        let mut left = member(1);
+        left.status = status;
+        gossip.updates[0].member = Arc::new(left);
+        let ping = Message::Ping { number: 1, gossip };
+        machine.receive(Time(0), member(1).address.peer, ping, &mut out);
+    }
+    let from = Time((seconds - 5) * 1_000_000);
+    let until = Time(seconds * 1_000_000);
+    let mut found = false;
+    while machine.next_wake() <= until {
+        let now = machine.next_wake();
+        out.clear();
+        machine.wake(now, &mut random, &mut out);
+        let sent =
+            |it: &Output| matches!(it, Output::Send { to, .. } if *to == member(1).address.peer);
+        found |= now >= from && out.iter().any(sent);
+    }
+    assert_eq!(found, expected);
+}
