Hand a node's upstream over to its next process, and drain the owner late

What the upstream last announced stays in the entry of a member that left, and the next process at that address takes it over for 4 s if it was ready; the run's identity guards it.

--- a/components/control/src/machine.rs
+++ b/components/control/src/machine.rs
@@ -16,6 +16,7 @@
 use kernel::Time;
 use member::Limits;
 use member::Member;
+use member::Stage;
 use member::Stamp;
 use spread::is_watcher;
 
@@ -104,6 +105,7 @@
             self.watchers_of = revision;
             let watcher = is_watcher(self.members.table(), self.members.id());
             self.spread.set_watcher(watcher, now, &mut out.spread);
+            self.adopt(now, random, &mut out);
         }
         for output in std::mem::take(&mut out.spread) {
             self.settle_spread(now, output, &mut out, random, effects);
@@ -205,10 +207,36 @@
         self.changed = true;
     }
 
+    /// Takes over the upstream of the process that ran at this address before, if members know it as
+    /// ready: the node would otherwise refuse its work until it announces itself again.
+    fn adopt(&mut self, now: Time, random: &mut dyn Random, out: &mut Outputs) {
+        if !self.own.is_empty() {
+            return;
+        }
+        let table = self.members.table();
+        let me = self.members.id();
+        let Some(address) = table.get(me).map(|it| it.address.peer) else {
+            return;
+        };
+        let members = table.members().iter();
+        let earlier = members.filter(|it| it.id != me && it.address.peer == address);
+        let Some(last) = earlier.max_by_key(|it| it.incarnation) else {
+            return;
+        };
+        let named = last.upstream.clone().filter(|it| it.instance.is_some());
+        if let Some(upstream) = named.filter(|_| last.stage == Stage::Ready) {
+            self.own.adopt(now, upstream);
+            self.announce(random, out);
+        }
+    }
+
     fn leave(&mut self, random: &mut dyn Random, out: &mut Outputs) {
         self.cycle = self.cycle.take().map(Cycle::leave);
+        // Nothing is routed to a member that left; the stage tells the next process of the node
+        // whether the upstream goes on.
+        let stage = self.own.announced();
         self.own.finish();
-        let (stage, upstream) = self.own.state();
+        let (_, upstream) = self.own.state();
         self.members.announce(stage, upstream);
         self.members.leave();
         self.members.push(PUSH_FANOUT, random, &mut out.members);
--- a/components/control/src/own.rs
+++ b/components/control/src/own.rs
@@ -14,6 +14,10 @@
 /// Time that an announcement holds; the upstream renews it every 3 s.
 const LEASE: Duration = Duration::from_secs(10);
 
+/// Time that an upstream is held that an earlier process of the node knew; upstreams announce
+/// themselves every 3 s at most.
+const ADOPTED_LEASE: Duration = Duration::from_secs(4);
+
 /// The endpoint in whichever stage it is.
 #[derive(Debug, Default)]
 enum Slot {
@@ -75,6 +79,8 @@
 pub(crate) struct Own {
     /// The newest announcement; announcements can be delayed and cross.
     newest: Option<Order>,
+    /// Stage that the upstream has announced, whatever the node does.
+    announced: Option<Stage>,
     slot: Slot,
     lease: Option<Time>,
     leaving: bool,
@@ -107,6 +113,7 @@
             return;
         }
         self.newest = self.newest.max(order);
+        self.announced = Some(stage);
         let stage = if self.leaving {
             stage.max(Stage::Draining)
         } else {
@@ -138,16 +145,37 @@
             sequence: u64::MAX,
             ..newest
         });
+        self.announced = Some(Stage::Gone);
         self.move_to(Stage::Gone);
     }
 
     /// Ends the endpoint if its upstream has stopped announcing itself.
     pub(crate) fn expire(&mut self, now: Time) {
         if self.lease.is_some_and(|lease| lease <= now) {
+            self.announced = Some(Stage::Gone);
             self.move_to(Stage::Gone);
         }
     }
 
+    /// Takes over the upstream that an earlier process of the node left, until the upstream announces
+    /// itself. It names the run that it stands for, so that another one refuses its requests.
+    pub(crate) fn adopt(&mut self, now: Time, upstream: Upstream) {
+        if matches!(self.slot, Slot::Empty) && !self.leaving {
+            self.slot = Slot::from_announced(Stage::Ready, upstream);
+            self.lease = Some(now + ADOPTED_LEASE);
+        }
+    }
+
+    /// Whether the node knows no upstream yet.
+    pub(crate) fn is_empty(&self) -> bool {
+        matches!(self.slot, Slot::Empty)
+    }
+
+    /// Stage that the upstream has announced; [`Stage::Gone`] if there is none.
+    pub(crate) fn announced(&self) -> Stage {
+        self.announced.unwrap_or(Stage::Gone)
+    }
+
     /// Gives the upstream time to announce itself after a pause of this process.
     pub(crate) fn restart(&mut self, now: Time) {
         self.lease = self.lease.map(|_| now + LEASE);
--- a/components/control/tests/upstream.rs
+++ b/components/control/tests/upstream.rs
@@ -10,6 +10,7 @@
 use control::Input;
 use control::Life;
 use control::Machine;
+use control::Order;
 use control::Topology;
 use ids::Domain;
 use ids::Incarnation;
@@ -19,10 +20,14 @@
 use kernel::Time;
 use kernel::random::Seeded;
 use member::Address;
+use member::Gossip;
 use member::Limits;
 use member::Member;
+use member::Message;
 use member::Stage;
+use member::Stamp;
 use member::Status;
+use member::Update;
 use member::Upstream;
 
 struct Node {
@@ -196,3 +201,124 @@
     let served = served.map(|it| it.0.since(Time(0)).as_secs());
     assert_eq!(served, Some(seconds));
 }
+
+fn run_of(instance: &str) -> Upstream {
+    Upstream {
+        service: Arc::from("planta"),
+        instance: Some(Arc::from(instance)),
+        slots: 5,
+        connections: 9,
+    }
+}
+
+fn announced(instance: &str, stage: Stage, born: u64, sequence: u64) -> Input {
+    Input::Announced {
+        stage,
+        upstream: run_of(instance),
+        order: Some(Order { born, sequence }),
+    }
+}
+
+/// Guards against a late or crossed announcement that brings back what the upstream was before: an
+/// earlier stage, an earlier run at the same address, or a run that has said that it ends.
+#[rstest]
+#[case::earlier_stage(announced("b", Stage::Ready, 2, 3), "b", Stage::Draining)]
+#[case::same_again(announced("b", Stage::Ready, 2, 5), "b", Stage::Draining)]
+#[case::earlier_run(announced("a", Stage::Ready, 1, 90), "b", Stage::Draining)]
+#[case::newer(announced("b", Stage::Ready, 2, 6), "b", Stage::Ready)]
+#[case::newer_run(announced("c", Stage::Ready, 3, 1), "c", Stage::Ready)]
+#[case::departed(
+    Input::Departed { instance: Arc::from("b"), order: None }, "b", Stage::Gone
+)]
+#[case::other_departed(
+    Input::Departed { instance: Arc::from("a"), order: None }, "b", Stage::Draining
+)]
+fn announce_order(#[case] late: Input, #[case] run: &str, #[case] expected: Stage) {
+    let mut node = Node::new(&[]);
+    node.input(announced("b", Stage::Draining, 2, 5));
+    node.input(late);
+    let member = node
+        .machine
+        .table()
+        .get(NodeId(1))
+        .expect("it knows itself");
+    let upstream = member
+        .upstream
+        .as_ref()
+        .and_then(|it| it.instance.as_deref());
+    assert_eq!((upstream, member.stage), (Some(run), expected));
+}
+
+/// Guards against a heartbeat that was on its way when its run said that it ends.
+#[rstest]
+fn depart_then_late() {
+    let mut node = Node::new(&[]);
+    node.input(announced("b", Stage::Ready, 2, 5));
+    let instance = Arc::from("b");
+    node.input(Input::Departed {
+        instance,
+        order: None,
+    });
+    node.input(announced("b", Stage::Ready, 2, 9));
+    assert_eq!(node.stage(), Some(Stage::Gone));
+    node.input(announced("c", Stage::Ready, 3, 1));
+    assert_eq!(node.stage(), Some(Stage::Ready));
+}
+
+/// Guards against a restarted node that refuses its upstream's work until the next heartbeat, and
+/// against one that takes over an upstream which has said that it leaves.
+#[rstest]
+#[case::goes_on(Status::Left, Stage::Ready, Some("b"), Stage::Ready)]
+#[case::killed(Status::Dead, Stage::Ready, Some("b"), Stage::Ready)]
+#[case::leaving(Status::Left, Stage::Draining, Some("b"), Stage::Warming)]
+#[case::gone(Status::Left, Stage::Gone, Some("b"), Stage::Warming)]
+#[case::nameless(Status::Left, Stage::Ready, None, Stage::Warming)]
+fn adopt_upstream(
+    #[case] status: Status,
+    #[case] stage: Stage,
+    #[case] run: Option<&str>,
+    #[case] expected: Stage,
+) {
+    let mut node = Node::new(&[]);
+    let me = node
+        .machine
+        .table()
+        .get(NodeId(1))
+        .expect("it knows itself");
+    let earlier = Member {
+        id: NodeId(7),
+        incarnation: Incarnation(4),
+        status: Status::Alive,
+        stage,
+        upstream: run.map(run_of),
+        ..Member::clone(me)
+    };
+    let teller = Member {
+        id: NodeId(8),
+        address: Address {
+            peer: SocketAddr::from(([127, 31, 6, 8], 1)),
+            ..earlier.address
+        },
+        upstream: None,
+        ..earlier.clone()
+    };
+    let from = teller.address.peer;
+    for status in [Status::Alive, status] {
+        let mut told = earlier.clone();
+        told.status = status;
+        let update = |member: &Member| Update {
+            member: Arc::new(member.clone()),
+            by: teller.id,
+        };
+        let gossip = Gossip {
+            from: teller.id,
+            stamp: Stamp::default(),
+            updates: vec![update(&teller), update(&told)],
+        };
+        let message = Message::Ping { number: 1, gossip };
+        node.input(Input::Datagram { from, message });
+    }
+    assert_eq!(node.stage(), Some(expected));
+    node.run(Duration::from_secs(5));
+    assert_ne!(node.stage(), Some(Stage::Ready));
+}
--- a/components/daemon/src/run.rs
+++ b/components/daemon/src/run.rs
@@ -313,12 +313,16 @@
     }
     let limit = Duration::from_millis(settings.drain_limit_ms);
     let linger = Duration::from_millis(settings.drain_linger_ms);
+    let notice = Duration::from_millis(settings.drain_notice_ms);
     info!(running = driver.load().running, forwarded = driver.open_calls(); "draining");
     let drain = async {
+        let linger = linger.min(limit / 2);
+        driver.depart();
+        tokio::time::sleep(linger.saturating_sub(notice)).await;
         // The channel is open as long as the control loop runs.
         let _ = inputs.send(Input::Drain).await;
         driver.drain();
-        tokio::time::sleep(linger.min(limit / 2)).await;
+        tokio::time::sleep(linger.min(notice)).await;
         stop.cancel();
         let _ = serving.await;
         driver.finish().await;
--- a/components/front/src/driver.rs
+++ b/components/front/src/driver.rs
@@ -79,6 +79,7 @@
     entry: Mutex<Entry>,
     owner: Mutex<Owner>,
     owner_changed: Notify,
+    departing: CancellationToken,
     leaving: CancellationToken,
     drained: CancellationToken,
     /// Notified while the node leaves and no call is open.
@@ -111,6 +112,7 @@
             entry: Mutex::new(entry),
             owner: Mutex::new(owner),
             owner_changed: Notify::new(),
+            departing: CancellationToken::new(),
             leaving: CancellationToken::new(),
             drained: CancellationToken::new(),
             calls_ended: Notify::new(),
@@ -148,6 +150,16 @@
         &self.counters
     }
 
+    /// Tells from now on that callers should go elsewhere; all goes on as before.
+    pub fn depart(&self) {
+        self.departing.cancel();
+    }
+
+    /// Whether callers should go elsewhere.
+    pub fn is_departing(&self) -> bool {
+        self.departing.is_cancelled() || self.is_leaving()
+    }
+
     /// Refuses new requests from now on; what was accepted is finished.
     pub fn drain(&self) {
         if !self.leaving.is_cancelled() {
--- a/components/settings/src/check.rs
+++ b/components/settings/src/check.rs
@@ -73,6 +73,13 @@
             MAX_DRAIN_MS,
             settings::DEFAULT_DRAIN_LINGER_MS,
         );
+        let notice = self.number(
+            "drain_notice_ms",
+            written.drain_notice_ms.as_ref(),
+            "milliseconds",
+            MAX_DRAIN_MS,
+            settings::DEFAULT_DRAIN_LINGER_MS,
+        );
         let domains = written.domains.iter();
         let domains = domains.filter_map(|domain| self.name("domains", domain));
         let domains: Vec<_> = domains.collect();
@@ -92,6 +99,7 @@
             domains,
             drain_limit_ms: drain?,
             drain_linger_ms: linger?,
+            drain_notice_ms: notice?,
             upstream_end: written.upstream_end,
             store: written.store,
             agent: plugged(written.agent, settings::DEFAULT_AGENT),
--- a/components/settings/src/settings.rs
+++ b/components/settings/src/settings.rs
@@ -44,6 +44,8 @@
     pub drain_limit_ms: u64,
     /// Time from the start of a drain to the end of the listeners, in milliseconds.
     pub drain_linger_ms: u64,
+    /// Time from the first refusal of the owner to the end of the listeners, in milliseconds.
+    pub drain_notice_ms: u64,
     /// What the node does when its upstream has left.
     pub upstream_end: UpstreamEnd,
     /// Store plug-in.
--- a/components/settings/src/written.rs
+++ b/components/settings/src/written.rs
@@ -22,6 +22,7 @@
     pub(crate) domains: Vec<Spanned<String>>,
     pub(crate) drain_limit_ms: Option<Spanned<String>>,
     pub(crate) drain_linger_ms: Option<Spanned<String>>,
+    pub(crate) drain_notice_ms: Option<Spanned<String>>,
     #[serde(default)]
     pub(crate) upstream_end: UpstreamEnd,
     pub(crate) store: Plugged,
