Bound connections by the descriptors of the instance

Cause: each listener took 4,096 connections although the instance has 4,100 descriptors for all sockets; a flood of callers could have left none for the store and other nodes.

--- a/components/http1/src/lib.rs
+++ b/components/http1/src/lib.rs
@@ -52,17 +52,30 @@
     name: "http1",
     make: |params| {
         let name = params.get(DIALECT).unwrap_or(dialect::OWN);
-        let dialect = plugin::build(DIALECT, &DIALECTS, name, &params.without(DIALECT))?;
+        let others = params.without(DIALECT).without(DESCRIPTORS);
+        let dialect = plugin::build(DIALECT, &DIALECTS, name, &others)?;
+        let descriptors = params.number(DESCRIPTORS, DEFAULT_DESCRIPTORS)?;
         Ok(Box::new(Http1 {
             dialect: Arc::from(dialect),
+            descriptors: usize::try_from(descriptors).unwrap_or(usize::MAX),
         }))
     },
 };
 
 /// Param that names the dialect; the other params are the dialect's.
 const DIALECT: &str = "dialect";
+/// Param with the file descriptors that the process may have open.
+const DESCRIPTORS: &str = "descriptors";
+/// Twice the 4,096 connections that a listener served when it had a fixed bound.
+const DEFAULT_DESCRIPTORS: u64 = 8_192;
+/// Parts of the descriptors, in tenths, that callers and other nodes may take; the rest is for
+/// connections to other nodes, the upstream and the store.
+const CALLER_TENTHS: usize = 5;
+const NODE_TENTHS: usize = 2;
 
 struct Http1 {
+    /// File descriptors that the process may have open.
+    descriptors: usize,
     dialect: Arc<dyn Dialect>,
 }
 
@@ -103,8 +116,11 @@
         stop: CancellationToken,
     ) -> Starting<'_> {
         Box::pin(async move {
+            let part = |tenths: usize| (self.descriptors / 10 * tenths).max(1);
             let callers = bind("callers", addresses.callers).await?;
+            let callers = (callers, part(CALLER_TENTHS));
             let requests = bind("requests", addresses.requests).await?;
+            let requests = (requests, part(NODE_TENTHS));
             let shared = Arc::new(Shared {
                 driver,
                 dialect: Arc::clone(&self.dialect),
--- a/components/http1/src/listen.rs
+++ b/components/http1/src/listen.rs
@@ -28,8 +28,6 @@
 use ids::RequestId;
 use kernel::Time;
 
-/// Connections that one listener serves at once.
-const MAX_CONNECTIONS: usize = 4_096;
 /// Time beyond the callers' idle limit for which a connection is kept, so that a request that was sent
 /// within the limit does not cross the close.
 const IDLE_MARGIN: Duration = Duration::from_secs(1);
@@ -79,9 +77,9 @@
     }
 }
 
-/// Serves connections until `stop`, then lets each finish its request.
+/// Serves at most `bound` connections at once until `stop`, then lets each finish its request.
 pub(crate) async fn serve<H, F>(
-    listener: TcpListener,
+    (listener, bound): (TcpListener, usize),
     shared: Arc<Shared>,
     stop: CancellationToken,
     handle: H,
@@ -90,7 +88,7 @@
     F: Future<Output = Response<Payload>> + Send + 'static,
 {
     let tracker = TaskTracker::new();
-    let free = Arc::new(Semaphore::new(MAX_CONNECTIONS));
+    let free = Arc::new(Semaphore::new(bound));
     loop {
         let accepted = tokio::select! {
             accepted = accept(&listener, &free) => accepted,
