--- a/components/control/src/machine.rs
+++ b/components/control/src/machine.rs
@@ -18,6 +18,7 @@
 use member::Member;
 use member::Stage;
 use member::Stamp;
+use member::Status;
 use spread::is_watcher;
 
 /// Members told at once of a newer version or of a change of the upstream.
@@ -199,7 +200,9 @@
     fn announce(&mut self, random: &mut dyn Random, out: &mut Outputs) {
         let (stage, upstream) = self.own.state();
         let known = self.members.table().get(self.members.id());
-        if known.is_some_and(|it| (it.stage, &it.upstream) == (stage, &upstream)) {
+        // What a node said when it left stays, for its next process.
+        let said = |it: &Member| (it.stage, &it.upstream) == (stage, &upstream);
+        if known.is_some_and(|it| it.status == Status::Left || said(it)) {
             return;
         }
         self.members.announce(stage, upstream);
--- a/components/control/tests/upstream.rs
+++ b/components/control/tests/upstream.rs
@@ -322,3 +322,22 @@
     node.run(Duration::from_secs(5));
     assert_ne!(node.stage(), Some(Stage::Ready));
 }
+
+/// Guards against a node that has left and then takes back what its next process needs: the stage that
+/// the upstream itself has announced.
+#[rstest]
+#[case::goes_on(Stage::Ready, Stage::Ready)]
+#[case::leaves_too(Stage::Draining, Stage::Draining)]
+fn leave_keeps_stage(#[case] last: Stage, #[case] expected: Stage) {
+    let mut node = Node::new(&[]);
+    node.input(announced("b", last, 2, 5));
+    node.input(Input::Drain);
+    node.input(Input::Drained);
+    node.run(Duration::from_secs(1));
+    let me = node
+        .machine
+        .table()
+        .get(NodeId(1))
+        .expect("it knows itself");
+    assert_eq!((me.status, me.stage), (Status::Left, expected));
+}
