Never run a request at a service that has taken the address of its own

Ruled out: stale tables of the entry (the request names the node's identity, which was the new one). Change: an upstream is taken over only if it is of the service of the settings; a request names its service, and the owner sends it to no other one. adopt_other_service and send_service fail without it.

--- a/components/control/src/machine.rs
+++ b/components/control/src/machine.rs
@@ -42,6 +42,8 @@
     members: member::Machine,
     spread: spread::Machine,
     own: Own,
+    /// Service of the upstreams that the node stands beside, if it is known.
+    service: Option<Arc<str>>,
     cycle: Option<Cycle>,
     /// Revision of the table that the choice of watchers was made by.
     watchers_of: u64,
@@ -58,6 +60,7 @@
             members: member::Machine::new(me, contacts, limits, now),
             spread: spread::Machine::default(),
             own: Own::default(),
+            service: None,
             cycle: Some(Cycle::Joining(crate::Node::new())),
             watchers_of: 0,
             changed: false,
@@ -73,6 +76,14 @@
         self
     }
 
+    /// The same with the service of the upstreams that the node stands beside. Without it, no upstream
+    /// of an earlier process is taken over: addresses are used again by other services.
+    #[must_use]
+    pub fn with_service(mut self, service: Option<&str>) -> Self {
+        self.service = service.map(Arc::from);
+        self
+    }
+
     /// Identity of the node.
     pub fn id(&self) -> NodeId {
         self.members.id()
@@ -227,6 +238,7 @@
             return;
         };
         let named = last.upstream.clone().filter(|it| it.instance.is_some());
+        let named = named.filter(|it| Some(&it.service) == self.service.as_ref());
         if let Some(upstream) = named.filter(|_| last.stage == Stage::Ready) {
             self.own.adopt(now, upstream);
             self.announce(random, out);
--- a/components/control/tests/upstream.rs
+++ b/components/control/tests/upstream.rs
@@ -54,7 +54,8 @@
             upstream: None,
         };
         Self {
-            machine: Machine::new(me, contacts.to_vec(), Limits::default(), Time(0)),
+            machine: Machine::new(me, contacts.to_vec(), Limits::default(), Time(0))
+                .with_service(Some("planta")),
             random: Seeded::new(1),
             now: Time(0),
             topologies: Vec::new(),
@@ -279,6 +280,21 @@
     #[case] run: Option<&str>,
     #[case] expected: Stage,
 ) {
+    adopt(status, stage, run.map(run_of), expected);
+}
+
+/// Guards against the upstream of an instance whose address another service's instance has now: its
+/// requests ran at that service.
+#[rstest]
+fn adopt_other_service() {
+    let other = Upstream {
+        service: Arc::from("reservas"),
+        ..run_of("b")
+    };
+    adopt(Status::Dead, Stage::Ready, Some(other), Stage::Warming);
+}
+
+fn adopt(status: Status, stage: Stage, upstream: Option<Upstream>, expected: Stage) {
     let mut node = Node::new(&[]);
     let me = node
         .machine
@@ -290,7 +306,7 @@
         incarnation: Incarnation(4),
         status: Status::Alive,
         stage,
-        upstream: run.map(run_of),
+        upstream,
         ..Member::clone(me)
     };
     let teller = Member {
--- a/components/daemon/src/run.rs
+++ b/components/daemon/src/run.rs
@@ -155,7 +155,8 @@
     };
     let contacts = settings.contacts.clone();
     let mut machine = Machine::new(me, contacts, Limits::default(), clock.now())
-        .with_domains(effects.domains.clone());
+        .with_domains(effects.domains.clone())
+        .with_service(settings.service.as_deref());
     let mut random = Seeded::from_system();
     info!(node = id.to_string().as_str(); "node started");
     let driving = drive(&mut machine, receiver, &mut effects, &clock, &mut random);
--- a/components/http1/src/attempt.rs
+++ b/components/http1/src/attempt.rs
@@ -217,6 +217,7 @@
     };
     let work = Work {
         offer,
+        service: Some(profile.service),
         head_only: saved.parts.method == Method::HEAD,
         request,
     };
@@ -254,6 +255,7 @@
         (header::OWNER, attempt.node.to_string()),
         (header::EXPIRES, expires.0.to_string()),
         (header::ATTEMPT, attempt.number.to_string()),
+        (header::SERVICE, profile.service.to_string()),
     ];
     for (name, value) in values.into_iter().chain(objective) {
         if let Ok(value) = HeaderValue::from_str(&value) {
--- a/components/http1/src/node.rs
+++ b/components/http1/src/node.rs
@@ -71,12 +71,14 @@
     request: Request<Incoming>,
 ) -> Result<Response<Payload>, Refusal> {
     let offer = read_offer(shared, request.headers()).ok_or_else(|| not_run(Reason::Malformed))?;
+    let service = parse_header(request.headers(), header::SERVICE);
     let (mut parts, body) = request.into_parts();
     let most = shared.limits().body_bytes;
     let payload = Intake::read(body, most).await.map_err(not_run)?.payload();
     clean_request(&mut parts.headers);
     let work = Work {
         offer,
+        service,
         head_only: parts.method == Method::HEAD,
         request: Request::from_parts(parts, payload.unwrap_or_else(|| full(""))),
     };
--- a/components/http1/src/run.rs
+++ b/components/http1/src/run.rs
@@ -37,6 +37,7 @@
 use errors::Reason;
 use errors::Verdict;
 use front::Permit;
+use ids::ServiceId;
 use traffic::Refusal;
 use traffic::owner::Offer;
 use wire::header;
@@ -47,6 +48,8 @@
 /// A request for the upstream.
 pub(crate) struct Work {
     pub(crate) offer: Offer,
+    /// The service that is to serve it; `None` if the sender does not say.
+    pub(crate) service: Option<ServiceId>,
     /// Whether it is a HEAD request.
     pub(crate) head_only: bool,
     /// Without headers of the system and of one connection.
@@ -171,6 +174,12 @@
     let offer = work.offer;
     let now = shared.driver.now();
     let deadline = Instant::from_std(shared.driver.clock().instant(offer.expires));
+    // Another service's upstream can have taken the place of the one that the request is for.
+    let own = shared.driver.topology().own.clone();
+    let own = own.map(|(_, upstream)| ServiceId::from_name(&upstream.service));
+    if work.service.is_some() && work.service != own {
+        return Err(give_up(permit, (Verdict::NotRun, Reason::NoEndpoint)));
+    }
     let mut request = work.request;
     let trace = shared.dialect.trace(request.headers()).cloned();
     let topology = shared.driver.topology();
--- a/components/http1/tests/connections.rs
+++ b/components/http1/tests/connections.rs
@@ -221,3 +221,29 @@
     assert_eq!(again.header("medlar-reason"), Some("duplicate"));
     assert_eq!(seen.count(), 1);
 }
+
+/// Guards against a request that runs at another service, whose upstream has taken the place of the one
+/// that the request was sent to.
+#[rstest]
+#[case::same("s", 200, 1)]
+#[case::other("other", 503, 0)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn send_service(#[case] service: &str, #[case] status: u16, #[case] runs: usize) {
+    let (address, seen) = upstream::start().await;
+    let owner = Node::start(address, 10, 10).await;
+    let mut sender = Caller::connect(owner.requests).await;
+    let route = ids::RouteId::from_parts("GET", "/**");
+    let expires = owner.driver.now().0 + 3_000_000;
+    let (id, service) = (ids::RequestId(78), ids::ServiceId::from_name(service));
+    let headers = format!(
+        "medlar-request-id: {id}\r\nmedlar-attempt: 1\r\nmedlar-route: {route}\r\nmedlar-owner: {}\r\nmedlar-expires-us: {expires}\r\nmedlar-service: {service}",
+        owner.id
+    );
+    let request = format!("GET /x HTTP/1.1\r\nhost: h\r\n{headers}\r\n\r\n");
+    let answer = sender.ask(&request).await.unwrap();
+    assert_eq!(answer.status(), status);
+    if runs == 0 {
+        assert_eq!(answer.header("medlar-verdict"), Some("not-run"));
+    }
+    assert_eq!(seen.count(), runs);
+}
--- a/components/ids/src/lib.rs
+++ b/components/ids/src/lib.rs
@@ -98,6 +98,20 @@
     }
 }
 
+impl fmt::Display for ServiceId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
+impl FromStr for ServiceId {
+    type Err = ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        u64::from_str_radix(text, 16).map(Self)
+    }
+}
+
 /// Identity of a route, the same in each version that lists it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct RouteId(pub u64);
--- a/components/settings/src/check.rs
+++ b/components/settings/src/check.rs
@@ -49,6 +49,8 @@
         let admin = self.address("listen.admin", &listen.admin);
         // A node that forwards to itself would forward the same request for ever.
         let upstream = self.address("upstream", &written.upstream);
+        let service = written.service.as_ref();
+        let service = service.and_then(|service| self.name("service", service));
         let contacts = self.contacts(&written.contacts);
         let threads = settings::DEFAULT_THREADS;
         let threads = self.number(
@@ -94,6 +96,7 @@
                 admin: admin?,
             },
             upstream: upstream?,
+            service,
             contacts,
             traffic_threads: usize::try_from(threads?).ok()?,
             domains,
--- a/components/settings/src/settings.rs
+++ b/components/settings/src/settings.rs
@@ -34,6 +34,8 @@
     pub listen: Listen,
     /// Address of the upstream of this instance.
     pub upstream: SocketAddr,
+    /// Service of the upstream, if it never changes.
+    pub service: Option<String>,
     /// Peer addresses of other nodes, to join by.
     pub contacts: Vec<SocketAddr>,
     /// Threads that carry traffic, besides the control thread.
--- a/components/settings/src/written.rs
+++ b/components/settings/src/written.rs
@@ -15,6 +15,7 @@
     pub(crate) domain: Spanned<String>,
     pub(crate) listen: Listen,
     pub(crate) upstream: Spanned<String>,
+    pub(crate) service: Option<Spanned<String>>,
     #[serde(default)]
     pub(crate) contacts: Vec<Spanned<String>>,
     pub(crate) traffic_threads: Option<Spanned<String>>,
--- a/components/traffic/src/entry/call.rs
+++ b/components/traffic/src/entry/call.rs
@@ -75,6 +75,7 @@
         Ok(Self {
             profile: Profile {
                 route: route.id,
+                service: service.id,
                 rank: route.rank,
                 idempotent: route.idempotent,
                 objective: route.objective,
--- a/components/traffic/src/entry/message.rs
+++ b/components/traffic/src/entry/message.rs
@@ -14,6 +14,7 @@
 use ids::Rank;
 use ids::RequestId;
 use ids::RouteId;
+use ids::ServiceId;
 use kernel::Time;
 use policy::Load;
 
@@ -138,6 +139,8 @@
 pub struct Profile {
     /// Identity of the route.
     pub route: RouteId,
+    /// The service that is to serve it.
+    pub service: ServiceId,
     /// Urgency.
     pub rank: Rank,
     /// Whether the request can run more than once.
--- a/components/wire/src/header.rs
+++ b/components/wire/src/header.rs
@@ -7,6 +7,8 @@
 pub const REQUEST_ID: &str = "medlar-request-id";
 /// Identity of the route, 16 hexadecimal digits.
 pub const ROUTE: &str = "medlar-route";
+/// Identity of the service that is to serve the request, 16 hexadecimal digits.
+pub const SERVICE: &str = "medlar-service";
 /// Time left, in microseconds.
 pub const DEADLINE: &str = "medlar-deadline-us";
 /// Identity of the node that the request is meant for, 16 hexadecimal digits.
