--- a/components/admit/src/ranked.rs
+++ b/components/admit/src/ranked.rs
@@ -131,10 +131,10 @@
         Time(job.expires.0.saturating_sub(fast))
     }
 
-    /// Time that a request of the rank waits behind `work` microseconds of slot time of its own
-    /// rank: after what is more urgent, or by the share of the lower ranks if that is sooner.
-    fn wait_for(&self, rank: usize, work: f64) -> Duration {
-        let urgent = &self.queues[..rank];
+    /// Time that a request of the level waits behind `work` microseconds of slot time of its own
+    /// level: after what is more urgent, or by the share of the lower ranks if that is sooner.
+    fn wait_for(&self, level: usize, work: f64) -> Duration {
+        let urgent = &self.queues[..level];
         let ahead: f64 = urgent.iter().map(|it| it.lanes.work()).sum();
         let busy: f64 = urgent.iter().map(|it| it.busy).sum();
         let mut wait = (ahead + work) / (1.0 - busy).max(LEAST_PART);
@@ -154,16 +154,16 @@
     }
 
     /// Estimated wait of a request that arrives now.
-    fn wait(&self, now: Time, rank: usize, job: &Job, cost: f64) -> Duration {
+    fn wait(&self, now: Time, level: usize, job: &Job, cost: f64) -> Duration {
         let waits = |queue: &Queue| !queue.is_empty();
-        let first = !self.queues[..=rank].iter().any(waits);
-        if self.has_free_slot() && (first || self.size(job) < self.most_size(now, rank)) {
+        let first = !self.queues[..=level].iter().any(waits);
+        if self.has_free_slot() && (first || self.size(job) < self.most_size(now, level)) {
             return Duration::ZERO;
         }
-        let lanes = &self.queues[rank].lanes;
+        let lanes = &self.queues[level].lanes;
         let before = lanes.work_before(job.route, job.weight, cost);
         // On average a slot comes free after the mean time over the slots.
-        self.wait_for(rank, before + self.times.mean())
+        self.wait_for(level, before + self.times.mean())
     }
 
     fn retry_after(&self, rank: usize) -> Duration {
@@ -216,10 +216,10 @@
     }
 
     /// Makes room for a request; refuses it or another one where there is none.
-    fn make_room(&mut self, rank: usize, job: &Job, decisions: &mut Vec<Decision>) -> bool {
-        if self.queues[rank].lanes.len() >= self.bound {
+    fn make_room(&mut self, level: usize, job: &Job, decisions: &mut Vec<Decision>) -> bool {
+        if self.queues[level].lanes.len() >= self.bound {
             let bound = self.bound;
-            let lanes = &mut self.queues[rank].lanes;
+            let lanes = &mut self.queues[level].lanes;
             let Some(displaced) = lanes.displace_for(job.route, job.weight, bound) else {
                 self.refuse(job, Reason::QueueFull, decisions);
                 return false;
@@ -229,21 +229,21 @@
         if self.queued() < self.total {
             return true;
         }
-        let below = (rank + 1..LEVELS).rev();
-        let mut below = below.filter(|rank| self.queues[*rank].lanes.len() > KEPT_PLACES);
+        let below = (level + 1..LEVELS).rev();
+        let mut below = below.filter(|level| self.queues[*level].lanes.len() > KEPT_PLACES);
         if let Some(displaced) = below
             .next()
-            .and_then(|rank| self.queues[rank].lanes.displace())
+            .and_then(|level| self.queues[level].lanes.displace())
         {
             self.refuse(&displaced.job, Reason::Displaced, decisions);
             return true;
         }
-        let lanes = &mut self.queues[rank].lanes;
+        let lanes = &mut self.queues[level].lanes;
         let held = lanes.len();
         if held < KEPT_PLACES {
             return true;
         }
-        // Room for the route's share of what the rank holds now.
+        // Room for the route's share of what the level holds now.
         let Some(displaced) = lanes.displace_for(job.route, job.weight, held) else {
             self.refuse(job, Reason::QueueFull, decisions);
             return false;
--- a/components/admit/src/ranked/dispatch.rs
+++ b/components/admit/src/ranked/dispatch.rs
@@ -22,7 +22,7 @@
 const NO_BOUND: f64 = f64::INFINITY;
 
 impl Ranked {
-    /// Size that a request of the rank has to stay below to take a slot: long requests, and those
+    /// Size that a request of the level has to stay below to take a slot: long requests, and those
     /// that have not been measured, leave as many slots as more urgent ranks use on average, and a
     /// little more.
     pub(super) fn most_size(&self, now: Time, level: usize) -> f64 {
@@ -45,32 +45,32 @@
         }
     }
 
-    /// The rank whose request is dispatched next, and whether it is so by its share.
-    fn next_rank(&self, now: Time) -> Option<(usize, bool)> {
-        let next_cost = |rank: usize| {
-            let most = self.most_size(now, rank);
-            self.queues[rank].lanes.next_cost(most)
+    /// The level whose request is dispatched next, and whether it is so by its share.
+    fn next_level(&self, now: Time) -> Option<(usize, bool)> {
+        let next_cost = |level: usize| {
+            let most = self.most_size(now, level);
+            self.queues[level].lanes.next_cost(most)
         };
-        let urgent = (0..LEVELS).find(|rank| next_cost(*rank).is_some())?;
+        let urgent = (0..LEVELS).find(|level| next_cost(*level).is_some())?;
         let pressed = self.is_pressed(&self.queues[urgent]);
         let below = LEVELS - urgent - 1;
         let mut by_turn = (0..below).map(|step| urgent + 1 + (self.turn + step) % below);
-        let due = by_turn.find(|rank| {
-            let cost = next_cost(*rank);
+        let due = by_turn.find(|level| {
+            let cost = next_cost(*level);
             cost.is_some_and(|cost| self.share.is_due(cost, self.times.mean(), pressed))
         });
-        Some(due.map_or((urgent, false), |rank| (rank, true)))
+        Some(due.map_or((urgent, false), |level| (level, true)))
     }
 
     /// Gives free slots to waiting requests.
     pub(super) fn fill(&mut self, now: Time, decisions: &mut Vec<Decision>) {
         self.demote(now, decisions);
         while self.has_free_slot() {
-            let Some((rank, by_share)) = self.next_rank(now) else {
+            let Some((level, by_share)) = self.next_level(now) else {
                 break;
             };
-            let most = self.most_size(now, rank);
-            let Some(waiting) = self.queues[rank].lanes.pop(most) else {
+            let most = self.most_size(now, level);
+            let Some(waiting) = self.queues[level].lanes.pop(most) else {
                 break;
             };
             if waiting.due < now {
@@ -78,7 +78,7 @@
                 self.refuse(&waiting.job, reason, decisions);
                 continue;
             }
-            self.start(rank, by_share, &waiting, decisions);
+            self.start(level, by_share, &waiting, decisions);
         }
         for queue in &mut self.queues {
             queue.reopen();
