--- a/components/http1/src/lib.rs
+++ b/components/http1/src/lib.rs
@@ -30,14 +30,6 @@
 use tokio_util::sync::CancellationToken;
 
 use config::Limits;
-
-pub use dialect::DIALECTS;
-pub use dialect::Dialect;
-pub use dialect::Dispatch;
-pub use dialect::Notice;
-pub use dialect::Proof;
-pub use dialect::Wish;
-pub use dialect::status_of;
 use front::Addresses;
 use front::Driver;
 use front::FRONTS;
@@ -47,6 +39,14 @@
 use kernel::Plugin;
 use kernel::plugin;
 
+pub use dialect::DIALECTS;
+pub use dialect::Dialect;
+pub use dialect::Dispatch;
+pub use dialect::Notice;
+pub use dialect::Proof;
+pub use dialect::Wish;
+pub use dialect::status_of;
+
 #[distributed_slice(FRONTS)]
 static PLUGIN: Plugin<dyn Front> = Plugin {
     name: "http1",
