Read the owner's load only for log lines that go out

Found in a read of the whole change: each request took the owner's lock and computed its load for a log line that is mostly held back, and its dispatch read the topology twice; the latest start of a request was computed in two places. Behaviour is the same.

--- a/components/admit/src/ranked.rs
+++ b/components/admit/src/ranked.rs
@@ -127,8 +127,13 @@
 
     /// When a request can no longer finish in time if it has not started.
     fn due(&self, job: &Job) -> Time {
+        self.latest_start(job, job.expires)
+    }
+
+    /// When a request has to start to end by `end`, if it is as fast as few of its route are.
+    fn latest_start(&self, job: &Job, end: Time) -> Time {
         let fast = u64::try_from(self.times.fast(job.route).as_micros()).unwrap_or(u64::MAX);
-        Time(job.expires.0.saturating_sub(fast))
+        Time(end.0.saturating_sub(fast))
     }
 
     /// Time that a request of the level waits behind `work` microseconds of slot time of its own
@@ -173,9 +178,7 @@
 
     /// When a request can no longer meet its objective if it has not started.
     fn misses(&self, job: &Job) -> Option<Time> {
-        let objective = job.objective?;
-        let fast = u64::try_from(self.times.fast(job.route).as_micros()).unwrap_or(u64::MAX);
-        Some(Time(objective.0.saturating_sub(fast)))
+        Some(self.latest_start(job, job.objective?))
     }
 
     /// Moves what can no longer meet its objective behind what can, and refuses what would then wait
--- a/components/http1/src/events.rs
+++ b/components/http1/src/events.rs
@@ -15,7 +15,6 @@
 use errors::Verdict;
 use ids::NodeId;
 use kernel::Time;
-use policy::Load;
 use telemetry::Limiter;
 use traffic::Refusal;
 use traffic::entry::Attempt;
@@ -128,10 +127,11 @@
 }
 
 /// The owner does not give a request to its upstream.
-pub(crate) fn held_back(trace: &str, refusal: Refusal, load: Load) {
+pub(crate) fn held_back(shared: &Shared, trace: &str, refusal: Refusal) {
     let Some(held) = OWNER_FAILURES.admit() else {
         return;
     };
+    let load = shared.driver.load();
     warn!(
         event = "held-back", request = trace, reason = refusal.reason.name(),
         verdict = refusal.verdict.name(), retry_after_ms = millis(refusal.retry_after),
@@ -141,10 +141,11 @@
 }
 
 /// The owner gives a request to its upstream.
-pub(crate) fn dispatched(trace: &str, run: Option<&str>, left: Duration, load: Load) {
+pub(crate) fn dispatched(shared: &Shared, trace: &str, run: Option<&str>, left: Duration) {
     let Some(held) = OWNER.admit() else {
         return;
     };
+    let load = shared.driver.load();
     info!(
         event = "dispatched", request = trace, run = run.unwrap_or("unknown"),
         left_ms = millis(left), running = load.running, queued = load.queued, limit = load.limit,
--- a/components/http1/src/run.rs
+++ b/components/http1/src/run.rs
@@ -78,7 +78,7 @@
     let admitted = shared.driver.admit(work.offer).await;
     let permit = admitted.inspect_err(|refusal| {
         let trace = read_trace(shared, work.request.headers(), work.offer.id);
-        events::held_back(&trace, *refusal, shared.driver.load());
+        events::held_back(shared, &trace, *refusal);
     })?;
     if work.offer.idempotent {
         return run_repeatable(shared, permit, work).await;
@@ -175,15 +175,14 @@
     let now = shared.driver.now();
     let deadline = Instant::from_std(shared.driver.clock().instant(offer.expires));
     // Another service's upstream can have taken the place of the one that the request is for.
-    let own = shared.driver.topology().own.clone();
-    let own = own.map(|(_, upstream)| ServiceId::from_name(&upstream.service));
+    let topology = shared.driver.topology();
+    let upstream = topology.own.as_ref().map(|(_, upstream)| upstream);
+    let own = upstream.map(|upstream| ServiceId::from_name(&upstream.service));
     if work.service.is_some() && work.service != own {
         return Err(give_up(permit, (Verdict::NotRun, Reason::NoEndpoint)));
     }
     let mut request = work.request;
     let trace = shared.dialect.trace(request.headers()).cloned();
-    let topology = shared.driver.topology();
-    let upstream = topology.own.as_ref().map(|(_, upstream)| upstream);
     let dispatch = Dispatch {
         id: offer.id,
         left: now.until(offer.expires),
@@ -193,12 +192,7 @@
         .dialect
         .mark_dispatch(request.headers_mut(), &dispatch);
     let name = read_trace(shared, request.headers(), offer.id);
-    events::dispatched(
-        &name,
-        dispatch.instance,
-        dispatch.left,
-        shared.driver.load(),
-    );
+    events::dispatched(shared, &name, dispatch.instance, dispatch.left);
     let fail = |permit: Permit, status: u16, failure: Failure| {
         let ran = shared.driver.now().since(now);
         events::finished(&name, status, ran, Some(failure));
