Log ejections and returns of endpoints, and join logs by request

Cause: an endpoint that was ejected by the outcomes of its requests left no line, and a request's story had to be put together with grep.

Change: Health::record tells a changed judgement; the driver logs it (events ejected, readmitted) and counts it. medlarctl trace joins the lines of all nodes about a request with what befell its nodes in the seconds before.

--- a/components/daemon/src/executor.rs
+++ b/components/daemon/src/executor.rs
@@ -124,7 +124,11 @@
             } => self.write_contacts(&domain, expected, &addresses),
             Effect::Publish(topology) => self.publish(topology),
             Effect::Refused { version, message } => {
-                warn!(version = version.0, error = message.as_str(); "configuration refused");
+                warn!(
+                    event = "configuration-refused", version = version.0,
+                    error = message.as_str();
+                    "configuration refused"
+                );
             }
         }
     }
@@ -186,7 +190,10 @@
         let health = Arc::clone(&self.store_health);
         let value = encode_record(record);
         self.counters.count_store_call("write");
-        warn!(version = record.version.0; "the store is behind the fleet; writing the record back");
+        warn!(
+            event = "store-behind", version = record.version.0;
+            "the store is behind the fleet; writing the record back"
+        );
         self.watch = Some(self.report(async move {
             Input::Store(match store.swap(CONFIG_KEY, expected, value).await {
                 Ok(_) => StoreEvent::Written,
--- a/components/daemon/src/reload.rs
+++ b/components/daemon/src/reload.rs
@@ -32,7 +32,8 @@
                 running = read;
             }
             Err(error) => warn!(
-                error = error.to_string().as_str(), signal = asked;
+                event = "settings", result = "refused", error = error.to_string().as_str(),
+                signal = asked;
                 "settings refused; the node goes on with those that it has"
             ),
         }
@@ -54,10 +55,13 @@
         .map(str::trim)
         .collect();
     if changed.is_empty() {
-        info!("settings read again; nothing that concerns the node has changed");
+        info!(
+            event = "settings", result = "unchanged";
+            "settings read again; nothing that concerns the node has changed"
+        );
     } else {
         info!(
-            changed = changed.join("; ").as_str();
+            event = "settings", result = "changed", changed = changed.join("; ").as_str();
             "settings read again; the changes take effect at the next start"
         );
     }
--- a/components/daemon/src/run.rs
+++ b/components/daemon/src/run.rs
@@ -158,14 +158,14 @@
         .with_domains(effects.domains.clone())
         .with_service(settings.service.as_deref());
     let mut random = Seeded::from_system();
-    info!(node = id.to_string().as_str(); "node started");
+    info!(event = "start", node = id.to_string().as_str(); "node started");
     let driving = drive(&mut machine, receiver, &mut effects, &clock, &mut random);
     let leaving = leave(settings, &driver, inputs, stop, serving, stops);
     tokio::select! {
         () = driving => {}
         done = leaving => done?,
     }
-    info!("node stopped");
+    info!(event = "stop"; "node stopped");
     Ok(())
 }
 
@@ -315,7 +315,10 @@
     let limit = Duration::from_millis(settings.drain_limit_ms);
     let linger = Duration::from_millis(settings.drain_linger_ms);
     let notice = Duration::from_millis(settings.drain_notice_ms);
-    info!(running = driver.load().running, forwarded = driver.open_calls(); "draining");
+    info!(
+        event = "drain", running = driver.load().running, forwarded = driver.open_calls();
+        "draining"
+    );
     let drain = async {
         let linger = linger.min(limit / 2);
         driver.depart();
--- a/components/front/src/driver.rs
+++ b/components/front/src/driver.rs
@@ -13,6 +13,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::Permit;
+use crate::judgement;
 use control::Topology;
 use ids::NodeId;
 use ids::RequestId;
@@ -207,6 +208,12 @@
         if self.leaving.is_cancelled() && machine.open_calls() == 0 {
             self.calls_ended.notify_waiters();
         }
+        drop(entry);
+        for effect in &effects {
+            if let entry::Effect::Judged { node, judgement } = effect {
+                judgement::note(&self.topology(), &self.counters, *node, *judgement);
+            }
+        }
         effects
     }
 
--- a/components/front/src/lib.rs
+++ b/components/front/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod agent;
 mod driver;
+mod judgement;
 mod permit;
 mod query;
 
--- a/components/health/src/none.rs
+++ b/components/health/src/none.rs
@@ -7,6 +7,7 @@
 use kernel::Time;
 use policy::HEALTHS;
 use policy::Health;
+use policy::Judgement;
 
 #[distributed_slice(HEALTHS)]
 static PLUGIN: Plugin<dyn Health> = Plugin {
@@ -22,7 +23,9 @@
 pub struct Never;
 
 impl Health for Never {
-    fn record(&mut self, _: Time, _: NodeId, _: bool) {}
+    fn record(&mut self, _: Time, _: NodeId, _: bool) -> Option<Judgement> {
+        None
+    }
 
     fn retain_healthy(&mut self, _: Time, _: &mut Vec<NodeId>) {}
 }
--- a/components/health/src/outcomes.rs
+++ b/components/health/src/outcomes.rs
@@ -18,6 +18,7 @@
 use policy::FULL_WEIGHT;
 use policy::HEALTHS;
 use policy::Health;
+use policy::Judgement;
 
 const DEFAULT_FAILURES: u64 = 3;
 const DEFAULT_PERCENT: u64 = 50;
@@ -160,7 +161,7 @@
         self.records.len()
     }
 
-    fn eject(&mut self, now: Time, at: usize) {
+    fn eject(&mut self, now: Time, at: usize) -> Judgement {
         let (ejection, longest) = (self.ejection, self.longest);
         let record = &mut self.records[at];
         if now.since(record.last_ejection) >= FORGIVE {
@@ -175,7 +176,15 @@
             since: now,
             until: now + time,
         };
+        let judgement = Judgement::Ejected {
+            time,
+            ejections: record.ejections,
+            in_a_row: record.in_a_row,
+            bad: record.bad,
+            outcomes: record.good.saturating_add(record.bad),
+        };
         (record.in_a_row, record.good, record.bad) = (0, 0, 0);
+        judgement
     }
 
     fn is_failing(&self, record: &Record) -> bool {
@@ -206,21 +215,20 @@
 }
 
 impl Health for Outcomes {
-    fn record(&mut self, now: Time, node: NodeId, good: bool) {
+    fn record(&mut self, now: Time, node: NodeId, good: bool) -> Option<Judgement> {
         let at = self.record_of(now, node);
         self.records[at].count(now, good);
         match (self.records[at].standing(now), good) {
-            (Standing::In { .. }, _) => {
-                if self.is_failing(&self.records[at]) {
-                    self.eject(now, at);
-                }
-            }
+            (Standing::In { .. }, _) => self
+                .is_failing(&self.records[at])
+                .then(|| self.eject(now, at)),
             // Requests that were sent before the ejection, or to a node that could not be ejected.
-            (Standing::Out { .. }, _) => {}
+            (Standing::Out { .. }, _) => None,
             (Standing::Trial { .. }, true) => {
                 self.records[at].standing = Standing::In { since: Some(now) };
+                Some(Judgement::Readmitted)
             }
-            (Standing::Trial { .. }, false) => self.eject(now, at),
+            (Standing::Trial { .. }, false) => Some(self.eject(now, at)),
         }
     }
 
--- a/components/health/tests/outcomes.rs
+++ b/components/health/tests/outcomes.rs
@@ -8,6 +8,7 @@
 use kernel::plugin::Params;
 use policy::FULL_WEIGHT;
 use policy::Health;
+use policy::Judgement;
 
 const SECOND: u64 = 1_000_000;
 const BAD: NodeId = NodeId(0);
@@ -131,3 +132,33 @@
     }
     assert!(health.weigh(Time(400), node) > 950);
 }
+
+/// Guards against an ejection or a return that no log line tells, and against one told twice.
+#[rstest]
+fn record_told() {
+    let mut health = new_outcomes();
+    let mut told = Vec::new();
+    for (at, good) in [
+        (0, true),
+        (0, false),
+        (0, false),
+        (0, false),
+        (0, false),
+        (3, false),
+        (8, true),
+        (8, true),
+    ] {
+        let judgement = health.record(Time(at * SECOND), BAD, good);
+        told.push(match judgement {
+            Some(Judgement::Ejected {
+                time,
+                in_a_row,
+                bad,
+                ..
+            }) => format!("out {}s {in_a_row} {bad}", time.as_secs()),
+            Some(Judgement::Readmitted) => "in".to_owned(),
+            None => String::new(),
+        });
+    }
+    assert_eq!(told, ["", "", "", "out 2s 3 3", "", "out 4s 2 2", "in", ""]);
+}
--- a/components/http1/src/caller.rs
+++ b/components/http1/src/caller.rs
@@ -225,6 +225,7 @@
                 Effect::Query { .. }
                 | Effect::Fetch { .. }
                 | Effect::Wait { .. }
+                | Effect::Judged { .. }
                 | Effect::Deliver { .. } => {}
             }
         }
--- a/components/policy/src/health.rs
+++ b/components/policy/src/health.rs
@@ -1,5 +1,7 @@
 //! Ejection of endpoints by the outcomes of requests.
 
+use std::time::Duration;
+
 use linkme::distributed_slice;
 
 use ids::NodeId;
@@ -22,10 +24,31 @@
 /// Weight of an endpoint that nothing speaks against, in thousandths.
 pub const FULL_WEIGHT: u32 = 1_000;
 
+/// Change of the judgement on a node.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Judgement {
+    /// It gets no requests for `time`.
+    Ejected {
+        /// Length of the ejection.
+        time: Duration,
+        /// Ejections in a row, with this one.
+        ejections: u32,
+        /// Failures in a row.
+        in_a_row: u32,
+        /// Failures among the `outcomes`.
+        bad: u32,
+        /// Outcomes that counted.
+        outcomes: u32,
+    },
+    /// It gets requests again.
+    Readmitted,
+}
+
 /// Judges endpoints.
 pub trait Health: Send {
-    /// A request to `node` went well or failed for a reason that lies with the node.
-    fn record(&mut self, now: Time, node: NodeId, good: bool);
+    /// A request to `node` went well or failed for a reason that lies with the node. Tells whether
+    /// that changes the judgement on it.
+    fn record(&mut self, now: Time, node: NodeId, good: bool) -> Option<Judgement>;
 
     /// The upstream of `node` shed a request or took one.
     fn note_shed(&mut self, _now: Time, _node: NodeId, _shed: bool) {}
--- a/components/policy/src/lib.rs
+++ b/components/policy/src/lib.rs
@@ -21,6 +21,7 @@
 pub use health::FULL_WEIGHT;
 pub use health::HEALTHS;
 pub use health::Health;
+pub use health::Judgement;
 pub use retry::Failure;
 pub use retry::RETRIES;
 pub use retry::Retry;
--- a/components/simulate/src/shell.rs
+++ b/components/simulate/src/shell.rs
@@ -110,7 +110,7 @@
                     self.close(shell, Ending::Refused { reason, verdict });
                 }
                 Effect::Retrying { .. } => self.history.retries += 1,
-                Effect::Denied { .. } => {}
+                Effect::Denied { .. } | Effect::Judged { .. } => {}
             }
         }
     }
--- a/components/traffic/src/entry.rs
+++ b/components/traffic/src/entry.rs
@@ -169,8 +169,10 @@
         if matches!(report.reason, None | Some(Reason::UpstreamRefused)) {
             self.health.note_shed(now, node, report.reason.is_some());
         }
-        if let Some(good) = judged {
-            self.health.record(now, node, good);
+        if let Some(good) = judged
+            && let Some(judgement) = self.health.record(now, node, good)
+        {
+            scene.effects.push(Effect::Judged { node, judgement });
         }
         match report.reason {
             None => scene.effects.push(Effect::Deliver { call: key }),
--- a/components/traffic/src/entry/message.rs
+++ b/components/traffic/src/entry/message.rs
@@ -16,6 +16,7 @@
 use ids::RouteId;
 use ids::ServiceId;
 use kernel::Time;
+use policy::Judgement;
 use policy::Load;
 
 /// What the entry needs to know of a request's head.
@@ -132,6 +133,8 @@
     Retrying { reason: Reason },
     /// A failed attempt is not retried, for this reason; the refusal follows.
     Denied { reason: Reason },
+    /// The judgement on an endpoint changed.
+    Judged { node: NodeId, judgement: Judgement },
 }
 
 /// What a route asks of each attempt.
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -46,6 +46,7 @@
     Nodes(cmd::nodes::Args),
     Settle(cmd::settle::Args),
     Status(cmd::status::Args),
+    Trace(cmd::trace::Args),
     Version(cmd::version::Args),
 }
 
@@ -130,6 +131,7 @@
             Verb::Nodes(args) => cmd::nodes::run(&context, &args).await,
             Verb::Settle(args) => cmd::settle::run(&context, &args).await,
             Verb::Status(args) => cmd::status::run(&context, &args).await,
+            Verb::Trace(args) => cmd::trace::run(&context, &args),
             Verb::Version(args) => cmd::version::run(&context, &args),
         }
     });
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -8,4 +8,5 @@
 pub(crate) mod nodes;
 pub(crate) mod settle;
 pub(crate) mod status;
+pub(crate) mod trace;
 pub(crate) mod version;
