Answer requests that wait at other nodes before a drain ends

It waited in the queue of another node, and at the drain limit, 5.3 s after the signal, the process ended and its caller saw the connection close with no answer. Callers and other nodes had been sent away in time; only the answer was missing. The deadlines of the small sites are shorter than the drain.

Change: 500 ms before the drain limit the entry asks the owners of its open calls once more and gives up those that have not started, also those that may run once, since the owner proves that they have not run. Their callers get 503. Nothing is tried again after that.

--- a/components/daemon/src/run.rs
+++ b/components/daemon/src/run.rs
@@ -56,6 +56,9 @@
 const INPUT_BOUND: usize = 1_024;
 /// Time for the last gossip of a leaving node to go out.
 const LEAVE_TIME: Duration = Duration::from_millis(300);
+/// Time before the end of a drain in which calls that still wait at other nodes get their answers: a
+/// question to the owner and its answer, with slow processors on both sides.
+const CLOSE_TIME: Duration = Duration::from_millis(500);
 /// Signals that wait to be taken.
 const STOP_BOUND: usize = 2;
 
@@ -333,9 +336,14 @@
         let _ = inputs.send(Input::Drained).await;
         tokio::time::sleep(LEAVE_TIME).await;
     };
+    let close = async {
+        tokio::time::sleep(limit.saturating_sub(CLOSE_TIME)).await;
+        driver.close();
+        tokio::time::sleep(limit.min(CLOSE_TIME)).await;
+    };
     let why = tokio::select! {
         () = drain => return Ok(()),
-        () = tokio::time::sleep(limit) => "the drain limit passed",
+        () = close => "the drain limit passed",
         Some(()) = stops.recv() => "a second signal came",
     };
     Err(Error::Cut {
--- a/components/daemon/tests/drain.rs
+++ b/components/daemon/tests/drain.rs
@@ -9,6 +9,9 @@
 use rstest::rstest;
 use support::Node;
 use support::raw::Caller;
+use support::raw::LIMIT;
+use support::raw::ask;
+use support::raw::get;
 use support::raw::send_body;
 use support::raw::wait_until;
 use support::start_store;
@@ -187,3 +190,38 @@
     assert!(matches!(node.end().await, Ok::<(), Error>(())));
     assert!(started.elapsed() < Duration::from_secs(4));
 }
+
+/// Guards against a request that waits at another node and whose caller gets no answer when the drain
+/// limit of its own node passes.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn drain_waiting_elsewhere() {
+    let store = start_store().await;
+    let owner = Node::start(store, &[], LIMIT_MS).await;
+    // Without an upstream of its own, so that all requests go to the owner.
+    let leaver = Node::launch(store, &[owner.settings.listen.peer], 1_200).await;
+    leaver.wait_for_listeners().await;
+    let callers = leaver.settings.listen.callers;
+    let served = async { while ask(callers, get("/x")).await.unwrap().status() != 200 {} };
+    tokio::time::timeout(LIMIT, served).await.unwrap();
+    let count = owner.seen.count();
+    let mut waiting = Vec::new();
+    for _ in 0..40 {
+        let mut caller = Caller::connect(callers).await;
+        caller.send(send_body("POST", "/wait/2900", 1)).await;
+        waiting.push(caller);
+    }
+    // The upstream runs 10 at once at most, and none ends before the drain limit.
+    wait_until("request", || owner.seen.count() > count).await;
+    leaver.drain(false).await;
+    let mut not_run = 0;
+    for mut caller in waiting {
+        if let Some(answer) = caller.receive().await {
+            assert_eq!(answer.status(), 503);
+            assert_eq!(answer.header("medlar-verdict"), Some("not-run"));
+            assert_eq!(answer.header("medlar-reason"), Some("draining"));
+            not_run += 1;
+        }
+    }
+    assert!(leaver.end().await.is_err());
+    assert!(not_run >= 20, "{not_run} of 30 that waited got an answer");
+}
--- a/components/front/src/driver.rs
+++ b/components/front/src/driver.rs
@@ -83,6 +83,7 @@
     departing: CancellationToken,
     leaving: CancellationToken,
     drained: CancellationToken,
+    closing: CancellationToken,
     /// Notified while the node leaves and no call is open.
     calls_ended: Notify,
     counters: Arc<Counters>,
@@ -116,6 +117,7 @@
             departing: CancellationToken::new(),
             leaving: CancellationToken::new(),
             drained: CancellationToken::new(),
+            closing: CancellationToken::new(),
             calls_ended: Notify::new(),
             counters: parts.counters,
         }
@@ -179,6 +181,17 @@
         &self.drained
     }
 
+    /// Gives the calls that still wait at other nodes their answers, because the node ends soon.
+    pub fn close(&self) {
+        self.step_entry(entry::Input::Close);
+        self.closing.cancel();
+    }
+
+    /// Fires when calls that wait at other nodes are to be answered.
+    pub fn closing(&self) -> &CancellationToken {
+        &self.closing
+    }
+
     /// Waits until all that runs here and all that is forwarded from here has ended.
     pub async fn finish(&self) {
         self.drained.cancelled().await;
--- a/components/http1/src/attempt.rs
+++ b/components/http1/src/attempt.rs
@@ -43,6 +43,8 @@
 /// Longest wait for the head of an answer before the owner is asked.
 const FIRST_SILENCE: Duration = Duration::from_millis(250);
 const NEXT_SILENCE: Duration = Duration::from_millis(500);
+/// Pause between questions to the owner while the node closes; it has some hundred milliseconds.
+const CLOSING_SILENCE: Duration = Duration::from_millis(100);
 
 /// A request in a form that can be sent more than once if its body is small.
 pub(crate) struct Saved {
@@ -110,7 +112,8 @@
     let first_silence = profile
         .objective
         .map_or(FIRST_SILENCE, |it| it.max(FIRST_SILENCE));
-    let next_silence = first_silence.max(NEXT_SILENCE);
+    let mut next_silence = first_silence.max(NEXT_SILENCE);
+    let closing = shared.driver.closing();
     let mut due = (Instant::now() + first_silence).min(deadline);
     loop {
         let idle = asking.is_none();
@@ -127,6 +130,10 @@
                 asking.set(None);
                 due = (Instant::now() + next_silence).min(deadline);
             }
+            () = closing.cancelled(), if next_silence != CLOSING_SILENCE => {
+                next_silence = CLOSING_SILENCE;
+                due = Instant::now();
+            }
             () = tokio::time::sleep_until(if idle { due } else { deadline }) => {
                 if Instant::now() >= deadline {
                     return Sent::Begun(failed(Verdict::MayHaveRun, Reason::DeadlinePassed));
--- a/components/traffic/src/entry.rs
+++ b/components/traffic/src/entry.rs
@@ -75,6 +75,8 @@
     pool: Pool,
     refused: Refused,
     patience: Patience,
+    /// Whether the node ends too soon for another attempt.
+    closing: bool,
 }
 
 impl Machine {
@@ -89,6 +91,7 @@
             pool: Pool::default(),
             refused: Refused::default(),
             patience: Patience::default(),
+            closing: false,
         }
     }
 
@@ -198,6 +201,14 @@
         let verdict = call.verdict;
         let failure = call.failure(scene.now, reason, &report, elsewhere);
         self.release(key);
+        if self.closing {
+            self.calls.remove(key);
+            let refusal = Refusal {
+                verdict,
+                ..not_run(Reason::Draining)
+            };
+            return refuse(scene, refusal);
+        }
         match self.retry.allow(scene.now, failure, scene.random) {
             Ok(wait) => {
                 scene.effects.push(Effect::Retrying { reason });
@@ -236,6 +247,10 @@
     /// Whether a queued attempt is better tried elsewhere. A route that is not idempotent waits on:
     /// if the answer to the query were lost, a request that would have run becomes unknown.
     fn gives_up(&mut self, now: Time, key: CallKey) -> bool {
+        // Without an answer the caller would only see its connection end.
+        if self.closing {
+            return true;
+        }
         let Some(topology) = self.pool.topology() else {
             return false;
         };
@@ -330,6 +345,10 @@
                 self.calls.remove(*call);
                 return;
             }
+            Input::Close => {
+                self.closing = true;
+                return;
+            }
         };
         self.observe(now, &topology);
         let scene = &mut Scene {
@@ -343,7 +362,7 @@
             Input::Answered { call, report, .. } => self.answered(scene, call, report),
             Input::OutcomeKnown { call, outcome, .. } => self.receive_outcome(scene, call, outcome),
             Input::Fetched { call, found, .. } => self.fetched(scene, call, found),
-            Input::Silent { .. } | Input::Ended { .. } => {}
+            Input::Silent { .. } | Input::Ended { .. } | Input::Close => {}
         }
     }
 
--- a/components/traffic/src/entry/message.rs
+++ b/components/traffic/src/entry/message.rs
@@ -88,6 +88,8 @@
     },
     /// The caller left, or the answer has been relayed to its end or broke off.
     Ended { call: CallKey },
+    /// The node ends soon: a call that still waits elsewhere gets its answer now.
+    Close,
 }
 
 /// How an attempt ended.
--- a/components/traffic/tests/entry.rs
+++ b/components/traffic/tests/entry.rs
@@ -478,3 +478,26 @@
     times.dedup();
     assert!(times.len() > 10, "{times:?}");
 }
+
+/// Guards against a call that waits at another node while its own node ends: it is given up with the
+/// owner's proof, also if it may run only once, and not tried again.
+#[rstest]
+#[case::waits(Outcome::Cancelled, Some(Verdict::NotRun))]
+#[case::runs(Outcome::Running, None)]
+fn silent_closing(#[case] outcome: Outcome, #[case] verdict: Option<Verdict>) {
+    let mut rig = Rig::new(100, 1..=3);
+    let (call, attempt) = forwarded(&rig.arrive(0, "POST", "/once"));
+    rig.step(1, Input::Close);
+    let give_up = true;
+    let query = Effect::Query {
+        call,
+        attempt,
+        give_up,
+    };
+    assert_eq!(rig.step(2, Input::Silent { call }), [query]);
+    let effects = rig.tell(3, call, outcome);
+    let refusal = refused(&effects);
+    assert_eq!(refusal.map(|it| it.verdict), verdict);
+    assert!(refusal.is_none_or(|it| it.reason == Reason::Draining));
+    assert_eq!(effects.len(), 1);
+}
