Bound the bytes of old texts that a node keeps

Cause: 16 old texts are kept for deltas, whatever their length; after a change that adds 1,600 routes each has 280 KB.

Change: at most 600 KB of them, and always the newest.

Test: offer_kept.

--- a/components/spread/src/history.rs
+++ b/components/spread/src/history.rs
@@ -8,8 +8,12 @@
 use ids::Digest;
 use member::Stamp;
 
-/// Texts kept for deltas.
+/// Most texts kept for deltas.
 const KEPT: usize = 16;
+/// Bytes of kept texts, of which the newest one is kept in any case. With 1,600 routes a text has
+/// 280 KB, and 16 of them were a fifth of a node's memory; a node that lags further gets the whole
+/// text.
+const KEPT_BYTES: usize = 600_000;
 
 /// What one node gives another that asks for its configuration.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -59,19 +63,28 @@
             return false;
         }
         if let Some(old) = self.current.replace(accepted) {
-            if self.texts.len() == KEPT {
-                self.texts.remove(0);
-            }
             self.texts.iter_mut().for_each(|it| it.delta = None);
             self.texts.push(Old {
                 digest: old.record().digest,
                 text: Arc::clone(&old.record().text),
                 delta: None,
             });
+            self.drop_oldest();
         }
         true
     }
 
+    fn drop_oldest(&mut self) {
+        let mut bytes = 0;
+        let newest_first = self.texts.iter().rev();
+        let fit = newest_first.take_while(|old| {
+            bytes += old.text.len();
+            bytes <= KEPT_BYTES
+        });
+        let kept = fit.count().clamp(1, KEPT);
+        self.texts.drain(..self.texts.len().saturating_sub(kept));
+    }
+
     /// What to give a node that has `have`.
     pub fn offer(&mut self, have: Stamp) -> Offer {
         let Some(current) = &self.current else {
--- a/components/spread/tests/machine.rs
+++ b/components/spread/tests/machine.rs
@@ -317,3 +317,26 @@
         node.wake(Duration::from_secs(25));
     }
 }
+
+/// Guards against old texts that take the memory of a node, and against a node one version behind
+/// that gets a large text whole.
+#[rstest]
+#[case::small(100, 16)]
+#[case::large(280_000, 2)]
+#[case::largest(700_000, 1)]
+fn offer_kept(#[case] bytes: usize, #[case] kept: u64) {
+    let mut node = Node::new();
+    let large = |salt| text(salt) + "#" + &"x".repeat(bytes) + "\n";
+    let last = 30;
+    for version in 6..=last {
+        node.offer(1, Offer::Whole(record(version, &large(version))));
+    }
+    let as_changes = (6..last).filter(|version| {
+        let have = stamp(&record(*version, &large(*version)));
+        matches!(node.machine.offer(have), Offer::Changes { .. })
+    });
+    assert_eq!(
+        as_changes.collect::<Vec<_>>(),
+        (last - kept..last).collect::<Vec<_>>()
+    );
+}
