Add a soak of real processes under random faults

The lab's instances can be struck and restarted process by process for it; the link can reset connections and hold one direction.

--- a/lab/src/cli.rs
+++ b/lab/src/cli.rs
@@ -39,6 +39,7 @@
     Demo(scenario::demo::Args),
     Converge(scenario::converge::Args),
     Flood(scenario::flood::Args),
+    Soak(scenario::soak::Args),
 }
 
 /// Does what the command line says.
@@ -76,6 +77,7 @@
         Verb::Link(args) => link::run(args).await.map(|()| true),
         Verb::Demo(args) => scenario::demo::run(args).await,
         Verb::Converge(args) => scenario::converge::run(args).await.map(|()| true),
+        Verb::Soak(args) => scenario::soak::run(args).await,
         Verb::Flood(args) => scenario::flood::run(args).await.map(|()| true),
     }
 }
--- a/lab/src/fleet/instance.rs
+++ b/lab/src/fleet/instance.rs
@@ -12,6 +12,7 @@
 use serde_json::json;
 use tokio::time::Instant;
 
+use super::Links;
 use super::place::Place;
 use crate::Error;
 use crate::http;
@@ -40,6 +41,13 @@
 #[derive(Debug)]
 pub struct Ended;
 
+/// One of an instance's processes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Part {
+    Node,
+    Upstream,
+}
+
 /// What an instance is.
 #[derive(Clone, Debug)]
 pub struct Spec {
@@ -55,7 +63,10 @@
     pub spec: Spec,
     node: Option<Process>,
     upstream: Option<Process>,
-    ledger: PathBuf,
+    /// One for each start of the upstream.
+    ledgers: Vec<PathBuf>,
+    /// Starts of processes so far; numbers their files.
+    starts: usize,
     /// Wall time of the order to end; 0 before.
     pub ordered_us: u64,
     /// Wall time of the end; 0 before.
@@ -68,6 +79,7 @@
     pub binaries: &'a Binaries,
     pub folder: &'a Folder,
     pub topology: &'a Topology,
+    pub links: Links,
     /// Settings that are the same for all nodes, plug-ins among them.
     pub common: &'a Value,
 }
@@ -75,32 +87,22 @@
 impl Instance<Starting> {
     /// Starts the processes.
     pub fn start(setup: &Setup<'_>, spec: Spec) -> Result<Self, Error> {
-        let file = |suffix: &str| setup.folder.path(&format!("{}{suffix}", spec.name));
         let settings = settings(setup, &spec);
-        let path = file(".yaml");
         // JSON is YAML too.
-        fs::write(&path, settings.to_string())?;
-        let args = ["--settings".to_owned(), path.display().to_string()];
-        let node = Process::start(&setup.binaries.node, &args, &file(".log"))?;
-        let ledger = file(".ledger");
-        let upstream = match spec.service {
-            Some(service) => {
-                let mut args = upstream_args(setup.topology, service, &spec.place);
-                args.extend(["--ledger".to_owned(), ledger.display().to_string()]);
-                let log = file("-upstream.log");
-                Some(Process::start(&setup.binaries.lab, &args, &log)?)
-            }
-            None => None,
-        };
-        Ok(Self {
+        fs::write(settings_path(setup, &spec), settings.to_string())?;
+        let mut instance = Self {
             spec,
-            node: Some(node),
-            upstream,
-            ledger,
+            node: None,
+            upstream: None,
+            ledgers: Vec::new(),
+            starts: 0,
             ordered_us: 0,
             ended_us: 0,
             stage: PhantomData,
-        })
+        };
+        instance.start_node(setup)?;
+        instance.start_upstream(setup)?;
+        Ok(instance)
     }
 
     /// Waits until the node is serving.
@@ -113,8 +115,7 @@
             }
             let ended = self.node.as_mut().is_none_or(Process::has_ended);
             if ended || Instant::now() > until {
-                let log = self.ledger.with_extension("log");
-                let log = fs::read_to_string(log).unwrap_or_default();
+                let log = self.node.as_ref().map(Process::log).unwrap_or_default();
                 let name = &self.spec.name;
                 return Err(format!("{name} is not serving: {status:?}\n{log}").into());
             }
@@ -169,6 +170,32 @@
         }
     }
 
+    /// Sends a signal, such as `STOP`, to one of the processes, if it runs.
+    pub async fn signal(&mut self, part: Part, name: &str) -> Result<(), Error> {
+        let process = match part {
+            Part::Node => &mut self.node,
+            Part::Upstream => &mut self.upstream,
+        };
+        match process {
+            Some(process) => match process.has_ended() {
+                true => Ok(()),
+                false => process.signal(name).await,
+            },
+            None => Ok(()),
+        }
+    }
+
+    /// Starts the processes again that have ended.
+    pub fn restart_ended(&mut self, setup: &Setup<'_>) -> Result<(), Error> {
+        if self.node.as_mut().is_none_or(Process::has_ended) {
+            self.start_node(setup)?;
+        }
+        if self.upstream.as_mut().is_none_or(Process::has_ended) {
+            self.start_upstream(setup)?;
+        }
+        Ok(())
+    }
+
     /// What the node has used.
     pub fn usage(&self) -> Option<Usage> {
         self.node.as_ref()?.usage()
@@ -178,20 +205,49 @@
 impl Instance<Ended> {
     /// The runs at the upstream.
     pub fn read_ledger(&self) -> Result<Vec<Run>, Error> {
-        if self.spec.service.is_none() {
-            return Ok(Vec::new());
+        let mut runs = Vec::new();
+        for path in &self.ledgers {
+            runs.extend(ledger::parse(&fs::read_to_string(path)?)?);
         }
-        Ok(ledger::parse(&fs::read_to_string(&self.ledger)?)?)
+        Ok(runs)
     }
 }
 
 impl<S> Instance<S> {
+    fn start_node(&mut self, setup: &Setup<'_>) -> Result<(), Error> {
+        let settings = settings_path(setup, &self.spec).display().to_string();
+        let args = ["--settings".to_owned(), settings];
+        let log = self.next_file(setup, "log");
+        self.node = Some(Process::start(&setup.binaries.node, &args, &log)?);
+        Ok(())
+    }
+
+    fn start_upstream(&mut self, setup: &Setup<'_>) -> Result<(), Error> {
+        let Some(service) = self.spec.service else {
+            return Ok(());
+        };
+        let log = self.next_file(setup, "upstream.log");
+        let ledger = log.with_extension("ledger");
+        let mut args = upstream_args(setup.topology, service, &self.spec.place);
+        args.extend(["--ledger".to_owned(), ledger.display().to_string()]);
+        self.upstream = Some(Process::start(&setup.binaries.lab, &args, &log)?);
+        self.ledgers.push(ledger);
+        Ok(())
+    }
+
+    fn next_file(&mut self, setup: &Setup<'_>, suffix: &str) -> PathBuf {
+        self.starts += 1;
+        let name = format!("{}-{}.{suffix}", self.spec.name, self.starts);
+        setup.folder.path(&name)
+    }
+
     fn into_stage<T>(self) -> Instance<T> {
         Instance {
             spec: self.spec,
             node: self.node,
             upstream: self.upstream,
-            ledger: self.ledger,
+            ledgers: self.ledgers,
+            starts: self.starts,
             ordered_us: self.ordered_us,
             ended_us: self.ended_us,
             stage: PhantomData,
@@ -199,6 +255,10 @@
     }
 }
 
+fn settings_path(setup: &Setup<'_>, spec: &Spec) -> PathBuf {
+    setup.folder.path(&format!("{}.yaml", spec.name))
+}
+
 fn settings(setup: &Setup<'_>, spec: &Spec) -> Value {
     let place = &spec.place;
     let mut settings = setup.common.clone();
@@ -210,7 +270,11 @@
         "peer": place.peer.to_string(),
         "admin": place.admin.to_string(),
     });
-    settings["upstream"] = json!(place.upstream.to_string());
+    let upstream = match setup.links {
+        Links::All => place.upstream_link,
+        Links::None | Links::Callers => place.upstream,
+    };
+    settings["upstream"] = json!(upstream.to_string());
     settings
 }
 
--- a/lab/src/fleet/mod.rs
+++ b/lab/src/fleet/mod.rs
@@ -36,6 +36,17 @@
 /// Longest run of `medlarctl`.
 const CONTROL_LIMIT: Duration = Duration::from_secs(20);
 
+/// Connections that go over the stand-in link.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Links {
+    /// None.
+    None,
+    /// Those of callers, with the topology's delay.
+    Callers,
+    /// Those of callers, from nodes to their upstreams and to the store.
+    All,
+}
+
 /// What differs from one fleet to another.
 #[derive(Clone, Debug)]
 pub struct Options {
@@ -46,8 +57,10 @@
     pub admission: Option<&'static str>,
     /// Balancing plug-in; the default of the node if absent.
     pub balance: Option<&'static str>,
-    /// Whether callers are behind a link with the topology's delay.
-    pub link: bool,
+    /// Connections that go over the link.
+    pub links: Links,
+    /// Settings of all nodes beside those that every fleet has.
+    pub settings: Value,
     pub traffic_threads: usize,
     /// Services that only lengthen the text.
     pub filler: usize,
@@ -61,7 +74,8 @@
             bare_nodes: None,
             admission: None,
             balance: None,
-            link: false,
+            links: Links::None,
+            settings: json!({}),
             traffic_threads: 2,
             filler: 0,
         }
@@ -107,7 +121,7 @@
         .map(str::to_owned)
         .to_vec();
         let store = Process::start(&binaries.lab, &args, &folder.path("store.log"))?;
-        let link = if options.link {
+        let link = if options.links != Links::None {
             let control = block.link_control().to_string();
             let args = ["link", "--control", &control].map(str::to_owned);
             Some(Process::start(
@@ -144,12 +158,21 @@
         for domain in 0..self.options.topology.domains.len() {
             contacts.push(self.block.place(domain, 0)?.peer.to_string());
         }
-        let address = json!({ "name": "address", "value": self.block.store().to_string() });
+        let store = match self.options.links {
+            Links::All => self.block.store_link(),
+            Links::None | Links::Callers => self.block.store(),
+        };
+        let address = json!({ "name": "address", "value": store.to_string() });
         let mut common = json!({
             "contacts": contacts,
             "traffic_threads": self.options.traffic_threads,
             "store": { "plugin": "etcd-json", "params": [address] },
         });
+        if let (Some(common), Some(more)) =
+            (common.as_object_mut(), self.options.settings.as_object())
+        {
+            common.extend(more.clone());
+        }
         if let Some(name) = self.options.admission {
             common["admission"] = json!({ "plugin": name });
         }
@@ -186,6 +209,14 @@
                 }
             }
         }
+        if self.options.links == Links::All {
+            let relay = format!("{}={}", self.block.store_link(), self.block.store());
+            self.set_link(&json!({ "relay": relay })).await?;
+            for spec in &specs {
+                let relay = format!("{}={}", spec.place.upstream_link, spec.place.upstream);
+                self.set_link(&json!({ "relay": relay })).await?;
+            }
+        }
         let setup = self.setup();
         let mut starting = Vec::new();
         for spec in specs {
@@ -204,6 +235,7 @@
             binaries: &self.binaries,
             folder: &self.folder,
             topology: self.options.topology,
+            links: self.options.links,
             common: &self.common,
         }
     }
@@ -226,17 +258,44 @@
     }
 
     async fn open_link(&self, at: usize) -> Result<(), Error> {
-        if self.link.is_none() {
+        if self.options.links == Links::None {
             return Ok(());
         }
         let place = self.serving[at].spec.place;
         let delay = self.options.topology.callers.as_micros();
         let relay = format!("{}={}={delay}", place.link, place.callers);
-        let body = json!({ "relay": relay }).to_string();
-        http::call(self.block.link_control(), "POST", "/lab/link", &body).await?;
+        self.set_link(&json!({ "relay": relay })).await
+    }
+
+    /// Opens or sets relays of the link.
+    pub async fn set_link(&self, body: &Value) -> Result<(), Error> {
+        let control = self.block.link_control();
+        http::call(control, "POST", "/lab/link", &body.to_string()).await?;
         Ok(())
     }
 
+    /// Where nodes reach the store over the link.
+    pub fn store_link(&self) -> SocketAddr {
+        self.block.store_link()
+    }
+
+    /// Sends a signal, such as `STOP`, to the store.
+    pub async fn signal_store(&self, name: &str) -> Result<(), Error> {
+        self.store.signal(name).await
+    }
+
+    /// Starts the processes of an instance again that have ended.
+    pub fn restart_ended(&mut self, at: usize) -> Result<(), Error> {
+        let setup = Setup {
+            binaries: &self.binaries,
+            folder: &self.folder,
+            topology: self.options.topology,
+            links: self.options.links,
+            common: &self.common,
+        };
+        self.serving[at].restart_ended(&setup)
+    }
+
     /// Starts one more instance and waits until it serves; gives its index.
     pub async fn add(
         &mut self,
@@ -283,9 +342,9 @@
 
     /// Where callers reach the instances.
     pub fn entries(&self) -> Vec<SocketAddr> {
-        let entry = |it: &Instance<Serving>| match self.link {
-            Some(_) => it.spec.place.link,
-            None => it.spec.place.callers,
+        let entry = |it: &Instance<Serving>| match self.options.links {
+            Links::None => it.spec.place.callers,
+            Links::Callers | Links::All => it.spec.place.link,
         };
         self.serving.iter().map(entry).collect()
     }
--- a/lab/src/fleet/place.rs
+++ b/lab/src/fleet/place.rs
@@ -31,6 +31,8 @@
     pub upstream: SocketAddr,
     /// Where callers reach the instance over the link.
     pub link: SocketAddr,
+    /// Where the node reaches its upstream over the link.
+    pub upstream_link: SocketAddr,
 }
 
 fn address(domain: u8, number: u8, host: u8, port: u16) -> SocketAddr {
@@ -59,6 +61,11 @@
         address(self.base, 0, 2, 2380)
     }
 
+    /// Where nodes reach the store over the link.
+    pub fn store_link(&self) -> SocketAddr {
+        address(self.base, 0, 4, 2379)
+    }
+
     /// Address for the link's settings.
     pub fn link_control(&self) -> SocketAddr {
         address(self.base, 0, 3, 7001)
@@ -78,6 +85,7 @@
             admin: address(domain, number, 1, 8083),
             upstream: address(domain, number, 2, 9000),
             link: address(domain, number, 3, 8080),
+            upstream_link: address(domain, number, 4, 9000),
         })
     }
 }
--- a/lab/src/link.rs
+++ b/lab/src/link.rs
@@ -16,6 +16,7 @@
 use hyper::StatusCode;
 use hyper::body::Incoming;
 use serde_json::Value;
+use socket2::SockRef;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
@@ -60,6 +61,12 @@
     cut: bool,
     /// Connections opened before this count carry nothing any more.
     silent_before: u64,
+    /// Connections opened before this count are reset.
+    reset_before: u64,
+    /// Whether bytes to the target wait, as behind a cut one way.
+    hold_there: bool,
+    /// Whether bytes from the target wait.
+    hold_back: bool,
 }
 
 struct Relay {
@@ -168,6 +175,15 @@
             if body["silence"] == true {
                 state.silent_before = opened;
             }
+            if body["reset"] == true {
+                state.reset_before = opened;
+            }
+            if let Some(hold) = body["hold_there"].as_bool() {
+                state.hold_there = hold;
+            }
+            if let Some(hold) = body["hold_back"].as_bool() {
+                state.hold_back = hold;
+            }
         });
     }
 }
@@ -201,61 +217,92 @@
     };
     let _ = near.set_nodelay(true);
     let _ = far.set_nodelay(true);
+    let handles = [&near, &far].map(|stream| SockRef::from(stream).try_clone());
     let (near_read, near_write) = near.into_split();
     let (far_read, far_write) = far.into_split();
-    let there = pump(states.clone(), number, near_read, far_write);
-    let back = pump(states.clone(), number, far_read, near_write);
+    let there = Way {
+        states: states.clone(),
+        number,
+        holds: |state| state.hold_there,
+    };
+    let back = Way {
+        states: states.clone(),
+        number,
+        holds: |state| state.hold_back,
+    };
+    let ended = |state: &State| state.cut || number < state.reset_before;
     let cut = async {
         // A dropped sender means the end of the process.
-        if states.wait_for(|state| state.cut).await.is_err() {
-            future::pending::<()>().await;
+        let end = states.wait_for(ended).await.map(|state| !state.cut);
+        match end {
+            Ok(reset) => reset,
+            Err(_) => future::pending().await,
         }
     };
     tokio::select! {
-        _ = future::join(there, back) => {}
-        () = cut => {}
+        _ = future::join(there.pump(near_read, far_write), back.pump(far_read, near_write)) => {}
+        reset = cut => {
+            if reset {
+                // A connection that has ended already needs no reset.
+                let _ = handles.iter().flatten().try_for_each(|it| it.set_linger(Some(Duration::ZERO)));
+            }
+        }
     }
 }
 
-/// Moves bytes one way, each chunk after the delay that held when it was read.
-async fn pump(
+/// One direction of a connection.
+struct Way {
     states: watch::Receiver<State>,
     number: u64,
-    mut from: OwnedReadHalf,
-    mut to: OwnedWriteHalf,
-) {
-    let (sender, mut receiver) = mpsc::channel::<(Instant, Bytes)>(CHUNKS);
-    let silent = |states: &watch::Receiver<State>| number < states.borrow().silent_before;
-    let reading = async {
-        let mut buffer = BytesMut::new();
-        loop {
-            buffer.reserve(CHUNK);
-            let Ok(1..) = from.read_buf(&mut buffer).await else {
-                break;
-            };
-            let due = Instant::now() + states.borrow().delay;
-            if silent(&states) {
-                buffer.clear();
-            } else if sender.send((due, buffer.split().freeze())).await.is_err() {
-                break;
+    /// Whether bytes of this direction wait.
+    holds: fn(&State) -> bool,
+}
+
+impl Way {
+    /// Moves bytes, each chunk after the delay that held when it was read.
+    async fn pump(self, mut from: OwnedReadHalf, mut to: OwnedWriteHalf) {
+        let Self {
+            mut states,
+            number,
+            holds,
+        } = self;
+        let follow = states.clone();
+        let (sender, mut receiver) = mpsc::channel::<(Instant, Bytes)>(CHUNKS);
+        let silent = |states: &watch::Receiver<State>| number < states.borrow().silent_before;
+        let reading = async {
+            let mut buffer = BytesMut::new();
+            loop {
+                buffer.reserve(CHUNK);
+                let Ok(1..) = from.read_buf(&mut buffer).await else {
+                    break;
+                };
+                let due = Instant::now() + follow.borrow().delay;
+                if silent(&follow) {
+                    buffer.clear();
+                } else if sender.send((due, buffer.split().freeze())).await.is_err() {
+                    break;
+                }
             }
-        }
-        // The end of the stream is as late as the bytes before it; a silent one never shows.
-        if silent(&states) {
-            future::pending::<()>().await;
-        }
-        let delay = states.borrow().delay;
-        time::sleep(delay).await;
-        drop(sender);
-    };
-    let writing = async {
-        while let Some((due, chunk)) = receiver.recv().await {
-            time::sleep_until(due).await;
-            if !silent(&states) && to.write_all(&chunk).await.is_err() {
-                return;
+            // The end of the stream is as late as the bytes before it; a silent one never shows.
+            if silent(&follow) {
+                future::pending::<()>().await;
             }
-        }
-        let _ = to.shutdown().await;
-    };
-    future::join(reading, writing).await;
+            let delay = follow.borrow().delay;
+            time::sleep(delay).await;
+            drop(sender);
+        };
+        let writing = async {
+            while let Some((due, chunk)) = receiver.recv().await {
+                time::sleep_until(due).await;
+                // The process ends if this fails.
+                let _ = states.wait_for(|state| !holds(state)).await;
+                if !silent(&states) && to.write_all(&chunk).await.is_err() {
+                    return;
+                }
+            }
+            let _ = states.wait_for(|state| !holds(state)).await;
+            let _ = to.shutdown().await;
+        };
+        future::join(reading, writing).await;
+    }
 }
--- a/lab/src/process.rs
+++ b/lab/src/process.rs
@@ -114,6 +114,7 @@
 pub struct Process {
     child: Child,
     pid: u32,
+    log: PathBuf,
 }
 
 impl Process {
@@ -133,7 +134,13 @@
             .spawn()
             .map_err(|error| format!("{}: {error}", program.display()))?;
         let pid = child.id().ok_or("the process has ended")?;
-        Ok(Self { child, pid })
+        let log = log.to_owned();
+        Ok(Self { child, pid, log })
+    }
+
+    /// What it has written.
+    pub fn log(&self) -> String {
+        fs::read_to_string(&self.log).unwrap_or_default()
     }
 
     /// Ends it at once.
--- a/lab/src/scenario/demo.rs
+++ b/lab/src/scenario/demo.rs
@@ -15,6 +15,7 @@
 use crate::check::Record;
 use crate::check::Upstream;
 use crate::fleet::Fleet;
+use crate::fleet::Links;
 use crate::fleet::Options;
 use crate::fleet::instance::Ended;
 use crate::fleet::instance::Instance;
@@ -53,7 +54,7 @@
     let topology = topology::find(&args.topology)?;
     let binaries = Binaries::find().await?;
     let mut options = Options::new(topology);
-    options.link = true;
+    options.links = Links::Callers;
     let began = Instant::now();
     let mut fleet = Fleet::start(&binaries, options).await?;
     fleet.wait_until_served(SERVED_LIMIT).await?;
--- a/lab/src/scenario/mod.rs
+++ b/lab/src/scenario/mod.rs
@@ -3,6 +3,7 @@
 pub mod converge;
 pub mod demo;
 pub mod flood;
+pub mod soak;
 
 /// The value below which a share of the sorted values lies; 0 if there are none.
 pub fn quantile(sorted: &[f64], share: f64) -> f64 {
--- a/lab/tests/end_to_end.rs
+++ b/lab/tests/end_to_end.rs
@@ -8,6 +8,7 @@
 use medlar_lab::check::Record;
 use medlar_lab::check::Upstream;
 use medlar_lab::fleet::Fleet;
+use medlar_lab::fleet::Links;
 use medlar_lab::fleet::Options;
 use medlar_lab::fleet::instance::Ended;
 use medlar_lab::fleet::instance::Instance;
@@ -64,7 +65,7 @@
 async fn start() -> Fleet {
     let binaries = Binaries::find().await.expect("the binaries are built");
     let mut options = Options::new(&SMALL);
-    options.link = true;
+    options.links = Links::Callers;
     let fleet = Fleet::start(&binaries, options).await.expect("it starts");
     fleet.wait_until_served(LIMIT).await.expect("it serves");
     fleet
