Read the contacts of one missing failure domain a time

Change: a read asks for one more failure domain, by chance one of those of which no live node is known; gossip brings the others. The decision moves from the executor into the machine.

Ruled out: a later first look at other domains; after a loss of all nodes it would delay the meeting of the domains by a second.

Test: read_missing_domain.

--- a/components/control/src/machine.rs
+++ b/components/control/src/machine.rs
@@ -150,7 +150,10 @@
             Asked::WriteBack { expected, record } => {
                 effects.push(Effect::WriteStore { expected, record });
             }
-            Asked::ReadContacts => effects.push(Effect::ReadContacts { domain: domain() }),
+            Asked::ReadContacts { other } => {
+                let domain = domain();
+                effects.push(Effect::ReadContacts { domain, other });
+            }
             Asked::WriteContacts {
                 expected,
                 addresses,
--- a/components/control/src/message.rs
+++ b/components/control/src/message.rs
@@ -85,7 +85,11 @@
     /// Write the configuration key if it still has the revision.
     WriteStore { expected: Revision, record: Record },
     /// Read the contacts of the failure domain.
-    ReadContacts { domain: Domain },
+    ReadContacts {
+        domain: Domain,
+        /// Another failure domain whose contacts are wanted too.
+        other: Option<Domain>,
+    },
     /// Write the contacts of the failure domain if the key still has the revision.
     WriteContacts {
         domain: Domain,
--- a/components/control/tests/fleet/driver/store.rs
+++ b/components/control/tests/fleet/driver/store.rs
@@ -110,7 +110,7 @@
                 answers.push((at, WAY, Input::Store(StoreEvent::Written)));
                 return answers;
             }
-            Effect::ReadContacts { domain } => {
+            Effect::ReadContacts { domain, .. } => {
                 self.reads += 1;
                 let known = self.contacts.get(domain.as_str());
                 let (addresses, revision) = known.cloned().unwrap_or_default();
--- a/components/daemon/src/executor.rs
+++ b/components/daemon/src/executor.rs
@@ -87,8 +87,6 @@
     pub(crate) driver: Arc<Driver>,
     pub(crate) counters: Arc<Counters>,
     pub(crate) watch: Option<JoinHandle<()>>,
-    /// Failure domains that the fleet is known to have.
-    pub(crate) domains: Vec<Domain>,
     pub(crate) store_health: Arc<StoreHealth>,
 }
 
@@ -118,9 +116,11 @@
             Effect::WatchStore { after } => self.call_store(Some(after)),
             Effect::StopWatch => self.stop_watch(),
             Effect::WriteStore { expected, record } => self.write_store(expected, &record),
-            Effect::ReadContacts { domain } => {
+            Effect::ReadContacts { domain, other } => {
                 self.read_contacts(&domain);
-                self.read_other_contacts(&domain);
+                if let Some(other) = other.filter(|other| *other != domain) {
+                    self.read_other_contacts(&other);
+                }
             }
             Effect::WriteContacts {
                 domain,
@@ -231,25 +231,23 @@
         });
     }
 
-    /// Reads the contacts of the other failure domains.
-    fn read_other_contacts(&self, own: &Domain) {
-        for domain in self.domains.iter().filter(|it| *it != own) {
-            let store = Arc::clone(&self.store);
-            let health = Arc::clone(&self.store_health);
-            let key = contacts_key(domain);
-            self.counters.count_store_call("read");
-            self.report(async move {
-                let found = store.read(&key).await;
-                let found = found
-                    .inspect_err(|error| health.note_failure(error))
-                    .ok()
-                    .flatten();
-                let addresses = found.and_then(|it| decode_contacts(&it.value));
-                Input::Contacts(ContactsEvent::Others {
-                    addresses: addresses.unwrap_or_default(),
-                })
-            });
-        }
+    /// Reads the contacts of another failure domain.
+    fn read_other_contacts(&self, domain: &Domain) {
+        let store = Arc::clone(&self.store);
+        let health = Arc::clone(&self.store_health);
+        let key = contacts_key(domain);
+        self.counters.count_store_call("read");
+        self.report(async move {
+            let found = store.read(&key).await;
+            let found = found
+                .inspect_err(|error| health.note_failure(error))
+                .ok()
+                .flatten();
+            let addresses = found.and_then(|it| decode_contacts(&it.value));
+            Input::Contacts(ContactsEvent::Others {
+                addresses: addresses.unwrap_or_default(),
+            })
+        });
     }
 
     fn write_contacts(&self, domain: &Domain, expected: Revision, addresses: &[SocketAddr]) {
--- a/components/daemon/src/run.rs
+++ b/components/daemon/src/run.rs
@@ -154,11 +154,10 @@
         counters,
         watch: None,
         store_health: Arc::default(),
-        domains: settings.domains.iter().map(|it| Domain::new(it)).collect(),
     };
     let contacts = settings.contacts.clone();
     let mut machine = Machine::new(me, contacts, Limits::default(), clock.now())
-        .with_domains(effects.domains.clone())
+        .with_domains(settings.domains.iter().map(|it| Domain::new(it)).collect())
         .with_service(settings.service.as_deref());
     let mut random = Seeded::from_system();
     info!(event = "start", node = id.to_string().as_str(); "node started");
--- a/components/spread/src/contacts.rs
+++ b/components/spread/src/contacts.rs
@@ -46,6 +46,8 @@
     written: Option<Time>,
     /// Failure domains that the fleet is known to have.
     domains: Vec<Domain>,
+    /// Those of which no live node was known at the last answer.
+    missing: Vec<Domain>,
     /// The last list had addresses that are not known to live.
     doubted: bool,
 }
@@ -58,6 +60,7 @@
             backoff: Backoff::for_store(),
             written: None,
             domains: Vec::new(),
+            missing: Vec::new(),
             doubted: false,
         }
     }
@@ -69,17 +72,19 @@
     }
 
     pub(crate) fn set_domains(&mut self, domains: Vec<Domain>) {
+        self.missing = domains.clone();
         self.domains = domains;
     }
 
-    /// Whether no live node of a failure domain is known. Nodes of that domain may know only
+    /// Failure domains of which no live node is known. Nodes of such a domain may know only
     /// themselves too, so that neither side would ever hear of the other.
-    fn lacks_domain(&self, table: &Table) -> bool {
+    fn find_missing(&self, table: &Table) -> Vec<Domain> {
         let known = |domain: &Domain| {
             let mut members = table.members().iter();
             members.any(|it| it.is_live() && it.domain == *domain)
         };
-        !self.domains.iter().all(known)
+        let missing = self.domains.iter().filter(|domain| !known(domain));
+        missing.cloned().collect()
     }
 
     pub(crate) fn set_watcher(&mut self, on: bool, now: Time) {
@@ -104,7 +109,10 @@
             self.call = Call::Due(now + self.backoff.wait(random));
         }
         if matches!(self.call, Call::Due(due) if due <= now) {
-            let call = self.delayed.take().unwrap_or(Output::ReadContacts);
+            // One of them a time: gossip brings the others once a node has found one.
+            let other = self.missing.get(random.below(self.missing.len())).cloned();
+            let call = self.delayed.take();
+            let call = call.unwrap_or(Output::ReadContacts { other });
             self.start(now, budget, call, out);
         }
     }
@@ -131,7 +139,8 @@
         if !matches!(self.call, Call::Busy { .. }) {
             return;
         }
-        let lone = table.live_count() <= 1 || self.lacks_domain(table);
+        self.missing = self.find_missing(table);
+        let lone = table.live_count() <= 1 || !self.missing.is_empty();
         self.call = match event {
             ContactsEvent::Failed => Call::Due(now + self.backoff.wait(random)),
             // A lone node looks for others soon.
--- a/components/spread/src/machine.rs
+++ b/components/spread/src/machine.rs
@@ -38,8 +38,9 @@
     StopWatch,
     /// Write the record if the key still has the revision, then report a [`StoreEvent`].
     WriteBack { expected: Revision, record: Record },
-    /// Read the contacts of the node's failure domain, then report a [`ContactsEvent`].
-    ReadContacts,
+    /// Read the contacts of the node's failure domain, then report a [`ContactsEvent`]; those of
+    /// another one too if it is given.
+    ReadContacts { other: Option<Domain> },
     /// Write the contacts if the key still has the revision, then report a [`ContactsEvent`].
     WriteContacts {
         expected: Revision,
--- a/components/spread/tests/machine.rs
+++ b/components/spread/tests/machine.rs
@@ -340,3 +340,36 @@
         (last - kept..last).collect::<Vec<_>>()
     );
 }
+
+/// Guards against a start of many nodes that reads the contacts of all failure domains at each of them,
+/// and against a node that never looks for a failure domain that it knows nobody of.
+#[rstest]
+fn read_missing_domain() {
+    let mut node = Node::new();
+    let domains = ["apapa", "ikeja", "lekki"].map(Domain::new);
+    node.machine.set_domains(domains.to_vec());
+    node.watch();
+    let (table, own) = (table(3), Domain::new("apapa"));
+    let (mut reads, mut asked) = (0, Vec::new());
+    for _ in 0..60 {
+        for output in node.wake(Duration::from_millis(500)) {
+            let Output::ReadContacts { other } = output else {
+                continue;
+            };
+            reads += 1;
+            asked.extend(other);
+            let event = ContactsEvent::Value {
+                addresses: vec![teller(1), teller(2), teller(3)],
+                revision: Revision(2),
+            };
+            let view = (&table, &own);
+            node.machine
+                .receive_contacts(node.now, event, view, &mut node.random, &mut Vec::new());
+        }
+    }
+    assert!(reads >= 3 && asked.len() <= reads, "{reads} {asked:?}");
+    asked.retain(|domain| *domain != own);
+    asked.sort_unstable();
+    asked.dedup();
+    assert_eq!(asked, domains[1..]);
+}
