Run a short soak with the tests

One seed with 5 s of faults; its fleet has 8 s to serve again, less than the 15 s that the soak by hand allows. A second test holds that a seed gives its plan again and that the plans hold every kind of fault.

--- a/lab/src/scenario/soak/mod.rs
+++ b/lab/src/scenario/soak/mod.rs
@@ -48,9 +48,9 @@
 const SERVED_LIMIT: Duration = Duration::from_secs(15);
 /// Longest wait for a call of the lab's own; a struck process may not answer.
 const CALL_LIMIT: Duration = Duration::from_secs(1);
-/// Time after the faults within which the fleet serves as before; the users' bound for a restart of
-/// all at once.
-const RECOVER: Duration = Duration::from_secs(15);
+/// Longest time after the faults within which the fleet serves as before; the users' bound for a
+/// restart of all at once.
+const MAX_RECOVER_S: u64 = 15;
 /// Load after that time.
 const CALM: Duration = Duration::from_secs(4);
 /// Share of the requests after that time that have to be answered well, in percent.
@@ -129,16 +129,20 @@
     /// seconds of faults for each seed, 2 to 120 (default 12)
     #[argh(option, default = "12")]
     seconds: u64,
+    /// seconds after the faults within which the fleet has to serve again, 1 to 15 (default 15)
+    #[argh(option, default = "15")]
+    recover: u64,
 }
 
 /// Runs the seeds; false if a promise was broken under one of them.
 pub async fn run(args: Args) -> Result<bool, Error> {
     let binaries = Binaries::find().await?;
     let length = Duration::from_secs(args.seconds.clamp(2, 120));
+    let recover = Duration::from_secs(args.recover.clamp(1, MAX_RECOVER_S));
     let mut broken = Vec::new();
     for seed in args.seed..args.seed.saturating_add(args.seeds) {
         println!("seed {seed}");
-        if !soak(&binaries, seed, length).await? {
+        if !soak(&binaries, seed, length, recover).await? {
             broken.push(seed);
         }
     }
@@ -150,8 +154,14 @@
     Ok(broken.is_empty())
 }
 
-/// Runs one seed; false if a promise was broken.
-pub async fn soak(binaries: &Binaries, seed: u64, length: Duration) -> Result<bool, Error> {
+/// Runs one seed: faults for `length`, then `recover` until the fleet has to serve. False if a promise
+/// was broken.
+pub async fn soak(
+    binaries: &Binaries,
+    seed: u64,
+    length: Duration,
+    recover: Duration,
+) -> Result<bool, Error> {
     let mut options = Options::new(&TOPOLOGY);
     options.links = Links::All;
     options.traffic_threads = 1;
@@ -162,7 +172,7 @@
     let kinds = TOPOLOGY.calm();
     let callers = Callers::new(&fleet.entries(), MAX_OPEN);
     let watcher = Watcher::start(fleet.admins(), WATCH_PERIOD);
-    let whole = length + plan::LONGEST + RECOVER + CALM;
+    let whole = length + plan::LONGEST + recover + CALM;
     let offering = {
         let (kinds, callers) = (kinds.clone(), Arc::clone(&callers));
         tokio::spawn(async move { callers.offer(&kinds, whole).await })
@@ -179,7 +189,7 @@
     }
     let healed = Instant::now();
     let healed_us = wall_us();
-    let change = change_last(&mut fleet, healed + RECOVER).await;
+    let change = change_last(&mut fleet, healed + recover).await;
     let samples = offering.await?;
     fleet.end().await?;
     let mut upstreams = Vec::new();
@@ -190,7 +200,7 @@
             drain: None,
         });
     }
-    let calm_us = healed_us + RECOVER.as_micros() as u64;
+    let calm_us = healed_us + recover.as_micros() as u64;
     let calm = report_calm(&samples, calm_us);
     let (changes, changed) = match change {
         Ok(change) => (vec![change], true),
--- /dev/null
+++ b/lab/tests/soak.rs
@@ -0,0 +1,75 @@
+//! A short soak of real processes, and the plans that it follows.
+
+use std::time::Duration;
+
+use rstest::rstest;
+
+use medlar_lab::process::Binaries;
+use medlar_lab::scenario::soak::plan::Action;
+use medlar_lab::scenario::soak::plan::make_plan;
+use medlar_lab::scenario::soak::soak;
+
+const FAULTS: Duration = Duration::from_secs(5);
+/// Shorter than the users' bound, which the soak by hand keeps to, so that the test takes less long.
+const RECOVER: Duration = Duration::from_secs(8);
+
+/// Guards against promises broken under faults from outside the processes. A seed that ever failed
+/// becomes a case here, with a line on its cause.
+#[rstest]
+#[case::first(1)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn soak_seed(#[case] seed: u64) {
+    let binaries = Binaries::find().await.expect("the binaries are built");
+    let kept = soak(&binaries, seed, FAULTS, RECOVER).await;
+    assert!(kept.expect("the soak runs"), "seed {seed}");
+}
+
+/// Guards against a seed that does not give its plan again, and against kinds of faults that no seed
+/// gives.
+#[test]
+fn make_plan_repeats() {
+    let length = Duration::from_secs(20);
+    let mut kinds = Vec::new();
+    for seed in 0..40 {
+        let plan = make_plan(seed, 9, length);
+        assert_eq!(plan, make_plan(seed, 9, length));
+        assert!(plan.windows(2).all(|pair| pair[0].at <= pair[1].at));
+        kinds.extend(plan.iter().map(|step| match &step.action {
+            Action::Signal(_, part, name) => format!("{part:?} {name}"),
+            Action::SignalStore(name) => format!("store {name}"),
+            Action::Link(_, body) | Action::Store(body) | Action::Behave(_, body) => {
+                let keys = body.as_object().map(|it| it.keys().cloned().collect());
+                keys.map(|it: Vec<String>| it.join(" ")).unwrap_or_default()
+            }
+            Action::Restart(_) => "restart".into(),
+            Action::Change => "change".into(),
+        }));
+    }
+    kinds.sort_unstable();
+    kinds.dedup();
+    for wanted in [
+        "Node CONT",
+        "Node HUP",
+        "Node KILL",
+        "Node STOP",
+        "Node TERM",
+        "Upstream KILL",
+        "Upstream STOP",
+        "Upstream TERM",
+        "change",
+        "cut",
+        "delay_us",
+        "factor",
+        "failing",
+        "hold_back",
+        "hold_there",
+        "lose_answers",
+        "outage",
+        "reset",
+        "restart",
+        "silence",
+        "store STOP",
+    ] {
+        assert!(kinds.iter().any(|it| it == wanted), "{wanted} in {kinds:?}");
+    }
+}
