--- a/components/daemon/tests/drain.rs
+++ b/components/daemon/tests/drain.rs
@@ -225,3 +225,16 @@
     assert!(leaver.end().await.is_err());
     assert!(not_run >= 20, "{not_run} of 30 that waited got an answer");
 }
+
+/// Guards against a drain that waits for its limit because of a connection on which no request was
+/// ever sent.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn drain_unused_connection() {
+    let store = start_store().await;
+    let node = Node::start(store, &[], LIMIT_MS).await;
+    let _unused = Caller::connect(node.settings.listen.callers).await;
+    let started = Instant::now();
+    node.drain(false).await;
+    assert!(matches!(node.end().await, Ok::<(), Error>(())));
+    assert!(started.elapsed() < Duration::from_secs(4));
+}
