--- a/lab/src/scenario/soak/plan.rs
+++ b/lab/src/scenario/soak/plan.rs
@@ -2,12 +2,12 @@
 
 use std::time::Duration;
 
-use kernel::Random;
-use kernel::random::Seeded;
 use serde_json::Value;
 use serde_json::json;
 
 use crate::fleet::instance::Part;
+use kernel::Random;
+use kernel::random::Seeded;
 
 /// Mean time between two faults, so that some overlap.
 const PERIOD: Duration = Duration::from_millis(900);
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -6,6 +6,7 @@
 use argh::FromArgs;
 
 use crate::cmd;
+use crate::context::Context;
 use crate::messages::End;
 use crate::messages::Output;
 use crate::messages::refused;
@@ -50,17 +51,6 @@
     Version(cmd::version::Args),
 }
 
-/// What every verb works with.
-#[derive(Debug)]
-pub(crate) struct Context {
-    /// Address of the store.
-    pub(crate) store: SocketAddr,
-    /// Admin addresses of nodes.
-    pub(crate) nodes: Vec<SocketAddr>,
-    /// Form of the output.
-    pub(crate) output: Output,
-}
-
 /// Options that can stand on either side of the verb; each has a value.
 const COMMON: [&str; 3] = ["--store", "--node", "--output"];
 
--- a/src/cmd/apply.rs
+++ b/src/cmd/apply.rs
@@ -9,7 +9,7 @@
 use super::check::load;
 use crate::base::read_copy;
 use crate::base::write_file;
-use crate::cli::Context;
+use crate::context::Context;
 use crate::fleet::ask_named;
 use crate::messages::End;
 use crate::messages::Output;
--- a/src/cmd/check.rs
+++ b/src/cmd/check.rs
@@ -9,7 +9,7 @@
 use serde_json::json;
 
 use crate::base::split_line;
-use crate::cli::Context;
+use crate::context::Context;
 use crate::messages::End;
 use crate::messages::faults;
 use crate::messages::refused;
--- a/src/cmd/drain.rs
+++ b/src/cmd/drain.rs
@@ -6,7 +6,7 @@
 use hyper::Method;
 use serde_json::json;
 
-use crate::cli::Context;
+use crate::context::Context;
 use crate::fleet::list_members;
 use crate::http::call;
 use crate::messages::End;
--- a/src/cmd/explain.rs
+++ b/src/cmd/explain.rs
@@ -3,7 +3,7 @@
 use argh::FromArgs;
 use serde_json::json;
 
-use crate::cli::Context;
+use crate::context::Context;
 use crate::fleet::ask_first;
 use crate::http::encode;
 use crate::http::get;
--- a/src/cmd/get.rs
+++ b/src/cmd/get.rs
@@ -9,7 +9,7 @@
 
 use crate::base::add_line;
 use crate::base::write_file;
-use crate::cli::Context;
+use crate::context::Context;
 use crate::messages::End;
 use crate::messages::Output;
 use crate::messages::refused;
--- a/src/cmd/nodes.rs
+++ b/src/cmd/nodes.rs
@@ -3,7 +3,7 @@
 use argh::FromArgs;
 use serde_json::Value;
 
-use crate::cli::Context;
+use crate::context::Context;
 use crate::fleet::Node;
 use crate::fleet::ask_each;
 use crate::fleet::is_live;
--- a/src/cmd/settle.rs
+++ b/src/cmd/settle.rs
@@ -3,7 +3,7 @@
 use argh::FromArgs;
 
 use super::apply::report;
-use crate::cli::Context;
+use crate::context::Context;
 use crate::fleet::ask_named;
 use crate::messages::End;
 use crate::messages::refused;
--- a/src/cmd/status.rs
+++ b/src/cmd/status.rs
@@ -7,7 +7,7 @@
 use serde_json::json;
 use tokio::time::sleep;
 
-use crate::cli::Context;
+use crate::context::Context;
 use crate::fleet::Node;
 use crate::fleet::ask_each;
 use crate::fleet::is_live;
--- a/src/cmd/trace.rs
+++ b/src/cmd/trace.rs
@@ -10,7 +10,7 @@
 use serde_json::Map;
 use serde_json::Value;
 
-use crate::cli::Context;
+use crate::context::Context;
 use crate::messages::End;
 use crate::messages::Output;
 use crate::messages::print_table;
--- a/src/cmd/version.rs
+++ b/src/cmd/version.rs
@@ -3,7 +3,7 @@
 use argh::FromArgs;
 use serde_json::json;
 
-use crate::cli::Context;
+use crate::context::Context;
 use crate::messages::End;
 use crate::messages::tell;
 use config::FORMAT;
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -7,7 +7,7 @@
 use serde_json::Value;
 use serde_json::json;
 
-use crate::cli::Context;
+use crate::context::Context;
 use crate::http::get;
 use crate::messages::warn;
 use admin::MemberView;
--- a/src/main.rs
+++ b/src/main.rs
@@ -6,6 +6,7 @@
 mod base;
 mod cli;
 mod cmd;
+mod context;
 mod fleet;
 mod http;
 mod messages;
