Do not take over an upstream whose end was told before

It knew no run yet, so that it ignored the end. At 25.5 s it heard from members that its process before had known that run as ready, took it over, and sent requests to it for 0.7 s.

Change: the ends of runs that a node does not know are remembered (eight), and such a run is not taken over; a start that is told with the end also orders later announcements of that run.

Test: adopt_departed (both cases fail without the change).

--- a/components/control/src/own.rs
+++ b/components/control/src/own.rs
@@ -1,5 +1,6 @@
 //! The node's own upstream: its stage and the lease of its announcement.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use kernel::Time;
@@ -18,6 +19,9 @@
 /// themselves every 3 s at most.
 const ADOPTED_LEASE: Duration = Duration::from_secs(4);
 
+/// Departed runs that are remembered; an instance restarts its upstream once in seconds at most.
+const MAX_DEPARTED: usize = 8;
+
 /// The endpoint in whichever stage it is.
 #[derive(Debug, Default)]
 enum Slot {
@@ -84,6 +88,8 @@
     slot: Slot,
     lease: Option<Time>,
     leaving: bool,
+    /// Runs whose end was told while another run, or none, was known.
+    departed: Vec<Arc<str>>,
 }
 
 impl Own {
@@ -138,7 +144,10 @@
             .slot
             .state()
             .and_then(|(_, upstream)| upstream.instance.as_deref());
-        if known != Some(instance) || order.is_some_and(|it| Some(it) < self.newest) {
+        if known != Some(instance) {
+            return self.remember_departed(instance, order);
+        }
+        if order.is_some_and(|it| Some(it) < self.newest) {
             return;
         }
         self.newest = self.newest.map(|newest| Order {
@@ -149,6 +158,24 @@
         self.move_to(Stage::Gone);
     }
 
+    /// A process that has just started hears of the end of a run before members tell it that the run is
+    /// ready.
+    fn remember_departed(&mut self, instance: &str, order: Option<Order>) {
+        if !self.departed.iter().any(|run| **run == *instance) {
+            if self.departed.len() == MAX_DEPARTED {
+                self.departed.remove(0);
+            }
+            self.departed.push(Arc::from(instance));
+        }
+        if self.is_empty() {
+            let last = order.map(|it| Order {
+                sequence: u64::MAX,
+                ..it
+            });
+            self.newest = self.newest.max(last);
+        }
+    }
+
     /// Ends the endpoint if its upstream has stopped announcing itself.
     pub(crate) fn expire(&mut self, now: Time) {
         if self.lease.is_some_and(|lease| lease <= now) {
@@ -160,7 +187,8 @@
     /// Takes over the upstream that an earlier process of the node left, until the upstream announces
     /// itself. It names the run that it stands for, so that another one refuses its requests.
     pub(crate) fn adopt(&mut self, now: Time, upstream: Upstream) {
-        if matches!(self.slot, Slot::Empty) && !self.leaving {
+        let departed = |run: &Arc<str>| upstream.instance.as_ref() == Some(run);
+        if self.is_empty() && !self.leaving && !self.departed.iter().any(departed) {
             self.slot = Slot::from_announced(Stage::Ready, upstream);
             self.lease = Some(now + ADOPTED_LEASE);
         }
--- a/components/control/tests/upstream.rs
+++ b/components/control/tests/upstream.rs
@@ -280,7 +280,28 @@
     #[case] run: Option<&str>,
     #[case] expected: Stage,
 ) {
-    adopt(status, stage, run.map(run_of), expected);
+    adopt(
+        &mut Node::new(&[]),
+        status,
+        (stage, run.map(run_of)),
+        expected,
+    );
+}
+
+/// Guards against a process that has just started, is told that its upstream leaves before it has heard
+/// of any member, and then takes the upstream over as ready.
+#[rstest]
+#[case::no_order(None)]
+#[case::order(Some(Order { born: 2, sequence: 9 }))]
+fn adopt_departed(#[case] order: Option<Order>) {
+    let mut node = Node::new(&[]);
+    let instance = Arc::from("b");
+    node.input(Input::Departed { instance, order });
+    let earlier = (Stage::Ready, Some(run_of("b")));
+    adopt(&mut node, Status::Left, earlier, Stage::Warming);
+    // A later run is taken in.
+    node.input(announced("c", Stage::Ready, 3, 1));
+    assert_eq!(node.stage(), Some(Stage::Ready));
 }
 
 /// Guards against the upstream of an instance whose address another service's instance has now: its
@@ -291,11 +312,16 @@
         service: Arc::from("reservas"),
         ..run_of("b")
     };
-    adopt(Status::Dead, Stage::Ready, Some(other), Stage::Warming);
+    let earlier = (Stage::Ready, Some(other));
+    adopt(&mut Node::new(&[]), Status::Dead, earlier, Stage::Warming);
 }
 
-fn adopt(status: Status, stage: Stage, upstream: Option<Upstream>, expected: Stage) {
-    let mut node = Node::new(&[]);
+fn adopt(
+    node: &mut Node,
+    status: Status,
+    (stage, upstream): (Stage, Option<Upstream>),
+    expected: Stage,
+) {
     let me = node
         .machine
         .table()
