Ignore late announcements of a run whose end was told first

The upstream there sends its end first, without a heartbeat that says so, goes on for some seconds, and its heartbeats from before arrive late; the process that had just started took the first of them as a new run.

Change: such a run is ignored for 30 s, unless it started later than the one that ended; without a start in the end itself, that of the first announcement counts. After that time the name is free again, since a later start can bear it.

Tests: adopt_departed (late announcements), announce_after_departed.

--- a/components/control/src/machine.rs
+++ b/components/control/src/machine.rs
@@ -310,7 +310,7 @@
                 self.announce(random, out);
             }
             Input::Departed { instance, order } => {
-                self.own.depart(&instance, order);
+                self.own.depart(now, &instance, order);
                 self.announce(random, out);
             }
             Input::Drain => {
--- a/components/control/src/own.rs
+++ b/components/control/src/own.rs
@@ -21,6 +21,9 @@
 
 /// Departed runs that are remembered; an instance restarts its upstream once in seconds at most.
 const MAX_DEPARTED: usize = 8;
+/// Time for which they are remembered: announcements can arrive seconds late, and a run goes on for some
+/// seconds after it has said that it leaves. A later run can bear the same name.
+const DEPARTED_TIME: Duration = Duration::from_secs(30);
 
 /// The endpoint in whichever stage it is.
 #[derive(Debug, Default)]
@@ -89,7 +92,16 @@
     lease: Option<Time>,
     leaving: bool,
     /// Runs whose end was told while another run, or none, was known.
-    departed: Vec<Arc<str>>,
+    departed: Vec<Departed>,
+}
+
+/// A run that has told its end.
+#[derive(Debug)]
+struct Departed {
+    run: Arc<str>,
+    /// Its start, once it is known.
+    born: Option<u64>,
+    until: Time,
 }
 
 impl Own {
@@ -118,6 +130,9 @@
         if order.is_some() && order <= self.newest {
             return;
         }
+        if self.has_departed(now, &upstream, order) {
+            return;
+        }
         self.newest = self.newest.max(order);
         self.announced = Some(stage);
         let stage = if self.leaving {
@@ -139,13 +154,13 @@
 
     /// Ends the endpoint if it is this run of the upstream. Announcements of the run that are still
     /// on their way change nothing.
-    pub(crate) fn depart(&mut self, instance: &str, order: Option<Order>) {
+    pub(crate) fn depart(&mut self, now: Time, instance: &str, order: Option<Order>) {
         let known = self
             .slot
             .state()
             .and_then(|(_, upstream)| upstream.instance.as_deref());
         if known != Some(instance) {
-            return self.remember_departed(instance, order);
+            return self.remember_departed(now, instance, order);
         }
         if order.is_some_and(|it| Some(it) < self.newest) {
             return;
@@ -158,22 +173,31 @@
         self.move_to(Stage::Gone);
     }
 
-    /// A process that has just started hears of the end of a run before members tell it that the run is
-    /// ready.
-    fn remember_departed(&mut self, instance: &str, order: Option<Order>) {
-        if !self.departed.iter().any(|run| **run == *instance) {
-            if self.departed.len() == MAX_DEPARTED {
-                self.departed.remove(0);
-            }
-            self.departed.push(Arc::from(instance));
-        }
-        if self.is_empty() {
-            let last = order.map(|it| Order {
-                sequence: u64::MAX,
-                ..it
-            });
-            self.newest = self.newest.max(last);
+    /// A process that has just started can hear of the end of a run before anything else of it.
+    fn remember_departed(&mut self, now: Time, instance: &str, order: Option<Order>) {
+        self.departed.retain(|it| *it.run != *instance);
+        if self.departed.len() == MAX_DEPARTED {
+            self.departed.remove(0);
         }
+        self.departed.push(Departed {
+            run: Arc::from(instance),
+            born: order.map(|order| order.born),
+            until: now + DEPARTED_TIME,
+        });
+    }
+
+    /// Whether the upstream is a run that has told its end. The first announcement after an end that did
+    /// not say when its run had started is taken to be of that run.
+    fn has_departed(&mut self, now: Time, upstream: &Upstream, order: Option<Order>) -> bool {
+        self.departed.retain(|it| it.until > now);
+        let run = upstream.instance.as_ref();
+        let known = self.departed.iter_mut().find(|it| Some(&it.run) == run);
+        let Some(known) = known else {
+            return false;
+        };
+        let born = order.map(|order| order.born);
+        let first = *known.born.get_or_insert(born.unwrap_or(u64::MAX));
+        born.is_none_or(|born| born <= first)
     }
 
     /// Ends the endpoint if its upstream has stopped announcing itself.
@@ -187,8 +211,9 @@
     /// Takes over the upstream that an earlier process of the node left, until the upstream announces
     /// itself. It names the run that it stands for, so that another one refuses its requests.
     pub(crate) fn adopt(&mut self, now: Time, upstream: Upstream) {
-        let departed = |run: &Arc<str>| upstream.instance.as_ref() == Some(run);
-        if self.is_empty() && !self.leaving && !self.departed.iter().any(departed) {
+        let run = upstream.instance.as_ref();
+        let departed = self.departed.iter().any(|it| Some(&it.run) == run);
+        if self.is_empty() && !self.leaving && !departed {
             self.slot = Slot::from_announced(Stage::Ready, upstream);
             self.lease = Some(now + ADOPTED_LEASE);
         }
--- a/components/control/tests/upstream.rs
+++ b/components/control/tests/upstream.rs
@@ -291,16 +291,37 @@
 /// Guards against a process that has just started, is told that its upstream leaves before it has heard
 /// of any member, and then takes the upstream over as ready.
 #[rstest]
-#[case::no_order(None)]
-#[case::order(Some(Order { born: 2, sequence: 9 }))]
-fn adopt_departed(#[case] order: Option<Order>) {
+#[case::no_order(None, "c")]
+#[case::order(Some(Order { born: 2, sequence: 9 }), "c")]
+#[case::same_name(None, "b")]
+fn adopt_departed(#[case] order: Option<Order>, #[case] later: &str) {
     let mut node = Node::new(&[]);
     let instance = Arc::from("b");
     node.input(Input::Departed { instance, order });
     let earlier = (Stage::Ready, Some(run_of("b")));
     adopt(&mut node, Status::Left, earlier, Stage::Warming);
-    // A later run is taken in.
-    node.input(announced("c", Stage::Ready, 3, 1));
+    // Announcements of the run come late.
+    node.input(announced("b", Stage::Ready, 2, 8));
+    node.input(announced("b", Stage::Ready, 2, 10));
+    assert_eq!(node.stage(), Some(Stage::Warming));
+    // A later run is taken in, also one of the same name.
+    node.input(announced(later, Stage::Ready, 3, 1));
+    assert_eq!(node.stage(), Some(Stage::Ready));
+}
+
+/// Guards against a run that is never served because an earlier one of its name had left.
+#[rstest]
+fn announce_after_departed() {
+    let mut node = Node::new(&[]);
+    let instance = Arc::from("b");
+    node.input(Input::Departed {
+        instance,
+        order: None,
+    });
+    node.input(announced("b", Stage::Ready, 3, 1));
+    assert_eq!(node.stage(), Some(Stage::Warming));
+    node.run(Duration::from_secs(31));
+    node.input(announced("b", Stage::Ready, 3, 9));
     assert_eq!(node.stage(), Some(Stage::Ready));
 }
 
