Ignore late announcements of a run that was taken over and has left

Cause: found by reading. A process that took its upstream over has no announcement of it in hand, so that the end of the run set no order, and a late heartbeat brought the run back.

Change: such an end is remembered too. In the soak, names say what is done: inject, perform, recovery.

Test: announce_late_adopted (Ready in place of Gone without the change).

--- a/components/control/src/own.rs
+++ b/components/control/src/own.rs
@@ -165,10 +165,11 @@
         if order.is_some_and(|it| Some(it) < self.newest) {
             return;
         }
-        self.newest = self.newest.map(|newest| Order {
-            sequence: u64::MAX,
-            ..newest
-        });
+        match &mut self.newest {
+            Some(newest) => newest.sequence = u64::MAX,
+            // It was taken over and has announced nothing to this process.
+            None => self.remember_departed(now, instance, order),
+        }
         self.announced = Some(Stage::Gone);
         self.move_to(Stage::Gone);
     }
--- a/components/control/tests/upstream.rs
+++ b/components/control/tests/upstream.rs
@@ -309,6 +309,21 @@
     assert_eq!(node.stage(), Some(Stage::Ready));
 }
 
+/// Guards against a run that was taken over, has left, and comes back with a late announcement.
+#[rstest]
+fn announce_late_adopted() {
+    let mut node = Node::new(&[]);
+    let earlier = (Stage::Ready, Some(run_of("b")));
+    adopt(&mut node, Status::Left, earlier, Stage::Ready);
+    let instance = Arc::from("b");
+    node.input(Input::Departed {
+        instance,
+        order: None,
+    });
+    node.input(announced("b", Stage::Ready, 2, 8));
+    assert_eq!(node.stage(), Some(Stage::Gone));
+}
+
 /// Guards against a run that is never served because an earlier one of its name had left.
 #[rstest]
 fn announce_after_departed() {
--- a/lab/src/scenario/soak/mod.rs
+++ b/lab/src/scenario/soak/mod.rs
@@ -46,7 +46,7 @@
 const MAX_OPEN: usize = 2_000;
 const WATCH_PERIOD: Duration = Duration::from_millis(200);
 const SERVED_LIMIT: Duration = Duration::from_secs(15);
-/// Longest wait for a call of the lab's own; a struck process may not answer.
+/// Longest wait for a call of the lab's own; a paused or ended process does not answer.
 const CALL_LIMIT: Duration = Duration::from_secs(1);
 /// Longest time after the faults within which the fleet serves as before; the users' bound for a
 /// restart of all at once.
@@ -181,15 +181,15 @@
     let steps = plan::make_plan(seed, fleet.serving.len(), length);
     for step in steps {
         sleep_until(began + step.at).await;
-        strike(&mut fleet, &step).await?;
+        inject(&mut fleet, &step).await?;
     }
     sleep_until(began + length + plan::LONGEST).await;
-    for action in plan::make_healing(fleet.serving.len()) {
-        act(&mut fleet, &action).await?;
+    for action in plan::make_recovery(fleet.serving.len()) {
+        perform(&mut fleet, &action).await?;
     }
-    let healed = Instant::now();
-    let healed_us = wall_us();
-    let change = change_last(&mut fleet, healed + recover).await;
+    let recovered = Instant::now();
+    let recovered_us = wall_us();
+    let change = change_last(&mut fleet, recovered + recover).await;
     let samples = offering.await?;
     fleet.end().await?;
     let mut upstreams = Vec::new();
@@ -200,7 +200,7 @@
             drain: None,
         });
     }
-    let calm_us = healed_us + recover.as_micros() as u64;
+    let calm_us = recovered_us + recover.as_micros() as u64;
     let calm = report_calm(&samples, calm_us);
     let (changes, changed) = match change {
         Ok(change) => (vec![change], true),
@@ -225,14 +225,14 @@
     Ok(kept && calm && changed)
 }
 
-async fn strike(fleet: &mut Fleet, step: &Step) -> Result<(), Error> {
+async fn inject(fleet: &mut Fleet, step: &Step) -> Result<(), Error> {
     if std::env::var_os("MEDLAR_LAB_KEEP").is_some() {
         println!("{:>6} ms {:?}", step.at.as_millis(), step.action);
     }
-    act(fleet, &step.action).await
+    perform(fleet, &step.action).await
 }
 
-async fn act(fleet: &mut Fleet, action: &Action) -> Result<(), Error> {
+async fn perform(fleet: &mut Fleet, action: &Action) -> Result<(), Error> {
     match action {
         Action::Signal(at, part, name) => fleet.serving[*at].signal(*part, name).await,
         Action::Restart(at) => fleet.restart_ended(*at),
--- a/lab/src/scenario/soak/plan.rs
+++ b/lab/src/scenario/soak/plan.rs
@@ -23,7 +23,7 @@
 const SERIES_PART: usize = 4;
 const LOSS_PART: usize = 3;
 
-/// What a fault strikes.
+/// Connections that a fault affects.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Wire {
     /// Connections of callers to an instance.
@@ -76,7 +76,7 @@
         let first = random.below(instances);
         for step in 0..times {
             let at = at + SERIES_GAP * u32::try_from(step).unwrap_or(0);
-            // A series strikes the same instance again, or the next ones.
+            // A series affects the same instance again, or the next ones.
             let target = (first + step * (kind % 2)) % instances;
             let lasts = span(&mut random, SHORTEST, LONGEST);
             add_fault(&mut steps, &mut random, (kind, target), (at, lasts));
@@ -209,7 +209,7 @@
 }
 
 /// What brings all surroundings back to normal.
-pub fn make_healing(instances: usize) -> Vec<Action> {
+pub fn make_recovery(instances: usize) -> Vec<Action> {
     let mut actions = vec![
         Action::SignalStore("CONT"),
         Action::Store(json!({ "outage": "none", "lose_answers": 0 })),
