--- a/lab/src/fleet/mod.rs
+++ b/lab/src/fleet/mod.rs
@@ -286,14 +286,10 @@
 
     /// Starts the processes of an instance again that have ended.
     pub fn restart_ended(&mut self, at: usize) -> Result<(), Error> {
-        let setup = Setup {
-            binaries: &self.binaries,
-            folder: &self.folder,
-            topology: self.options.topology,
-            links: self.options.links,
-            common: &self.common,
-        };
-        self.serving[at].restart_ended(&setup)
+        let mut instance = self.serving.remove(at);
+        let done = instance.restart_ended(&self.setup());
+        self.serving.insert(at, instance);
+        done
     }
 
     /// Starts one more instance and waits until it serves; gives its index.
