Use one piece of code where the change had written it again

No behaviour changes. The service of a call stands in its profile alone. A member is looked up in a topology by one function, which log lines and judgements both call. The runs at the upstreams of an ended fleet are read by one function in place of three copies (demo, soak, end-to-end test).

--- a/components/control/src/topology.rs
+++ b/components/control/src/topology.rs
@@ -110,6 +110,12 @@
         Self { report, ..self }
     }
 
+    /// A member that is known, also a dead one.
+    pub fn member(&self, id: NodeId) -> Option<&Member> {
+        let place = self.members.binary_search_by_key(&id, |it| it.id);
+        place.ok().map(|at| &*self.members[at])
+    }
+
     /// All members that are known, also dead ones, sorted by id.
     pub fn members(&self) -> &[Arc<Member>] {
         &self.members
--- a/components/daemon/src/beliefs.rs
+++ b/components/daemon/src/beliefs.rs
@@ -25,9 +25,7 @@
 /// Logs each member that differs between two topologies.
 pub(crate) fn log_members(before: &Topology, now: &Topology) {
     for member in now.members() {
-        let known = before.members();
-        let place = known.binary_search_by_key(&member.id, |it| it.id);
-        let old = place.ok().map(|at| &*known[at]);
+        let old = before.member(member.id);
         if old.is_none_or(|old| old.status != member.status || !old.routes_like(member)) {
             log_member(old, member);
         }
--- a/components/front/src/judgement.rs
+++ b/components/front/src/judgement.rs
@@ -27,7 +27,7 @@
     let Some(held) = JUDGEMENTS.admit() else {
         return;
     };
-    let member = topology.members().iter().find(|it| it.id == node);
+    let member = topology.member(node);
     let service = member.and_then(|it| it.upstream.as_ref().map(|it| &*it.service));
     let service = service.unwrap_or("unknown");
     let name = node.to_string();
--- a/components/traffic/src/entry.rs
+++ b/components/traffic/src/entry.rs
@@ -120,7 +120,7 @@
         if self.sheds(scene, &call) {
             return refuse(scene, not_run(Reason::ShedEarly));
         }
-        self.retry.count_first(scene.now, call.service);
+        self.retry.count_first(scene.now, call.profile.service);
         let key = self.calls.insert(call);
         self.forward(scene, key, Duration::ZERO);
     }
--- a/components/traffic/src/entry/call.rs
+++ b/components/traffic/src/entry/call.rs
@@ -12,7 +12,6 @@
 use errors::Reason;
 use errors::Verdict;
 use ids::NodeId;
-use ids::ServiceId;
 use kernel::Random;
 use kernel::Time;
 use policy::Failure;
@@ -21,7 +20,6 @@
 #[derive(Debug)]
 pub struct Call {
     pub(crate) profile: Profile,
-    pub(crate) service: ServiceId,
     pub(crate) deadline: Time,
     /// Until when the answer is worth most.
     pub(crate) objective: Option<Time>,
@@ -82,7 +80,6 @@
             },
             most_upstreams: route.attempts,
             upstreams: 0,
-            service: service.id,
             service_name: Arc::clone(&service.name),
             deadline: now + left,
             objective: None,
@@ -147,7 +144,7 @@
         elsewhere: bool,
     ) -> Failure {
         Failure {
-            service: self.service,
+            service: self.profile.service,
             verdict: report.verdict,
             reason,
             idempotent: self.profile.idempotent,
--- a/lab/src/fleet/instance.rs
+++ b/lab/src/fleet/instance.rs
@@ -15,6 +15,7 @@
 use super::Links;
 use super::place::Place;
 use crate::Error;
+use crate::check::Upstream;
 use crate::http;
 use crate::process::Binaries;
 use crate::process::Folder;
@@ -24,7 +25,6 @@
 use crate::topology::Service;
 use crate::topology::Topology;
 use crate::upstream::ledger;
-use crate::upstream::ledger::Run;
 
 /// Time between two looks at a starting instance.
 const LOOK_PERIOD: Duration = Duration::from_millis(30);
@@ -203,13 +203,17 @@
 }
 
 impl Instance<Ended> {
-    /// The runs at the upstream.
-    pub fn read_ledger(&self) -> Result<Vec<Run>, Error> {
+    /// The runs at the upstream, over all its starts.
+    pub fn read_upstream(&self) -> Result<Upstream, Error> {
         let mut runs = Vec::new();
         for path in &self.ledgers {
             runs.extend(ledger::parse(&fs::read_to_string(path)?)?);
         }
-        Ok(runs)
+        Ok(Upstream {
+            name: self.spec.name.clone(),
+            runs,
+            drain: None,
+        })
     }
 }
 
--- a/lab/src/fleet/mod.rs
+++ b/lab/src/fleet/mod.rs
@@ -22,6 +22,7 @@
 use tokio::time::timeout;
 
 use crate::Error;
+use crate::check::Upstream;
 use crate::http;
 use crate::http::full;
 use crate::metrics::Totals;
@@ -327,6 +328,11 @@
         Ok(())
     }
 
+    /// The runs at the upstreams of all instances that have ended.
+    pub fn read_upstreams(&self) -> Result<Vec<Upstream>, Error> {
+        self.ended.iter().map(Instance::read_upstream).collect()
+    }
+
     /// Ends all processes and waits for that, so that the next fleet can use the addresses.
     pub async fn stop(mut self) -> Result<(), Error> {
         self.end().await?;
--- a/lab/src/scenario/demo.rs
+++ b/lab/src/scenario/demo.rs
@@ -13,12 +13,9 @@
 use crate::check::Change;
 use crate::check::Drain;
 use crate::check::Record;
-use crate::check::Upstream;
 use crate::fleet::Fleet;
 use crate::fleet::Links;
 use crate::fleet::Options;
-use crate::fleet::instance::Ended;
-use crate::fleet::instance::Instance;
 use crate::fleet::watch::Watcher;
 use crate::fleet::watch::wait_for_version;
 use crate::load::Callers;
@@ -77,11 +74,10 @@
     let samples = offering.await?;
     let store = fleet.store_counts().await?;
     fleet.end().await?;
-    let upstreams: Result<Vec<Upstream>, Error> = fleet.ended.iter().map(upstream).collect();
     let mut record = Record {
         kinds,
         samples,
-        upstreams: upstreams?,
+        upstreams: fleet.read_upstreams()?,
         seen: watcher.seen(),
         changes,
     };
@@ -143,14 +139,6 @@
     })
 }
 
-fn upstream(ended: &Instance<Ended>) -> Result<Upstream, Error> {
-    Ok(Upstream {
-        name: ended.spec.name.clone(),
-        runs: ended.read_ledger()?,
-        drain: None,
-    })
-}
-
 fn print(record: &Record) -> bool {
     for change in &record.changes {
         let mut times: Vec<f64> = change
--- a/lab/src/scenario/soak/mod.rs
+++ b/lab/src/scenario/soak/mod.rs
@@ -25,7 +25,6 @@
 use crate::check;
 use crate::check::Change;
 use crate::check::Record;
-use crate::check::Upstream;
 use crate::fleet::Fleet;
 use crate::fleet::Links;
 use crate::fleet::Options;
@@ -192,14 +191,7 @@
     let change = change_last(&mut fleet, recovered + recover).await;
     let samples = offering.await?;
     fleet.end().await?;
-    let mut upstreams = Vec::new();
-    for ended in &fleet.ended {
-        upstreams.push(Upstream {
-            name: ended.spec.name.clone(),
-            runs: ended.read_ledger()?,
-            drain: None,
-        });
-    }
+    let upstreams = fleet.read_upstreams()?;
     let calm_us = recovered_us + recover.as_micros() as u64;
     let calm = report_calm(&samples, calm_us);
     let (changes, changed) = match change {
--- a/lab/src/scenario/soak/plan.rs
+++ b/lab/src/scenario/soak/plan.rs
@@ -23,6 +23,9 @@
 const SERIES_PART: usize = 4;
 const LOSS_PART: usize = 3;
 
+/// Processes of an instance.
+const PARTS: [Part; 2] = [Part::Node, Part::Upstream];
+
 /// Connections that a fault affects.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Wire {
@@ -84,7 +87,7 @@
     }
     if random.below(LOSS_PART) == 0 {
         for at in 0..instances {
-            for part in [Part::Node, Part::Upstream] {
+            for part in PARTS {
                 steps.push(step(length, Action::Signal(at, part, "KILL")));
             }
             steps.push(step(length + LONGEST, Action::Restart(at)));
@@ -120,62 +123,34 @@
     let signal = |part, name| Action::Signal(target, part, name);
     let link = |body| Action::Link(wire, body);
     let (begin, end, lasts) = match kind {
-        0 => (
-            signal(Part::Node, "STOP"),
-            Some(signal(Part::Node, "CONT")),
-            lasts,
-        ),
-        1 => (
-            signal(Part::Upstream, "STOP"),
-            Some(signal(Part::Upstream, "CONT")),
-            lasts,
-        ),
+        0 | 1 => {
+            let part = PARTS[kind];
+            (signal(part, "STOP"), Some(signal(part, "CONT")), lasts)
+        }
         2 => (
             Action::SignalStore("STOP"),
             Some(Action::SignalStore("CONT")),
             lasts,
         ),
-        3 => (
-            signal(Part::Node, "KILL"),
-            Some(Action::Restart(target)),
-            lasts,
-        ),
-        4 => (
-            signal(Part::Upstream, "KILL"),
-            Some(Action::Restart(target)),
-            lasts,
-        ),
-        5 => (
-            signal(Part::Node, "TERM"),
-            Some(Action::Restart(target)),
-            ROLL,
-        ),
-        6 => (
-            signal(Part::Upstream, "TERM"),
-            Some(Action::Restart(target)),
-            ROLL,
-        ),
+        3 | 4 => {
+            let part = PARTS[kind - 3];
+            (signal(part, "KILL"), Some(Action::Restart(target)), lasts)
+        }
+        5 | 6 => {
+            let part = PARTS[kind - 5];
+            (signal(part, "TERM"), Some(Action::Restart(target)), ROLL)
+        }
         7 => (signal(Part::Node, "HUP"), None, lasts),
         8 => (
             link(json!({ "delay_us": 1_000 * (20 + random.below(300)) })),
             Some(link(json!({ "delay_us": 0 }))),
             lasts,
         ),
-        9 => (
-            link(json!({ "cut": true })),
-            Some(link(json!({ "cut": false }))),
-            lasts,
-        ),
-        10 => (
-            link(json!({ "hold_there": true })),
-            Some(link(json!({ "hold_there": false }))),
-            lasts,
-        ),
-        11 => (
-            link(json!({ "hold_back": true })),
-            Some(link(json!({ "hold_back": false }))),
-            lasts,
-        ),
+        9..=11 => {
+            let field = ["cut", "hold_there", "hold_back"][kind - 9];
+            let set = |on: bool| link(json!({ field: on }));
+            (set(true), Some(set(false)), lasts)
+        }
         12 => (
             link(json!({ "silence": true })),
             Some(link(json!({ "reset": true }))),
@@ -219,7 +194,7 @@
     });
     actions.push(Action::Link(Wire::Store, normal.clone()));
     for at in 0..instances {
-        actions.extend([Part::Node, Part::Upstream].map(|part| Action::Signal(at, part, "CONT")));
+        actions.extend(PARTS.map(|part| Action::Signal(at, part, "CONT")));
         actions.extend([
             Action::Link(Wire::Callers(at), normal.clone()),
             Action::Link(Wire::Upstream(at), normal.clone()),
--- a/lab/tests/end_to_end.rs
+++ b/lab/tests/end_to_end.rs
@@ -6,12 +6,9 @@
 
 use medlar_lab::check;
 use medlar_lab::check::Record;
-use medlar_lab::check::Upstream;
 use medlar_lab::fleet::Fleet;
 use medlar_lab::fleet::Links;
 use medlar_lab::fleet::Options;
-use medlar_lab::fleet::instance::Ended;
-use medlar_lab::fleet::instance::Instance;
 use medlar_lab::fleet::watch::wait_for_version;
 use medlar_lab::load::Callers;
 use medlar_lab::load::sample::Class;
@@ -101,17 +98,12 @@
     samples.extend(callers.offer(&kinds, LOAD).await);
 
     fleet.end().await.expect("all processes end");
-    let upstream = |ended: &Instance<Ended>| Upstream {
-        name: ended.spec.name.clone(),
-        runs: ended.read_ledger().expect("the ledger is complete"),
-        drain: None,
-    };
     let good = samples.iter().filter(|it| it.class == Class::Good).count();
     assert!(good > 100, "{good} of {}: {samples:?}", samples.len());
     let record = Record {
         kinds,
         samples,
-        upstreams: fleet.ended.iter().map(upstream).collect(),
+        upstreams: fleet.read_upstreams().expect("the ledgers are complete"),
         ..Record::default()
     };
     assert!(check::report(&record));
--- a/src/cmd/trace.rs
+++ b/src/cmd/trace.rs
@@ -111,12 +111,7 @@
         return Vec::new();
     };
     let first = first.saturating_sub(around_s.saturating_mul(1_000));
-    let mut nodes: Vec<&str> = own.iter().filter_map(|it| text(it, "node")).collect();
-    nodes.sort_unstable();
-    nodes.dedup();
-    let mut instances: Vec<&str> = own.iter().filter_map(|it| text(it, "instance")).collect();
-    instances.sort_unstable();
-    instances.dedup();
+    let (nodes, instances) = (values(&own, "node"), values(&own, "instance"));
     let explains = |line: &Line| {
         let event = text(line, "event").unwrap_or_default();
         let touches = |known: &[&str], field| {
@@ -133,6 +128,14 @@
     story
 }
 
+/// The values of a field in some lines, sorted.
+fn values<'a>(lines: &[&'a Line], field: &str) -> Vec<&'a str> {
+    let mut values: Vec<&str> = lines.iter().filter_map(|it| text(it, field)).collect();
+    values.sort_unstable();
+    values.dedup();
+    values
+}
+
 fn describe(line: &&Line, start: u64) -> Vec<String> {
     let shown = |name: &str| text(line, name).unwrap_or("-").to_owned();
     let after = i128::from(time_ms(line)) - i128::from(start);
--- a/tests/docs.rs
+++ b/tests/docs.rs
@@ -12,19 +12,22 @@
 const MANUAL: &str = include_str!("../docs/OPERATIONS.md");
 const COUNTERS: &str = include_str!("../components/telemetry/src/counters.rs");
 
+/// Text of the rows of the table in a section of the manual, by first cell, sorted.
+fn rows(section: &str) -> Vec<(String, String)> {
+    let text = MANUAL.split(&format!("## {section}\n")).nth(1);
+    let text = text.and_then(|it| it.split("\n## ").next());
+    let rows = text.expect("the section exists").lines();
+    let mut rows: Vec<(String, String)> = rows
+        .filter_map(|line| line.strip_prefix("| `")?.split_once('`'))
+        .map(|(name, rest)| (name.to_owned(), rest.to_owned()))
+        .collect();
+    rows.sort_unstable();
+    rows
+}
+
 /// First cells of the table in a section of the manual, sorted.
 fn first_cells(section: &str) -> Vec<String> {
-    let text = MANUAL
-        .split(&format!("## {section}\n"))
-        .nth(1)
-        .expect("the section exists");
-    let text = text.split("\n## ").next().unwrap_or_default();
-    let rows = text
-        .lines()
-        .filter_map(|line| line.strip_prefix("| `")?.split('`').next());
-    let mut cells: Vec<String> = rows.map(str::to_owned).collect();
-    cells.sort_unstable();
-    cells
+    rows(section).into_iter().map(|(name, _)| name).collect()
 }
 
 // Guards against a reason that operators meet and cannot look up, or look up and never meet.
@@ -71,19 +74,6 @@
     assert_eq!(first_cells("Verbs"), known);
 }
 
-/// Text of the rows of the table in a section of the manual, by first cell, sorted.
-fn rows(section: &str) -> Vec<(String, String)> {
-    let text = MANUAL.split(&format!("## {section}\n")).nth(1);
-    let text = text.and_then(|it| it.split("\n## ").next());
-    let rows = text.expect("the section exists").lines();
-    let mut rows: Vec<(String, String)> = rows
-        .filter_map(|line| line.strip_prefix("| `")?.split_once('`'))
-        .map(|(name, rest)| (name.to_owned(), rest.to_owned()))
-        .collect();
-    rows.sort_unstable();
-    rows
-}
-
 /// Text of all source files below a folder.
 fn read_sources(folder: &Path, text: &mut String) {
     for entry in fs::read_dir(folder).expect("a folder") {
@@ -145,8 +135,7 @@
     let logged = logged_events();
     let mut names: Vec<&str> = logged.iter().map(|(name, _)| name.as_str()).collect();
     names.dedup();
-    let listed: Vec<&str> = documented.iter().map(|(name, _)| name.as_str()).collect();
-    assert_eq!(listed, names);
+    assert_eq!(first_cells("Logs"), names);
     for (name, row) in &documented {
         let mut fields: Vec<&String> = logged
             .iter()
