Process the pipelined requests of a caller concurrently

Cause: hyper calls the handler of a request only after the response to the one before was written, so each pipelined request waited for all before it, and a caller that left was not noticed while such requests were buffered.

Change: a stream below hyper releases one request at a time and starts safe requests on idempotent routes behind it, bounded per connection and node; hyper stays the codec and keeps the order. A close is announced only with the last started response.

--- a/components/http1/src/body.rs
+++ b/components/http1/src/body.rs
@@ -4,6 +4,7 @@
 //! or a relayed response. If its source fails, the payload ends in an error, and hyper closes the
 //! connection before the end of the message. Trailers are dropped.
 
+use std::future::poll_fn;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::OnceLock;
@@ -13,6 +14,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use bytes::BytesMut;
 use hyper::body::Body;
 use hyper::body::Frame;
 use hyper::body::Incoming;
@@ -52,6 +54,10 @@
     Streamed(Box<StreamedBody>),
     /// A response that is relayed while it arrives.
     Relayed(Box<RelayedResponse>),
+    /// Bytes that were read from the rest of the body before it is sent.
+    Continued(Option<Bytes>, Box<Payload>),
+    /// A body whose source has failed; `None` once the error was returned.
+    Failed(Option<BodyError>),
 }
 
 type FramePoll = Poll<Option<Result<Frame<Bytes>, BodyError>>>;
@@ -65,6 +71,11 @@
             Self::Buffered(bytes) => Poll::Ready(bytes.take().map(|it| Ok(Frame::data(it)))),
             Self::Streamed(stream) => stream.poll_next_frame(context),
             Self::Relayed(relay) => relay.poll_next_frame(context),
+            Self::Continued(prefix, rest) => match prefix.take() {
+                Some(bytes) => Poll::Ready(Some(Ok(Frame::data(bytes)))),
+                None => Pin::new(rest.as_mut()).poll_frame(context),
+            },
+            Self::Failed(error) => Poll::Ready(error.take().map(Err)),
         }
     }
 
@@ -73,6 +84,8 @@
             Self::Buffered(bytes) => bytes.is_none(),
             Self::Streamed(stream) => stream.prefix.is_none() && stream.rest.is_end_stream(),
             Self::Relayed(relay) => relay.source.as_ref().is_none_or(RelaySource::is_end_stream),
+            Self::Continued(prefix, rest) => prefix.is_none() && rest.is_end_stream(),
+            Self::Failed(error) => error.is_none(),
         }
     }
 
@@ -84,10 +97,43 @@
                 .source
                 .as_ref()
                 .map_or_else(|| SizeHint::with_exact(0), RelaySource::size_hint),
+            Self::Continued(prefix, rest) => add_prefix(prefix.as_ref(), &rest.size_hint()),
+            Self::Failed(_) => SizeHint::new(),
         }
     }
 }
 
+/// Size of a body that continues with `rest` after `prefix`.
+fn add_prefix(prefix: Option<&Bytes>, rest: &SizeHint) -> SizeHint {
+    let prefix = prefix.map_or(0, byte_len);
+    rest.exact()
+        .map_or_else(SizeHint::new, |rest| SizeHint::with_exact(prefix + rest))
+}
+
+/// Reads a body into memory, so that its source is free before the body is sent. Of a body of more
+/// than `max_bytes`, the rest stays at its source.
+pub(crate) async fn read_into_memory(mut payload: Payload, max_bytes: usize) -> Payload {
+    let mut read = BytesMut::new();
+    while !payload.is_end_stream() {
+        if read.len() > max_bytes {
+            return Payload::Continued(Some(read.freeze()), Box::new(payload));
+        }
+        match poll_fn(|context| Pin::new(&mut payload).poll_frame(context)).await {
+            None => break,
+            Some(Ok(frame)) => {
+                if let Ok(bytes) = frame.into_data() {
+                    read.extend_from_slice(&bytes);
+                }
+            }
+            Some(Err(error)) => {
+                let prefix = (!read.is_empty()).then(|| read.freeze());
+                return Payload::Continued(prefix, Box::new(Payload::Failed(Some(error))));
+            }
+        }
+    }
+    full(read.freeze())
+}
+
 fn byte_len(bytes: &Bytes) -> u64 {
     bytes.len() as u64
 }
@@ -172,11 +218,7 @@
     }
 
     fn size_hint(&self) -> SizeHint {
-        let prefix = self.prefix.as_ref().map_or(0, byte_len);
-        self.rest
-            .size_hint()
-            .exact()
-            .map_or_else(SizeHint::new, |rest| SizeHint::with_exact(prefix + rest))
+        add_prefix(self.prefix.as_ref(), &self.rest.size_hint())
     }
 }
 
@@ -197,11 +239,7 @@
     fn size_hint(&self) -> SizeHint {
         match self {
             Self::Payload(payload) => payload.size_hint(),
-            Self::Connection { prefix, body, .. } => {
-                body.size_hint().exact().map_or_else(SizeHint::new, |rest| {
-                    SizeHint::with_exact(prefix.as_ref().map_or(0, byte_len) + rest)
-                })
-            }
+            Self::Connection { prefix, body, .. } => add_prefix(prefix.as_ref(), &body.size_hint()),
         }
     }
 
--- a/components/http1/src/caller.rs
+++ b/components/http1/src/caller.rs
@@ -12,6 +12,7 @@
 use hyper::header::HeaderValue;
 use hyper::header::TRANSFER_ENCODING;
 use tokio::time::Instant;
+use tokio_util::task::AbortOnDropHandle;
 
 use crate::SharedState;
 use crate::attempt;
@@ -21,6 +22,7 @@
 use crate::body::RelayEnd;
 use crate::body::RelaySource;
 use crate::body::RelayedResponse;
+use crate::body::read_into_memory;
 use crate::events;
 use crate::events::RequestLogContext;
 use crate::headers::remove_hop_by_hop_headers;
@@ -28,6 +30,7 @@
 use crate::headers::strip_request_headers;
 use crate::headers::validate_request_head;
 use crate::listen::ConnectionState;
+use crate::pipeline::StartedRequest;
 use crate::request_body::RequestBody;
 use crate::responses;
 use crate::responses::not_run_refusal;
@@ -42,6 +45,10 @@
 use traffic::entry::RequestHead;
 use traffic::entry::RouteProfile;
 
+/// Number of bytes of a response that are read before its turn, so that small responses free their
+/// upstream's slot.
+const MAX_EARLY_BODY_BYTES: usize = 64 * 1024;
+
 /// Ends the call in the entry state machine and counts a drop if the caller leaves before the
 /// response is relayed.
 struct CallGuard {
@@ -69,11 +76,64 @@
 /// Serves one request of a caller.
 pub(crate) async fn handle(
     shared: Arc<SharedState>,
-    _connection_state: Arc<ConnectionState>,
+    connection_state: Arc<ConnectionState>,
     request: Request<Incoming>,
+) -> Response<Payload> {
+    match connection_state.started_requests.take(&request) {
+        Some(started) => started.task.await.unwrap_or_else(|_| {
+            let refusal = Refusal {
+                reason: Reason::OutcomeUnknown,
+                verdict: Verdict::MayHaveRun,
+                retry_after: Duration::ZERO,
+            };
+            responses::refusal_to_caller(&*shared.dialect, refusal)
+        }),
+        None => respond(shared, request.map(Some), 0).await,
+    }
+}
+
+/// Starts a request without a body that stands behind `pipelined` unanswered ones on its connection.
+/// `None` if it has to wait for its turn: it may not be repeated, so that it must not be cancelled with
+/// the connection, the node is leaving, or too many requests were started.
+pub(crate) fn start_early(
+    shared: &Arc<SharedState>,
+    request: Request<()>,
+    pipelined: usize,
+) -> Option<StartedRequest> {
+    let (host, method) = (read_host(request.headers()), request.method().as_str());
+    let topology = shared.driver.topology();
+    let snapshot = topology.snapshot.as_ref()?;
+    let route = snapshot.find_route(host.as_deref(), method, request.uri().path())?;
+    let idempotent = snapshot.route(route).is_some_and(|it| it.idempotent);
+    if !idempotent || shared.driver.is_leaving() {
+        return None;
+    }
+    let permit = Arc::clone(&shared.started_requests)
+        .try_acquire_owned()
+        .ok()?;
+    shared.driver.metrics().count_pipelined();
+    let shared = Arc::clone(shared);
+    let own_request = request.clone().map(|()| None);
+    let task = tokio::spawn(async move {
+        let response = respond(shared, own_request, pipelined).await;
+        let (parts, body) = response.into_parts();
+        let body = read_into_memory(body, MAX_EARLY_BODY_BYTES).await;
+        Response::from_parts(parts, body)
+    });
+    Some(StartedRequest {
+        request,
+        task: AbortOnDropHandle::new(task),
+        _permit: permit,
+    })
+}
+
+async fn respond(
+    shared: Arc<SharedState>,
+    request: Request<Option<Incoming>>,
+    pipelined: usize,
 ) -> Response<Payload> {
     let has_transfer_encoding = request.headers().contains_key(TRANSFER_ENCODING);
-    let (mut response, close) = match serve(&shared, request).await {
+    let (mut response, close) = match serve(&shared, request, pipelined).await {
         // After a request with both Transfer-Encoding and Content-Length the connection must be
         // closed (RFC 9112, 6.1). hyper does not show whether there was a Content-Length, so each
         // request with a Transfer-Encoding closes it.
@@ -97,7 +157,8 @@
 
 async fn serve(
     shared: &Arc<SharedState>,
-    mut request: Request<Incoming>,
+    mut request: Request<Option<Incoming>>,
+    pipelined: usize,
 ) -> Result<Response<Payload>, Refusal> {
     let arrived = shared.driver.now();
     validate_request_head(&mut request).map_err(not_run_refusal)?;
@@ -116,6 +177,7 @@
     let mut log_context = RequestLogContext {
         trace_id: request_trace_id(shared, headers, id),
         arrived,
+        pipelined,
         failed_attempts: String::new(),
     };
     let head = RequestHead {
--- a/components/http1/src/events.rs
+++ b/components/http1/src/events.rs
@@ -41,6 +41,8 @@
     pub(crate) trace_id: String,
     /// When the request arrived.
     pub(crate) arrived: Time,
+    /// Number of unanswered requests before it on its connection.
+    pub(crate) pipelined: usize,
     /// Node, reason and verdict of each failed attempt, separated by commas.
     pub(crate) failed_attempts: String,
 }
@@ -81,7 +83,7 @@
         version = config_version(shared), attempt = attempt.number,
         node = attempt.node.to_string().as_str(),
         address = attempt.request_address.to_string().as_str(),
-        own = attempt.node == shared.driver.node_id(),
+        own = attempt.node == shared.driver.node_id(), pipelined = log_context.pipelined,
         age_ms = millis(now.since(log_context.arrived)),
         left_ms = millis(now.until(attempt.deadline)),
         held = suppressed;
@@ -111,6 +113,7 @@
         event = "refused", request = log_context.trace_id.as_str(), reason = refusal.reason.name(),
         verdict = refusal.verdict.name(), retry_after_ms = millis(refusal.retry_after),
         version = config_version(shared), attempts = log_context.failed_attempts.as_str(),
+        pipelined = log_context.pipelined,
         age_ms = millis(shared.driver.now().since(log_context.arrived)), held = suppressed;
         "request refused or failed"
     );
@@ -135,7 +138,7 @@
     info!(
         event = "answered", request = log_context.trace_id.as_str(), status,
         node = node.to_string().as_str(), broken = failure_reason.map_or("no", Reason::name),
-        attempts = log_context.failed_attempts.as_str(),
+        attempts = log_context.failed_attempts.as_str(), pipelined = log_context.pipelined,
         age_ms = millis(shared.driver.now().since(log_context.arrived)), held = suppressed;
         "response relayed or aborted"
     );
--- a/components/http1/src/lib.rs
+++ b/components/http1/src/lib.rs
@@ -15,6 +15,7 @@
 mod node;
 mod node_pool;
 mod peer_clock;
+mod pipeline;
 mod request_body;
 mod responses;
 mod stored_responses;
@@ -27,6 +28,7 @@
 
 use linkme::distributed_slice;
 use tokio::net::TcpListener;
+use tokio::sync::Semaphore;
 use tokio_util::sync::CancellationToken;
 
 use config::CallerLimits;
@@ -54,10 +56,22 @@
         let name = params
             .get(DIALECT_PARAM)
             .unwrap_or(dialect::DEFAULT_DIALECT);
-        let dialect_params = params.without(DIALECT_PARAM).without(DESCRIPTORS_PARAM);
+        let dialect_params = params
+            .without(DIALECT_PARAM)
+            .without(DESCRIPTORS_PARAM)
+            .without(PIPELINE_PARAM);
         let dialect = plugin::build(DIALECT_PARAM, &DIALECT_PLUGINS, name, &dialect_params)?;
         let descriptors = params.u64_or(DESCRIPTORS_PARAM, DEFAULT_DESCRIPTORS)?;
+        let pipeline = params.u64_or(PIPELINE_PARAM, DEFAULT_PIPELINE)?;
+        if !(1..=MAX_PIPELINE).contains(&pipeline) {
+            return Err(plugin::Error::InvalidParam {
+                name: PIPELINE_PARAM.to_owned(),
+                value: pipeline.to_string(),
+                expected: "from 1 to 64",
+            });
+        }
         Ok(Box::new(Http1 {
+            max_pipeline: usize::try_from(pipeline).unwrap_or(1),
             dialect: Arc::from(dialect),
             descriptors: usize::try_from(descriptors).unwrap_or(usize::MAX),
         }))
@@ -75,10 +89,22 @@
 /// and from other nodes. The rest is for connections to other nodes, the upstream and the store.
 const CALLER_DESCRIPTOR_TENTHS: usize = 5;
 const NODE_DESCRIPTOR_TENTHS: usize = 2;
+/// Param with the number of requests of one caller's connection that are processed at the same time.
+const PIPELINE_PARAM: &str = "pipeline";
+/// Default of the param [`PIPELINE_PARAM`]. Callers that pipeline rarely send more than a few requests
+/// ahead, and one caller must not fill the slots of a service.
+const DEFAULT_PIPELINE: u64 = 8;
+/// Largest value of the param [`PIPELINE_PARAM`].
+const MAX_PIPELINE: u64 = 64;
+/// Number of requests of the node that may be in progress before it is their turn. With their responses
+/// of at most 64 KB they take at most 16 MB.
+const MAX_STARTED_REQUESTS: usize = 256;
 
 struct Http1 {
     /// Number of file descriptors that the process may have open.
     descriptors: usize,
+    /// Number of requests of one caller's connection that are processed at the same time.
+    max_pipeline: usize,
     dialect: Arc<dyn Dialect>,
 }
 
@@ -89,6 +115,8 @@
     node_pool: Arc<node_pool::NodeConnectionPool>,
     upstream: upstream::UpstreamClient,
     stored_responses: stored_responses::StoredResponses,
+    /// Requests that may be started before it is their turn on their connection.
+    started_requests: Arc<Semaphore>,
 }
 
 impl SharedState {
@@ -122,15 +150,25 @@
         Box::pin(async move {
             let share = |tenths: usize| (self.descriptors / 10 * tenths).max(1);
             let callers = bind("callers", addresses.callers).await?;
-            let callers = (callers, share(CALLER_DESCRIPTOR_TENTHS));
+            let callers = listen::Listener {
+                listener: callers,
+                max_connections: share(CALLER_DESCRIPTOR_TENTHS),
+                max_requests: self.max_pipeline,
+            };
             let requests = bind("requests", addresses.requests).await?;
-            let requests = (requests, share(NODE_DESCRIPTOR_TENTHS));
+            // Other nodes send one request at a time.
+            let requests = listen::Listener {
+                listener: requests,
+                max_connections: share(NODE_DESCRIPTOR_TENTHS),
+                max_requests: 1,
+            };
             let shared = Arc::new(SharedState {
                 driver,
                 dialect: Arc::clone(&self.dialect),
                 node_pool: Arc::default(),
                 upstream: upstream::UpstreamClient::new(addresses.upstream),
                 stored_responses: stored_responses::StoredResponses::default(),
+                started_requests: Arc::new(Semaphore::new(MAX_STARTED_REQUESTS)),
             });
             let serving: ServeFuture = Box::pin(async move {
                 let listening = async {
--- a/components/http1/src/listen.rs
+++ b/components/http1/src/listen.rs
@@ -23,6 +23,9 @@
 
 use crate::SharedState;
 use crate::body::Payload;
+use crate::caller;
+use crate::pipeline::ReadAheadStream;
+use crate::pipeline::StartedQueue;
 use crate::write_timeout::WriteTimeoutStream;
 use errors::Reason;
 use ids::RequestId;
@@ -40,10 +43,12 @@
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
 /// State of a server connection across its requests.
-#[derive(Debug, Default)]
+#[derive(Default)]
 pub(crate) struct ConnectionState {
     stored_request: Mutex<Option<RequestId>>,
     activity: Mutex<Activity>,
+    /// Requests that were started before hyper has read them.
+    pub(crate) started_requests: Arc<StartedQueue>,
 }
 
 /// Whether and since when a connection is in use.
@@ -83,10 +88,22 @@
     }
 }
 
-/// Serves at most `max_connections` connections at once until `stop` is cancelled, then lets each
-/// finish its request.
+/// A bound listener with its limits.
+pub(crate) struct Listener {
+    pub(crate) listener: TcpListener,
+    /// Maximum number of open connections.
+    pub(crate) max_connections: usize,
+    /// Maximum number of requests of one connection that are processed at the same time.
+    pub(crate) max_requests: usize,
+}
+
+/// Serves connections until `stop` is cancelled, then lets each finish its requests.
 pub(crate) async fn serve<H, F>(
-    (listener, max_connections): (TcpListener, usize),
+    Listener {
+        listener,
+        max_connections,
+        max_requests,
+    }: Listener,
     shared: Arc<SharedState>,
     stop: CancellationToken,
     handle: H,
@@ -113,7 +130,7 @@
         let stop = stop.clone();
         tracker.spawn(async move {
             let _slot = slot;
-            serve_connection(stream, shared, stop, handle).await;
+            serve_connection((stream, max_requests), shared, stop, handle).await;
         });
     }
     tracker.close();
@@ -121,7 +138,7 @@
 }
 
 async fn serve_connection<H, F>(
-    stream: TcpStream,
+    (stream, max_requests): (TcpStream, usize),
     shared: Arc<SharedState>,
     stop: CancellationToken,
     handle: H,
@@ -146,23 +163,41 @@
             connection_state.record_activity(true, shared.driver.now());
             let mut response = response_future.await;
             connection_state.record_activity(false, shared.driver.now());
-            if shared.driver.is_leaving() {
-                let headers = response.headers_mut();
+            let headers = response.headers_mut();
+            if connection_state.started_requests.len() > 0 {
+                // A close would cut off the responses to the started requests.
+                headers.remove(CONNECTION);
+            } else if shared.driver.is_leaving() {
                 headers.insert(CONNECTION, HeaderValue::from_static("close"));
             }
+            connection_state.started_requests.record_response();
             Ok::<_, Infallible>(response)
         })
     });
+    let start_shared = Arc::clone(&shared_state);
+    let start_request =
+        move |request, pipelined| caller::start_early(&start_shared, request, pipelined);
     let head_bytes = shared_state.limits().max_head_bytes.max(MIN_HEAD_BYTES);
+    let stream = ReadAheadStream::new(
+        WriteTimeoutStream::new(stream),
+        Arc::clone(&watched_state.started_requests),
+        max_requests,
+        head_bytes,
+        Box::new(start_request),
+    );
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(MAX_HEAD_TIMEOUT)
         .max_buf_size(head_bytes)
-        .serve_connection(WriteTimeoutStream::new(stream), service);
+        .serve_connection(stream, service);
     tokio::pin!(connection);
+    let stopped = async {
+        stop.cancelled().await;
+        watched_state.started_requests.wait_until_empty().await;
+    };
     let ended = tokio::select! {
         ended = connection.as_mut() => ended,
-        () = stop.cancelled() => {
+        () = stopped => {
             connection.as_mut().graceful_shutdown();
             connection.await
         }
--- a/components/http1/src/node.rs
+++ b/components/http1/src/node.rs
@@ -77,7 +77,7 @@
     let service = parse_header(request.headers(), header::SERVICE);
     let (mut parts, body) = request.into_parts();
     let max_bytes = shared.limits().max_body_bytes;
-    let payload = RequestBody::read(body, max_bytes)
+    let payload = RequestBody::read(Some(body), max_bytes)
         .await
         .map_err(not_run_refusal)?
         .payload();
--- a/components/http1/src/request_body.rs
+++ b/components/http1/src/request_body.rs
@@ -28,8 +28,12 @@
 }
 
 impl RequestBody {
-    /// Reads a body of at most `max_bytes` bytes to its end, or only its beginning if it is large.
-    pub(crate) async fn read(mut body: Incoming, max_bytes: u64) -> Result<Self, Reason> {
+    /// Reads a body of at most `max_bytes` bytes to its end, or only its beginning if it is large. A
+    /// request without a body has `None`.
+    pub(crate) async fn read(body: Option<Incoming>, max_bytes: u64) -> Result<Self, Reason> {
+        let Some(mut body) = body else {
+            return Ok(Self::Buffered(Bytes::new()));
+        };
         if body.size_hint().lower() > max_bytes {
             return Err(Reason::TooLarge);
         }
--- a/components/telemetry/src/metrics.rs
+++ b/components/telemetry/src/metrics.rs
@@ -51,6 +51,7 @@
     drops: Counter<u64>,
     state_changes: Counter<u64>,
     requests: Counter<u64>,
+    pipelined: Counter<u64>,
     control_bytes: Counter<u64>,
     control_messages: Counter<u64>,
     store_calls: Counter<u64>,
@@ -92,6 +93,7 @@
             drops: meter.u64_counter("medlar_drops").build(),
             state_changes: meter.u64_counter("medlar_state_changes").build(),
             requests: meter.u64_counter("medlar_requests").build(),
+            pipelined: meter.u64_counter("medlar_pipelined_requests").build(),
             control_bytes: meter.u64_counter("medlar_control_bytes").build(),
             control_messages: meter.u64_counter("medlar_control_messages").build(),
             store_calls: meter.u64_counter("medlar_store_calls").build(),
@@ -117,6 +119,11 @@
         self.retries.add(1, &[reason_label(reason)]);
     }
 
+    /// Counts a request that was started while others before it on its connection were unanswered.
+    pub fn count_pipelined(&self) {
+        self.pipelined.add(1, &[]);
+    }
+
     /// Counts a message or a call that was dropped.
     pub fn count_drop(&self, reason: Reason) {
         self.drops.add(1, &[reason_label(reason)]);
