Count a long request's slot by the time for which calls cannot wait for it

Cause: slots beside long requests stayed empty for the mean demand of more urgent ranks, although an urgent call takes the next slot that becomes free and could often wait that long.

Change: the level keeps the mean slack of its requests, and a long request counts only by the share of its time beyond three quarters of that slack. offer_missed_long_requests gave its calls no deadline, so that they could wait without end; they now expire after 50 ms, as its comment says.

--- a/components/admit/src/ranked.rs
+++ b/components/admit/src/ranked.rs
@@ -313,7 +313,8 @@
 
     fn offer(&mut self, now: Time, job: Job, decisions: &mut Vec<Decision>) {
         let cost = self.service_times.cost(job.route);
-        self.queues[job.rank.index()].record_offer(now, cost);
+        let due = job.objective.unwrap_or(job.expires);
+        self.queues[job.rank.index()].record_offer(now, cost, due);
         let latest_objective_start = self.latest_objective_start(&job);
         let misses_objective = latest_objective_start.is_some_and(|it| it <= now);
         let level = job.rank.index() + if misses_objective { Rank::COUNT } else { 0 };
--- a/components/admit/src/ranked/dispatch.rs
+++ b/components/admit/src/ranked/dispatch.rs
@@ -18,6 +18,9 @@
 /// Number of slots that long requests leave free beyond the mean demand of more urgent ranks, in
 /// multiples of the square root of that demand, because random demand varies with its square root.
 const HEADROOM_FACTOR: f64 = 0.5;
+/// Share of the slack of urgent requests for which they can wait for a slot. The rest is for waiting
+/// behind other urgent requests.
+const USABLE_SLACK: f64 = 0.75;
 
 /// Cost bound that every request satisfies.
 const NO_COST_BOUND: f64 = f64::INFINITY;
@@ -26,7 +29,9 @@
     /// Upper bound (exclusive), in microseconds of slot time, of the worst-case cost of the
     /// requests of `level` that may start now. Long requests, and requests of routes that have not
     /// been measured, may only use slots beyond the mean demand of more urgent ranks and its
-    /// headroom ([`HEADROOM_FACTOR`]); one slot at least.
+    /// headroom ([`HEADROOM_FACTOR`]); one slot at least. The slot of a long request counts only by
+    /// the share of its time that urgent requests cannot wait for it: of long requests that take
+    /// twice the time for which urgent ones can wait, half end soon enough.
     pub(super) fn cost_bound(&self, now: Time, level: usize) -> f64 {
         // The two levels of a rank, with requests that meet or miss their objective, have the same
         // bound.
@@ -40,13 +45,22 @@
         }
         let available_slots =
             f64::from(self.limit.get()) - demand - HEADROOM_FACTOR * demand.sqrt();
-        let running = self.running.iter();
-        let long_running =
-            running.filter(|it| it.level % Rank::COUNT >= rank && it.worst_case_cost >= long_cost);
-        if (long_running.count() as f64) < available_slots.floor().max(1.0) {
+        let long_running = self
+            .running
+            .iter()
+            .filter(|it| it.level % Rank::COUNT >= rank && it.worst_case_cost >= long_cost);
+        let slack = urgent.iter().filter_map(|it| it.mean_slack);
+        let patience = slack.reduce(f64::min).unwrap_or_default() * USABLE_SLACK;
+        let blocked_share = |cost: f64| (1.0 - patience / cost).max(0.0);
+        let blocked_slots: f64 = long_running
+            .map(|it| blocked_share(it.worst_case_cost))
+            .sum();
+        let free_slots = available_slots.max(1.0) - blocked_slots;
+        if free_slots >= 1.0 {
             NO_COST_BOUND
         } else {
-            long_cost
+            // The cost of a request that blocks as many slots as are free.
+            long_cost.max(patience / (1.0 - free_slots))
         }
     }
 
--- a/components/admit/src/ranked/level_queue.rs
+++ b/components/admit/src/ranked/level_queue.rs
@@ -10,7 +10,7 @@
 /// Minimum time that is assumed to have passed since the first request, so that the first requests
 /// are not taken for a high demand.
 const MIN_DEMAND_AGE: Duration = Duration::from_millis(200);
-/// Weight of a request in the moving average of the cost.
+/// Weight of a request in the moving averages of the cost and the slack.
 const COST_GAIN: f64 = 1.0 / 32.0;
 /// Weight of an accepted or refused request in the moving average of the share of refused requests.
 const REFUSED_GAIN: f64 = 1.0 / 128.0;
@@ -28,6 +28,10 @@
     pub(crate) slot_share: f64,
     /// Moving average of the cost of the level's requests, in microseconds of slot time.
     pub(crate) mean_cost: f64,
+    /// Moving average of the time for which the level's requests can wait on arrival and still meet
+    /// their objective, or their deadline if they have none, in microseconds. `None` before the
+    /// first request.
+    pub(crate) mean_slack: Option<f64>,
     /// Number of slots that all requests of the level, including refused ones, would use, at the
     /// time `demand_updated`.
     demand: f64,
@@ -45,8 +49,12 @@
         self.requests.len() == 0
     }
 
-    /// Records the arrival of a request of this cost, in microseconds of slot time.
-    pub(crate) fn record_offer(&mut self, now: Time, cost: f64) {
+    /// Records the arrival of a request of this cost, in microseconds of slot time, that has to end
+    /// by `due` to be in time.
+    pub(crate) fn record_offer(&mut self, now: Time, cost: f64, due: Time) {
+        let slack = (now.until(due).as_micros() as f64 - cost).max(0.0);
+        let mean_slack = self.mean_slack.get_or_insert(slack);
+        *mean_slack += (slack - *mean_slack) * COST_GAIN;
         self.first_offer.get_or_insert(now);
         self.demand = self.decayed_demand(now) + cost / DEMAND_TIME_CONSTANT.as_micros() as f64;
         self.demand_updated = now;
--- /dev/null
+++ b/components/admit/tests/mixed_lengths.rs
@@ -0,0 +1,170 @@
+//! Load pattern: short urgent calls next to long requests that exceed the capacity of the same upstream.
+//!
+//! Typical of a service that callers query at length and that other services call on behalf of their own
+//! requests. The calls must start within what their objective leaves, and the long requests must get
+//! the rest of the slot time.
+
+use std::time::Duration;
+
+use rstest::rstest;
+
+use admit::RankedAdmission;
+use ids::Rank;
+use ids::RouteId;
+use kernel::Random;
+use kernel::Time;
+use kernel::plugin::Params;
+use kernel::random::SeededRandom;
+use policy::Admission;
+use policy::Completion;
+use policy::Decision;
+use policy::Job;
+use policy::Ticket;
+
+const SLOTS: u32 = 6;
+/// Duration of the load, and of its beginning that is not counted, in microseconds.
+const END: u64 = 60_000_000;
+const WARM_UP: u64 = 5_000_000;
+
+/// One kind of request with Poisson arrivals; times in microseconds.
+#[derive(Clone, Copy)]
+struct Kind {
+    rank: u8,
+    service_time: u64,
+    objective: u64,
+    deadline: u64,
+    per_second: f64,
+}
+
+/// Results of one kind of request.
+#[derive(Clone, Copy, Debug, Default)]
+struct Outcome {
+    arrivals: u32,
+    /// Requests that ended within their objective.
+    in_time: u32,
+    /// Slot time that the requests used, in microseconds.
+    slot_time: u64,
+}
+
+/// Events in the order of their time: arrivals of a kind and ends of a ticket.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    Arrival(usize),
+    End(u64),
+}
+
+/// Microseconds until the next arrival.
+fn next_gap(random: &mut dyn Random, per_second: f64) -> u64 {
+    let uniform = (random.below(1_000_000) as f64 + 1.0) / 1_000_001.0;
+    (-uniform.ln() / per_second * 1e6) as u64
+}
+
+/// Offers the requests of all kinds to one upstream and returns the outcome of each kind.
+fn simulate(kinds: &[Kind], seed: u64) -> Vec<Outcome> {
+    let mut ranked = RankedAdmission::from_params(&Params::default()).expect("valid params");
+    ranked.set_slots(Time(0), SLOTS, &mut Vec::new());
+    let mut random = SeededRandom::new(seed);
+    let mut outcomes = vec![Outcome::default(); kinds.len()];
+    let mut requests: Vec<(usize, u64, u64)> = Vec::new();
+    let mut events: Vec<(u64, Event)> = Vec::new();
+    for (index, kind) in kinds.iter().enumerate() {
+        events.push((
+            next_gap(&mut random, kind.per_second),
+            Event::Arrival(index),
+        ));
+    }
+    while let Some(position) = (0..events.len()).min_by_key(|it| events[*it]) {
+        let (now, event) = events.swap_remove(position);
+        if now > END {
+            break;
+        }
+        let mut decisions = Vec::new();
+        ranked.wake(Time(now), &mut decisions);
+        match event {
+            Event::Arrival(index) => {
+                let kind = kinds[index];
+                events.push((
+                    now + next_gap(&mut random, kind.per_second),
+                    Event::Arrival(index),
+                ));
+                let ticket = requests.len() as u64;
+                requests.push((index, now, 0));
+                outcomes[index].arrivals += u32::from(now >= WARM_UP);
+                let job = Job {
+                    ticket: Ticket(ticket),
+                    route: RouteId(index as u64),
+                    rank: Rank(kind.rank),
+                    weight: 1,
+                    expires: Time(now + kind.deadline),
+                    objective: Some(Time(now + kind.objective)),
+                };
+                ranked.offer(Time(now), job, &mut decisions);
+            }
+            Event::End(ticket) => {
+                let (index, arrived, started) = requests[ticket as usize];
+                if arrived >= WARM_UP {
+                    outcomes[index].in_time += u32::from(now - arrived <= kinds[index].objective);
+                    outcomes[index].slot_time += now - started;
+                }
+                let completion = Completion {
+                    latency: Duration::from_micros(now - started),
+                    shed: false,
+                };
+                ranked.finish(Time(now), Ticket(ticket), completion, &mut decisions);
+            }
+        }
+        for decision in decisions {
+            if let Decision::Start(Ticket(ticket)) = decision {
+                let request = &mut requests[ticket as usize];
+                request.2 = now;
+                let service_time = kinds[request.0].service_time;
+                // Service times vary by half either way.
+                let varied = service_time / 2 + random.below(service_time as usize) as u64;
+                events.push((now + varied, Event::End(ticket)));
+            }
+        }
+    }
+    outcomes
+}
+
+/// Guards against two failures under a lasting overload by long requests: slots that stay empty for
+/// urgent calls although these could wait until a long request ends, and long requests in all slots
+/// although the calls could not wait that long.
+#[rstest]
+#[case::patient_calls(80_000, 45_000, 0.9)]
+#[case::brief_requests(60_000, 60_000, 0.9)]
+#[case::impatient_calls(400_000, 60_000, 0.8)]
+#[case::very_long_requests(1_500_000, 100_000, 0.8)]
+fn simulate_long_overload(
+    #[case] long: u64,
+    #[case] call_objective: u64,
+    #[case] min_slot_share: f64,
+) {
+    let calls = Kind {
+        rank: 0,
+        service_time: 15_000,
+        objective: call_objective,
+        deadline: 200_000,
+        per_second: 100.0,
+    };
+    let long_requests = Kind {
+        rank: 2,
+        service_time: long,
+        objective: long * 4,
+        deadline: long * 8,
+        per_second: 1.3 * f64::from(SLOTS) / (long as f64 / 1e6),
+    };
+    for seed in 1..=3 {
+        let outcomes = simulate(&[calls, long_requests], seed);
+        let in_time = f64::from(outcomes[0].in_time) / f64::from(outcomes[0].arrivals);
+        let capacity = f64::from(SLOTS) * (END - WARM_UP) as f64;
+        let used: u64 = outcomes.iter().map(|it| it.slot_time).sum();
+        let slot_share = used as f64 / capacity;
+        let result = (in_time, slot_share);
+        assert!(result.0 >= 0.9, "seed {seed}: calls in time: {result:?}");
+        assert!(
+            result.1 >= min_slot_share,
+            "seed {seed}: slot time used: {result:?}"
+        );
+    }
+}
--- a/components/admit/tests/ranked.rs
+++ b/components/admit/tests/ranked.rs
@@ -338,7 +338,7 @@
     set_slots(&mut ranked, 4);
     for ticket in 0..40 {
         let now = ticket * 10 * MS;
-        offer(&mut ranked, now, job(ticket, 0, 1, FAR_DEADLINE));
+        offer(&mut ranked, now, job(ticket, 0, 1, Time(now + 50 * MS)));
         finish(&mut ranked, now + 5 * MS, ticket, 10);
         offer(&mut ranked, now, job(100 + ticket, 2, 2, FAR_DEADLINE));
         finish(&mut ranked, now + 5 * MS, 100 + ticket, 150);
