Take the drain limit and the retry limits from the platform

Cause: the drain limit was 5.3 s whatever grace time the platform gives. The retry ratio and its window were fixed too.

A drain that ends at its limit says what it waited for, and connections that are open 1 s after their listener stopped are logged.

--- a/components/daemon/src/lib.rs
+++ b/components/daemon/src/lib.rs
@@ -50,9 +50,10 @@
             display("agent: {error}")
         }
         /// The node stopped before `running` requests at its upstream and `forwarded` calls of its entry
-        /// had ended.
-        DrainIncomplete { reason: &'static str, running: u32, forwarded: usize } {
-            display("{reason}; cut off: {running} running and {forwarded} forwarded requests")
+        /// had ended; `step` is what its drain was waiting for.
+        DrainIncomplete { reason: &'static str, running: u32, forwarded: usize, step: &'static str } {
+            display("{reason}; cut off: {running} running and {forwarded} forwarded requests, \
+                    waiting for {step}")
         }
         /// A thread or runtime cannot be started.
         Start(error: io::Error) {
--- a/components/daemon/src/run.rs
+++ b/components/daemon/src/run.rs
@@ -1,5 +1,6 @@
 //! Starts a node, runs it and drains it when it is asked to stop.
 
+use std::cell::Cell;
 use std::io;
 use std::net::SocketAddr;
 use std::path::Path;
@@ -361,6 +362,7 @@
         event = "drain", running = driver.load().running, forwarded = driver.open_calls();
         "draining"
     );
+    let step = Cell::new("callers and nodes to learn of the drain");
     let drain = async {
         let linger = linger.min(limit / 2);
         driver.announce_drain();
@@ -370,8 +372,11 @@
         driver.drain();
         tokio::time::sleep(linger.min(notice)).await;
         front_end_stop.cancel();
+        step.set("connections to end");
         let _ = front_end_task.await;
+        step.set("requests to end");
         driver.wait_until_idle().await;
+        step.set("the control thread");
         let _ = inputs.send(Input::Drained).await;
         tokio::time::sleep(LEAVE_GOSSIP_TIME).await;
     };
@@ -389,5 +394,6 @@
         reason,
         running: driver.load().running,
         forwarded: driver.open_calls(),
+        step: step.get(),
     })
 }
--- a/components/http1/src/events.rs
+++ b/components/http1/src/events.rs
@@ -5,6 +5,7 @@
 //! line states how many lines of its kind were suppressed before it. The limit for failures is
 //! higher, and the line of a failure repeats what the normal lines before it reported.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use log::info;
@@ -203,3 +204,21 @@
         "upstream responded or failed"
     );
 }
+
+/// Logs that a connection is still open some time after its listener was stopped, which delays the end of
+/// the process.
+pub(crate) fn log_connection_open(
+    peer: Option<SocketAddr>,
+    is_busy: bool,
+    unchanged_for: Duration,
+) {
+    let Some(suppressed) = OWNER_FAILURE_LIMITER.admit() else {
+        return;
+    };
+    let peer = peer.map_or_else(|| "unknown".to_owned(), |peer| peer.to_string());
+    info!(
+        event = "connection-open", peer = peer.as_str(), busy = is_busy,
+        unchanged_ms = millis(unchanged_for), held = suppressed;
+        "connection has not ended since the listener was stopped"
+    );
+}
--- a/components/http1/src/listen.rs
+++ b/components/http1/src/listen.rs
@@ -24,6 +24,7 @@
 use crate::SharedState;
 use crate::body::Payload;
 use crate::caller;
+use crate::events;
 use crate::pipeline::ReadAheadStream;
 use crate::pipeline::StartedQueue;
 use crate::write_timeout::WriteTimeoutStream;
@@ -42,6 +43,9 @@
 /// Delay after a failed accept, for example when no file descriptors are left.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
+/// Time from the stop of a listener until a connection that is still open is logged.
+const LATE_END_LOG_DELAY: Duration = Duration::from_secs(1);
+
 /// State of a server connection across its requests.
 #[derive(Default)]
 pub(crate) struct ConnectionState {
@@ -150,6 +154,7 @@
         + 'static,
     F: Future<Output = Response<Payload>> + Send + 'static,
 {
+    let peer = stream.peer_addr().ok();
     let connection_state = Arc::new(ConnectionState::default());
     connection_state.record_activity(false, shared.driver.now());
     let shared_state = Arc::clone(&shared);
@@ -199,7 +204,15 @@
         ended = connection.as_mut() => ended,
         () = stopped => {
             connection.as_mut().graceful_shutdown();
-            connection.await
+            tokio::select! {
+                ended = connection.as_mut() => ended,
+                () = tokio::time::sleep(LATE_END_LOG_DELAY) => {
+                    let Activity { is_busy, since } = watched_state.activity();
+                    let unchanged_for = shared_state.driver.now().since(since);
+                    events::log_connection_open(peer, is_busy, unchanged_for);
+                    connection.await
+                }
+            }
         }
         // No request is in progress, and the connection was idle or its request head incomplete for
         // too long.
--- a/components/http1/tests/pipeline.rs
+++ b/components/http1/tests/pipeline.rs
@@ -243,3 +243,22 @@
     assert_eq!(bodies, ["0", "30", "0", "9", "0"]);
     assert_eq!(upstream_record.request_count(), 5);
 }
+
+/// Guards against a stop that waits for a caller which has sent half a request head: nothing of it can
+/// have run, so its connection is closed.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn read_ahead_stop_half_head() {
+    let (address, upstream_record) = upstream::start().await;
+    let node = Node::start(address, 10, 10).await;
+    let mut caller = CallerConnection::connect(node.callers).await;
+    caller.send("GET /x HTTP/1.1\r\nhost: h\r\n").await;
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    node.driver.drain();
+    node.front_end_stop.cancel();
+    tokio::time::timeout(Duration::from_secs(1), node.front_end_task)
+        .await
+        .expect("the listener ends")
+        .unwrap();
+    assert!(caller.is_closed().await);
+    assert_eq!(upstream_record.request_count(), 0);
+}
--- a/components/kernel/src/plugin.rs
+++ b/components/kernel/src/plugin.rs
@@ -4,6 +4,8 @@
 //! themselves to the slice at link time. Each extension point also adds itself to
 //! [`EXTENSION_POINTS`], so that a program can list its extension points and plug-ins.
 
+use std::ops::RangeInclusive;
+
 use linkme::distributed_slice;
 use quick_error::quick_error;
 
@@ -73,6 +75,24 @@
         })
     }
 
+    /// Parses the param `name` as a number in `range`; returns `default` if the param is not set.
+    pub fn f64_or(
+        &self,
+        name: &str,
+        default: f64,
+        range: RangeInclusive<f64>,
+    ) -> Result<f64, Error> {
+        let Some(value) = self.get(name) else {
+            return Ok(default);
+        };
+        let number = value.parse().ok().filter(|number| range.contains(number));
+        number.ok_or_else(|| Error::InvalidParam {
+            name: name.to_owned(),
+            value: value.to_owned(),
+            expected: "a number in the range of the param",
+        })
+    }
+
     /// Returns an error if the name of a param is not in `known`.
     pub fn check_names(&self, known: &[&str]) -> Result<(), Error> {
         match self
--- a/components/retry/src/budget.rs
+++ b/components/retry/src/budget.rs
@@ -7,6 +7,7 @@
 //! bounded by that fraction of the first attempts plus twice the reserve. Full buckets are dropped,
 //! which bounds the state by the number of services in use.
 
+use std::ops::RangeInclusive;
 use std::time::Duration;
 
 use linkme::distributed_slice;
@@ -27,8 +28,15 @@
 const DEFAULT_MAX_ATTEMPTS: u64 = 3;
 /// Retries that a node can make for a service in one window regardless of its first attempts.
 const DEFAULT_RESERVE: u64 = 3;
-/// Time in which an empty bucket regains the whole reserve.
-const RESERVE_WINDOW: Duration = Duration::from_secs(10);
+/// Default time in which an empty bucket regains the whole reserve, in seconds.
+const DEFAULT_WINDOW_SECONDS: f64 = 10.0;
+/// Part of the `ratio` that the retries of the nodes may use. A repeated execution repeats its onward
+/// calls, which count as retries of the services that are called.
+const RATIO_PART: f64 = 0.6;
+/// Accepted values of the param `ratio`.
+const RATIOS: RangeInclusive<f64> = 0.0..=1.0;
+/// Accepted values of the param `window_s`, in seconds.
+const WINDOW_SECONDS: RangeInclusive<f64> = 0.1..=3_600.0;
 /// Upper bound of the random wait before the first retry; doubles with each further retry.
 const INITIAL_MAX_JITTER: Duration = Duration::from_millis(5);
 /// Upper bound of the random wait before any retry.
@@ -56,6 +64,8 @@
     tokens_per_request: f64,
     /// Maximum number of attempts at a request, the first one included.
     max_attempts: u32,
+    /// Time in which an empty bucket regains the whole reserve.
+    window: Duration,
     /// Tokens that a bucket holds, and that are refilled in one window.
     reserve: f64,
     /// Reserve that all nodes share; 0 if each node has a reserve of its own.
@@ -65,16 +75,35 @@
 }
 
 impl RetryBudget {
-    /// Reads the params `percent` (retries per hundred first attempts), `attempts` (maximum number
-    /// of attempts at a request), `reserve` (retries of a node in one window regardless of its
-    /// first attempts) and `slack` (the same for all nodes together, in place of `reserve`).
+    /// Reads the params `percent` (retries per hundred first attempts), `ratio` (in place of
+    /// `percent`: most executions beyond the first per request, onward calls included), `attempts`
+    /// (maximum number of attempts at a request), `window_s` (seconds of a window), `reserve` (retries
+    /// of a node in one window regardless of its first attempts) and `slack` (the same for all nodes
+    /// together, in place of `reserve`).
     pub fn from_params(params: &Params) -> Result<Self, Error> {
-        params.check_names(&["attempts", "percent", "reserve", "slack"])?;
+        params.check_names(&[
+            "attempts", "percent", "ratio", "reserve", "slack", "window_s",
+        ])?;
         let max_attempts = params.u64_or("attempts", DEFAULT_MAX_ATTEMPTS)?;
         let reserve = params.u64_or("reserve", DEFAULT_RESERVE)?;
         let percent = params.u64_or("percent", DEFAULT_PERCENT)?.min(100);
+        let tokens_per_request = match params.get("ratio") {
+            None => percent as f64 / 100.0,
+            Some(_) if params.get("percent").is_none() => {
+                params.f64_or("ratio", 0.0, RATIOS)? * RATIO_PART
+            }
+            Some(ratio) => {
+                return Err(Error::InvalidParam {
+                    name: "ratio".to_owned(),
+                    value: ratio.to_owned(),
+                    expected: "allowed beside 'percent'",
+                });
+            }
+        };
+        let window = params.f64_or("window_s", DEFAULT_WINDOW_SECONDS, WINDOW_SECONDS)?;
         Ok(Self {
-            tokens_per_request: percent as f64 / 100.0,
+            tokens_per_request,
+            window: Duration::from_secs_f64(window),
             max_attempts: u32::try_from(max_attempts).unwrap_or(u32::MAX),
             reserve: reserve as f64,
             shared_reserve: params.u64_or("slack", 0)? as f64,
@@ -89,8 +118,7 @@
 
     /// Returns the tokens of `bucket` at `now`.
     fn tokens_at(&self, now: Time, bucket: &Bucket) -> f64 {
-        let elapsed_windows =
-            now.since(bucket.updated).as_secs_f64() / RESERVE_WINDOW.as_secs_f64();
+        let elapsed_windows = now.since(bucket.updated).as_secs_f64() / self.window.as_secs_f64();
         (bucket.tokens + self.reserve * elapsed_windows).min(self.capacity())
     }
 
--- a/components/retry/tests/budget.rs
+++ b/components/retry/tests/budget.rs
@@ -129,3 +129,35 @@
     let allowed = (0..100).filter(|_| budget.allow(Time(0), FAILURE, &mut random).is_ok());
     assert_eq!(allowed.count(), expected);
 }
+
+/// Guards against settings whose limits on retries contradict each other or have no meaning: the node
+/// refuses them, and an accepted ratio bounds all executions beyond the first, onward calls included.
+#[rstest]
+#[case::ratio(&[("ratio", "0.2")], Some(12))]
+#[case::fraction(&[("ratio", "0.05"), ("window_s", "2.5")], Some(3))]
+#[case::with_percent(&[("ratio", "0.2"), ("percent", "10")], None)]
+#[case::above_one(&[("ratio", "20")], None)]
+#[case::not_a_number(&[("ratio", "NaN")], None)]
+#[case::no_window(&[("window_s", "0")], None)]
+fn from_params_ratio(#[case] pairs: &[(&str, &str)], #[case] retries_per_100: Option<u32>) {
+    let pairs = pairs.iter().copied().chain([("reserve", "50")]);
+    let params = Params::from_pairs(pairs.map(|(name, value)| (name.into(), value.into())));
+    let budget = RetryBudget::from_params(&params);
+    assert_eq!(budget.is_ok(), retries_per_100.is_some());
+    let Ok(mut budget) = budget else { return };
+    while budget
+        .allow(Time(0), FAILURE, &mut SeededRandom::new(1))
+        .is_ok()
+    {}
+    for _ in 0..101 {
+        budget.record_first_attempt(Time(0), SERVICE);
+    }
+    let mut retries = 0;
+    while budget
+        .allow(Time(0), FAILURE, &mut SeededRandom::new(1))
+        .is_ok()
+    {
+        retries += 1;
+    }
+    assert_eq!(Some(retries), retries_per_100);
+}
--- a/components/settings/src/check.rs
+++ b/components/settings/src/check.rs
@@ -3,6 +3,7 @@
 use std::net::IpAddr;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 
 use serde_saphyr::Spanned;
 
@@ -18,6 +19,8 @@
 const MAX_TRAFFIC_THREADS: u64 = 64;
 /// Maximum of each drain time, in milliseconds.
 const MAX_DRAIN_MS: u64 = 600_000;
+/// Accepted values of `stop_grace_s`, in seconds.
+const STOP_GRACE_SECONDS: RangeInclusive<f64> = 1.0..=600.0;
 /// Maximum number of contacts; a node joins the fleet through any one that responds.
 const MAX_CONTACTS: usize = 64;
 
@@ -63,14 +66,7 @@
             MAX_TRAFFIC_THREADS,
             default_threads,
         );
-        let default_limit_ms = settings::DEFAULT_DRAIN_LIMIT_MS;
-        let drain_limit_ms = self.check_number(
-            "drain_limit_ms",
-            raw.drain_limit_ms.as_ref(),
-            "milliseconds",
-            MAX_DRAIN_MS,
-            default_limit_ms,
-        );
+        let drain_limit_ms = self.check_drain_limit(&raw);
         let drain_linger_ms = self.check_number(
             "drain_linger_ms",
             raw.drain_linger_ms.as_ref(),
@@ -213,6 +209,38 @@
         contacts
     }
 
+    /// Returns the drain limit in milliseconds, from whichever of its two keys is set.
+    fn check_drain_limit(&mut self, raw: &RawSettings) -> Option<u64> {
+        let Some(grace) = &raw.stop_grace_s else {
+            return self.check_number(
+                "drain_limit_ms",
+                raw.drain_limit_ms.as_ref(),
+                "milliseconds",
+                MAX_DRAIN_MS,
+                settings::DEFAULT_DRAIN_LIMIT_MS,
+            );
+        };
+        if raw.drain_limit_ms.is_some() {
+            let message = "is set together with drain_limit_ms".to_owned();
+            let hint = "remove one: the drain limit follows from stop_grace_s";
+            self.add_problem("stop_grace_s", grace, message, hint);
+            return None;
+        }
+        let seconds = grace.value.parse::<f64>().ok();
+        let seconds = seconds.filter(|seconds| STOP_GRACE_SECONDS.contains(seconds));
+        let Some(seconds) = seconds else {
+            let message = format!("{:?} is not usable", grace.value);
+            let hint = format!(
+                "write a number of seconds from {} to {}, without a unit",
+                STOP_GRACE_SECONDS.start(),
+                STOP_GRACE_SECONDS.end()
+            );
+            self.add_problem("stop_grace_s", grace, message, &hint);
+            return None;
+        };
+        Some((seconds * 1_000.0) as u64 - settings::EXIT_RESERVE_MS)
+    }
+
     /// Checks an optional whole number from 1 to `max`.
     fn check_number(
         &mut self,
--- a/components/settings/src/raw.rs
+++ b/components/settings/src/raw.rs
@@ -22,6 +22,7 @@
     #[serde(default)]
     pub(crate) domains: Vec<Spanned<String>>,
     pub(crate) drain_limit_ms: Option<Spanned<String>>,
+    pub(crate) stop_grace_s: Option<Spanned<String>>,
     pub(crate) drain_linger_ms: Option<Spanned<String>>,
     pub(crate) drain_notice_ms: Option<Spanned<String>>,
     #[serde(default)]
--- a/components/settings/tests/settings.rs
+++ b/components/settings/tests/settings.rs
@@ -109,6 +109,26 @@
     "traffic_threads: 65\nstore:",
     "line 10: traffic_threads: \"65\" is not usable; write a whole number of threads from 1 to 64"
 )]
+#[case::grace_with_unit(
+    "store:",
+    "stop_grace_s: 6s\nstore:",
+    "line 10: stop_grace_s: \"6s\" is not usable; write a number of seconds from 1 to 600, without a unit"
+)]
+#[case::grace_too_short(
+    "store:",
+    "stop_grace_s: 0.5\nstore:",
+    "line 10: stop_grace_s: \"0.5\" is not usable"
+)]
+#[case::grace_not_finite(
+    "store:",
+    "stop_grace_s: .nan\nstore:",
+    "line 10: stop_grace_s: \".nan\" is not usable"
+)]
+#[case::grace_and_limit(
+    "store:",
+    "stop_grace_s: 6\ndrain_limit_ms: 5000\nstore:",
+    "line 10: stop_grace_s: is set together with drain_limit_ms; remove one"
+)]
 #[case::zero(
     "store:",
     "drain_limit_ms: 0\nstore:",
@@ -147,6 +167,18 @@
     );
 }
 
+/// Guards against a process that is killed in its drain because the supervisor's grace time is not the
+/// one that a fixed limit was written for.
+#[rstest]
+#[case::whole("6", 5_300)]
+#[case::long("\"10\"", 9_300)]
+#[case::fraction("2.5", 1_800)]
+fn parse_stop_grace(#[case] grace: &str, #[case] drain_limit_ms: u64) {
+    let text = VALID.replace("store:", &format!("stop_grace_s: {grace}\nstore:"));
+    let settings = parse(Path::new("node.yaml"), &text).expect("settings are valid");
+    assert_eq!(settings.drain_limit_ms, drain_limit_ms);
+}
+
 /// Appends the keys of the settings, as paths in the file, with their values. The value of a plug-in
 /// is its name.
 fn flatten(prefix: &str, value: &serde_json::Value, keys: &mut Vec<(String, String)>) {
@@ -210,6 +242,8 @@
         })
         .map(|cells| (cells[0].to_owned(), cells[2].to_owned()))
         .collect();
+    // Sets `drain_limit_ms`, so that it is no value of its own.
+    expected.push(("stop_grace_s".to_owned(), "none".to_owned()));
     expected.sort();
     documented.sort();
     assert_eq!(documented, expected);
