Let owners refuse requests that another endpoint may serve in time

Cause: with 95 nodes an entry sends to one endpoint about once in 1.5 s, but a load report counts for 1 s, so its choices are almost random.

Change: the first two owners of a request refuse it as not run if it would miss its objective there and the entry has another endpoint to try; the entry sends it on at once. The third queues it as before.

--- a/components/admit/src/ranked.rs
+++ b/components/admit/src/ranked.rs
@@ -324,12 +324,20 @@
 
     fn offer(&mut self, now: Time, job: Job, decisions: &mut Vec<Decision>) {
         let cost = self.service_times.cost(job.route);
-        let due = job.objective.unwrap_or(job.expires);
-        self.queues[job.rank.index()].record_offer(now, cost, due);
         let latest_objective_start = self.latest_objective_start(now, &job);
         let misses_objective = latest_objective_start.is_some_and(|it| it <= now);
         let level = job.rank.index() + if misses_objective { Rank::COUNT } else { 0 };
         let wait = self.estimate_wait(now, level, &job, cost);
+        if job.spillable && latest_objective_start.is_some_and(|it| it < now + wait) {
+            // Neither demand nor a refusal of the rank, because another upstream gets the request.
+            return decisions.push(Decision::Refuse {
+                ticket: job.ticket,
+                reason: Reason::ObjectiveTooShort,
+                retry_after: self.retry_after(job.rank.index()),
+            });
+        }
+        let due = job.objective.unwrap_or(job.expires);
+        self.queues[job.rank.index()].record_offer(now, cost, due);
         let mut latest_start = self.latest_start(now, &job);
         if now + wait > latest_start {
             let starts_now = wait.is_zero() && job.expires > now;
--- a/components/admit/tests/limit.rs
+++ b/components/admit/tests/limit.rs
@@ -73,6 +73,7 @@
                 weight: 1,
                 expires: Time(ticket * 1_000_000 / rate) + DEADLINE,
                 objective: None,
+                spillable: false,
             };
             admission.offer(Time(now), job, &mut decisions);
         } else {
@@ -216,6 +217,7 @@
                 weight: 1,
                 expires: Time(now) + 10 * DEADLINE,
                 objective: None,
+                spillable: false,
             };
             ranked.offer(Time(now), job, &mut decisions);
         }
--- a/components/admit/tests/mixed_lengths.rs
+++ b/components/admit/tests/mixed_lengths.rs
@@ -97,6 +97,7 @@
                     weight: 1,
                     expires: Time(now + kind.deadline),
                     objective: Some(Time(now + kind.objective)),
+                    spillable: false,
                 };
                 ranked.offer(Time(now), job, &mut decisions);
             }
--- a/components/admit/tests/ranked.rs
+++ b/components/admit/tests/ranked.rs
@@ -40,6 +40,7 @@
         weight: 1,
         expires,
         objective: None,
+        spillable: false,
     }
 }
 
@@ -353,3 +354,34 @@
     });
     assert!(started.count() < 4);
 }
+
+/// Guards against a request that its sender could send elsewhere being queued past its objective, and
+/// against one that has no other endpoint being refused for its objective.
+#[rstest]
+#[case::free_slot(0, true, 30, &[])]
+#[case::queue_in_time(1, true, 100, &[])]
+#[case::queue_too_long(6, true, 100, &[(9, Reason::ObjectiveTooShort)])]
+#[case::no_alternative(6, false, 100, &[])]
+fn offer_spillable(
+    #[case] queued: u64,
+    #[case] spillable: bool,
+    #[case] objective: u64,
+    #[case] expected: &[(u64, Reason)],
+) {
+    let mut ranked = new_ranked(&[]);
+    let now = measure_route(&mut ranked, 1, 20);
+    if queued == 0 {
+        finish(&mut ranked, now, 0, 20);
+    }
+    for ticket in 1..queued {
+        offer(&mut ranked, now, job(ticket, 0, 1, FAR_DEADLINE));
+    }
+    let job = Job {
+        objective: Some(Time(now + objective * MS)),
+        spillable,
+        ..job(9, 0, 1, FAR_DEADLINE)
+    };
+    let decisions = offer(&mut ranked, now, job);
+    assert_eq!(refusals(&decisions), expected);
+    assert!(ranked.load().least_urgent_accepted == Rank(3));
+}
--- a/components/errors/src/reason.rs
+++ b/components/errors/src/reason.rs
@@ -40,6 +40,7 @@
     QueueFull "queue-full" "The queue of the rank is full."
     Displaced "displaced" "A more urgent request took the place in the queue."
     DeadlineTooShort "deadline-too-short" "The request cannot finish before its deadline."
+    ObjectiveTooShort "objective-too-short" "The request would miss its latency objective here but may meet it elsewhere."
     DeadlinePassed "deadline-passed" "The deadline passed."
     ShedEarly "shed-early" "The owners report that they refuse work of this rank."
     Draining "draining" "The endpoint is leaving and takes no new work."
--- a/components/http1/src/attempt.rs
+++ b/components/http1/src/attempt.rs
@@ -239,6 +239,7 @@
         intended_owner: attempt.node,
         expires: attempt.deadline,
         objective: attempt.objective,
+        spillable: attempt.spillable,
         route: profile.route,
         rank: profile.rank,
         weight,
@@ -287,7 +288,10 @@
         (header::ATTEMPT, attempt.number.to_string()),
         (header::SERVICE, profile.service.to_string()),
     ];
-    for (name, value) in values.into_iter().chain(objective) {
+    let spillable = attempt
+        .spillable
+        .then(|| (header::SPILLABLE, "1".to_owned()));
+    for (name, value) in values.into_iter().chain(objective).chain(spillable) {
         if let Ok(value) = HeaderValue::from_str(&value) {
             request.headers_mut().insert(name, value);
         }
--- a/components/http1/src/events.rs
+++ b/components/http1/src/events.rs
@@ -94,7 +94,12 @@
 
 /// Logs that an attempt failed and the request is retried.
 pub(crate) fn log_retried(shared: &SharedState, log_context: &RequestLogContext, reason: Reason) {
-    let Some(suppressed) = ENTRY_FAILURE_LIMITER.admit() else {
+    let limiter = if reason == Reason::ObjectiveTooShort {
+        &ENTRY_LIMITER
+    } else {
+        &ENTRY_FAILURE_LIMITER
+    };
+    let Some(suppressed) = limiter.admit() else {
         return;
     };
     info!(
@@ -147,7 +152,13 @@
 
 /// Logs that the owner does not pass a request to its upstream.
 pub(crate) fn log_held_back(shared: &SharedState, trace_id: &str, refusal: Refusal) {
-    let Some(suppressed) = OWNER_FAILURE_LIMITER.admit() else {
+    // A request that may meet its objective elsewhere has not failed.
+    let limiter = if refusal.reason == Reason::ObjectiveTooShort {
+        &OWNER_LIMITER
+    } else {
+        &OWNER_FAILURE_LIMITER
+    };
+    let Some(suppressed) = limiter.admit() else {
         return;
     };
     let load = shared.driver.load();
--- a/components/policy/src/admission.rs
+++ b/components/policy/src/admission.rs
@@ -43,6 +43,8 @@
     /// Time by which the response should arrive, if the operator has set an objective; a later one
     /// is worth less, but still of use until `expires`.
     pub objective: Option<Time>,
+    /// Whether the sender tries another endpoint if this one refuses the request.
+    pub spillable: bool,
 }
 
 /// Decision about a request.
--- a/components/simulate/src/entry_call.rs
+++ b/components/simulate/src/entry_call.rs
@@ -195,6 +195,7 @@
             intended_owner: node,
             expires: to_node_clock(node, attempt.deadline),
             objective: attempt.objective.map(|it| to_node_clock(node, it)),
+            spillable: attempt.spillable,
             route: profile.route,
             rank: profile.rank,
             weight: 1,
--- a/components/traffic/src/entry.rs
+++ b/components/traffic/src/entry.rs
@@ -130,6 +130,7 @@
     }
 
     fn forward(&mut self, context: &mut StepContext<'_>, key: CallKey, delay: Duration) {
+        let has_alternative = self.count_untried_endpoints(context.now, context.topology, key) > 1;
         let endpoint_key = self.select_endpoint(context, key);
         let endpoint =
             endpoint_key.and_then(|endpoint_key| context.topology.endpoint(endpoint_key));
@@ -142,6 +143,7 @@
             };
             return refuse(context, refusal);
         };
+        let spillable = has_alternative && call.is_spillable(context.now);
         let attempt = Attempt {
             number: call.attempt.map_or(1, |previous| previous.number + 1),
             node: endpoint.node,
@@ -149,6 +151,7 @@
             peer_address: endpoint.peer_address,
             deadline: call.deadline,
             objective: call.objective,
+            spillable,
             delay,
         };
         call.start_attempt(attempt);
@@ -211,16 +214,23 @@
         reason: Reason,
         report: AttemptReport,
     ) {
-        let has_untried_endpoint = self.has_untried_endpoint(context.now, context.topology, key);
+        let has_untried_endpoint =
+            self.count_untried_endpoints(context.now, context.topology, key) > 0;
         let Some(call) = self.calls.get_mut(key) else {
             return;
         };
         call.verdict = call.verdict.max(report.verdict);
         call.count_upstream(reason, report.verdict);
+        call.spills += u32::from(reason == Reason::ObjectiveTooShort);
         let verdict = call.verdict;
         let failed_attempt =
             call.failed_attempt(context.now, reason, &report, has_untried_endpoint);
         self.release_in_flight(key);
+        if reason == Reason::ObjectiveTooShort && !self.shutting_down {
+            // Nothing has reached an upstream, so this is no retry.
+            context.effects.push(Effect::Retrying { reason });
+            return self.forward(context, key, Duration::ZERO);
+        }
         if self.shutting_down {
             self.calls.remove(key);
             let refusal = Refusal {
@@ -280,7 +290,7 @@
         let Some(topology) = self.subsets.topology() else {
             return false;
         };
-        let has_untried_endpoint = self.has_untried_endpoint(now, &topology, key);
+        let has_untried_endpoint = self.count_untried_endpoints(now, &topology, key) > 0;
         self.calls.get(key).is_some_and(|call| {
             let report = silence_report(Verdict::NotRun);
             let failed_attempt =
--- a/components/traffic/src/entry/call.rs
+++ b/components/traffic/src/entry/call.rs
@@ -16,6 +16,10 @@
 use kernel::Time;
 use policy::FailedAttempt;
 
+/// Number of owners that may refuse a request because it would miss its objective there. With three
+/// endpoints to choose from, few requests meet only full ones while others have room.
+const MAX_SPILLS: u32 = 2;
+
 /// A caller's request that the entry is processing, over all its attempts.
 #[derive(Debug)]
 pub struct Call {
@@ -32,6 +36,8 @@
     upstreams_tried: u32,
     pub(crate) attempt: Option<Attempt>,
     pub(crate) tried_nodes: Vec<NodeId>,
+    /// Attempts that their owners refused because the request would have missed its objective there.
+    pub(crate) spills: u32,
     /// Combined verdict of the failed attempts.
     pub(crate) verdict: Verdict,
     /// Silence timeouts of the current attempt.
@@ -93,6 +99,7 @@
             replayable: head.replayable,
             attempt: None,
             tried_nodes: Vec::new(),
+            spills: 0,
             verdict: Verdict::NotRun,
             silence_timeouts: 0,
             owner_responded: false,
@@ -138,6 +145,12 @@
         }
     }
 
+    /// Whether the owner of the next attempt may refuse the request because it would miss its objective
+    /// there: the objective can still be met, and not too many owners have refused it.
+    pub(crate) fn is_spillable(&self, now: Time) -> bool {
+        self.spills < MAX_SPILLS && self.objective.is_some_and(|objective| objective > now)
+    }
+
     /// Counts the upstream of a failed attempt, unless the owner did not send it the request.
     pub(crate) fn count_upstream(&mut self, reason: Reason, verdict: Verdict) {
         if verdict != Verdict::NotRun || reason == Reason::UpstreamRefused {
@@ -158,7 +171,9 @@
             verdict: report.verdict,
             reason,
             idempotent: self.profile.idempotent,
-            attempts: self.attempt.map_or(0, |attempt| attempt.number),
+            attempts: self
+                .attempt
+                .map_or(0, |attempt| attempt.number - self.spills),
             upstreams_tried: self.upstreams_tried,
             max_upstreams: self.max_upstreams,
             time_left: now.until(self.deadline),
--- a/components/traffic/src/entry/message.rs
+++ b/components/traffic/src/entry/message.rs
@@ -56,6 +56,8 @@
     pub deadline: Time,
     /// Time by which the route's latency objective asks for the answer.
     pub objective: Option<Time>,
+    /// Whether the owner may refuse the request because it would miss its objective there.
+    pub spillable: bool,
     /// Delay before the request is sent.
     pub delay: Duration,
 }
--- a/components/traffic/src/entry/selection.rs
+++ b/components/traffic/src/entry/selection.rs
@@ -104,29 +104,31 @@
             .is_some_and(|state| state.is_unavailable(now))
     }
 
-    /// Whether the subset has an endpoint that the call has not tried and that is not marked as
+    /// Number of endpoints of the subset that the call has not tried and that are not marked as
     /// unavailable.
-    pub(super) fn has_untried_endpoint(
+    pub(super) fn count_untried_endpoints(
         &mut self,
         now: Time,
         topology: &Topology,
         key: CallKey,
-    ) -> bool {
+    ) -> usize {
         let Some(call) = self.calls.get(key) else {
-            return false;
+            return 0;
         };
         let Some(service) = call.find_service_in(topology) else {
-            return false;
+            return 0;
         };
         let node_states = &self.node_states;
-        self.subsets.endpoints(service).iter().any(|key| {
-            topology.endpoint(*key).is_some_and(|endpoint| {
+        let is_untried = |key: &&EndpointKey| {
+            topology.endpoint(**key).is_some_and(|endpoint| {
                 let unavailable = node_states
                     .get(endpoint.node)
                     .is_some_and(|state| state.is_unavailable(now));
                 !unavailable && !call.tried_nodes.contains(&endpoint.node)
             })
-        })
+        };
+        let endpoints = self.subsets.endpoints(service).iter();
+        endpoints.filter(is_untried).count()
     }
 }
 
--- a/components/traffic/src/owner.rs
+++ b/components/traffic/src/owner.rs
@@ -119,6 +119,7 @@
             weight: incoming.weight,
             expires: incoming.expires,
             objective: incoming.objective,
+            spillable: incoming.spillable,
         };
         let mut decisions = Vec::new();
         self.admission.offer(now, job, &mut decisions);
--- a/components/traffic/src/owner/message.rs
+++ b/components/traffic/src/owner/message.rs
@@ -25,6 +25,8 @@
     pub expires: Time,
     /// Time by which the route's latency objective asks for the answer, on this node's clock.
     pub objective: Option<Time>,
+    /// Whether the sender tries another endpoint if the request cannot meet its objective here.
+    pub spillable: bool,
     /// Route of the request.
     pub route: RouteId,
     /// Priority rank of the route.
--- a/components/traffic/tests/entry.rs
+++ b/components/traffic/tests/entry.rs
@@ -49,6 +49,8 @@
       - {method: GET, path: /flood, rank: 3, deadline_ms: 2000, idempotent: true}
       - {method: GET, path: /calm, rank: 3, deadline_ms: 2000, idempotent: true}
       - {method: POST, path: /once, rank: 0, deadline_ms: 2000, idempotent: false}
+routes:
+  - {host: h, prefix: /timed/, rank: 0, deadline_ms: 2000, idempotent: false, objective_ms: 500, targets: [{service: stock}]}
 ";
 const SECOND_US: u64 = 1_000_000;
 
@@ -133,7 +135,7 @@
     fn arrive(&mut self, now: u64, method: &str, path: &str) -> Vec<Effect> {
         let head = RequestHead {
             id: RequestId(1),
-            host: None,
+            host: Some("h".to_owned()),
             method: method.to_owned(),
             path: path.to_owned(),
             time_left: None,
@@ -537,3 +539,43 @@
     assert!(refusal.is_none_or(|it| it.reason == Reason::Draining));
     assert_eq!(effects.len(), 1);
 }
+
+/// Guards against a request that is given up or waits past its objective because the first owners
+/// refused it for its objective: it goes to endpoints that were not tried, without using the retry
+/// budget, and the last one may not refuse it.
+#[rstest]
+#[case::many_endpoints(5, &[true, true, false])]
+#[case::two_endpoints(2, &[true, false])]
+#[case::one_endpoint(1, &[false])]
+fn report_objective_too_short(#[case] nodes: u64, #[case] spillable: &[bool]) {
+    let mut harness = Harness::new(99, 1..=nodes);
+    for step in 0..50 {
+        let mut effects = harness.arrive(step, "POST", "/timed/");
+        let mut tried = Vec::new();
+        loop {
+            let (call, attempt) = find_forwarded(&effects);
+            assert!(!tried.contains(&attempt.node));
+            assert_eq!(attempt.spillable, spillable[tried.len()]);
+            tried.push(attempt.node);
+            if !attempt.spillable {
+                harness.step(step, Input::CallEnded { call });
+                break;
+            }
+            let report = failure_report(Verdict::NotRun, Reason::ObjectiveTooShort);
+            effects = harness.report_attempt(step, call, report);
+        }
+        assert_eq!(tried.len(), spillable.len());
+    }
+    assert_eq!(harness.machine.open_calls(), 0);
+}
+
+/// Guards against spills of a request whose objective has passed, since no endpoint can meet it.
+#[rstest]
+fn report_objective_passed() {
+    let mut harness = Harness::new(99, 1..=5);
+    let (call, attempt) = find_forwarded(&harness.arrive(0, "POST", "/timed/"));
+    assert!(attempt.spillable);
+    let report = failure_report(Verdict::NotRun, Reason::Draining);
+    let effects = harness.report_attempt(600_000, call, report);
+    assert!(!find_forwarded(&effects).1.spillable);
+}
--- a/components/traffic/tests/owner.rs
+++ b/components/traffic/tests/owner.rs
@@ -64,6 +64,7 @@
         intended_owner: NODE_ID,
         expires: EXPIRES,
         objective: None,
+        spillable: false,
         route: RouteId(1),
         rank: Rank(0),
         weight: 1,
--- a/components/wire/src/header.rs
+++ b/components/wire/src/header.rs
@@ -19,6 +19,8 @@
 /// Latency objective of the request: time by which the response should arrive, in microseconds on the
 /// owner's clock.
 pub const OBJECTIVE: &str = "medlar-objective-us";
+/// `1` if the owner may refuse the request because it would miss its objective there.
+pub const SPILLABLE: &str = "medlar-spillable";
 /// Number of the attempt at the request; the first attempt is 1.
 pub const ATTEMPT: &str = "medlar-attempt";
 /// `1` if the sender of the request, or a service in front of it, retries it; the receiver then must
