--- a/components/http1/src/caller.rs
+++ b/components/http1/src/caller.rs
@@ -319,7 +319,7 @@
                 retry_after: Duration::ZERO,
             });
         };
-        events::log_forwarded(shared, log_context, attempt);
+        events::log_forwarded(shared, log_context, profile.rank, attempt);
         if !attempt.delay.is_zero() {
             tokio::time::sleep(attempt.delay).await;
         }
--- a/components/http1/src/dispatch.rs
+++ b/components/http1/src/dispatch.rs
@@ -86,7 +86,7 @@
             upstream_request.request.headers(),
             upstream_request.incoming.id,
         );
-        events::log_held_back(shared, &trace_id, *refusal);
+        events::log_held_back(shared, &trace_id, upstream_request.incoming.rank, *refusal);
     })?;
     if upstream_request.incoming.idempotent {
         return run_idempotent(shared, permit, upstream_request).await;
@@ -211,7 +211,13 @@
         .dialect
         .set_dispatch_headers(request.headers_mut(), &dispatch);
     let trace_id = request_trace_id(shared, request.headers(), incoming.id);
-    events::log_dispatched(shared, &trace_id, dispatch.run_id, dispatch.time_left);
+    events::log_dispatched(
+        shared,
+        &trace_id,
+        incoming.rank,
+        dispatch.run_id,
+        dispatch.time_left,
+    );
     let fail = |permit: Permit, status: u16, failure: UpstreamFailure| {
         let elapsed = shared.driver.now().since(now);
         events::log_finished(&trace_id, status, elapsed, Some(failure));
--- a/components/http1/src/events.rs
+++ b/components/http1/src/events.rs
@@ -15,6 +15,7 @@
 use errors::Reason;
 use errors::Verdict;
 use ids::NodeId;
+use ids::Rank;
 use kernel::Time;
 use telemetry::LogLimiter;
 use traffic::Refusal;
@@ -73,6 +74,7 @@
 pub(crate) fn log_forwarded(
     shared: &SharedState,
     log_context: &RequestLogContext,
+    rank: Rank,
     attempt: Attempt,
 ) {
     let Some(suppressed) = ENTRY_LIMITER.admit() else {
@@ -80,7 +82,7 @@
     };
     let now = shared.driver.now();
     info!(
-        event = "forwarded", request = log_context.trace_id.as_str(),
+        event = "forwarded", request = log_context.trace_id.as_str(), rank = rank.0,
         version = config_version(shared), attempt = attempt.number,
         node = attempt.node.to_string().as_str(),
         address = attempt.request_address.to_string().as_str(),
@@ -151,7 +153,7 @@
 }
 
 /// Logs that the owner does not pass a request to its upstream.
-pub(crate) fn log_held_back(shared: &SharedState, trace_id: &str, refusal: Refusal) {
+pub(crate) fn log_held_back(shared: &SharedState, trace_id: &str, rank: Rank, refusal: Refusal) {
     // A request that may meet its objective elsewhere has not failed.
     let limiter = if refusal.reason == Reason::ObjectiveTooShort {
         &OWNER_LIMITER
@@ -163,7 +165,7 @@
     };
     let load = shared.driver.load();
     warn!(
-        event = "held-back", request = trace_id, reason = refusal.reason.name(),
+        event = "held-back", request = trace_id, rank = rank.0, reason = refusal.reason.name(),
         verdict = refusal.verdict.name(), retry_after_ms = millis(refusal.retry_after),
         running = load.running, queued = load.queued, limit = load.limit, held = suppressed;
         "request refused by its owner"
@@ -174,6 +176,7 @@
 pub(crate) fn log_dispatched(
     shared: &SharedState,
     trace_id: &str,
+    rank: Rank,
     run_id: Option<&str>,
     time_left: Duration,
 ) {
@@ -182,7 +185,7 @@
     };
     let load = shared.driver.load();
     info!(
-        event = "dispatched", request = trace_id, run = run_id.unwrap_or("unknown"),
+        event = "dispatched", request = trace_id, rank = rank.0, run = run_id.unwrap_or("unknown"),
         left_ms = millis(time_left), running = load.running, queued = load.queued, limit = load.limit,
         held = suppressed;
         "request sent to the upstream"
