End requests to upstreams that send interim responses without end

Each poll used up the task's budget of I/O, after which a tokio timer is not checked, so the deadline of the request never came.

Change: the timers beside reads from upstreams and other nodes are unconstrained.

--- a/components/http1/src/attempt.rs
+++ b/components/http1/src/attempt.rs
@@ -10,6 +10,7 @@
 use hyper::Response;
 use hyper::header::HeaderValue;
 use hyper::http::request::Parts;
+use tokio::task::coop::unconstrained;
 use tokio::time::Instant;
 
 use crate::SharedState;
@@ -141,7 +142,12 @@
                 silence_limit = SHUTDOWN_QUERY_INTERVAL;
                 next_query_at = Instant::now();
             }
-            () = tokio::time::sleep_until(if no_query_open { next_query_at } else { deadline }) => {
+            // Unconstrained for the same reason as the owner's timer of a request.
+            () = unconstrained(tokio::time::sleep_until(if no_query_open {
+                next_query_at
+            } else {
+                deadline
+            })) => {
                 if Instant::now() >= deadline {
                     return SendOutcome::Responded(failed_attempt(
                         Verdict::MayHaveRun,
--- a/components/http1/src/body.rs
+++ b/components/http1/src/body.rs
@@ -20,6 +20,8 @@
 use hyper::body::Incoming;
 use hyper::body::SizeHint;
 use quick_error::quick_error;
+use tokio::task::coop::Unconstrained;
+use tokio::task::coop::unconstrained;
 use tokio::time::Instant;
 use tokio::time::Sleep;
 
@@ -284,7 +286,9 @@
     /// `None` once the relay has ended.
     source: Option<RelaySource>,
     deadline: Instant,
-    deadline_timer: Option<Pin<Box<Sleep>>>,
+    /// Unconstrained, so that a source that uses up the task's budget of I/O does not keep it from being
+    /// checked.
+    deadline_timer: Option<Pin<Box<Unconstrained<Sleep>>>>,
     on_end: Option<OnEnd>,
 }
 
@@ -333,7 +337,7 @@
         let deadline = self.deadline;
         let deadline_timer = self
             .deadline_timer
-            .get_or_insert_with(|| Box::pin(tokio::time::sleep_until(deadline)));
+            .get_or_insert_with(|| Box::pin(unconstrained(tokio::time::sleep_until(deadline))));
         ready!(deadline_timer.as_mut().poll(context));
         self.end(Some(Reason::DeadlinePassed));
         Poll::Ready(Some(Err(BodyError::LimitExceeded(Reason::DeadlinePassed))))
--- a/components/http1/src/dispatch.rs
+++ b/components/http1/src/dispatch.rs
@@ -15,6 +15,7 @@
 use hyper::header::HeaderValue;
 use hyper::header::TRANSFER_ENCODING;
 use hyper::http::response::Parts;
+use tokio::task::coop::unconstrained;
 use tokio::time::Instant;
 
 use crate::DispatchContext;
@@ -227,7 +228,9 @@
     let sent = tokio::select! {
         biased;
         sent = shared.upstream.send(request, max_upstream_connections(shared), now) => sent,
-        () = tokio::time::sleep_until(deadline) => {
+        // Unconstrained, because an upstream that sends without end uses up the task's budget of I/O in
+        // each poll, and the timer would never be checked.
+        () = unconstrained(tokio::time::sleep_until(deadline)) => {
             Err((Verdict::MayHaveRun, Reason::DeadlinePassed))
         }
         () = cancelled.cancelled() => Err((Verdict::MayHaveRun, Reason::CallerLeft)),
--- /dev/null
+++ b/components/http1/tests/endless.rs
@@ -0,0 +1,175 @@
+//! Tests of upstreams that send bytes without end, in the head or the body of a response, until the
+//! node closes the connection.
+
+mod support;
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering::SeqCst;
+use std::time::Duration;
+use std::time::Instant;
+
+use rstest::rstest;
+use support::raw::CallerConnection;
+use support::raw::free_address;
+use support::raw::get_request;
+use support::raw::request_with_body;
+use support::raw::wait_until;
+use support::start_entry_and_owner;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+
+/// Deadline of the routes in the support configuration, and time for the node to act on it.
+const DEADLINE: Duration = Duration::from_secs(3);
+const SLACK: Duration = Duration::from_secs(2);
+/// Most bytes that an upstream can send while the caller does not read: the buffers of three sockets and
+/// of the node.
+const MAX_UNREAD_BYTES: usize = 48 * 1024 * 1024;
+
+/// What the endless upstream has seen.
+#[derive(Default)]
+struct Record {
+    sent_bytes: AtomicUsize,
+    /// Endless responses whose connection the node has closed.
+    closed: AtomicUsize,
+}
+
+/// Starts an upstream that responds to `/x` properly, and to any other path with `start` and then `part`
+/// without end, pausing `pause` between the parts.
+async fn start_endless(
+    start: &'static str,
+    part: &'static str,
+    pause: Duration,
+) -> (std::net::SocketAddr, Arc<Record>) {
+    let address = free_address();
+    let listener = TcpListener::bind(address).await.unwrap();
+    let record = Arc::new(Record::default());
+    let listener_record = Arc::clone(&record);
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            tokio::spawn(serve(
+                stream,
+                (start, part, pause),
+                Arc::clone(&listener_record),
+            ));
+        }
+    });
+    (address, record)
+}
+
+async fn serve(
+    mut stream: TcpStream,
+    (start, part, pause): (&'static str, &'static str, Duration),
+    record: Arc<Record>,
+) {
+    let mut request = vec![0; 8_192];
+    while let Ok(read) = stream.read(&mut request).await {
+        if read == 0 {
+            return;
+        }
+        if request.starts_with(b"GET /x ") {
+            let response = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+            stream.write_all(response.as_bytes()).await.unwrap();
+            continue;
+        }
+        let mut sent = stream.write_all(start.as_bytes()).await;
+        while sent.is_ok() {
+            record.sent_bytes.fetch_add(part.len(), SeqCst);
+            sent = stream.write_all(part.as_bytes()).await;
+            if !pause.is_zero() {
+                tokio::time::sleep(pause).await;
+            }
+        }
+        record.closed.fetch_add(1, SeqCst);
+        return;
+    }
+}
+
+const HEAD: &str = "HTTP/1.1 200 OK\r\n";
+const CHUNKED: &str = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+const ENDED_CHUNKS: &str = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n";
+const LONG_CHUNK: &str = "400\r\n\
+    0123456701234567012345670123456701234567012345670123456701234567\
+    0123456701234567012345670123456701234567012345670123456701234567\
+    0123456701234567012345670123456701234567012345670123456701234567\
+    0123456701234567012345670123456701234567012345670123456701234567\
+    0123456701234567012345670123456701234567012345670123456701234567\
+    0123456701234567012345670123456701234567012345670123456701234567\
+    0123456701234567012345670123456701234567012345670123456701234567\
+    0123456701234567012345670123456701234567012345670123456701234567\
+    0123456701234567012345670123456701234567012345670123456701234567\
+    0123456701234567012345670123456701234567012345670123456701234567\
+    0123456701234567012345670123456701234567012345670123456701234567\
+    0123456701234567012345670123456701234567012345670123456701234567\
+    0123456701234567012345670123456701234567012345670123456701234567\
+    0123456701234567012345670123456701234567012345670123456701234567\
+    0123456701234567012345670123456701234567012345670123456701234567\
+    0123456701234567012345670123456701234567012345670123456701234567\r\n";
+
+/// Guards against a node that reads without end: the request ends by its deadline, never as a complete
+/// success and never as not run, the upstream's connection is closed, and other requests are served
+/// meanwhile.
+#[rstest]
+#[case::header_lines(HEAD, "x-a: b\r\n", 0)]
+#[case::header_lines_slow(HEAD, "x-a: b\r\n", 20)]
+#[case::header_line("HTTP/1.1 200 OK\r\nx-a: ", "bbbbbbbbbbbbbbbb", 0)]
+#[case::no_response("", "bytes that are no response ", 0)]
+#[case::empty_lines("", "\r\n", 0)]
+#[case::interim_responses("", "HTTP/1.1 103 Early Hints\r\n\r\n", 0)]
+#[case::chunks(CHUNKED, LONG_CHUNK, 0)]
+#[case::chunks_slow(CHUNKED, "1\r\na\r\n", 20)]
+#[case::chunk_extension(
+    "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n1;",
+    "eeeeeeeeeeeeeeee",
+    0
+)]
+#[case::trailers(ENDED_CHUNKS, "x-a: b\r\n", 0)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn send_to_endless_upstream(
+    #[case] start: &'static str,
+    #[case] part: &'static str,
+    #[case] pause_ms: u64,
+    #[values("GET", "POST")] method: &str,
+) {
+    let pause = Duration::from_millis(pause_ms);
+    let (address, record) = start_endless(start, part, pause).await;
+    let (entry, _owner) = start_entry_and_owner(address, 10, 10).await;
+    let mut caller = CallerConnection::connect(entry.callers).await;
+    let started = Instant::now();
+    caller.send(request_with_body(method, "/endless", 3)).await;
+    let mut other = CallerConnection::connect(entry.callers).await;
+    for _ in 0..5 {
+        let response = other.exchange(get_request("/x")).await.unwrap();
+        assert_eq!(response.body, b"ok");
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    let response = tokio::time::timeout(DEADLINE + SLACK, caller.receive())
+        .await
+        .expect("the request ends by its deadline");
+    if let Some(response) = response {
+        assert!([502, 504].contains(&response.status()), "{}", response.head);
+    }
+    wait_until("closed upstream connection", || {
+        record.closed.load(SeqCst) >= 1
+    })
+    .await;
+    assert!(started.elapsed() < DEADLINE + 2 * SLACK);
+}
+
+/// Guards against a node that buffers a body without end for a caller that does not read.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn send_to_endless_upstream_unread() {
+    let (address, record) = start_endless(CHUNKED, LONG_CHUNK, Duration::ZERO).await;
+    let (entry, _owner) = start_entry_and_owner(address, 10, 10).await;
+    let mut caller = CallerConnection::connect(entry.callers).await;
+    caller.send(get_request("/endless").repeat(4)).await;
+    tokio::time::sleep(DEADLINE / 2).await;
+    let sent = record.sent_bytes.load(SeqCst);
+    assert!(sent < 4 * MAX_UNREAD_BYTES, "{sent} bytes");
+    wait_until("closed upstream connections", || {
+        record.closed.load(SeqCst) >= 1
+    })
+    .await;
+}
