Keep requests in their failure domain while its endpoints have free slots

The bound came from queues that a request could not leave; now a full owner refuses it in time to be sent on.

--- a/components/balance/src/power_of_two_choices.rs
+++ b/components/balance/src/power_of_two_choices.rs
@@ -10,9 +10,9 @@
 use policy::FULL_WEIGHT;
 
 /// Utilization of the chosen local endpoint, in thousandths of its slots, up to which the request
-/// stays in the local failure domain. Requests have to move to remote endpoints before they queue
-/// locally: with 750, urgent requests waited up to a third longer under overload.
-const MAX_LOCAL_UTILIZATION: u64 = 600;
+/// stays in the local failure domain. Requests move to remote endpoints before they queue locally; one
+/// that meets a full local endpoint all the same is refused there in time to be sent elsewhere.
+const MAX_LOCAL_UTILIZATION: u64 = 850;
 /// Difference in utilization, in thousandths of the slots, by which a remote endpoint has to be
 /// below the local one to be chosen. With ten slots, one more request ahead in the queue costs
 /// about as much time as the network latency between failure domains.
