Give warm upstreams all their slots at once

Cause: the limit started at a quarter of the slots and grew with finished requests, whatever the heartbeat says of the upstream's warming up, which was ignored. In the first two seconds of traffic, ten seconds after the start, limits of 2 and 3 of 6 made a fifth of the requests late; all nodes that return together stood at 2 to 3 for 1.5 s.

Change: an upstream whose heartbeat says that it is warm, or that an earlier process left behind, skips the slow start; others keep it.

--- a/components/admit/src/fifo.rs
+++ b/components/admit/src/fifo.rs
@@ -84,6 +84,8 @@
         self.dispatch(now, decisions);
     }
 
+    fn end_slow_start(&mut self, _: Time, _: &mut Vec<Decision>) {}
+
     fn offer(&mut self, now: Time, job: Job, decisions: &mut Vec<Decision>) {
         if self.queue.len() >= self.max_queued {
             decisions.push(refuse(job.ticket, Reason::QueueFull));
--- a/components/admit/src/ranked.rs
+++ b/components/admit/src/ranked.rs
@@ -322,6 +322,11 @@
         self.dispatch(now, decisions);
     }
 
+    fn end_slow_start(&mut self, now: Time, decisions: &mut Vec<Decision>) {
+        self.limit.end_slow_start();
+        self.dispatch(now, decisions);
+    }
+
     fn offer(&mut self, now: Time, job: Job, decisions: &mut Vec<Decision>) {
         let cost = self.service_times.cost(job.route);
         let latest_objective_start = self.latest_objective_start(now, &job);
--- a/components/admit/src/ranked/limit.rs
+++ b/components/admit/src/ranked/limit.rs
@@ -91,6 +91,14 @@
         self.limit = self.limit.min(f64::from(slots));
     }
 
+    /// Ends the slow start: the limit is the number of slots.
+    pub(crate) fn end_slow_start(&mut self) {
+        if self.slow_start {
+            self.limit = f64::from(self.slots);
+            self.slow_start = false;
+        }
+    }
+
     /// Updates the limit for a finished request: `log_slowdown` is the logarithm of the ratio
     /// of its latency to the baseline of its route, and `running` the number of running requests, including this
     /// one. The logarithm keeps a few requests of a route whose baseline is inaccurate from making
--- a/components/admit/tests/limit.rs
+++ b/components/admit/tests/limit.rs
@@ -259,3 +259,73 @@
     let learned = simulate(&mut new_ranked(), upstream, 1_500);
     assert!(learned.limit_sum / learned.limit_samples > 0.7 * f64::from(SLOTS));
 }
+
+/// Guards against an upstream that is known to be warm and still starts with a quarter of its slots, and
+/// against a limit that was learned since being forgotten.
+#[rstest]
+fn end_slow_start_once() {
+    let mut ranked = new_ranked();
+    let mut decisions = Vec::new();
+    ranked.set_slots(Time(0), SLOTS, &mut decisions);
+    assert_eq!(ranked.load().limit, SLOTS / 4);
+    ranked.end_slow_start(Time(0), &mut decisions);
+    assert_eq!(ranked.load().limit, SLOTS);
+    ranked.set_slots(Time(0), 3, &mut decisions);
+    ranked.set_slots(Time(0), SLOTS, &mut decisions);
+    ranked.end_slow_start(Time(0), &mut decisions);
+    assert_eq!(ranked.load().limit, 3);
+}
+
+/// Load pattern: all nodes of a fleet come back at once beside upstreams that went on running, and the
+/// callers that could not be served meanwhile return together. Guards against a slow start in this
+/// moment: of the requests that the slots can serve in time, nearly all are.
+#[rstest]
+#[case::warm(true, 0.9)]
+#[case::unknown(false, 0.0)]
+fn end_slow_start_returning_callers(#[case] warm: bool, #[case] min_share: f64) {
+    const SERVICE_TIME: u64 = 200_000;
+    const OBJECTIVE: u64 = 600_000;
+    let mut ranked = new_ranked();
+    let mut decisions = Vec::new();
+    ranked.set_slots(Time(0), SLOTS, &mut decisions);
+    if warm {
+        ranked.end_slow_start(Time(0), &mut decisions);
+    }
+    for ticket in 0..u64::from(SLOTS) * 4 {
+        let job = Job {
+            ticket: Ticket(ticket),
+            route: RouteId(1),
+            rank: Rank(0),
+            weight: 1,
+            expires: Time(5 * OBJECTIVE),
+            objective: Some(Time(OBJECTIVE)),
+            spillable: false,
+        };
+        ranked.offer(Time(0), job, &mut decisions);
+    }
+    let (mut completions, mut in_time, mut now) = (BinaryHeap::new(), 0, 0);
+    loop {
+        for decision in decisions.drain(..) {
+            if let Decision::Start(Ticket(ticket)) = decision {
+                completions.push(Reverse((now + SERVICE_TIME, ticket)));
+            }
+        }
+        let Some(Reverse((end, ticket))) = completions.pop() else {
+            break;
+        };
+        now = end;
+        in_time += u32::from(now <= OBJECTIVE);
+        let completion = Completion {
+            latency: Duration::from_micros(SERVICE_TIME),
+            shed: false,
+        };
+        ranked.finish(Time(now), Ticket(ticket), completion, &mut decisions);
+    }
+    let servable = f64::from(SLOTS) * (OBJECTIVE / SERVICE_TIME) as f64;
+    let share = f64::from(in_time) / servable;
+    assert!(share >= min_share, "{share}");
+    assert!(
+        warm || share < 0.9,
+        "{share}: the slow start no longer shows"
+    );
+}
--- a/components/policy/src/admission.rs
+++ b/components/policy/src/admission.rs
@@ -94,6 +94,9 @@
     /// ready.
     fn set_slots(&mut self, now: Time, slots: u32, decisions: &mut Vec<Decision>);
 
+    /// Ends the slow start of an upstream that is known to be warm, so that it gets all its slots.
+    fn end_slow_start(&mut self, now: Time, decisions: &mut Vec<Decision>);
+
     /// Offers a request. Each request gets exactly one decision, now or later, unless it is
     /// cancelled.
     fn offer(&mut self, now: Time, job: Job, decisions: &mut Vec<Decision>);
--- a/components/traffic/src/owner.rs
+++ b/components/traffic/src/owner.rs
@@ -56,6 +56,8 @@
     open_requests: Vec<(u64, Phase)>,
     next_ledger_expiry: Time,
     upstream_end: UpstreamEnd,
+    /// Whether the upstream is known to be warm.
+    upstream_warm: bool,
     /// Whether the node is leaving and accepts no new requests, whatever the upstream announces.
     leaving: bool,
     /// Whether [`Effect::Drained`] has been emitted.
@@ -83,6 +85,7 @@
             open_requests: Vec::new(),
             next_ledger_expiry: Time::default(),
             upstream_end,
+            upstream_warm: false,
             leaving: false,
             drained: false,
         }
@@ -337,6 +340,16 @@
         let mut decisions = Vec::new();
         self.admission.set_slots(now, slots, &mut decisions);
         self.apply_decisions(now, decisions, effects);
+        self.set_warm(now, self.upstream_warm, effects);
+    }
+
+    fn set_warm(&mut self, now: Time, warm: bool, effects: &mut Vec<Effect>) {
+        self.upstream_warm = warm;
+        if warm {
+            let mut decisions = Vec::new();
+            self.admission.end_slow_start(now, &mut decisions);
+            self.apply_decisions(now, decisions, effects);
+        }
     }
 
     /// Refuses the queued requests once the upstream is leaving, so that their senders try other
@@ -400,6 +413,7 @@
                 effects.push(Effect::ReportOutcome { tag, outcome });
             }
             Input::UpstreamAnnounced { stage, slots } => self.set_stage(now, stage, slots, effects),
+            Input::UpstreamWarmed { warm } => self.set_warm(now, warm, effects),
             Input::Drain => {
                 self.leaving = true;
                 self.stage = self.stage.max(Stage::Draining);
--- a/components/traffic/src/owner/message.rs
+++ b/components/traffic/src/owner/message.rs
@@ -74,6 +74,9 @@
     OutcomeQueried { tag: u64, query: OutcomeQuery },
     /// The upstream has announced its stage and how many requests it takes at once.
     UpstreamAnnounced { stage: Stage, slots: u32 },
+    /// The upstream is warm, so that it can run as many requests as it has slots, or it still warms up.
+    /// Without this input, the upstream counts as warming up when it gets slots.
+    UpstreamWarmed { warm: bool },
     /// The node is leaving: it finishes accepted requests and refuses new ones.
     Drain,
 }
--- a/components/traffic/tests/owner.rs
+++ b/components/traffic/tests/owner.rs
@@ -314,3 +314,23 @@
     assert!(wakes <= 10, "{wakes}");
     assert!(now <= EXPIRES.0 + 6_200_000);
 }
+
+/// Guards against a warm upstream that starts with a part of its slots, whether the owner learns first
+/// that it is warm or that it is ready, and against a cold one that gets all slots.
+#[rstest]
+#[case::before_slots(&[true], &[], 8)]
+#[case::after_slots(&[], &[true], 8)]
+#[case::cold(&[true, false], &[], 2)]
+#[case::unknown(&[], &[], 2)]
+#[case::warmed_up(&[false], &[false, true], 8)]
+fn announce_warm(#[case] before: &[bool], #[case] after: &[bool], #[case] limit: u32) {
+    let mut owner = new_owner(0);
+    for warm in before {
+        step(&mut owner, 0, Input::UpstreamWarmed { warm: *warm });
+    }
+    step(&mut owner, 0, ready_input(8));
+    for warm in after {
+        step(&mut owner, 0, Input::UpstreamWarmed { warm: *warm });
+    }
+    assert_eq!(owner.load().limit, limit);
+}
