--- a/components/traffic/src/entry.rs
+++ b/components/traffic/src/entry.rs
@@ -219,15 +219,19 @@
         let Some(call) = self.calls.get_mut(key) else {
             return;
         };
+        let Some(attempt) = call.attempt else {
+            return;
+        };
         call.verdict = call.verdict.max(report.verdict);
         call.count_upstream(reason, report.verdict);
-        call.spills += u32::from(reason == Reason::ObjectiveTooShort);
+        call.spills += u32::from(reason == Reason::ObjectiveTooShort && attempt.spillable);
         let verdict = call.verdict;
         let failed_attempt =
             call.failed_attempt(context.now, reason, &report, has_untried_endpoint);
         self.release_in_flight(key);
-        if reason == Reason::ObjectiveTooShort && !self.shutting_down {
-            // Nothing has reached an upstream, so this is no retry.
+        if reason == Reason::ObjectiveTooShort && attempt.spillable && !self.shutting_down {
+            // Nothing has reached an upstream, so this is no retry. An owner that was not allowed to
+            // refuse the request is treated like any other that does.
             context.effects.push(Effect::Retrying { reason });
             return self.forward(context, key, Duration::ZERO);
         }
