End the wait for started requests when they are cancelled

Cause: after a request that hyper read differently than it was read ahead, the started requests are cancelled, but the stop of the connection was not told that none is left and waited for them until the drain limit.

--- a/components/http1/src/pipeline/started_queue.rs
+++ b/components/http1/src/pipeline/started_queue.rs
@@ -117,6 +117,7 @@
         error!(event = "pipeline-mismatch", started = state.started.len() + 1;
             "request differs from the one that was read ahead; started requests are cancelled");
         state.started.clear();
+        self.emptied.notify_waiters();
         None
     }
 
--- a/components/http1/src/pipeline/tests.rs
+++ b/components/http1/src/pipeline/tests.rs
@@ -1,7 +1,20 @@
-//! Tests of the splitting of a connection's bytes into requests.
+//! Tests of the splitting of a connection's bytes into requests, and of the queue of started requests.
 
+use std::future::pending;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::Context;
+use std::task::Poll;
+use std::task::Waker;
+
+use hyper::Request;
+use hyper::Uri;
 use rstest::rstest;
+use tokio::sync::Semaphore;
+use tokio_util::task::AbortOnDropHandle;
 
+use crate::pipeline::StartedQueue;
+use crate::pipeline::StartedRequest;
 use crate::pipeline::splitter::Splitter;
 
 /// Longest head of all tests, in bytes.
@@ -11,6 +24,10 @@
     format!("GET {path} HTTP/1.1\r\nhost: h\r\n\r\n")
 }
 
+fn poll_once(future: Pin<&mut impl Future<Output = ()>>) -> Poll<()> {
+    future.poll(&mut Context::from_waker(Waker::noop()))
+}
+
 /// Reads the released bytes as text.
 fn read(splitter: &mut Splitter) -> String {
     let mut text = String::new();
@@ -130,3 +147,29 @@
     assert_eq!(read(&mut splitter), bytes);
     assert!(splitter.is_transparent());
 }
+
+/// Guards against a stop that waits for started requests which were cancelled, because hyper read a
+/// request differently than it was read ahead.
+#[tokio::test]
+async fn take_mismatch() {
+    let queue = StartedQueue::default();
+    let permits = Arc::new(Semaphore::new(2));
+    queue.record_released();
+    for path in ["/a", "/b"] {
+        let mut request = Request::new(());
+        *request.uri_mut() = Uri::from_static(path);
+        queue.push(StartedRequest {
+            request,
+            task: AbortOnDropHandle::new(tokio::spawn(pending())),
+            _permit: Arc::clone(&permits).try_acquire_owned().expect("free"),
+        });
+    }
+    let first = Request::new(());
+    assert!(queue.take(&first).is_none());
+    let emptied = queue.wait_until_empty();
+    tokio::pin!(emptied);
+    assert!(poll_once(emptied.as_mut()).is_pending());
+    assert!(queue.take(&first).is_none(), "the heads differ");
+    assert!(poll_once(emptied.as_mut()).is_ready());
+    assert_eq!(permits.available_permits(), 2);
+}
