--- a/components/admit/tests/spillover.rs
+++ b/components/admit/tests/spillover.rs
@@ -54,7 +54,6 @@
     events: Vec<(u64, Event)>,
     random: SeededRandom,
     max_spills: u32,
-    refused: u32,
 }
 
 impl Fleet {
@@ -71,7 +70,6 @@
             events: vec![(0, Event::Arrival)],
             random: SeededRandom::new(seed),
             max_spills,
-            refused: 0,
         }
     }
 
@@ -113,7 +111,7 @@
                     self.requests[ticket as usize].spills += 1;
                     self.offer(now, ticket);
                 }
-                Decision::Refuse { .. } => self.refused += 1,
+                Decision::Refuse { .. } => {}
             }
         }
     }
--- a/components/daemon/src/run.rs
+++ b/components/daemon/src/run.rs
@@ -10,12 +10,14 @@
 
 use arc_swap::ArcSwap;
 use log::info;
+use log::warn;
 use tokio::net::TcpListener;
 use tokio::runtime;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
 use tokio::sync::mpsc;
 use tokio::task::JoinHandle;
+use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
 
 use crate::Error;
@@ -379,7 +381,13 @@
     };
     // Within the reserve between the limit and the end of the process: nothing is left to cut off.
     let announce_end = async {
-        let _ = inputs.send(Input::Drained).await;
+        // A full input queue must not keep the process past its grace time.
+        if timeout(LEAVE_GOSSIP_TIME, inputs.send(Input::Drained))
+            .await
+            .is_err()
+        {
+            warn!(event = "end-unannounced"; "input queue is full; the end is not announced");
+        }
         tokio::time::sleep(LEAVE_GOSSIP_TIME).await;
     };
     let shut_down_at_limit = async {
