--- a/components/daemon/src/run.rs
+++ b/components/daemon/src/run.rs
@@ -328,10 +328,11 @@
     let (sender, receiver) = mpsc::channel(STOP_QUEUE_CAPACITY);
     tokio::spawn(async move {
         loop {
-            tokio::select! {
-                _ = terminate.recv() => {}
-                _ = interrupt.recv() => {}
-            }
+            let name = tokio::select! {
+                _ = terminate.recv() => "SIGTERM",
+                _ = interrupt.recv() => "SIGINT",
+            };
+            info!(event = "signal", name = name; "stop signal received");
             // A full channel already holds the request that ends the node at once.
             let _ = sender.try_send(());
         }
@@ -352,16 +353,17 @@
     front_end_task: JoinHandle<()>,
     mut stop_requests: mpsc::Receiver<()>,
 ) -> Result<(), Error> {
-    tokio::select! {
-        _ = stop_requests.recv() => {}
-        () = driver.leaving().cancelled() => {}
-        () = driver.drained().cancelled() => {}
-    }
+    let cause = tokio::select! {
+        _ = stop_requests.recv() => "signal",
+        () = driver.leaving().cancelled() => "operator",
+        () = driver.drained().cancelled() => "upstream-drained",
+    };
     let limit = Duration::from_millis(settings.drain_limit_ms);
     let linger = Duration::from_millis(settings.drain_linger_ms);
     let notice = Duration::from_millis(settings.drain_notice_ms);
     info!(
-        event = "drain", running = driver.load().running, forwarded = driver.open_calls();
+        event = "drain", cause = cause, limit_ms = settings.drain_limit_ms,
+        running = driver.load().running, forwarded = driver.open_calls();
         "draining"
     );
     let step = Cell::new("callers and nodes to learn of the drain");
