End the requests of a leaving node before the node itself ends

Cause: during its drain a node accepted requests with the whole deadline of their route (6 s) although it exits 5.5 s after the signal, as an entry and as an owner. What ran longer was cut off by the exit.

Fix: the drain states the time by which work has to end. Entry and owner hand the shorter of that time and the deadline to the upstream, which then stops and responds in time; 500 ms are left for its response. An upstream's response at the deadline is waited for 50 ms at the owner, so that it is not replaced by the node's own refusal. At that time the owner refuses what it still has queued.

--- a/components/daemon/src/run.rs
+++ b/components/daemon/src/run.rs
@@ -60,8 +60,8 @@
 /// Time for a leaving node to send its last gossip messages.
 const LEAVE_GOSSIP_TIME: Duration = Duration::from_millis(300);
 /// Part of the drain limit that is kept in reserve: calls that still wait for other nodes are ended
-/// this long before the limit. The reserve allows for an outcome query to the owner and its
-/// response with slow processors on both sides.
+/// this long before the limit, and upstreams have to be done by then. The reserve allows for their
+/// responses, and for an outcome query to the owner and its response, with slow processors on both sides.
 const DRAIN_LIMIT_RESERVE: Duration = Duration::from_millis(500);
 /// Number of stop requests that can wait: the first starts the drain and the second ends the node at once.
 const STOP_QUEUE_CAPACITY: usize = 2;
@@ -366,10 +366,11 @@
         running = driver.load().running, forwarded = driver.open_calls();
         "draining"
     );
+    let work_end = driver.now() + limit.saturating_sub(DRAIN_LIMIT_RESERVE);
     let step = Cell::new("callers and nodes to learn of the drain");
     let drain = async {
         let linger = linger.min(limit / 2);
-        driver.announce_drain();
+        driver.announce_drain(work_end);
         tokio::time::sleep(linger.saturating_sub(notice)).await;
         // The channel is open as long as the control loop runs.
         let _ = inputs.send(Input::Drain).await;
--- a/components/front/src/driver.rs
+++ b/components/front/src/driver.rs
@@ -14,6 +14,7 @@
 
 use crate::Permit;
 use crate::health_log;
+use crate::permit::Admitted;
 use control::Topology;
 use ids::NodeId;
 use ids::RequestId;
@@ -59,10 +60,7 @@
 /// Recipient of the effects that the owner state machine addresses to one tag.
 enum Waiter {
     /// A request that has not been admitted or refused yet.
-    Admission(
-        RequestId,
-        oneshot::Sender<Result<CancellationToken, Refusal>>,
-    ),
+    Admission(RequestId, oneshot::Sender<Result<Admitted, Refusal>>),
     /// An admitted request; the token is cancelled when the state machine aborts it.
     Running(RequestId, CancellationToken),
     /// An outcome query that has not been answered yet.
@@ -160,9 +158,12 @@
         &self.metrics
     }
 
-    /// Reports this node as not ready for new callers from now on; requests are still served.
-    pub fn announce_drain(&self) {
+    /// Reports this node as not ready for new callers from now on. Requests are still served, but none
+    /// beyond `work_end`, since the process ends soon after that.
+    pub fn announce_drain(&self, work_end: Time) {
         self.drain_announced.cancel();
+        self.step_entry(entry::Input::EndScheduled { work_end });
+        self.step_owner(owner::Input::EndScheduled { work_end });
     }
 
     /// Whether this node reports that callers should use other nodes.
@@ -189,8 +190,9 @@
         &self.drained
     }
 
-    /// Resolves the calls that still wait for other nodes, because this process exits soon.
+    /// Resolves the requests that still wait here or at other nodes, because this process exits soon.
     pub fn shut_down(&self) {
+        self.step_owner(owner::Input::Shutdown);
         self.step_entry(entry::Input::Shutdown);
         self.shutting_down.cancel();
     }
@@ -283,7 +285,7 @@
             Permit::new(Arc::clone(self), incoming.tag)
         };
         match receiver.await {
-            Ok(Ok(cancelled)) => Ok(pending.start(cancelled)),
+            Ok(Ok(admitted)) => Ok(pending.start(admitted)),
             Ok(Err(refusal)) => {
                 pending.disarm();
                 Err(refusal)
@@ -352,7 +354,7 @@
     fn apply_effects(&self, owner: &mut OwnerState, effects: Vec<owner::Effect>) {
         for effect in effects {
             match effect {
-                owner::Effect::Start { tag } => self.start(owner, tag),
+                owner::Effect::Start { tag, deadline } => self.start(owner, tag, deadline),
                 owner::Effect::Refuse { tag, refusal } => {
                     self.metrics.count_refusal("owner", refusal.reason);
                     if let Some(Waiter::Admission(_, sender)) = owner.take_waiter(tag) {
@@ -378,7 +380,7 @@
     }
 
     /// Marks a waiting request as running and wakes its future with the token that aborts it.
-    fn start(&self, owner: &mut OwnerState, tag: u64) {
+    fn start(&self, owner: &mut OwnerState, tag: u64, deadline: Time) {
         let Ok(index) = owner.waiter_index(tag) else {
             return;
         };
@@ -390,7 +392,10 @@
         let waiter = std::mem::replace(&mut owner.waiters[index].1, running);
         if let Waiter::Admission(_, sender) = waiter {
             // Sending fails only if the request's future was dropped; its permit cancels it then.
-            let _ = sender.send(Ok(cancelled));
+            let _ = sender.send(Ok(Admitted {
+                cancelled,
+                deadline,
+            }));
         }
     }
 
--- a/components/front/src/permit.rs
+++ b/components/front/src/permit.rs
@@ -6,15 +6,25 @@
 
 use crate::TrafficDriver;
 use errors::Verdict;
+use kernel::Time;
 use traffic::owner::Input;
 
+/// What the owner state machine decides when it starts a request.
+#[derive(Clone, Debug)]
+pub(crate) struct Admitted {
+    /// Cancelled when the owner aborts the request.
+    pub(crate) cancelled: CancellationToken,
+    /// Time by which the upstream has to be done.
+    pub(crate) deadline: Time,
+}
+
 /// Guard that a request holds from its arrival at the owner state machine to its end. If it is dropped
 /// without [`Permit::finish`], a queued request is cancelled, and a running one ends with the verdict
 /// that it may have run.
 pub struct Permit {
     driver: Arc<TrafficDriver>,
     tag: u64,
-    cancelled: Option<CancellationToken>,
+    admitted: Option<Admitted>,
     ended: bool,
 }
 
@@ -23,14 +33,14 @@
         Self {
             driver,
             tag,
-            cancelled: None,
+            admitted: None,
             ended: false,
         }
     }
 
-    /// Marks the request as admitted; `cancelled` is cancelled when the owner aborts it.
-    pub(crate) fn start(mut self, cancelled: CancellationToken) -> Self {
-        self.cancelled = Some(cancelled);
+    /// Marks the request as admitted.
+    pub(crate) fn start(mut self, admitted: Admitted) -> Self {
+        self.admitted = Some(admitted);
         self
     }
 
@@ -41,7 +51,15 @@
 
     /// Token that is cancelled when the owner aborts the running request.
     pub fn cancelled(&self) -> CancellationToken {
-        self.cancelled.clone().unwrap_or_default()
+        let admitted = self.admitted.as_ref();
+        admitted.map_or_else(CancellationToken::new, |it| it.cancelled.clone())
+    }
+
+    /// Time by which the upstream has to be done, on the process clock; has passed before the request is
+    /// admitted.
+    pub fn deadline(&self) -> Time {
+        let admitted = self.admitted.as_ref();
+        admitted.map_or_else(Time::default, |it| it.deadline)
     }
 
     /// Reports the end of the request: whether it ran, whether the upstream shed it, and whether its
--- a/components/http1/src/attempt.rs
+++ b/components/http1/src/attempt.rs
@@ -114,7 +114,7 @@
         node_connection,
         (expires, objective)
     ));
-    let deadline = Instant::from_std(shared.driver.clock().to_instant(attempt.deadline));
+    let deadline = Instant::from_std(shared.driver.clock().to_instant(attempt.give_up_at));
     let mut owner_query = pin!(None);
     // A response that takes no longer than the route's latency objective is not overdue.
     let first_silence_limit = profile
@@ -315,7 +315,7 @@
                 connection,
             };
             let shared = Arc::clone(shared);
-            let deadline = Instant::from_std(shared.driver.clock().to_instant(attempt.deadline));
+            let deadline = Instant::from_std(shared.driver.clock().to_instant(attempt.give_up_at));
             let on_end = move |end| {
                 if let RelayEnd::Complete(Some(connection)) = end {
                     let node_connection = NodeConnection {
--- a/components/http1/src/caller.rs
+++ b/components/http1/src/caller.rs
@@ -248,7 +248,7 @@
     remove_internal_headers(&mut parts.headers);
     remove_hop_by_hop_headers(&mut parts.headers);
     let shared = Arc::clone(&call_guard.shared);
-    let deadline = Instant::from_std(shared.driver.clock().to_instant(attempt.deadline));
+    let deadline = Instant::from_std(shared.driver.clock().to_instant(attempt.give_up_at));
     let status = parts.status.as_u16();
     let on_end = move |end| {
         let failure_reason = match end {
--- a/components/http1/src/dispatch.rs
+++ b/components/http1/src/dispatch.rs
@@ -43,6 +43,9 @@
 use traffic::owner::IncomingRequest;
 use wire::header;
 
+/// Time for the response of an upstream that stops at the deadline to arrive. Without it, the node would often
+/// give up first and replace that response by a refusal.
+const RESPONSE_TRANSIT_TIME: Duration = Duration::from_millis(50);
 /// Retry delay that is sent to the requester after the upstream failed.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -193,7 +196,8 @@
 ) -> Result<(StartedResponse, Permit), Refusal> {
     let incoming = upstream_request.incoming;
     let now = shared.driver.now();
-    let deadline = Instant::from_std(shared.driver.clock().to_instant(incoming.expires));
+    let give_up_at = permit.deadline() + RESPONSE_TRANSIT_TIME;
+    let deadline = Instant::from_std(shared.driver.clock().to_instant(give_up_at));
     // The upstream of another service may have replaced the one that the request was routed to.
     let topology = shared.driver.topology();
     let upstream = topology.own_upstream.as_ref().map(|(_, upstream)| upstream);
@@ -205,7 +209,7 @@
     let trace_header = shared.dialect.trace_id(request.headers()).cloned();
     let dispatch = DispatchContext {
         id: incoming.id,
-        time_left: now.until(incoming.expires),
+        time_left: now.until(permit.deadline()),
         run_id: upstream.and_then(|it| it.run_id.as_deref()),
     };
     shared
--- a/components/simulate/src/node.rs
+++ b/components/simulate/src/node.rs
@@ -157,7 +157,7 @@
         for effect in effects {
             self.update_trace_hash(&effect);
             match effect {
-                Effect::Start { tag } => self.start_request(owner, tag),
+                Effect::Start { tag, .. } => self.start_request(owner, tag),
                 Effect::Refuse { tag, refusal } => self.handle_refusal(owner, tag, refusal),
                 Effect::Abort { tag } => {
                     self.finish_request(owner, tag, Verdict::MayHaveRun, false)
--- a/components/traffic/src/entry.rs
+++ b/components/traffic/src/entry.rs
@@ -77,6 +77,8 @@
     subsets: EndpointSubsets,
     refused_routes: RefusedRoutes,
     request_ages: RequestAges,
+    /// Time by which all upstreams have to be done, because the node ends soon after.
+    work_end: Option<Time>,
     /// Whether the node is about to exit, too soon for a retry.
     shutting_down: bool,
 }
@@ -93,6 +95,7 @@
             subsets: EndpointSubsets::default(),
             refused_routes: RefusedRoutes::default(),
             request_ages: RequestAges::default(),
+            work_end: None,
             shutting_down: false,
         }
     }
@@ -112,6 +115,12 @@
             Ok(call) => call,
             Err(reason) => return refuse(context, not_run_refusal(reason)),
         };
+        if self
+            .work_end
+            .is_some_and(|work_end| work_end <= context.now)
+        {
+            return refuse(context, not_run_refusal(Reason::Draining));
+        }
         if let Some(objective) = call.profile.objective {
             let route = call.profile.route;
             let time_left = head.time_left;
@@ -143,6 +152,7 @@
             };
             return refuse(context, refusal);
         };
+        call.limit_deadline(self.work_end);
         let spillable = has_alternative && call.is_spillable(context.now);
         let attempt = Attempt {
             number: call.attempt.map_or(1, |previous| previous.number + 1),
@@ -150,6 +160,7 @@
             request_address: endpoint.request_address,
             peer_address: endpoint.peer_address,
             deadline: call.deadline,
+            give_up_at: call.give_up_at(),
             objective: call.objective,
             spillable,
             delay,
@@ -225,7 +236,8 @@
         call.verdict = call.verdict.max(report.verdict);
         call.count_upstream(reason, report.verdict);
         call.spills += u32::from(reason == Reason::ObjectiveTooShort && attempt.spillable);
-        let verdict = call.verdict;
+        call.limit_deadline(self.work_end);
+        let (verdict, refusal_reason) = (call.verdict, call.refusal_reason(reason));
         let failed_attempt =
             call.failed_attempt(context.now, reason, &report, has_untried_endpoint);
         self.release_in_flight(key);
@@ -259,7 +271,7 @@
                 refuse(
                     context,
                     Refusal {
-                        reason,
+                        reason: refusal_reason,
                         verdict,
                         retry_after: report.retry_after.max(MIN_RETRY_AFTER),
                     },
@@ -389,6 +401,10 @@
                 self.calls.remove(*call);
                 return;
             }
+            Input::EndScheduled { work_end } => {
+                self.work_end = Some(*work_end);
+                return;
+            }
             Input::Shutdown => {
                 self.shutting_down = true;
                 return;
@@ -410,7 +426,10 @@
                 self.handle_outcome(context, call, outcome)
             }
             Input::FetchCompleted { call, found, .. } => self.handle_fetch(context, call, found),
-            Input::SilenceTimeout { .. } | Input::CallEnded { .. } | Input::Shutdown => {}
+            Input::SilenceTimeout { .. }
+            | Input::CallEnded { .. }
+            | Input::EndScheduled { .. }
+            | Input::Shutdown => {}
         }
     }
 
--- a/components/traffic/src/entry/call.rs
+++ b/components/traffic/src/entry/call.rs
@@ -1,6 +1,7 @@
 //! State of one request at the entry, from its arrival to its end.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use crate::entry::Attempt;
 use crate::entry::AttemptReport;
@@ -20,10 +21,17 @@
 /// endpoints to choose from, few requests meet only full ones while others have room.
 const MAX_SPILLS: u32 = 2;
 
+/// Time for the answer of an upstream that stops at the deadline to reach the entry, with slow processors on
+/// the way.
+const RESPONSE_TRANSIT_TIME: Duration = Duration::from_millis(250);
+
 /// A caller's request that the entry is processing, over all its attempts.
 #[derive(Debug)]
 pub struct Call {
     pub(crate) profile: RouteProfile,
+    /// Time at which the caller no longer waits for the answer.
+    caller_deadline: Time,
+    /// Time by which an upstream has to be done; earlier than `caller_deadline` if this node ends before that.
     pub(crate) deadline: Time,
     /// Time by which the route's latency objective asks for the answer.
     pub(crate) objective: Option<Time>,
@@ -93,6 +101,7 @@
             max_upstreams: route.max_upstreams,
             upstreams_tried: 0,
             service_name: Arc::clone(&service.name),
+            caller_deadline: now + time_left,
             deadline: now + time_left,
             objective: None,
             outer_retries: head.outer_retries,
@@ -114,6 +123,27 @@
         topology.snapshot.as_ref()?.find_service(&self.service_name)
     }
 
+    /// Ends the time for upstreams at `work_end`, if the node ends before the caller's deadline.
+    pub(crate) fn limit_deadline(&mut self, work_end: Option<Time>) {
+        self.deadline = work_end.map_or(self.deadline, |it| it.min(self.deadline));
+    }
+
+    /// Time until which the entry waits for an answer that the upstream sends at the deadline.
+    pub(crate) fn give_up_at(&self) -> Time {
+        (self.deadline + RESPONSE_TRANSIT_TIME).min(self.caller_deadline)
+    }
+
+    /// The reason for which the caller is refused after an attempt failed for `reason`. An attempt that ended
+    /// unstarted at the end of this node has not met the caller's own deadline.
+    pub(crate) fn refusal_reason(&self, reason: Reason) -> Reason {
+        let limited = self.deadline < self.caller_deadline;
+        if limited && reason == Reason::DeadlinePassed && self.verdict == Verdict::NotRun {
+            Reason::Draining
+        } else {
+            reason
+        }
+    }
+
     /// Makes this the current attempt.
     pub(crate) fn start_attempt(&mut self, attempt: Attempt) {
         self.attempt = Some(attempt);
--- a/components/traffic/src/entry/message.rs
+++ b/components/traffic/src/entry/message.rs
@@ -52,8 +52,12 @@
     pub request_address: SocketAddr,
     /// Address at which the node accepts control calls.
     pub peer_address: SocketAddr,
-    /// Time at which the caller no longer waits for the answer.
+    /// Time by which the upstream has to be done: the caller no longer waits for the answer, or this node
+    /// ends soon.
     pub deadline: Time,
+    /// Time until which the entry waits for the answer; later than `deadline` if the caller waits longer
+    /// than this node exists.
+    pub give_up_at: Time,
     /// Time by which the route's latency objective asks for the answer.
     pub objective: Option<Time>,
     /// Whether the owner may refuse the request because it would miss its objective there.
@@ -94,6 +98,8 @@
     },
     /// The caller has disconnected, or the relay of the answer has completed or failed.
     CallEnded { call: CallKey },
+    /// The node is leaving and accepts requests for a while; no request may run beyond `work_end`.
+    EndScheduled { work_end: Time },
     /// The node is about to exit: failed attempts are no longer retried, and a call that is queued
     /// at another node is cancelled there and answered now.
     Shutdown,
--- a/components/traffic/src/owner.rs
+++ b/components/traffic/src/owner.rs
@@ -58,6 +58,8 @@
     upstream_end: UpstreamEnd,
     /// Whether the upstream is known to be warm.
     upstream_warm: bool,
+    /// Time by which the upstream has to be done, because the node ends soon after.
+    work_end: Option<Time>,
     /// Whether the node is leaving and accepts no new requests, whatever the upstream announces.
     leaving: bool,
     /// Whether [`Effect::Drained`] has been emitted.
@@ -86,6 +88,7 @@
             next_ledger_expiry: Time::default(),
             upstream_end,
             upstream_warm: false,
+            work_end: None,
             leaving: false,
             drained: false,
         }
@@ -191,8 +194,10 @@
             return;
         };
         if let Phase::Queued(request) = &self.open_requests[index].1 {
+            let expires = request.expires();
+            let deadline = self.work_end.map_or(expires, |it| it.min(expires));
             self.open_requests[index].1 = Phase::Dispatched(request.dispatch(now));
-            effects.push(Effect::Start { tag });
+            effects.push(Effect::Start { tag, deadline });
         }
     }
 
@@ -356,9 +361,12 @@
     /// endpoints. If the node leaves with its upstream, it accepts no new requests and finishes the
     /// queued ones instead.
     fn refuse_queued(&mut self, now: Time, effects: &mut Vec<Effect>) {
-        if self.stage < Stage::Draining || self.upstream_end == UpstreamEnd::Leave {
-            return;
+        if self.stage >= Stage::Draining && self.upstream_end == UpstreamEnd::Stay {
+            self.refuse_all_queued(now, effects);
         }
+    }
+
+    fn refuse_all_queued(&mut self, now: Time, effects: &mut Vec<Effect>) {
         let open_requests = self.open_requests.iter();
         let queued = open_requests.filter(|(_, phase)| matches!(phase, Phase::Queued(_)));
         let queued: Vec<u64> = queued.map(|(tag, _)| *tag).collect();
@@ -414,6 +422,8 @@
             }
             Input::UpstreamAnnounced { stage, slots } => self.set_stage(now, stage, slots, effects),
             Input::UpstreamWarmed { warm } => self.set_warm(now, warm, effects),
+            Input::EndScheduled { work_end } => self.work_end = Some(work_end),
+            Input::Shutdown => self.refuse_all_queued(now, effects),
             Input::Drain => {
                 self.leaving = true;
                 self.stage = self.stage.max(Stage::Draining);
--- a/components/traffic/src/owner/message.rs
+++ b/components/traffic/src/owner/message.rs
@@ -77,15 +77,19 @@
     /// The upstream is warm, so that it can run as many requests as it has slots, or it still warms up.
     /// Without this input, the upstream counts as warming up when it gets slots.
     UpstreamWarmed { warm: bool },
+    /// The node is leaving and accepts requests for a while; none may run beyond `work_end`.
+    EndScheduled { work_end: Time },
     /// The node is leaving: it finishes accepted requests and refuses new ones.
     Drain,
+    /// The node is about to exit: requests that still wait are refused.
+    Shutdown,
 }
 
 /// Actions that the state machine requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Effect {
-    /// Dispatch the request to the upstream.
-    Start { tag: u64 },
+    /// Dispatch the request to the upstream, which has to be done by `deadline`.
+    Start { tag: u64, deadline: Time },
     /// Refuse the request.
     Refuse { tag: u64, refusal: Refusal },
     /// Abort the request at the upstream.
--- a/components/traffic/tests/entry.rs
+++ b/components/traffic/tests/entry.rs
@@ -579,3 +579,38 @@
     let effects = harness.report_attempt(600_000, call, report);
     assert!(!find_forwarded(&effects).1.spillable);
 }
+
+/// Guards against a request that a leaving node accepts for longer than it exists: the upstream has to be
+/// done in time, retries included, and a request that comes too late is refused as not run.
+#[rstest]
+fn forward_end_scheduled() {
+    let mut harness = Harness::new(100, 1..=3);
+    let (_, before) = find_forwarded(&harness.arrive(0, "GET", "/calm"));
+    assert_eq!(before.deadline, Time(2 * SECOND_US));
+    assert_eq!(before.give_up_at, before.deadline);
+    let work_end = Time(SECOND_US);
+    harness.step(1, Input::EndScheduled { work_end });
+    let (call, first) = find_forwarded(&harness.arrive(2, "GET", "/calm"));
+    assert_eq!(first.deadline, work_end);
+    assert!(first.give_up_at > work_end);
+    let report = failure_report(Verdict::NotRun, Reason::QueueFull);
+    let (_, second) = find_forwarded(&harness.report_attempt(3, call, report));
+    assert_eq!(second.deadline, work_end);
+    let refusal = find_refusal(&harness.arrive(SECOND_US, "GET", "/calm")).expect("refused");
+    assert_eq!(
+        (refusal.reason, refusal.verdict),
+        (Reason::Draining, Verdict::NotRun)
+    );
+}
+
+/// Guards against an upstream that is told to work beyond the end of a leaving entry although the caller's
+/// own deadline comes first.
+#[rstest]
+fn forward_deadline_before_end() {
+    let mut harness = Harness::new(100, 1..=3);
+    let work_end = Time(3 * SECOND_US);
+    harness.step(0, Input::EndScheduled { work_end });
+    let (_, attempt) = find_forwarded(&harness.arrive(1, "GET", "/calm"));
+    assert_eq!(attempt.deadline, Time(2 * SECOND_US + 1));
+    assert_eq!(attempt.give_up_at, attempt.deadline);
+}
