Answer the open calls of a node before it exits

What callers saw: a call without an answer at the end of its node's drain ended with a closed connection, which says nothing about the request.

Cause: at the drain limit and after a second signal the process exited while calls were open: those whose upstream never responds, and those that still connect to an owner, where nothing else ends them.

Evidence: drain_silent_upstream, new, got no response in its four cases at the limit before, and in its four cases after a second signal with that part taken out.

Fix: 150 ms before the exit the entry ends its open calls (Abandoned) and answers them: "not run" if the current attempt was not passed on and no earlier one may have run, "may have run" otherwise. The exit code and the counts stay as they were.

--- a/components/daemon/src/run.rs
+++ b/components/daemon/src/run.rs
@@ -63,6 +63,8 @@
 /// this long before the limit, and upstreams have to be done by then. The reserve allows for their
 /// responses, and for an outcome query to the owner and its response, with slow processors on both sides.
 const DRAIN_LIMIT_RESERVE: Duration = Duration::from_millis(500);
+/// Time before the exit in which calls that still have no answer get one and their connections end.
+const LAST_ANSWERS_TIME: Duration = Duration::from_millis(150);
 /// Number of stop requests that can wait: the first starts the drain and the second ends the node at once.
 const STOP_QUEUE_CAPACITY: usize = 2;
 
@@ -393,23 +395,38 @@
         }
         tokio::time::sleep(LEAVE_GOSSIP_TIME).await;
     };
+    let unfinished = Cell::new(None);
+    let count_unfinished = || (driver.load().running, driver.open_calls());
     let shut_down_at_limit = async {
         tokio::time::sleep(limit.saturating_sub(DRAIN_LIMIT_RESERVE)).await;
         driver.shut_down();
-        tokio::time::sleep(limit.min(DRAIN_LIMIT_RESERVE)).await;
+        let reserve = limit.min(DRAIN_LIMIT_RESERVE);
+        tokio::time::sleep(reserve.saturating_sub(LAST_ANSWERS_TIME)).await;
+        unfinished.set(Some(count_unfinished()).filter(|counts| *counts != (0, 0)));
+        driver.abandon_calls();
+        tokio::time::sleep(reserve.min(LAST_ANSWERS_TIME)).await;
     };
     let reason = tokio::select! {
-        () = drain => {
-            announce_end.await;
-            return Ok(());
-        }
+        () = drain => match unfinished.get() {
+            Some(_) => "the drain limit passed",
+            None => {
+                announce_end.await;
+                return Ok(());
+            }
+        },
         () = shut_down_at_limit => "the drain limit passed",
-        Some(()) = stop_requests.recv() => "a second signal came",
+        Some(()) = stop_requests.recv() => {
+            unfinished.set(Some(count_unfinished()));
+            driver.abandon_calls();
+            tokio::time::sleep(LAST_ANSWERS_TIME).await;
+            "a second signal came"
+        }
     };
+    let (running, forwarded) = unfinished.get().unwrap_or_else(count_unfinished);
     Err(Error::DrainIncomplete {
         reason,
-        running: driver.load().running,
-        forwarded: driver.open_calls(),
+        running,
+        forwarded,
         step: step.get(),
     })
 }
--- a/components/daemon/tests/drain.rs
+++ b/components/daemon/tests/drain.rs
@@ -323,3 +323,48 @@
     assert!(started.elapsed() < Duration::from_millis(drain_limit_ms));
     leaving_node.wait_for_exit().await.unwrap();
 }
+
+/// Guards against a call that ends with a closed connection, and no answer, because its upstream is silent
+/// when the drain limit or a second signal ends the node. The caller learns that its request may have run.
+#[rstest]
+#[case::limit(1_200, false, "the drain limit passed")]
+#[case::second_stop(DRAIN_LIMIT_MS, true, "a second signal came")]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn drain_silent_upstream(
+    #[case] drain_limit_ms: u64,
+    #[case] second_stop: bool,
+    #[case] reason: &str,
+    #[values(true, false)] leaves_as_owner: bool,
+    #[values("GET", "POST")] method: &str,
+) {
+    let store = start_store().await;
+    let leaving_node = Node::spawn(store, &[], drain_limit_ms).await;
+    let other = Node::spawn(store, &[leaving_node.settings.listen.peer], DRAIN_LIMIT_MS).await;
+    let owner = if leaves_as_owner {
+        &leaving_node
+    } else {
+        &other
+    };
+    leaving_node.wait_for_listeners().await;
+    owner.wait_until_serving().await;
+    let callers = leaving_node.settings.listen.callers;
+    let served =
+        async { while exchange(callers, get_request("/x")).await.unwrap().status() != 200 {} };
+    tokio::time::timeout(TIMEOUT, served).await.unwrap();
+    let count_before = owner.upstream_record.request_count();
+    let mut caller = CallerConnection::connect(callers).await;
+    caller.send(request_with_body(method, "/never", 1)).await;
+    wait_until("request", || {
+        owner.upstream_record.request_count() > count_before
+    })
+    .await;
+    leaving_node.drain(false).await;
+    if second_stop {
+        leaving_node.drain(false).await;
+    }
+    let response = caller.receive().await.expect("the request is answered");
+    assert!([502, 504].contains(&response.status()));
+    assert_eq!(response.header("medlar-verdict"), Some("may-have-run"));
+    let error = leaving_node.wait_for_exit().await.unwrap_err().to_string();
+    assert!(error.starts_with(reason), "{error}");
+}
--- a/components/front/src/driver.rs
+++ b/components/front/src/driver.rs
@@ -89,6 +89,7 @@
     leaving: CancellationToken,
     drained: CancellationToken,
     shutting_down: CancellationToken,
+    abandoning_calls: CancellationToken,
     /// Notified when the last open call ends while the node is leaving.
     calls_ended: Notify,
     metrics: Arc<Metrics>,
@@ -123,6 +124,7 @@
             leaving: CancellationToken::new(),
             drained: CancellationToken::new(),
             shutting_down: CancellationToken::new(),
+            abandoning_calls: CancellationToken::new(),
             calls_ended: Notify::new(),
             metrics: parts.metrics,
         }
@@ -202,6 +204,16 @@
         &self.shutting_down
     }
 
+    /// Answers the calls that have no answer yet, because this process exits now.
+    pub fn abandon_calls(&self) {
+        self.abandoning_calls.cancel();
+    }
+
+    /// Token that is cancelled by [`TrafficDriver::abandon_calls`].
+    pub fn abandoning_calls(&self) -> &CancellationToken {
+        &self.abandoning_calls
+    }
+
     /// Waits until a drain has begun and all requests at the upstream and all open calls have ended.
     pub async fn wait_until_idle(&self) {
         self.drained.cancelled().await;
--- a/components/http1/src/attempt.rs
+++ b/components/http1/src/attempt.rs
@@ -55,6 +55,8 @@
     /// Request head without internal and hop-by-hop headers.
     pub(crate) parts: Parts,
     pub(crate) body: RequestBody,
+    /// Whether the current attempt was passed on to its owner.
+    pub(crate) sent: bool,
 }
 
 /// Response to an attempt whose head has arrived, or an empty one if the attempt failed.
@@ -83,6 +85,7 @@
     attempt: Attempt,
 ) -> SendOutcome {
     if attempt.node == shared.driver.node_id() {
+        outgoing.sent = true;
         return SendOutcome::Responded(send_local(shared, outgoing, profile, attempt).await);
     }
     let node_connection = match shared
@@ -93,6 +96,7 @@
         Ok(node_connection) => node_connection,
         Err(reason) => return SendOutcome::Responded(failed_attempt(Verdict::NotRun, reason)),
     };
+    outgoing.sent = true;
     let expires = node_connection
         .peer_clock
         .convert_to_peer_time(attempt.deadline);
--- a/components/http1/src/caller.rs
+++ b/components/http1/src/caller.rs
@@ -194,6 +194,7 @@
         id: head.id,
         parts,
         body,
+        sent: false,
     };
     let topology = shared.driver.topology();
     let effects = shared.driver.step_entry(Input::Arrived { topology, head });
@@ -201,14 +202,19 @@
         shared: Arc::clone(shared),
         call: None,
     };
-    let result = execute_effects(
+    let answered = execute_effects(
         shared,
         &mut outgoing,
         effects,
         &mut call_guard,
         &mut log_context,
-    )
-    .await;
+    );
+    let result = tokio::select! {
+        biased;
+        result = answered => Some(result),
+        () = shared.driver.abandoning_calls().cancelled() => None,
+    };
+    let result = result.unwrap_or_else(|| Err(abandon(shared, call_guard.call, outgoing.sent)));
     let (response, profile, attempt) = result.inspect_err(|refusal| {
         call_guard.call = None;
         events::log_refused(shared, &log_context, *refusal);
@@ -222,6 +228,27 @@
     ))
 }
 
+/// Ends a call without an answer, because the process exits.
+fn abandon(shared: &SharedState, call: Option<CallKey>, sent: bool) -> Refusal {
+    let topology = shared.driver.topology();
+    let effects = call.map_or_else(Vec::new, |call| {
+        shared.driver.step_entry(Input::Abandoned {
+            call,
+            topology,
+            sent,
+        })
+    });
+    let refusal = effects.into_iter().find_map(|effect| match effect {
+        Effect::Refuse { refusal } => Some(refusal),
+        _ => None,
+    });
+    refusal.unwrap_or(Refusal {
+        reason: Reason::Draining,
+        verdict: Verdict::MayHaveRun,
+        retry_after: Duration::ZERO,
+    })
+}
+
 /// Host that the caller requests, in lower case and without its port.
 fn read_host(headers: &HeaderMap) -> Option<String> {
     let host = headers.get(HOST)?.to_str().ok()?;
@@ -303,6 +330,7 @@
                     attempt,
                 } => {
                     call_guard.call = Some(call);
+                    outgoing.sent = false;
                     forward = Some((call, route, attempt));
                 }
                 Effect::Query { .. }
--- a/components/traffic/src/entry.rs
+++ b/components/traffic/src/entry.rs
@@ -367,6 +367,24 @@
         self.handle_report(context, key, silence_report(Verdict::Ran));
     }
 
+    /// Refuses a call that has no answer when the node exits.
+    fn abandon(&mut self, context: &mut StepContext<'_>, key: CallKey, sent: bool) {
+        self.release_in_flight(key);
+        let Some(call) = self.calls.remove(key) else {
+            return;
+        };
+        let attempt_verdict = if sent {
+            Verdict::MayHaveRun
+        } else {
+            Verdict::NotRun
+        };
+        let refusal = Refusal {
+            verdict: call.verdict.max(attempt_verdict),
+            ..not_run_refusal(Reason::Draining)
+        };
+        refuse(context, refusal);
+    }
+
     fn release_in_flight(&mut self, key: CallKey) {
         if let Some(call) = self.calls.get(key)
             && let Some(attempt) = call.attempt
@@ -392,7 +410,8 @@
             Input::Arrived { topology, .. }
             | Input::AttemptReported { topology, .. }
             | Input::OutcomeReceived { topology, .. }
-            | Input::FetchCompleted { topology, .. } => Arc::clone(topology),
+            | Input::FetchCompleted { topology, .. }
+            | Input::Abandoned { topology, .. } => Arc::clone(topology),
             Input::SilenceTimeout { call } => {
                 return self.handle_silence_timeout(now, *call, effects);
             }
@@ -426,6 +445,7 @@
                 self.handle_outcome(context, call, outcome)
             }
             Input::FetchCompleted { call, found, .. } => self.handle_fetch(context, call, found),
+            Input::Abandoned { call, sent, .. } => self.abandon(context, call, sent),
             Input::SilenceTimeout { .. }
             | Input::CallEnded { .. }
             | Input::EndScheduled { .. }
--- a/components/traffic/src/entry/message.rs
+++ b/components/traffic/src/entry/message.rs
@@ -98,6 +98,13 @@
     },
     /// The caller has disconnected, or the relay of the answer has completed or failed.
     CallEnded { call: CallKey },
+    /// The node exits before the call has an answer; `sent` states whether its current attempt was sent to
+    /// the owner.
+    Abandoned {
+        call: CallKey,
+        topology: Arc<Topology>,
+        sent: bool,
+    },
     /// The node is leaving and accepts requests for a while; no request may run beyond `work_end`.
     EndScheduled { work_end: Time },
     /// The node is about to exit: failed attempts are no longer retried, and a call that is queued
--- a/components/traffic/tests/entry.rs
+++ b/components/traffic/tests/entry.rs
@@ -614,3 +614,34 @@
     assert_eq!(attempt.deadline, Time(2 * SECOND_US + 1));
     assert_eq!(attempt.give_up_at, attempt.deadline);
 }
+
+/// Guards against a call without an answer at the exit of its node, and against an answer "not run" for an
+/// attempt that reached an owner.
+#[rstest]
+#[case::unsent(None, false, Verdict::NotRun)]
+#[case::sent(None, true, Verdict::MayHaveRun)]
+#[case::retry_unsent(Some(Verdict::MayHaveRun), false, Verdict::MayHaveRun)]
+fn abandon_call(
+    #[case] earlier_attempt: Option<Verdict>,
+    #[case] sent: bool,
+    #[case] expected: Verdict,
+) {
+    let mut harness = Harness::new(100, 1..=3);
+    let (mut call, _) = find_forwarded(&harness.arrive(0, "GET", "/calm"));
+    if let Some(verdict) = earlier_attempt {
+        let report = failure_report(verdict, Reason::ConnectionBroken);
+        call = find_forwarded(&harness.report_attempt(1, call, report)).0;
+    }
+    let topology = Arc::clone(&harness.topology);
+    let abandoned = Input::Abandoned {
+        call,
+        topology,
+        sent,
+    };
+    let refusal = find_refusal(&harness.step(2, abandoned)).expect("refused");
+    assert_eq!(
+        (refusal.reason, refusal.verdict),
+        (Reason::Draining, expected)
+    );
+    assert_eq!(harness.machine.open_calls(), 0);
+}
