Count the signal after an operator's drain as the first one

What callers saw: requests that ran at a node were cut off (now: answered with 502) when its supervisor's signal followed a drain by an operator, the order in which a node is replaced.

Cause: any signal that came after the start of a drain counted as the second one, whatever had begun the drain.

Evidence: drain_signal_after_operator, new, failed before: the request that needed 1.5 s got 502 after 0.2 s.

Fix: the cause of the drain decides how many signals end it: one after a signal, two after an operator's drain or the end of the upstream.

--- a/components/daemon/src/run.rs
+++ b/components/daemon/src/run.rs
@@ -355,10 +355,11 @@
     front_end_task: JoinHandle<()>,
     mut stop_requests: mpsc::Receiver<()>,
 ) -> Result<(), Error> {
-    let cause = tokio::select! {
-        _ = stop_requests.recv() => "signal",
-        () = driver.leaving().cancelled() => "operator",
-        () = driver.drained().cancelled() => "upstream-drained",
+    let (cause, signals_before_exit) = tokio::select! {
+        _ = stop_requests.recv() => ("signal", 1),
+        // The signal that follows such a drain in a planned replacement does not end it.
+        () = driver.leaving().cancelled() => ("operator", 2),
+        () = driver.drained().cancelled() => ("upstream-drained", 2),
     };
     let limit = Duration::from_millis(settings.drain_limit_ms);
     let linger = Duration::from_millis(settings.drain_linger_ms);
@@ -406,6 +407,13 @@
         driver.abandon_calls();
         tokio::time::sleep(reserve.min(LAST_ANSWERS_TIME)).await;
     };
+    let urgent_stop = async {
+        for _ in 0..signals_before_exit {
+            if stop_requests.recv().await.is_none() {
+                std::future::pending::<()>().await;
+            }
+        }
+    };
     let reason = tokio::select! {
         () = drain => match unfinished.get() {
             Some(_) => "the drain limit passed",
@@ -415,7 +423,7 @@
             }
         },
         () = shut_down_at_limit => "the drain limit passed",
-        Some(()) = stop_requests.recv() => {
+        () = urgent_stop => {
             unfinished.set(Some(count_unfinished()));
             driver.abandon_calls();
             tokio::time::sleep(LAST_ANSWERS_TIME).await;
--- a/components/daemon/tests/drain.rs
+++ b/components/daemon/tests/drain.rs
@@ -158,6 +158,34 @@
     }
 }
 
+/// Guards against a drain by an operator that is cut short by the stop signal which follows it in a planned
+/// replacement: only a second signal ends the node without waiting for its requests.
+#[rstest]
+#[case::one_signal(1, true)]
+#[case::two_signals(2, false)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn drain_signal_after_operator(#[case] signals: u32, #[case] finishes: bool) {
+    let store = start_store().await;
+    let node = Node::start(store, &[], DRAIN_LIMIT_MS).await;
+    let count_before = node.upstream_record.request_count();
+    let mut caller = CallerConnection::connect(node.settings.listen.callers).await;
+    caller
+        .send(request_with_body("POST", "/wait/1500", 1))
+        .await;
+    wait_until("request", || {
+        node.upstream_record.request_count() > count_before
+    })
+    .await;
+    node.drain(true).await;
+    for _ in 0..signals {
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        node.drain(false).await;
+    }
+    let status = caller.receive().await.expect("an answer").status();
+    assert_eq!(status == 200, finishes);
+    assert_eq!(node.wait_for_exit().await.is_ok(), finishes);
+}
+
 /// Checks that a leaving node still forwards the calls that its upstream makes for a running request.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn drain_upstream_calls() {
