Refuse requests that arrive after a node has given up its calls

What callers saw: a request that arrived in the last 150 ms of a node, after a second signal or behind another one on its connection, was passed on to an upstream and answered with 502 at once, although it could have been refused as not run.

Cause: the handler starts a request before it checks whether the node answers its open calls for the exit.

Evidence: drain_arrival_after_abandonment got 502 before and its upstream ran the request.

Fix: such a request is refused as not run.

--- a/components/daemon/tests/drain.rs
+++ b/components/daemon/tests/drain.rs
@@ -396,3 +396,26 @@
     let error = leaving_node.wait_for_exit().await.unwrap_err().to_string();
     assert!(error.starts_with(reason), "{error}");
 }
+
+/// Guards against a request that arrives after the node has given up its open calls: it is not passed on.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn drain_arrival_after_abandonment() {
+    let store = start_store().await;
+    let node = Node::start(store, &[], DRAIN_LIMIT_MS).await;
+    let callers = node.settings.listen.callers;
+    let mut caller = CallerConnection::connect(callers).await;
+    let response = caller.exchange(get_request("/x")).await;
+    assert_eq!(response.unwrap().status(), 200);
+    let count_before = node.upstream_record.request_count();
+    node.drain(false).await;
+    node.drain(false).await;
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    caller
+        .send(request_with_body("POST", "/wait/1000", 1))
+        .await;
+    let response = caller.receive().await.expect("the request is answered");
+    assert_eq!(response.status(), 503);
+    assert_eq!(response.header("medlar-verdict"), Some("not-run"));
+    assert_eq!(node.upstream_record.request_count(), count_before);
+    assert!(node.wait_for_exit().await.is_err());
+}
--- a/components/http1/src/caller.rs
+++ b/components/http1/src/caller.rs
@@ -196,6 +196,9 @@
         body,
         sent: false,
     };
+    if shared.driver.abandoning_calls().is_cancelled() {
+        return Err(not_run_refusal(Reason::Draining));
+    }
     let topology = shared.driver.topology();
     let effects = shared.driver.step_entry(Input::Arrived { topology, head });
     let mut call_guard = CallGuard {
