Refuse the queued requests of a node that a second signal ends

What callers saw: requests of other nodes that waited at the owner got 502, may have run, when a second signal ended that owner, although none of them had run.

Cause: only the drain limit, not the second signal, makes the owner refuse its queue.

Evidence: drain_queued_second_stop got 30 such answers for 3 running requests before.

Fix: the second signal shuts the owner and the entry down as the limit does.

--- a/components/daemon/src/run.rs
+++ b/components/daemon/src/run.rs
@@ -425,6 +425,7 @@
         () = shut_down_at_limit => "the drain limit passed",
         () = urgent_stop => {
             unfinished.set(Some(count_unfinished()));
+            driver.shut_down();
             driver.abandon_calls();
             tokio::time::sleep(LAST_ANSWERS_TIME).await;
             "a second signal came"
--- a/components/daemon/tests/drain.rs
+++ b/components/daemon/tests/drain.rs
@@ -419,3 +419,42 @@
     assert_eq!(node.upstream_record.request_count(), count_before);
     assert!(node.wait_for_exit().await.is_err());
 }
+
+/// Guards against requests of other nodes that still wait at an owner when a second signal ends it: they are
+/// refused as not run, so that no caller is told that they may have run.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn drain_queued_second_stop() {
+    let store = start_store().await;
+    let leaving_node = Node::start(store, &[], DRAIN_LIMIT_MS).await;
+    // This node has no upstream of its own, so that it forwards all requests to the leaving node.
+    let entry = Node::spawn(store, &[leaving_node.settings.listen.peer], DRAIN_LIMIT_MS).await;
+    entry.wait_for_listeners().await;
+    let callers = entry.settings.listen.callers;
+    let served =
+        async { while exchange(callers, get_request("/x")).await.unwrap().status() != 200 {} };
+    tokio::time::timeout(TIMEOUT, served).await.unwrap();
+    let count_before = leaving_node.upstream_record.request_count();
+    let mut open_callers = Vec::new();
+    for _ in 0..30 {
+        let mut caller = CallerConnection::connect(callers).await;
+        caller
+            .send(request_with_body("POST", "/wait/2900", 1))
+            .await;
+        open_callers.push(caller);
+    }
+    wait_until("requests", || {
+        leaving_node.upstream_record.request_count() >= count_before + 3
+    })
+    .await;
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    let running = leaving_node.upstream_record.request_count() - count_before;
+    leaving_node.drain(false).await;
+    leaving_node.drain(false).await;
+    let mut may_have_run = 0;
+    for mut caller in open_callers {
+        let response = caller.receive().await.expect("the request is answered");
+        may_have_run += usize::from(response.header("medlar-verdict") != Some("not-run"));
+    }
+    assert_eq!(may_have_run, running);
+    assert!(leaving_node.wait_for_exit().await.is_err());
+}
