Keep the time for an upstream's last response at its owner too

What callers saw: a request whose upstream stopped at the end of a leaving node got the owner's refusal (504, or 502 while the entry shut down) in place of the upstream's response, if that took more than 50 ms.

Cause: the owner waited 50 ms past the deadline, although the leaving node keeps 500 ms for the response. One time stood for two: when the upstream has to be done, and until when the sender waits.

Fix: a request between nodes names both times (medlar-work-end-us beside medlar-expires-us, only if they differ). The upstream is told the first and waited for until the second, at most 250 ms longer. Admission judges by the first, so that a request which cannot be done in time is refused at once. Requests of nodes that do not leave have one time, as before the fix.

drain_queued_at_other_node now demands an answer to each request.

--- a/components/daemon/tests/drain.rs
+++ b/components/daemon/tests/drain.rs
@@ -263,15 +263,13 @@
     leaving_node.drain(false).await;
     let (mut not_run, mut may_have_run) = (0, 0);
     for mut caller in open_callers {
-        let Some(response) = caller.receive().await else {
-            continue;
-        };
+        let response = caller.receive().await.expect("the request is answered");
         if response.header("medlar-verdict") == Some("not-run") {
             assert_eq!(response.status(), 503);
             assert_eq!(response.header("medlar-reason"), Some("draining"));
             not_run += 1;
         } else {
-            // Sent after the drain had begun, and started with a deadline before the end of the node.
+            // Was running: its upstream had to be done before the end of the node, or the node gave it up.
             assert!([502, 504].contains(&response.status()));
             assert_eq!(response.header("medlar-verdict"), Some("may-have-run"));
             may_have_run += 1;
@@ -458,3 +456,31 @@
     assert_eq!(may_have_run, running);
     assert!(leaving_node.wait_for_exit().await.is_err());
 }
+
+/// Guards against an upstream's response at the end of a leaving node that the owner replaces by a refusal of
+/// its own, because a busy processor delays the response by some milliseconds. The node keeps 500 ms for it.
+#[rstest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn drain_deadline_late_response(
+    #[values(0, 20, 120)] late_ms: u64,
+    #[values("GET", "POST")] method: &str,
+) {
+    let store = start_store().await;
+    let node = Node::spawn_with(store, &[], 2_000, |settings| {
+        settings.drain_linger_ms = 900;
+        settings.drain_notice_ms = 100;
+    })
+    .await;
+    node.wait_until_serving().await;
+    node.drain(false).await;
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    let mut caller = CallerConnection::connect(node.settings.listen.callers).await;
+    let path = format!("/until-deadline/{late_ms}");
+    caller.send(request_with_body(method, &path, 1)).await;
+    let response = caller.receive().await.expect("the request is answered");
+    assert_eq!(
+        (response.status(), &*response.body),
+        (504, &b"deadline"[..])
+    );
+    node.wait_for_exit().await.unwrap();
+}
--- a/components/http1/src/attempt.rs
+++ b/components/http1/src/attempt.rs
@@ -99,7 +99,12 @@
     outgoing.sent = true;
     let expires = node_connection
         .peer_clock
-        .convert_to_peer_time(attempt.deadline);
+        .convert_to_peer_time(attempt.give_up_at);
+    let work_end = (attempt.deadline < attempt.give_up_at).then(|| {
+        node_connection
+            .peer_clock
+            .convert_to_peer_time(attempt.deadline)
+    });
     let objective = attempt
         .objective
         .map(|it| node_connection.peer_clock.convert_to_peer_time(it));
@@ -116,7 +121,11 @@
         profile,
         attempt,
         node_connection,
-        (expires, objective)
+        PeerTimes {
+            expires,
+            work_end,
+            objective,
+        }
     ));
     let deadline = Instant::from_std(shared.driver.clock().to_instant(attempt.give_up_at));
     let mut owner_query = pin!(None);
@@ -247,7 +256,8 @@
         id: outgoing.id,
         attempt: attempt.number,
         intended_owner: attempt.node,
-        expires: attempt.deadline,
+        expires: attempt.give_up_at,
+        deadline: attempt.deadline,
         objective: attempt.objective,
         spillable: attempt.spillable,
         route: profile.route,
@@ -276,32 +286,48 @@
     }
 }
 
-/// Sends an attempt to the node that owns it; `expires` and `objective` are times on that node's
-/// clock.
+/// Times of an attempt on the clock of the node that owns it.
+#[derive(Clone, Copy, Debug)]
+struct PeerTimes {
+    /// Time until which the entry waits for the answer.
+    expires: Time,
+    /// Time by which the upstream has to be done, if that is before `expires`.
+    work_end: Option<Time>,
+    /// Time by which the route's latency objective asks for the answer.
+    objective: Option<Time>,
+}
+
+/// Sends an attempt to the node that owns it.
 async fn send_remote(
     shared: &Arc<SharedState>,
     outgoing: &mut OutgoingRequest,
     profile: RouteProfile,
     attempt: Attempt,
     node_connection: NodeConnection,
-    (expires, objective): (Time, Option<Time>),
+    times: PeerTimes,
 ) -> AttemptResponse {
     let Some(mut request) = build_request(outgoing) else {
         return failed_attempt(Verdict::MayHaveRun, Reason::ConnectionBroken);
     };
-    let objective = objective.map(|it| (header::OBJECTIVE, it.0.to_string()));
+    let objective = times
+        .objective
+        .map(|it| (header::OBJECTIVE, it.0.to_string()));
+    let work_end = times
+        .work_end
+        .map(|it| (header::WORK_END, it.0.to_string()));
     let values = [
         (header::REQUEST_ID, outgoing.id.to_string()),
         (header::ROUTE, profile.route.to_string()),
         (header::OWNER, attempt.node.to_string()),
-        (header::EXPIRES, expires.0.to_string()),
+        (header::EXPIRES, times.expires.0.to_string()),
         (header::ATTEMPT, attempt.number.to_string()),
         (header::SERVICE, profile.service.to_string()),
     ];
     let spillable = attempt
         .spillable
         .then(|| (header::SPILLABLE, "1".to_owned()));
-    for (name, value) in values.into_iter().chain(objective).chain(spillable) {
+    let optional = objective.into_iter().chain(work_end).chain(spillable);
+    for (name, value) in values.into_iter().chain(optional) {
         if let Ok(value) = HeaderValue::from_str(&value) {
             request.headers_mut().insert(name, value);
         }
--- a/components/http1/src/dispatch.rs
+++ b/components/http1/src/dispatch.rs
@@ -43,9 +43,9 @@
 use traffic::owner::IncomingRequest;
 use wire::header;
 
-/// Time for the response of an upstream that stops at the deadline to arrive. Without it, the node would often
-/// give up first and replace that response by a refusal.
-const RESPONSE_TRANSIT_TIME: Duration = Duration::from_millis(50);
+/// Time for the response of an upstream that stops at the deadline to arrive, if the request expires later. The
+/// node would otherwise give up first and replace that response by a refusal.
+const RESPONSE_TRANSIT_TIME: Duration = Duration::from_millis(250);
 /// Retry delay that is sent to the requester after the upstream failed.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -196,7 +196,7 @@
 ) -> Result<(StartedResponse, Permit), Refusal> {
     let incoming = upstream_request.incoming;
     let now = shared.driver.now();
-    let give_up_at = permit.deadline() + RESPONSE_TRANSIT_TIME;
+    let give_up_at = (permit.deadline() + RESPONSE_TRANSIT_TIME).min(incoming.expires);
     let deadline = Instant::from_std(shared.driver.clock().to_instant(give_up_at));
     // The upstream of another service may have replaced the one that the request was routed to.
     let topology = shared.driver.topology();
--- a/components/http1/src/node.rs
+++ b/components/http1/src/node.rs
@@ -131,6 +131,7 @@
     if expires > shared.driver.now() + MAX_TIME_TO_EXPIRY {
         return None;
     }
+    let work_end = parse_header(headers, header::WORK_END).map_or(expires, Time);
     let topology = shared.driver.topology();
     let snapshot = topology.snapshot.as_ref();
     let route_config = snapshot.and_then(|it| it.route(it.find_route_by_id(route)?));
@@ -140,6 +141,7 @@
         attempt: parse_header(headers, header::ATTEMPT)?,
         intended_owner: parse_header::<NodeId>(headers, header::OWNER)?,
         expires,
+        deadline: work_end.min(expires),
         route,
         objective: parse_header(headers, header::OBJECTIVE).map(Time),
         spillable: headers.contains_key(header::SPILLABLE),
--- a/components/http1/tests/support/upstream.rs
+++ b/components/http1/tests/support/upstream.rs
@@ -53,10 +53,12 @@
 /// Starts a fake upstream. Its response depends on the path:
 ///
 /// - `/wait/<ms>`: sent after this many milliseconds;
-/// - `/until-deadline`: status 504, sent at the deadline of the request;
+/// - `/until-deadline`: status 504, sent at the deadline of the request, or at `/until-deadline/<ms>` this
+///   many milliseconds later;
 /// - `/never`: no response;
 /// - `/cut` and `/cut-chunked`: the connection is closed before the end of the body;
 /// - `/until-close`: neither length nor transfer coding, ended by closing the connection;
+/// - `/slow-body/<ms>`: a body of 8 bytes whose second half is sent after this many milliseconds;
 /// - `/large`: a body of 1 MB;
 /// - `/trailer`: a trailer after the body;
 /// - `/shed`: status 503, by which the upstream states that it did not run the request;
@@ -112,6 +114,17 @@
                 () = tokio::time::sleep(delay) => {}
             }
         }
+        if let Some(millis) = path.strip_prefix("/slow-body/") {
+            let head = "HTTP/1.1 200 OK\r\ncontent-length: 8\r\n\r\n1234";
+            if stream.write_all(head.as_bytes()).await.is_err() {
+                return;
+            }
+            tokio::time::sleep(Duration::from_millis(millis.parse().unwrap())).await;
+            if stream.write_all(b"5678").await.is_err() {
+                return;
+            }
+            continue;
+        }
         let response = if path == "/onward" {
             forward_request(&message).await
         } else {
@@ -129,11 +142,14 @@
 /// Time for which the upstream works on a request; `None` if it responds at once.
 fn response_delay(message: &Message) -> Option<Duration> {
     let path = message.path();
+    if let Some(rest) = path.strip_prefix("/until-deadline") {
+        let micros = message.header("medlar-deadline-us").unwrap();
+        let millis = rest.trim_start_matches('/').parse().unwrap_or(0);
+        return Some(
+            Duration::from_micros(micros.parse().unwrap()) + Duration::from_millis(millis),
+        );
+    }
     match path.as_str() {
-        "/until-deadline" => {
-            let micros = message.header("medlar-deadline-us").unwrap();
-            Some(Duration::from_micros(micros.parse().unwrap()))
-        }
         "/never" => Some(Duration::MAX),
         _ => {
             let millis = path.strip_prefix("/wait/")?;
@@ -170,7 +186,7 @@
             bytes.resize(bytes.len() + 1_000_000, b'x');
             bytes
         }
-        "/until-deadline" => {
+        _ if message.path().starts_with("/until-deadline") => {
             b"HTTP/1.1 504 Gateway Timeout\r\ncontent-length: 8\r\n\r\ndeadline".to_vec()
         }
         "/shed" => b"HTTP/1.1 503 Busy\r\ncontent-length: 0\r\n\r\n".to_vec(),
--- a/components/simulate/src/entry_call.rs
+++ b/components/simulate/src/entry_call.rs
@@ -193,7 +193,8 @@
             id: self.entry_calls[call_index].id,
             attempt: attempt.number,
             intended_owner: node,
-            expires: to_node_clock(node, attempt.deadline),
+            expires: to_node_clock(node, attempt.give_up_at),
+            deadline: to_node_clock(node, attempt.deadline),
             objective: attempt.objective.map(|it| to_node_clock(node, it)),
             spillable: attempt.spillable,
             route: profile.route,
@@ -219,7 +220,7 @@
             id: self.entry_calls[call_index].id,
             intended_owner: attempt.node,
             attempt: attempt.number,
-            expires: to_node_clock(attempt.node, attempt.deadline),
+            expires: to_node_clock(attempt.node, attempt.give_up_at),
             cancel_if_queued,
         };
         let to = attempt.peer_address;
--- a/components/traffic/src/owner.rs
+++ b/components/traffic/src/owner.rs
@@ -100,7 +100,8 @@
     }
 
     fn handle_arrival(&mut self, now: Time, incoming: IncomingRequest, effects: &mut Vec<Effect>) {
-        let request = Request::new(incoming.id, incoming.expires);
+        let deadline = self.limit_deadline(incoming.deadline);
+        let request = Request::new(incoming.id, deadline);
         if let Err(refusal) = self.check_acceptable(now, &incoming, request) {
             effects.push(Effect::Refuse {
                 tag: incoming.tag,
@@ -123,7 +124,7 @@
             route: incoming.route,
             rank: incoming.rank,
             weight: incoming.weight,
-            expires: incoming.expires,
+            expires: deadline,
             objective: incoming.objective,
             spillable: incoming.spillable,
         };
@@ -194,13 +195,17 @@
             return;
         };
         if let Phase::Queued(request) = &self.open_requests[index].1 {
-            let expires = request.expires();
-            let deadline = self.work_end.map_or(expires, |it| it.min(expires));
+            let deadline = self.limit_deadline(request.deadline());
             self.open_requests[index].1 = Phase::Dispatched(request.dispatch(now));
             effects.push(Effect::Start { tag, deadline });
         }
     }
 
+    /// The earlier of `deadline` and the time by which all upstreams have to be done.
+    fn limit_deadline(&self, deadline: Time) -> Time {
+        self.work_end.map_or(deadline, |it| it.min(deadline))
+    }
+
     fn refuse(&mut self, tag: u64, reason: Reason, after: Duration, effects: &mut Vec<Effect>) {
         let Ok(index) = self.position(tag) else {
             return;
--- a/components/traffic/src/owner/message.rs
+++ b/components/traffic/src/owner/message.rs
@@ -23,6 +23,9 @@
     pub intended_owner: NodeId,
     /// Time at which the sender no longer waits for the answer, on this node's clock.
     pub expires: Time,
+    /// Time by which the upstream has to be done, on this node's clock; before `expires` if the sender ends
+    /// soon and needs the rest of the time for the answer.
+    pub deadline: Time,
     /// Time by which the route's latency objective asks for the answer, on this node's clock.
     pub objective: Option<Time>,
     /// Whether the sender tries another endpoint if the request cannot meet its objective here.
--- a/components/traffic/src/request.rs
+++ b/components/traffic/src/request.rs
@@ -29,7 +29,7 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Request<S> {
     id: RequestId,
-    expires: Time,
+    deadline: Time,
     state: S,
 }
 
@@ -50,9 +50,9 @@
         self.id
     }
 
-    /// Time at which the sender no longer waits for the answer.
-    pub fn expires(&self) -> Time {
-        self.expires
+    /// Time by which the upstream has to be done.
+    pub fn deadline(&self) -> Time {
+        self.deadline
     }
 
     /// The life cycle state with its data.
@@ -63,10 +63,10 @@
 
 impl Request<Queued> {
     /// Creates a request that has arrived and waits for admission.
-    pub fn new(id: RequestId, expires: Time) -> Self {
+    pub fn new(id: RequestId, deadline: Time) -> Self {
         Self {
             id,
-            expires,
+            deadline,
             state: Queued,
         }
     }
@@ -75,7 +75,7 @@
     pub fn dispatch(self, now: Time) -> Request<Dispatched> {
         Request {
             id: self.id,
-            expires: self.expires,
+            deadline: self.deadline,
             state: Dispatched { dispatched_at: now },
         }
     }
@@ -96,7 +96,7 @@
     pub fn finish(self, verdict: Verdict) -> Request<Finished> {
         Request {
             id: self.id,
-            expires: self.expires,
+            deadline: self.deadline,
             state: Finished { verdict },
         }
     }
--- a/components/traffic/tests/owner.rs
+++ b/components/traffic/tests/owner.rs
@@ -63,6 +63,7 @@
         attempt,
         intended_owner: NODE_ID,
         expires: EXPIRES,
+        deadline: EXPIRES,
         objective: None,
         spillable: false,
         route: RouteId(1),
@@ -370,3 +371,17 @@
     let effects = step(&mut owner, 2, Input::Shutdown);
     assert_eq!(sole_refusal(&effects), (Reason::Draining, Verdict::NotRun));
 }
+
+/// Guards against an upstream that works until a leaving entry is gone: the entry's end counts although the
+/// request expires later, to leave time for the answer.
+#[rstest]
+fn dispatch_entry_end() {
+    let mut owner = new_owner(1);
+    let deadline = Time(EXPIRES.0 / 2);
+    let request = IncomingRequest {
+        deadline,
+        ..incoming(1, 1, true)
+    };
+    let effects = step(&mut owner, 0, Input::Arrived(request));
+    assert_eq!(effects, [Effect::Start { tag: 1, deadline }]);
+}
--- a/components/wire/src/header.rs
+++ b/components/wire/src/header.rs
@@ -16,6 +16,9 @@
 pub const OWNER: &str = "medlar-owner";
 /// Time after which the request must not start, in microseconds on the owner's clock.
 pub const EXPIRES: &str = "medlar-expires-us";
+/// Time by which the upstream has to be done if that is before the expiry, in microseconds on the owner's
+/// clock.
+pub const WORK_END: &str = "medlar-work-end-us";
 /// Latency objective of the request: time by which the response should arrive, in microseconds on the
 /// owner's clock.
 pub const OBJECTIVE: &str = "medlar-objective-us";
