Refuse requests at an owner whose work has to be done

A request that an owner started after the time by which its work has to be done ran with a deadline that had passed, and failed, although it could have been refused as not run.

Cause: the owner checked neither arrivals nor the queue against that time; the end of the running requests frees slots just then.

Fix: both are refused as not run, and the slot goes back to the admission policy.

--- a/components/traffic/src/owner.rs
+++ b/components/traffic/src/owner.rs
@@ -152,6 +152,9 @@
         if incoming.expires <= now {
             return refuse(Reason::DeadlinePassed);
         }
+        if self.has_ended_work(now) {
+            return refuse(Reason::Draining);
+        }
         match self.stage {
             Stage::Ready if !incoming.idempotent && !self.has_room(incoming) => {
                 refuse(Reason::QueueFull)
@@ -196,6 +199,10 @@
         };
         if let Phase::Queued(request) = &self.open_requests[index].1 {
             let deadline = self.limit_deadline(request.deadline());
+            if self.has_ended_work(now) {
+                self.refuse(tag, Reason::Draining, UNAVAILABLE_RETRY_AFTER, effects);
+                return self.free_slot(now, tag, effects);
+            }
             self.open_requests[index].1 = Phase::Dispatched(request.dispatch(now));
             effects.push(Effect::Start { tag, deadline });
         }
@@ -206,6 +213,22 @@
         self.work_end.map_or(deadline, |it| it.min(deadline))
     }
 
+    fn has_ended_work(&self, now: Time) -> bool {
+        self.work_end.is_some_and(|it| it <= now)
+    }
+
+    /// Returns the slot of a request that the admission policy has started and that is refused.
+    fn free_slot(&mut self, now: Time, tag: u64, effects: &mut Vec<Effect>) {
+        let unused = Completion {
+            latency: Duration::ZERO,
+            shed: false,
+        };
+        let mut decisions = Vec::new();
+        self.admission
+            .finish(now, Ticket(tag), unused, &mut decisions);
+        self.apply_decisions(now, decisions, effects);
+    }
+
     fn refuse(&mut self, tag: u64, reason: Reason, after: Duration, effects: &mut Vec<Effect>) {
         let Ok(index) = self.position(tag) else {
             return;
--- a/components/traffic/tests/owner.rs
+++ b/components/traffic/tests/owner.rs
@@ -372,6 +372,29 @@
     assert_eq!(sole_refusal(&effects), (Reason::Draining, Verdict::NotRun));
 }
 
+/// Guards against a queued request that a leaving owner starts after its work has to be done, because the end
+/// of a running request frees a slot just then. Its upstream would get a deadline that has passed.
+#[rstest]
+fn dispatch_after_end() {
+    let mut owner = new_owner_with_end(UpstreamEnd::Leave, 1);
+    step(&mut owner, 0, Input::Arrived(incoming(1, 1, true)));
+    step(&mut owner, 1, Input::Arrived(other_request(2)));
+    let work_end = Time(3);
+    step(&mut owner, 2, Input::EndScheduled { work_end });
+    let effects = step(&mut owner, 3, finish_input(1, Verdict::Ran));
+    assert_eq!(sole_refusal(&effects), (Reason::Draining, Verdict::NotRun));
+}
+
+/// Guards against a request that a leaving owner accepts after its work has to be done.
+#[rstest]
+fn arrive_after_end() {
+    let mut owner = new_owner_with_end(UpstreamEnd::Stay, 1);
+    let work_end = Time(2);
+    step(&mut owner, 1, Input::EndScheduled { work_end });
+    let effects = step(&mut owner, 2, Input::Arrived(incoming(1, 1, true)));
+    assert_eq!(sole_refusal(&effects), (Reason::Draining, Verdict::NotRun));
+}
+
 /// Guards against an upstream that works until a leaving entry is gone: the entry's end counts although the
 /// request expires later, to leave time for the answer.
 #[rstest]
