Count a connection as in use until its response is written

What callers saw: a response whose body takes longer than the idle limit and one second was cut off in the middle (LOST where the answer comes from a sound upstream).

Cause: a connection counted as idle from the head of the response on, so the idle limit closed it during the body, both towards callers and between nodes.

Evidence: relay_body_beyond_idle_limit, new, failed before: no body within a limit of 200 ms and a body of 2 s.

Fix: the exchange on a connection ends when hyper drops the response's body, which it does once that is written or the connection has failed.

--- a/components/http1/src/listen.rs
+++ b/components/http1/src/listen.rs
@@ -1,14 +1,21 @@
 //! Accepting and serving of HTTP connections.
 
 use std::convert::Infallible;
+use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::PoisonError;
+use std::task::Context;
+use std::task::Poll;
 use std::time::Duration;
 
+use bytes::Bytes;
 use hyper::Request;
 use hyper::Response;
+use hyper::body::Body;
+use hyper::body::Frame;
 use hyper::body::Incoming;
+use hyper::body::SizeHint;
 use hyper::header::CONNECTION;
 use hyper::header::HeaderValue;
 use hyper::server::conn::http1;
@@ -22,6 +29,7 @@
 use tokio_util::task::TaskTracker;
 
 use crate::SharedState;
+use crate::body::BodyError;
 use crate::body::Payload;
 use crate::caller;
 use crate::events;
@@ -58,7 +66,7 @@
 /// Whether and since when a connection is in use.
 #[derive(Clone, Copy, Debug, Default)]
 struct Activity {
-    /// Whether a request is in progress.
+    /// Whether a request or the body of its response is in progress.
     is_busy: bool,
     /// When `is_busy` last changed, or the connection was opened.
     since: Time,
@@ -92,6 +100,62 @@
     }
 }
 
+/// Marks a connection as in use from a request to the end of the response's body.
+struct ExchangeGuard {
+    shared: Arc<SharedState>,
+    connection_state: Arc<ConnectionState>,
+}
+
+impl ExchangeGuard {
+    fn new(shared: Arc<SharedState>, connection_state: Arc<ConnectionState>) -> Self {
+        connection_state.record_activity(true, shared.driver.now());
+        Self {
+            shared,
+            connection_state,
+        }
+    }
+
+    fn guard_body(self, body: Payload) -> GuardedBody {
+        GuardedBody {
+            body,
+            _exchange: self,
+        }
+    }
+}
+
+impl Drop for ExchangeGuard {
+    fn drop(&mut self) {
+        self.connection_state
+            .record_activity(false, self.shared.driver.now());
+    }
+}
+
+/// A response body that hyper drops once it is written; the exchange ends with it.
+struct GuardedBody {
+    body: Payload,
+    _exchange: ExchangeGuard,
+}
+
+impl Body for GuardedBody {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        Pin::new(&mut self.body).poll_frame(context)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
 /// A bound listener with its limits.
 pub(crate) struct Listener {
     pub(crate) listener: TcpListener,
@@ -165,9 +229,8 @@
         // Boxed, so that an idle connection does not hold memory for the future of a request.
         let connection_state = Arc::clone(&connection_state);
         Box::pin(async move {
-            connection_state.record_activity(true, shared.driver.now());
+            let exchange = ExchangeGuard::new(Arc::clone(&shared), Arc::clone(&connection_state));
             let mut response = response_future.await;
-            connection_state.record_activity(false, shared.driver.now());
             let headers = response.headers_mut();
             if connection_state.started_requests.len() > 0 {
                 // A close would cut off the responses to the started requests.
@@ -176,7 +239,7 @@
                 headers.insert(CONNECTION, HeaderValue::from_static("close"));
             }
             connection_state.started_requests.record_response();
-            Ok::<_, Infallible>(response)
+            Ok::<_, Infallible>(response.map(|body| exchange.guard_body(body)))
         })
     });
     let start_shared = Arc::clone(&shared_state);
--- a/components/http1/tests/relay.rs
+++ b/components/http1/tests/relay.rs
@@ -3,6 +3,7 @@
 mod support;
 
 use rstest::rstest;
+use support::CONFIG_TEXT;
 use support::Node;
 use support::raw::CallerConnection;
 use support::raw::exchange;
@@ -11,6 +12,9 @@
 use support::start_entry_and_owner;
 use support::upstream;
 
+use control::NodeStage;
+use member::MemberTable;
+
 /// Starts an owner and, if `forwarded`, an entry that forwards to it. Returns the node that callers
 /// connect to and, if that is the entry, the owner.
 async fn start_nodes(upstream: std::net::SocketAddr, forwarded: bool) -> (Node, Option<Node>) {
@@ -155,3 +159,18 @@
     drop(reader);
     send_task.await.unwrap();
 }
+
+/// Guards against a response that is cut off in its body because the connection counts as idle as soon as the
+/// head of the response is known, so that a body that lasts longer than the idle limit never ends.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn relay_body_beyond_idle_limit() {
+    let (address, _) = upstream::start().await;
+    let node = Node::start(address, 10, 10).await;
+    let mut table = MemberTable::default();
+    table.merge(node.member(10, 10));
+    let text = format!("limits: {{ idle_ms: 200 }}\n{CONFIG_TEXT}");
+    node.publish_config(&text, &table, NodeStage::Serving);
+    // The node waits one second longer than the limit; the deadline of the route is 3 s.
+    let response = exchange(node.callers, get_request("/slow-body/2000")).await;
+    assert_eq!(response.map(|it| it.body), Some(b"12345678".to_vec()));
+}
--- a/components/http1/tests/support/mod.rs
+++ b/components/http1/tests/support/mod.rs
@@ -193,7 +193,12 @@
 
     /// Publishes a topology of these members to the traffic part of this node.
     pub(crate) fn publish(&self, table: &MemberTable, node_stage: NodeStage) {
-        let snapshot: Arc<Snapshot> = Arc::new(config::compile(CONFIG_TEXT, Version(1)).unwrap());
+        self.publish_config(CONFIG_TEXT, table, node_stage);
+    }
+
+    /// Publishes a topology of these members with the configuration `text`.
+    pub(crate) fn publish_config(&self, text: &str, table: &MemberTable, node_stage: NodeStage) {
+        let snapshot: Arc<Snapshot> = Arc::new(config::compile(text, Version(1)).unwrap());
         let domain = Domain::new("d");
         let topology = Topology::new(self.id, domain, node_stage, Some(snapshot), table, 1);
         self.topology.store(Arc::new(topology));
