Refuse connections at once after a leaving node's listeners have stopped

What callers saw: a connection that was opened after the listeners of a leaving node had stopped was neither served nor refused until the node's last request had ended (2 s in the test, up to 3 s on the platform).

Cause: the listening socket stayed open, unread, until all connections had ended, and the kernel went on completing connections for it.

Fix: the socket is closed as soon as the listener stops.

--- a/components/daemon/tests/drain.rs
+++ b/components/daemon/tests/drain.rs
@@ -484,3 +484,37 @@
     );
     node.wait_for_exit().await.unwrap();
 }
+
+/// Guards against a connection that a leaving node neither serves nor refuses: its listener no longer accepts,
+/// but stays open until the last request of the others has ended.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn drain_connection_after_listeners() {
+    let store = start_store().await;
+    let node = Node::spawn_with(store, &[], DRAIN_LIMIT_MS, |settings| {
+        settings.drain_linger_ms = 100;
+        settings.drain_notice_ms = 100;
+    })
+    .await;
+    node.wait_until_serving().await;
+    let callers = node.settings.listen.callers;
+    let count_before = node.upstream_record.request_count();
+    let mut running = CallerConnection::connect(callers).await;
+    running
+        .send(request_with_body("POST", "/wait/2500", 1))
+        .await;
+    wait_until("request", || {
+        node.upstream_record.request_count() > count_before
+    })
+    .await;
+    node.drain(false).await;
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let started = Instant::now();
+    if let Some(mut late) = CallerConnection::try_connect(callers).await {
+        late.send(get_request("/x")).await;
+        let _ = late.receive().await;
+    }
+    let elapsed = started.elapsed();
+    assert!(elapsed < Duration::from_millis(200), "{elapsed:?}");
+    assert_eq!(running.receive().await.unwrap().status(), 200);
+    node.wait_for_exit().await.unwrap();
+}
--- a/components/http1/src/listen.rs
+++ b/components/http1/src/listen.rs
@@ -201,6 +201,9 @@
             serve_connection((stream, max_requests), shared, stop, handle).await;
         });
     }
+    // A caller that connects from now on is refused at once; otherwise it would wait unread for the last of
+    // the open connections.
+    drop(listener);
     tracker.close();
     tracker.wait().await;
 }
