Keep the listeners of a leaving node while its upstream runs requests

What callers saw: a request that ran at a leaving node failed (502 or 504) if its upstream made a call after the node's listeners had stopped; the design promises to forward such calls while the node leaves.

Cause: the listeners stopped after a fixed time, whatever still ran at the upstream.

Fix: the listeners stay until the requests at the node's own upstream have ended, at most until its work has to be done. What arrives meanwhile is refused as before, or gets no more time than the node has.

Measured: the tests of daemon.

--- a/components/daemon/src/run.rs
+++ b/components/daemon/src/run.rs
@@ -379,6 +379,12 @@
         let _ = inputs.send(Input::Drain).await;
         driver.drain();
         tokio::time::sleep(linger.min(notice)).await;
+        step.set("requests at the upstream to end");
+        // Calls that the upstream makes for its running requests still need the listeners.
+        tokio::select! {
+            () = driver.drained().cancelled() => {}
+            () = tokio::time::sleep(driver.now().until(work_end)) => {}
+        }
         front_end_stop.cancel();
         step.set("connections to end");
         let _ = front_end_task.await;
--- a/components/daemon/tests/drain.rs
+++ b/components/daemon/tests/drain.rs
@@ -518,3 +518,31 @@
     assert_eq!(running.receive().await.unwrap().status(), 200);
     node.wait_for_exit().await.unwrap();
 }
+
+/// Guards against an onward call of a running request that the leaving node does not take any more, because
+/// the run lasts longer than the node's listeners.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn drain_upstream_call_after_listeners() {
+    let store = start_store().await;
+    let node = Node::spawn_with(store, &[], DRAIN_LIMIT_MS, |settings| {
+        settings.drain_linger_ms = 100;
+        settings.drain_notice_ms = 100;
+    })
+    .await;
+    node.wait_until_serving().await;
+    let callers = node.settings.listen.callers;
+    let count_before = node.upstream_record.request_count();
+    let mut caller = CallerConnection::connect(callers).await;
+    let head = format!("GET /onward HTTP/1.1\r\nhost: h\r\nx-via: {callers}\r\n\r\n");
+    caller.send(head).await;
+    wait_until("request", || {
+        node.upstream_record.request_count() > count_before
+    })
+    .await;
+    node.drain(false).await;
+    let response = caller.receive().await.expect("the request is answered");
+    assert_eq!(response.status(), 200);
+    // The only upstream is that of the leaving node, so that a refusal is allowed, but no closed connection.
+    assert!([&b"200"[..], b"503"].contains(&&*response.body));
+    node.wait_for_exit().await.unwrap();
+}
