Do not write the configuration back where nodes may not

Where a node reads first, the store holds an older configuration than the node, and the next change came into force late.

Cause: the watcher writes its newer record back whatever the store is. A store whose operators write the key by themselves refuses that, so the watcher went from read to refused write to read, delayed by the backoff (up to 2 s) and the call budget (one call a second), and held no watch meanwhile. Class: a call that cannot succeed is made instead of the one that is needed.

Evidence: with the condition taken out, write_back::case_5_older_read_only and case_6_missing_read_only fail at components/spread/tests/machine.rs:245, one write instead of none and no watch. They pass now.

Why it works: the plug-in says which keys nodes may write, so the machine watches after the revision it has read. The event store-behind is logged from the report of the node, as it no longer comes with a write.

--- a/components/daemon/src/event_log.rs
+++ b/components/daemon/src/event_log.rs
@@ -38,6 +38,20 @@
     }
 }
 
+/// Logs a store that has an older configuration than the node.
+pub(crate) fn log_store_changes(old_topology: &Topology, new_topology: &Topology) {
+    if new_topology.report.store_behind > old_topology.report.store_behind {
+        let version = new_topology
+            .snapshot
+            .as_ref()
+            .map_or(0, |it| it.version().0);
+        warn!(
+            event = "store-behind", version;
+            "the store has an older configuration than the fleet; the fleet keeps its own"
+        );
+    }
+}
+
 fn log_member(old_member: Option<&Member>, member: &Member) {
     let Some(suppressed) = MEMBER_LIMITER.admit() else {
         return;
--- a/components/daemon/src/executor.rs
+++ b/components/daemon/src/executor.rs
@@ -15,6 +15,7 @@
 use crate::event_log::StoreHealth;
 use crate::event_log::log_failed_call;
 use crate::event_log::log_member_changes;
+use crate::event_log::log_store_changes;
 use crate::state_metrics;
 use config::Record;
 use control::CallId;
@@ -175,6 +176,7 @@
     fn start_config_call(&mut self, watch_after: Option<Revision>) {
         self.cancel_config_call();
         let store = Arc::clone(&self.store);
+        let is_writable = store.is_writable(CONFIG_KEY);
         self.metrics.count_store_call(if watch_after.is_some() {
             "watch"
         } else {
@@ -193,7 +195,7 @@
                 }
                 Ok(WatchOutcome::Changed(entry)) => {
                     health.record_success();
-                    decode_store_event(entry)
+                    decode_store_event(entry, is_writable)
                 }
                 Err(error) => {
                     health.record_failure(&error);
@@ -209,10 +211,6 @@
         let health = Arc::clone(&self.store_health);
         let value = encode_record(record);
         self.metrics.count_store_call("write");
-        warn!(
-            event = "store-behind", version = record.version.0;
-            "the store has an older configuration than the fleet; writing the newer one to it"
-        );
         self.config_call = Some(self.spawn_call(async move {
             Input::Store(
                 match store.compare_and_swap(CONFIG_KEY, expected, value).await {
@@ -294,6 +292,7 @@
         let old_topology = self.topology.load_full();
         state_metrics::count_changes(&self.metrics, &old_topology, &topology);
         log_member_changes(&old_topology, &topology);
+        log_store_changes(&old_topology, &topology);
         let old_version = old_topology.snapshot.as_ref().map(|it| it.version());
         let new_version = topology.snapshot.as_ref().map(|it| it.version());
         let own_upstream = topology.own_upstream.clone();
@@ -313,11 +312,12 @@
     }
 }
 
-fn decode_store_event(entry: Option<Entry>) -> StoreEvent {
+fn decode_store_event(entry: Option<Entry>, is_writable: bool) -> StoreEvent {
     let Some(entry) = entry else {
         return StoreEvent::Value {
             record: None,
             revision: Revision::default(),
+            is_writable,
         };
     };
     let revision = entry.revision;
@@ -325,6 +325,7 @@
         Some(record) => StoreEvent::Value {
             record: Some(record),
             revision,
+            is_writable,
         },
         None => StoreEvent::Unreadable { revision },
     }
--- a/components/spread/src/machine.rs
+++ b/components/spread/src/machine.rs
@@ -144,10 +144,15 @@
     ) {
         let mut newer_record = None;
         match &event {
-            StoreEvent::Value { record, .. } => {
+            StoreEvent::Value {
+                record,
+                is_writable,
+                ..
+            } => {
                 let version = record.as_ref().map_or(Version::NONE, |it| it.version);
                 if version < self.history.config_id().version {
-                    newer_record = self.history.current().map(|it| it.record().clone());
+                    let current = self.history.current().filter(|_| *is_writable);
+                    newer_record = current.map(|it| it.record().clone());
                     self.report.store_behind += 1;
                     out.push(Output::ReportChanged);
                 } else if let Some(record) = record {
--- a/components/spread/src/store_watch.rs
+++ b/components/spread/src/store_watch.rs
@@ -20,6 +20,8 @@
     Value {
         record: Option<Record>,
         revision: Revision,
+        /// Whether nodes may write the key.
+        is_writable: bool,
     },
     /// The key holds a value that isn't a record.
     Unreadable { revision: Revision },
@@ -97,8 +99,8 @@
         self.call = CallState::start(now, budget, call, &mut self.delayed_call, out);
     }
 
-    /// Makes the next call after an answer of the store. `newer_record` is the record in force if
-    /// the store has an older one, and is written back.
+    /// Makes the next call after an answer of the store. `newer_record` is the record to write
+    /// back, if the store has an older one.
     pub(crate) fn continue_after(
         &mut self,
         now: Time,
@@ -112,7 +114,9 @@
             return;
         };
         let (is_missing, revision) = match event {
-            StoreEvent::Value { record, revision } => (record.is_none(), *revision),
+            StoreEvent::Value {
+                record, revision, ..
+            } => (record.is_none(), *revision),
             StoreEvent::Unreadable { revision } => (false, *revision),
             StoreEvent::Unchanged => {
                 let call = Output::WatchConfig {
--- a/components/spread/tests/machine.rs
+++ b/components/spread/tests/machine.rs
@@ -214,19 +214,30 @@
     assert_eq!((report.corrupt, report.conflicts), (corrupt, conflicts));
 }
 
-/// Checks that a newer configuration is written back to the store, on the revision that was read.
+/// Checks that a newer configuration is written back to the store, on the revision that was read, if
+/// nodes may write the key. A write that the store refuses left the node without a watch for
+/// seconds, so that the next change was noticed too late.
 #[rstest]
-#[case::older(Some(record(3, &config_text(3))), 7, true)]
-#[case::missing(None, 0, true)]
-#[case::same(Some(record(5, &config_text(5))), 7, false)]
-#[case::newer(Some(record(8, &config_text(8))), 7, false)]
-fn write_back(#[case] stored: Option<Record>, #[case] revision: u64, #[case] is_written: bool) {
+#[case::older(Some(record(3, &config_text(3))), 7, true, true)]
+#[case::missing(None, 0, true, true)]
+#[case::same(Some(record(5, &config_text(5))), 7, true, false)]
+#[case::newer(Some(record(8, &config_text(8))), 7, true, false)]
+#[case::older_read_only(Some(record(3, &config_text(3))), 7, false, false)]
+#[case::missing_read_only(None, 0, false, false)]
+fn write_back(
+    #[case] stored: Option<Record>,
+    #[case] revision: u64,
+    #[case] is_writable: bool,
+    #[case] is_written: bool,
+) {
+    let is_behind = stored.as_ref().is_none_or(|it| it.version < Version(5));
     let mut node = Node::new();
     node.start_watching();
     let revision = Revision(revision);
     let out = node.handle_store_event(StoreEvent::Value {
         record: stored,
         revision,
+        is_writable,
     });
     let writes = out.iter().filter(|it| {
         matches!(it, Output::WriteBack { expected, record } if *expected == revision && record.version == Version(5))
@@ -236,7 +247,7 @@
         .iter()
         .any(|it| matches!(it, Output::WatchConfig { after } if *after == revision));
     assert_eq!(watches, !is_written);
-    assert_eq!(node.machine.report().store_behind, u64::from(is_written));
+    assert_eq!(node.machine.report().store_behind, u64::from(is_behind));
 }
 
 /// Checks that a node limits its calls to a store that fails or reports changes all the time, and
@@ -255,6 +266,7 @@
                 Output::ReadConfig | Output::WatchConfig { .. } => StoreEvent::Value {
                     record: Some(record(5, &config_text(5))),
                     revision: Revision(1),
+                    is_writable: true,
                 },
                 _ => continue,
             };
--- a/components/store/src/lib.rs
+++ b/components/store/src/lib.rs
@@ -90,6 +90,12 @@
 
 /// Client of a key-value store with compare-and-swap and watches.
 pub trait Store: Send + Sync {
+    /// Whether nodes may write a key. Where operators write the configuration by themselves, nodes
+    /// cannot replace it.
+    fn is_writable(&self, _key: &str) -> bool {
+        true
+    }
+
     /// Reads a key; returns `None` if it does not exist.
     fn read<'a>(&'a self, key: &'a str) -> StoreFuture<'a, Option<Entry>>;
 
