Start each watch at the revision up to which the read was complete

Where the store drops its history, as after it returns from a copy, a change could come into force late.

Cause: the watch after a read started at the last write of the key. For a key that rarely changes the store no longer has that history and answers 410; the next read gives the same old revision, so reads and refused watches alternate until the call budget is spent, and changes are found by reads only. Class: a position in a history that the peer need not keep.

Why it works: a linearizable read is complete up to the store's revision that comes with it (storeRevision, or the header of an etcd response), so nothing is missed by a watch from there. Answers about a missing key bear it too, so a deletion needs no further read.

--- a/components/control/tests/fleet/driver/store.rs
+++ b/components/control/tests/fleet/driver/store.rs
@@ -51,6 +51,7 @@
         let event = StoreEvent::Value {
             record: self.record.clone(),
             revision: Revision(self.revision),
+            store_revision: Revision(self.revision),
             is_writable: true,
         };
         let watches = std::mem::take(&mut self.watches);
@@ -156,6 +157,7 @@
         StoreEvent::Value {
             record: self.record.clone(),
             revision: Revision(self.record.as_ref().map_or(0, |_| self.record_revision)),
+            store_revision: Revision(self.revision),
             is_writable: true,
         }
     }
--- a/components/control/tests/upstream.rs
+++ b/components/control/tests/upstream.rs
@@ -197,6 +197,7 @@
     node.input(Input::Store(spread::StoreEvent::Value {
         record: Some(record),
         revision,
+        store_revision: revision,
         is_writable: true,
     }));
     let addresses = Vec::new();
--- a/components/daemon/src/executor.rs
+++ b/components/daemon/src/executor.rs
@@ -195,7 +195,7 @@
                 }
                 Ok(WatchOutcome::Changed(entry)) => {
                     health.record_success();
-                    decode_store_event(entry, is_writable)
+                    decode_store_event(&entry, is_writable)
                 }
                 Err(error) => {
                     health.record_failure(&error);
@@ -232,10 +232,8 @@
         self.spawn_call(async move {
             Input::Contacts(match store.read(&key).await {
                 Ok(entry) => ContactsEvent::Value {
-                    revision: entry.as_ref().map(|it| it.revision).unwrap_or_default(),
-                    addresses: entry
-                        .and_then(|it| decode_contacts(&it.value))
-                        .unwrap_or_default(),
+                    revision: entry.revision,
+                    addresses: decode_addresses(&entry),
                 },
                 Err(error) => {
                     health.record_failure(&error);
@@ -253,11 +251,8 @@
         self.metrics.count_store_call("read");
         self.spawn_call(async move {
             let entry = store.read(&key).await;
-            let entry = entry
-                .inspect_err(|error| health.record_failure(error))
-                .ok()
-                .flatten();
-            let addresses = entry.and_then(|it| decode_contacts(&it.value));
+            let entry = entry.inspect_err(|error| health.record_failure(error));
+            let addresses = entry.map(|it| decode_addresses(&it));
             Input::Contacts(ContactsEvent::OtherDomain {
                 addresses: addresses.unwrap_or_default(),
             })
@@ -312,23 +307,23 @@
     }
 }
 
-fn decode_store_event(entry: Option<Entry>, is_writable: bool) -> StoreEvent {
-    let Some(entry) = entry else {
-        return StoreEvent::Value {
-            record: None,
-            revision: Revision::default(),
-            is_writable,
-        };
-    };
-    let revision = entry.revision;
-    match decode_record(&entry.value) {
-        Some(record) => StoreEvent::Value {
-            record: Some(record),
-            revision,
-            is_writable,
-        },
-        None => StoreEvent::Unreadable { revision },
+fn decode_store_event(entry: &Entry, is_writable: bool) -> StoreEvent {
+    let store_revision = entry.store_revision;
+    let record = entry.value.as_deref().map(decode_record);
+    if matches!(record, Some(None)) {
+        return StoreEvent::Unreadable { store_revision };
     }
+    StoreEvent::Value {
+        record: record.flatten(),
+        revision: entry.revision,
+        store_revision,
+        is_writable,
+    }
+}
+
+fn decode_addresses(entry: &Entry) -> Vec<SocketAddr> {
+    let addresses = entry.value.as_deref().and_then(decode_contacts);
+    addresses.unwrap_or_default()
 }
 
 async fn pull_config(
--- a/components/spread/src/store_watch.rs
+++ b/components/spread/src/store_watch.rs
@@ -20,11 +20,13 @@
     Value {
         record: Option<Record>,
         revision: Revision,
+        /// Revision of the store up to which this is the newest record.
+        store_revision: Revision,
         /// Whether nodes may write the key.
         is_writable: bool,
     },
     /// The key holds a value that isn't a record.
-    Unreadable { revision: Revision },
+    Unreadable { store_revision: Revision },
     /// The watch ended without a change.
     Unchanged,
     /// The write has been answered; another write may have come first.
@@ -110,14 +112,16 @@
         out: &mut Vec<Output>,
     ) {
         // The answer to a call that timed out or was cancelled may still arrive.
-        let CallState::InFlight { is_watch, .. } = self.call else {
+        if !matches!(self.call, CallState::InFlight { .. }) {
             return;
-        };
-        let (is_missing, revision) = match event {
+        }
+        let (revision, store_revision) = match event {
             StoreEvent::Value {
-                record, revision, ..
-            } => (record.is_none(), *revision),
-            StoreEvent::Unreadable { revision } => (false, *revision),
+                revision,
+                store_revision,
+                ..
+            } => (*revision, *store_revision),
+            StoreEvent::Unreadable { store_revision } => (Revision::default(), *store_revision),
             StoreEvent::Unchanged => {
                 let call = Output::WatchConfig {
                     after: self.watched_revision,
@@ -139,14 +143,11 @@
                 expected: revision,
                 record,
             },
-            // A watch that reports a deletion gives no revision from which to continue.
-            None if is_missing && is_watch => {
-                self.call = CallState::Due(now);
-                return;
-            }
             None => {
-                self.watched_revision = revision;
-                Output::WatchConfig { after: revision }
+                self.watched_revision = store_revision;
+                Output::WatchConfig {
+                    after: store_revision,
+                }
             }
         };
         self.start_call(now, budget, call, out);
--- a/components/spread/tests/machine.rs
+++ b/components/spread/tests/machine.rs
@@ -237,6 +237,7 @@
     let out = node.handle_store_event(StoreEvent::Value {
         record: stored,
         revision,
+        store_revision: Revision(9),
         is_writable,
     });
     let writes = out.iter().filter(|it| {
@@ -245,7 +246,7 @@
     assert_eq!(writes.count(), usize::from(is_written));
     let watches = out
         .iter()
-        .any(|it| matches!(it, Output::WatchConfig { after } if *after == revision));
+        .any(|it| matches!(it, Output::WatchConfig { after } if *after == Revision(9)));
     assert_eq!(watches, !is_written);
     assert_eq!(node.machine.report().store_behind, u64::from(is_behind));
 }
@@ -266,6 +267,7 @@
                 Output::ReadConfig | Output::WatchConfig { .. } => StoreEvent::Value {
                     record: Some(record(5, &config_text(5))),
                     revision: Revision(1),
+                    store_revision: Revision(1),
                     is_writable: true,
                 },
                 _ => continue,
--- a/components/store/src/etcd.rs
+++ b/components/store/src/etcd.rs
@@ -59,8 +59,9 @@
     }
 
     /// Reads a watch stream up to the first message with events. Returns the entry of its last event,
-    /// or `None` if that event deleted the key.
-    async fn read_watch_event(&self, body: Value) -> Result<Option<Entry>, Error> {
+    /// or an entry
+    /// without a value if that event deleted the key.
+    async fn read_watch_event(&self, body: Value) -> Result<Entry, Error> {
         let response = self.client.send(Method::POST, "/v3/watch", Some(&body));
         let response = response.await?;
         check_status(response.status())?;
@@ -93,7 +94,7 @@
                 else {
                     continue;
                 };
-                return Ok(decode_entry(&event["kv"]));
+                return Ok(decode_entry(&event["kv"], None));
             }
         }
         Err(Error::OutcomeUnknown {
@@ -103,12 +104,13 @@
 }
 
 impl Store for EtcdStore {
-    fn read<'a>(&'a self, key: &'a str) -> StoreFuture<'a, Option<Entry>> {
+    fn read<'a>(&'a self, key: &'a str) -> StoreFuture<'a, Entry> {
         Box::pin(async move {
             let response = self
                 .call("/v3/kv/range", json!({ "key": STANDARD.encode(key) }))
                 .await?;
-            Ok(response["kvs"].get(0).and_then(decode_entry))
+            let store_revision = parse_revision(&response["header"]["revision"]);
+            Ok(decode_entry(&response["kvs"][0], store_revision))
         })
     }
 
@@ -135,9 +137,11 @@
                 return Ok(SwapOutcome::Done);
             }
             let range = &response["responses"][0]["response_range"];
-            Ok(SwapOutcome::Conflict(
-                range["kvs"].get(0).and_then(decode_entry),
-            ))
+            let store_revision = parse_revision(&response["header"]["revision"]);
+            Ok(SwapOutcome::Conflict(decode_entry(
+                &range["kvs"][0],
+                store_revision,
+            )))
         })
     }
 
@@ -170,10 +174,20 @@
     }
 }
 
-/// Decodes a key-value pair of a response; returns `None` if a field is missing or malformed. The
-/// pair of a deleted key has no value.
-fn decode_entry(kv: &Value) -> Option<Entry> {
-    let value = STANDARD.decode(kv["value"].as_str()?).ok()?;
-    let revision = Revision(kv["mod_revision"].as_str()?.parse().ok()?);
-    Some(Entry { value, revision })
+/// Decodes a key-value pair of a response that was complete at `store_revision`. A missing or
+/// malformed pair, and that of a deleted key, stand for a missing key.
+fn decode_entry(kv: &Value, store_revision: Option<Revision>) -> Entry {
+    let value = kv["value"].as_str().and_then(|it| STANDARD.decode(it).ok());
+    let revision = parse_revision(&kv["mod_revision"]);
+    let store_revision = store_revision.or(revision).unwrap_or_default();
+    let (value, revision) = value.zip(revision).unzip();
+    Entry {
+        value,
+        revision: revision.unwrap_or_default(),
+        store_revision,
+    }
+}
+
+fn parse_revision(number: &Value) -> Option<Revision> {
+    Some(Revision(number.as_str()?.parse().ok()?))
 }
--- a/components/store/src/lib.rs
+++ b/components/store/src/lib.rs
@@ -60,10 +60,13 @@
 /// Value of a key with its revision.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Entry {
-    /// The value.
-    pub value: Vec<u8>,
-    /// Revision at which the key was last modified.
+    /// The value; `None` if the key does not exist.
+    pub value: Option<Vec<u8>>,
+    /// Revision at which the key was last modified, or that of a missing key.
     pub revision: Revision,
+    /// Revision of the store up to which this is the newest value. A watch that starts here needs no
+    /// older history.
+    pub store_revision: Revision,
 }
 
 /// Result of a compare-and-swap.
@@ -71,16 +74,15 @@
 pub enum SwapOutcome {
     /// The value was written.
     Done,
-    /// The key has another revision, so nothing was written; holds its current entry, or `None` if
-    /// the key does not exist.
-    Conflict(Option<Entry>),
+    /// The key has another revision, so nothing was written; holds its current entry.
+    Conflict(Entry),
 }
 
 /// Result of a watch.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum WatchOutcome {
-    /// The key was set to this entry, or deleted if `None`.
-    Changed(Option<Entry>),
+    /// The key was set to this entry, or deleted.
+    Changed(Entry),
     /// The store reported that the key did not change within the time limit of the watch.
     Unchanged,
 }
@@ -96,8 +98,8 @@
         true
     }
 
-    /// Reads a key; returns `None` if it does not exist.
-    fn read<'a>(&'a self, key: &'a str) -> StoreFuture<'a, Option<Entry>>;
+    /// Reads a key, which may not exist.
+    fn read<'a>(&'a self, key: &'a str) -> StoreFuture<'a, Entry>;
 
     /// Writes a key if its revision is `expected`; revision 0 stands for a key that does not exist.
     fn compare_and_swap<'a>(
--- a/components/store/tests/etcd.rs
+++ b/components/store/tests/etcd.rs
@@ -12,6 +12,7 @@
 use kernel::plugin;
 use kernel::plugin::Params;
 use spread::Revision;
+use store::Entry;
 use store::Error;
 use store::STORE_PLUGINS;
 use store::Store;
@@ -105,29 +106,41 @@
 // Checks that responses to reads and writes are decoded.
 #[tokio::test]
 async fn call_responses() {
-    let entry = r#"{"kvs": [{"value": "aGk=", "mod_revision": "7"}]}"#;
-    let read = store_at(serve(http_response("200 OK", entry)))
+    let kvs = r#"{"kvs": [{"value": "aGk=", "mod_revision": "7"}]}"#;
+    let entry = kvs.replacen('{', r#"{"header": {"revision": "9"}, "#, 1);
+    let read = store_at(serve(http_response("200 OK", &entry)))
         .read("k")
         .await
-        .expect("response")
-        .expect("key exists");
-    assert_eq!(
-        (read.value.as_slice(), read.revision),
-        (b"hi".as_slice(), Revision(7))
-    );
-    let none = store_at(serve(http_response("200 OK", "{}")))
-        .read("k")
-        .await;
-    assert_eq!(none, Ok(None));
+        .expect("response");
+    let expected = Entry {
+        value: Some(b"hi".to_vec()),
+        revision: Revision(7),
+        store_revision: Revision(9),
+    };
+    assert_eq!(read, expected);
+    let missing = store_at(serve(http_response(
+        "200 OK",
+        r#"{"header": {"revision": "9"}}"#,
+    )))
+    .read("k")
+    .await
+    .expect("response");
+    let expected = Entry {
+        value: None,
+        revision: Revision(0),
+        store_revision: Revision(9),
+    };
+    assert_eq!(missing, expected);
     let done = store_at(serve(http_response("200 OK", r#"{"succeeded": true}"#)))
         .compare_and_swap("k", Revision(0), Vec::new())
         .await;
     assert_eq!(done, Ok(SwapOutcome::Done));
-    let conflict = format!(r#"{{"responses": [{{"response_range": {entry}}}]}}"#);
+    let conflict =
+        format!(r#"{{"header": {{"revision": "9"}}, "responses": [{{"response_range": {kvs}}}]}}"#);
     let conflict = store_at(serve(http_response("200 OK", &conflict)))
         .compare_and_swap("k", Revision(0), Vec::new())
         .await;
-    assert_eq!(conflict, Ok(SwapOutcome::Conflict(Some(read))));
+    assert_eq!(conflict, Ok(SwapOutcome::Conflict(read)));
 }
 
 // Checks that a watch ends at its first event, and with an error once no event can follow.
@@ -154,8 +167,11 @@
         &format!("{created}\n{line}\n").replace("\n\n", "\n"),
     );
     let outcome = match store_at(serve(body)).watch("k", Revision(7)).await {
-        Ok(WatchOutcome::Changed(Some(_))) => "event".to_owned(),
-        Ok(WatchOutcome::Changed(None)) => "deleted".to_owned(),
+        Ok(WatchOutcome::Changed(entry)) => {
+            assert_eq!(entry.store_revision, Revision(8));
+            let event = entry.value.map_or("deleted", |_| "event");
+            event.to_owned()
+        }
         Ok(WatchOutcome::Unchanged) => "nothing".to_owned(),
         Err(error) => error.to_string(),
     };
--- a/src/store_client.rs
+++ b/src/store_client.rs
@@ -38,7 +38,7 @@
 /// Reads the accepted configuration record with the revision of its key; `None` if there is none.
 pub(crate) async fn read_accepted_entry(store: &dyn Store) -> Result<Option<Entry>, StoreError> {
     let entry = store.read(CONFIG_KEY).await.map_err(to_store_error)?;
-    entry.map(decode_entry).transpose()
+    decode_entry(entry)
 }
 
 /// Reads the accepted configuration record of the store at `address`. It is an error if there is none.
@@ -51,10 +51,13 @@
     }
 }
 
-fn decode_entry(entry: store::Entry) -> Result<Entry, StoreError> {
+fn decode_entry(entry: store::Entry) -> Result<Option<Entry>, StoreError> {
     let revision = entry.revision;
-    let record = decode_record(&entry.value).ok_or(StoreError::Unreadable)?;
-    Ok(Entry { record, revision })
+    let Some(value) = entry.value else {
+        return Ok(None);
+    };
+    let record = decode_record(&value).ok_or(StoreError::Unreadable)?;
+    Ok(Some(Entry { record, revision }))
 }
 
 fn to_store_error(error: store::Error) -> StoreError {
@@ -77,7 +80,7 @@
         Ok(SwapOutcome::Done) => Ok(WriteOutcome::Done),
         // A conflict means that nothing was written, whatever the key holds. An unreadable record is
         // therefore reported as a refusal; `Unreadable` would leave the outcome of the write open.
-        Ok(SwapOutcome::Conflict(found)) => match found.map(decode_entry).transpose() {
+        Ok(SwapOutcome::Conflict(found)) => match decode_entry(found) {
             Ok(found) => Ok(WriteOutcome::Conflict(found)),
             Err(error) => Err(StoreError::Refused {
                 message: error.to_string(),
