Read the configuration again when the store returns from an older copy

Where a watch stays open, or begins between the read and the restore, an accepted version is not in force until the next change (CONFIG).

Cause: a watch waits at a revision of the history that the restored store has lost, and is renewed there after each time limit. The numbers are given out again, so a change under that number or a lower one is never reported. Class: a position that is compared across two histories.

Evidence: with the checks taken out, restore_store in the simulated fleet fails at components/control/tests/fleet/faults.rs:275 with 'P9: version 3 not in force at us, node 7'; end_watch_restored (four cases) at components/spread/tests/machine.rs:304, end_watch_restored_twice at :335 and read_contacts_restored at :370, each with no read.

A watch that ends in another era is followed by a read, and any answer in a new era ends the open watch.

The event store-restored and store_restores in /status count restores.

--- a/components/accept/src/apply.rs
+++ b/components/accept/src/apply.rs
@@ -256,7 +256,7 @@
             Ok(WriteOutcome::Conflict(found)) => {
                 // A conflict that reports the expected revision contradicts itself. Without the
                 // delay, the same write would be repeated in a busy loop.
-                let revision = found.as_ref().map_or(Revision(0), |it| it.revision);
+                let revision = found.as_ref().map_or(Revision::default(), |it| it.revision);
                 if self
                     .planned_write
                     .as_ref()
--- a/components/accept/src/edit.rs
+++ b/components/accept/src/edit.rs
@@ -95,7 +95,7 @@
             digest,
             edit_hash,
         } = self;
-        write!(f, "{version}-{}-{digest}-{edit_hash:032x}", expected.0)
+        write!(f, "{version}-{}-{digest}-{edit_hash:032x}", expected.number)
     }
 }
 
@@ -107,7 +107,7 @@
             let mut parts = text.split('-');
             let id = Self {
                 version: Version(parts.next()?.parse().ok()?),
-                expected: Revision(parts.next()?.parse().ok()?),
+                expected: Revision::from(parts.next()?.parse::<u64>().ok()?),
                 digest: Digest(u64::from_str_radix(parts.next()?, 16).ok()?),
                 edit_hash: u128::from_str_radix(parts.next()?, 16).ok()?,
             };
--- a/components/accept/tests/accept/support.rs
+++ b/components/accept/tests/accept/support.rs
@@ -98,7 +98,7 @@
         self.history.push(record.clone());
         self.entry = Some(Entry {
             record,
-            revision: Revision(self.revision),
+            revision: Revision::from(self.revision),
         });
     }
 
@@ -113,7 +113,12 @@
     }
 
     pub(crate) fn compare_and_swap(&mut self, record: Record, expected: Revision) -> WriteOutcome {
-        if self.entry.as_ref().map_or(Revision(0), |it| it.revision) != expected {
+        if self
+            .entry
+            .as_ref()
+            .map_or(Revision::from(0), |it| it.revision)
+            != expected
+        {
             return WriteOutcome::Conflict(self.entry.clone());
         }
         self.put(record);
@@ -134,7 +139,7 @@
             Fault::TwoConcurrentEdits => (0..2).for_each(|_| self.put_other_edit()),
             Fault::Rewritten if self.entry.is_some() => {
                 self.revision += 1;
-                let revision = Revision(self.revision);
+                let revision = Revision::from(self.revision);
                 self.entry.iter_mut().for_each(|it| it.revision = revision);
             }
             Fault::Restored if self.history.len() > 1 => {
--- a/components/admin/src/view.rs
+++ b/components/admin/src/view.rs
@@ -54,6 +54,8 @@
     pub conflicts: u64,
     /// Number of reads in which the store had an older version than the node.
     pub store_behind: u64,
+    /// Number of times that the store was seen to have returned from an older copy.
+    pub store_restores: u64,
     /// Version of the record that was refused last, and why; empty if none was refused.
     pub last_refusal: String,
     /// Version of the program that the node runs.
@@ -174,6 +176,7 @@
             corrupt: report.corrupt,
             conflicts: report.conflicts,
             store_behind: report.store_behind,
+            store_restores: report.store_restores,
             last_refusal: last_refusal.map_or_else(String::new, |it| {
                 format!("version {}: {}", it.version, it.message)
             }),
--- a/components/control/tests/fleet/driver/store.rs
+++ b/components/control/tests/fleet/driver/store.rs
@@ -10,6 +10,7 @@
 use kernel::Random;
 use kernel::random::SeededRandom;
 use spread::ContactsEvent;
+use spread::Era;
 use spread::Revision;
 use spread::StoreEvent;
 
@@ -21,13 +22,23 @@
 /// Inputs to be delivered, each with the index of the node and a delay in microseconds.
 type Deliveries = Vec<(usize, u64, Input)>;
 
-#[derive(Default)]
-pub(crate) struct Store {
+/// Keys and revisions of the store.
+#[derive(Clone, Default)]
+pub(crate) struct Data {
     record: Option<Record>,
     record_revision: u64,
     revision: u64,
     /// Addresses and revision of the contacts of each failure domain.
     contacts: BTreeMap<String, (Vec<SocketAddr>, u64)>,
+}
+
+#[derive(Default)]
+pub(crate) struct Store {
+    data: Data,
+    /// Rises with each restore.
+    era: u64,
+    /// Whether nodes may write the configuration.
+    pub(crate) read_only_config: bool,
     /// Revision after which each watching node, by index, waits for a change.
     watches: BTreeMap<usize, u64>,
     pub(crate) down: bool,
@@ -42,25 +53,55 @@
         self.watches.keys().copied().collect()
     }
 
-    /// Writes a record without a check of the revision, as a restore from a backup does, and ends all
-    /// watches.
+    /// Writes a record without a check of the revision, and ends the watches that wait for it.
     pub(crate) fn put(&mut self, record: Option<Record>) -> Deliveries {
-        self.record = record;
-        self.revision += 1;
-        self.record_revision = self.revision;
+        self.data.record = record;
+        self.data.revision += 1;
+        self.data.record_revision = self.data.revision;
         let event = StoreEvent::Value {
-            record: self.record.clone(),
-            revision: Revision(self.revision),
-            store_revision: Revision(self.revision),
-            is_writable: true,
+            record: self.data.record.clone(),
+            revision: self.revision(self.data.revision),
+            store_revision: self.revision(self.data.revision),
+            is_writable: !self.read_only_config,
         };
-        let watches = std::mem::take(&mut self.watches);
-        let notified = watches.into_keys().filter(|_| !self.down);
+        let revision = self.data.revision;
+        let (notified, waiting) = std::mem::take(&mut self.watches)
+            .into_iter()
+            .partition(|(_, after)| *after < revision);
+        self.watches = waiting;
+        let notified: BTreeMap<usize, u64> = notified;
         notified
+            .into_keys()
+            .filter(|_| !self.down)
             .map(|index| (index, LATENCY, Input::Store(event.clone())))
             .collect()
     }
 
+    fn revision(&self, number: u64) -> Revision {
+        Revision::new(Era(self.era), number)
+    }
+
+    pub(crate) fn copy(&self) -> Data {
+        self.data.clone()
+    }
+
+    /// Returns to a copy of the data. Watches stay open.
+    pub(crate) fn restore(&mut self, copy: Data) {
+        self.data = copy;
+        self.era += 1;
+    }
+
+    /// Ends all watches without a change, as after the time limit of a watch.
+    pub(crate) fn expire_watches(&mut self) -> Deliveries {
+        let store_revision = self.revision(self.data.revision);
+        let unchanged = Input::Store(StoreEvent::Unchanged { store_revision });
+        let watches = std::mem::take(&mut self.watches);
+        watches
+            .into_keys()
+            .map(|index| (index, LATENCY, unchanged.clone()))
+            .collect()
+    }
+
     /// Ends the watch of a node.
     pub(crate) fn cancel_watch(&mut self, index: usize) {
         self.watches.remove(&index);
@@ -108,29 +149,42 @@
     fn execute(&mut self, index: usize, call: Effect) -> Deliveries {
         let event = match call {
             Effect::ReadConfig => Input::Store(self.read_value()),
-            Effect::WatchConfig { after } if after.0 < self.record_revision => {
+            Effect::WatchConfig { after } if after.number < self.data.record_revision => {
                 Input::Store(self.read_value())
             }
+            Effect::WatchConfig { after } if after.number > self.data.revision => {
+                Input::Store(StoreEvent::Failed)
+            }
             Effect::WatchConfig { after } => {
-                self.watches.insert(index, after.0);
+                self.watches.insert(index, after.number);
                 return Vec::new();
             }
             Effect::WriteConfig { expected, record } => {
                 self.writes += 1;
                 let mut deliveries = Vec::new();
-                if expected.0 == self.record.as_ref().map_or(0, |_| self.record_revision) {
+                if expected.number
+                    == self
+                        .data
+                        .record
+                        .as_ref()
+                        .map_or(0, |_| self.data.record_revision)
+                {
                     deliveries = self.put(Some(record));
                 }
-                deliveries.push((index, LATENCY, Input::Store(StoreEvent::Written)));
+                deliveries.push((
+                    index,
+                    LATENCY,
+                    Input::Store(StoreEvent::Written { era: Era(self.era) }),
+                ));
                 return deliveries;
             }
             Effect::ReadContacts { domain, .. } => {
                 self.reads += 1;
-                let known = self.contacts.get(domain.as_str());
+                let known = self.data.contacts.get(domain.as_str());
                 let (addresses, revision) = known.cloned().unwrap_or_default();
                 Input::Contacts(ContactsEvent::Value {
                     addresses,
-                    revision: Revision(revision),
+                    revision: self.revision(revision),
                 })
             }
             Effect::WriteContacts {
@@ -139,13 +193,13 @@
                 addresses,
             } => {
                 self.writes += 1;
-                let known = self.contacts.entry(domain.as_str().to_owned());
+                let known = self.data.contacts.entry(domain.as_str().to_owned());
                 let known = known.or_default();
-                if known.1 == expected.0 {
-                    self.revision += 1;
-                    *known = (addresses, self.revision);
+                if known.1 == expected.number {
+                    self.data.revision += 1;
+                    *known = (addresses, self.data.revision);
                 }
-                Input::Contacts(ContactsEvent::Written)
+                Input::Contacts(ContactsEvent::Written { era: Era(self.era) })
             }
             _ => return Vec::new(),
         };
@@ -155,10 +209,15 @@
     fn read_value(&mut self) -> StoreEvent {
         self.reads += 1;
         StoreEvent::Value {
-            record: self.record.clone(),
-            revision: Revision(self.record.as_ref().map_or(0, |_| self.record_revision)),
-            store_revision: Revision(self.revision),
-            is_writable: true,
+            record: self.data.record.clone(),
+            revision: self.revision(
+                self.data
+                    .record
+                    .as_ref()
+                    .map_or(0, |_| self.data.record_revision),
+            ),
+            store_revision: self.revision(self.data.revision),
+            is_writable: !self.read_only_config,
         }
     }
 }
--- a/components/control/tests/fleet/faults.rs
+++ b/components/control/tests/fleet/faults.rs
@@ -246,6 +246,40 @@
     assert!(complete, "watchers {:?}", fleet.count_watchers());
 }
 
+/// Checks P1 and P9 when the store returns from a copy while watches stay open, and the operator's next
+/// version gets the revision that the lost one had. The watches do not report it, so only the next call
+/// of a watcher can.
+#[rstest]
+fn restore_store(
+    #[values(0.0, 0.001, 0.003, 0.01, 3.0)] elapsed: f64,
+    #[values(false, true)] read_only_config: bool,
+    #[values(1, 2)] restores: u64,
+) {
+    let mut fleet = Fleet::start_serving(21, NODES);
+    fleet.store.read_only_config = read_only_config;
+    let mut version = 1;
+    for _ in 0..restores {
+        let copy = fleet.store.copy();
+        version += 1;
+        fleet.accept(version);
+        fleet.run(elapsed);
+        fleet.store.restore(copy);
+        version += 1;
+        fleet.accept(version);
+        fleet.run(2.0);
+        let deliveries = fleet.store.expire_watches();
+        fleet.deliver_all(deliveries);
+        fleet.run(3.0);
+    }
+    fleet.run(20.0);
+    assert_eq!(fleet.history.violations, Vec::<String>::new());
+    let versions = fleet
+        .nodes
+        .iter()
+        .map(|it| it.machine.config_id().version.0);
+    assert!(versions.into_iter().all(|it| it == version));
+}
+
 /// Checks that effects depend only on inputs, time and random numbers.
 #[rstest]
 fn replay_same_seed() {
--- a/components/control/tests/upstream.rs
+++ b/components/control/tests/upstream.rs
@@ -193,7 +193,7 @@
             text,
         }
     };
-    let revision = spread::Revision(1);
+    let revision = spread::Revision::from(1);
     node.input(Input::Store(spread::StoreEvent::Value {
         record: Some(record),
         revision,
--- a/components/daemon/src/event_log.rs
+++ b/components/daemon/src/event_log.rs
@@ -38,7 +38,7 @@
     }
 }
 
-/// Logs a store that has an older configuration than the node.
+/// Logs a store that has an older configuration than the node, or has returned from an older copy.
 pub(crate) fn log_store_changes(old_topology: &Topology, new_topology: &Topology) {
     if new_topology.report.store_behind > old_topology.report.store_behind {
         let version = new_topology
@@ -50,6 +50,12 @@
             "the store has an older configuration than the fleet; the fleet keeps its own"
         );
     }
+    if new_topology.report.store_restores > old_topology.report.store_restores {
+        warn!(
+            event = "store-restored", restores = new_topology.report.store_restores;
+            "the store has returned from an older copy; reading its keys again"
+        );
+    }
 }
 
 fn log_member(old_member: Option<&Member>, member: &Member) {
--- a/components/daemon/src/executor.rs
+++ b/components/daemon/src/executor.rs
@@ -189,9 +189,9 @@
                 None => store.read(CONFIG_KEY).await.map(WatchOutcome::Changed),
             };
             Input::Store(match result {
-                Ok(WatchOutcome::Unchanged) => {
+                Ok(WatchOutcome::Unchanged(store_revision)) => {
                     health.record_success();
-                    StoreEvent::Unchanged
+                    StoreEvent::Unchanged { store_revision }
                 }
                 Ok(WatchOutcome::Changed(entry)) => {
                     health.record_success();
@@ -214,7 +214,7 @@
         self.config_call = Some(self.spawn_call(async move {
             Input::Store(
                 match store.compare_and_swap(CONFIG_KEY, expected, value).await {
-                    Ok(_) => StoreEvent::Written,
+                    Ok(outcome) => StoreEvent::Written { era: outcome.era() },
                     Err(error) => {
                         health.record_failure(&error);
                         StoreEvent::Failed
@@ -267,7 +267,7 @@
         self.metrics.count_store_call("write");
         self.spawn_call(async move {
             Input::Contacts(match store.compare_and_swap(&key, expected, value).await {
-                Ok(_) => ContactsEvent::Written,
+                Ok(outcome) => ContactsEvent::Written { era: outcome.era() },
                 Err(error) => {
                     health.record_failure(&error);
                     ContactsEvent::Failed
--- a/components/spread/src/contacts.rs
+++ b/components/spread/src/contacts.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use crate::Era;
 use crate::Output;
 use crate::Revision;
 use crate::store_call::Backoff;
@@ -30,14 +31,25 @@
         addresses: Vec<SocketAddr>,
         revision: Revision,
     },
-    /// The write has been answered; another write may have come first.
-    Written,
+    /// The write has been answered in this era; another write may have come first.
+    Written { era: Era },
     /// The key of another failure domain holds these addresses.
     OtherDomain { addresses: Vec<SocketAddr> },
     /// The call failed.
     Failed,
 }
 
+impl ContactsEvent {
+    /// Era of the answer; `None` if there was none.
+    pub(crate) fn era(&self) -> Option<Era> {
+        match self {
+            Self::Value { revision, .. } => Some(revision.era),
+            Self::Written { era } => Some(*era),
+            Self::OtherDomain { .. } | Self::Failed => None,
+        }
+    }
+}
+
 /// Keeps the contacts of the node's failure domain up to date and reads those of other domains.
 #[derive(Debug)]
 pub(crate) struct ContactsSync {
--- a/components/spread/src/machine.rs
+++ b/components/spread/src/machine.rs
@@ -14,6 +14,7 @@
 use crate::pull::PullState;
 use crate::pull::without_digest;
 use crate::report::RecentConfigIds;
+use crate::revision::StorePosition;
 use crate::store_call::CallBudget;
 use crate::store_watch::StoreWatch;
 use config::AcceptedConfig;
@@ -80,6 +81,7 @@
     /// Configurations already counted in [`DistributionReport::conflicts`].
     conflicting_ids: RecentConfigIds,
     budget: CallBudget,
+    store_position: StorePosition,
     store_watch: StoreWatch,
     contacts: ContactsSync,
     pull: PullState,
@@ -142,6 +144,11 @@
         random: &mut dyn Random,
         out: &mut Vec<Output>,
     ) {
+        let store_revision = event.store_revision();
+        let is_outdated = store_revision.is_some_and(|it| self.store_position.is_outdated(it.era));
+        if store_revision.is_some_and(|it| self.store_position.advance(it)) {
+            self.record_restore(out);
+        }
         let mut newer_record = None;
         match &event {
             StoreEvent::Value {
@@ -163,8 +170,13 @@
                 self.report.corrupt += 1;
                 out.push(Output::ReportChanged);
             }
-            StoreEvent::Unchanged | StoreEvent::Written | StoreEvent::Failed => {}
+            StoreEvent::Unchanged { .. } | StoreEvent::Written { .. } | StoreEvent::Failed => {}
         }
+        // An answer from before the restore gives no revision from which to continue.
+        let (event, newer_record) = match is_outdated {
+            true => (StoreEvent::Failed, None),
+            false => (event, newer_record),
+        };
         let budget_and_random = (&mut self.budget, random);
         self.store_watch
             .continue_after(now, &event, newer_record, budget_and_random, out);
@@ -180,11 +192,27 @@
         random: &mut dyn Random,
         out: &mut Vec<Output>,
     ) {
+        let era = event.era();
+        let is_outdated = era.is_some_and(|it| self.store_position.is_outdated(it));
+        if era.is_some_and(|it| self.store_position.advance(Revision::new(it, 0))) {
+            self.record_restore(out);
+            self.store_watch.read_again(now, out);
+        }
+        let event = match is_outdated {
+            true => ContactsEvent::Failed,
+            false => event,
+        };
         let budget_and_random = (&mut self.budget, random);
         self.contacts
             .handle_event(now, event, table_and_domain, budget_and_random, out);
     }
 
+    /// Counts a return of the store from an older copy.
+    fn record_restore(&mut self, out: &mut Vec<Output>) {
+        self.report.store_restores += 1;
+        out.push(Output::ReportChanged);
+    }
+
     /// Handles the version and hash that another node has, and pulls from it if the version is
     /// newer.
     pub fn handle_config_id(
--- a/components/spread/src/report.rs
+++ b/components/spread/src/report.rs
@@ -26,6 +26,8 @@
     pub conflicts: u64,
     /// Reads in which the store held an older version than this node.
     pub store_behind: u64,
+    /// Times that the store was seen to have returned from an older copy.
+    pub store_restores: u64,
     /// The record that was refused last.
     pub last_refusal: Option<Refusal>,
 }
--- a/components/spread/src/store_watch.rs
+++ b/components/spread/src/store_watch.rs
@@ -1,6 +1,8 @@
 //! Reads, watches and writes back the configuration key of the store.
 
+use crate::Era;
 use crate::Output;
+use crate::Revision;
 use crate::store_call::Backoff;
 use crate::store_call::CallBudget;
 use crate::store_call::CallState;
@@ -8,11 +10,6 @@
 use kernel::Random;
 use kernel::Time;
 
-/// Revision of a key in the store, which every write of the key changes; 0 stands for a missing
-/// key.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
-pub struct Revision(pub u64);
-
 /// Answer of the store to a call for the configuration key.
 #[derive(Clone, Debug)]
 pub enum StoreEvent {
@@ -27,14 +24,28 @@
     },
     /// The key holds a value that isn't a record.
     Unreadable { store_revision: Revision },
-    /// The watch ended without a change.
-    Unchanged,
-    /// The write has been answered; another write may have come first.
-    Written,
+    /// The watch ended without a change up to this revision of the store.
+    Unchanged { store_revision: Revision },
+    /// The write has been answered in this era; another write may have come first.
+    Written { era: Era },
     /// The call or the watch failed.
     Failed,
 }
 
+impl StoreEvent {
+    /// Revision of the store that the answer shows, with the number 0 if only the era is known;
+    /// `None` if there was no answer.
+    pub(crate) fn store_revision(&self) -> Option<Revision> {
+        match self {
+            Self::Value { store_revision, .. }
+            | Self::Unreadable { store_revision }
+            | Self::Unchanged { store_revision } => Some(*store_revision),
+            Self::Written { era } => Some(Revision::new(*era, 0)),
+            Self::Failed => None,
+        }
+    }
+}
+
 /// State of the calls for the configuration key, which only watchers make.
 #[derive(Debug)]
 pub(crate) struct StoreWatch {
@@ -91,6 +102,15 @@
         }
     }
 
+    /// Replaces the running call by a read, because the store has returned from an older copy.
+    pub(crate) fn read_again(&mut self, now: Time, out: &mut Vec<Output>) {
+        if self.call != CallState::Disabled {
+            self.call = CallState::Due(now);
+            self.delayed_call = None;
+            out.push(Output::CancelConfigCall);
+        }
+    }
+
     fn start_call(
         &mut self,
         now: Time,
@@ -122,13 +142,20 @@
                 ..
             } => (*revision, *store_revision),
             StoreEvent::Unreadable { store_revision } => (Revision::default(), *store_revision),
-            StoreEvent::Unchanged => {
+            // The watch has waited at a revision of a history that the store no longer has.
+            StoreEvent::Unchanged { store_revision }
+                if !store_revision.includes(self.watched_revision) =>
+            {
+                self.call = CallState::Due(now);
+                return;
+            }
+            StoreEvent::Unchanged { .. } => {
                 let call = Output::WatchConfig {
                     after: self.watched_revision,
                 };
                 return self.start_call(now, budget, call, out);
             }
-            StoreEvent::Written => {
+            StoreEvent::Written { .. } => {
                 self.call = CallState::Due(now);
                 return;
             }
--- a/components/spread/tests/machine.rs
+++ b/components/spread/tests/machine.rs
@@ -23,6 +23,7 @@
 use member::Stage;
 use member::Status;
 use spread::ContactsEvent;
+use spread::Era;
 use spread::Machine;
 use spread::Output;
 use spread::PullResponse;
@@ -233,11 +234,11 @@
     let is_behind = stored.as_ref().is_none_or(|it| it.version < Version(5));
     let mut node = Node::new();
     node.start_watching();
-    let revision = Revision(revision);
+    let revision = Revision::from(revision);
     let out = node.handle_store_event(StoreEvent::Value {
         record: stored,
         revision,
-        store_revision: Revision(9),
+        store_revision: Revision::from(9),
         is_writable,
     });
     let writes = out.iter().filter(|it| {
@@ -246,11 +247,158 @@
     assert_eq!(writes.count(), usize::from(is_written));
     let watches = out
         .iter()
-        .any(|it| matches!(it, Output::WatchConfig { after } if *after == Revision(9)));
+        .any(|it| matches!(it, Output::WatchConfig { after } if *after == Revision::from(9)));
     assert_eq!(watches, !is_written);
     assert_eq!(node.machine.report().store_behind, u64::from(is_behind));
 }
 
+/// The stored record of `version` in an answer at this revision of the store.
+fn stored(version: u64, store_revision: Revision) -> StoreEvent {
+    StoreEvent::Value {
+        record: Some(record(version, &config_text(version))),
+        revision: store_revision,
+        store_revision,
+        is_writable: false,
+    }
+}
+
+/// Time for which a watch stays open in these tests.
+const WATCH_TIME: Duration = Duration::from_secs(4);
+
+fn config_reads(out: &[Output]) -> usize {
+    let reads = out.iter().filter(|it| matches!(it, Output::ReadConfig));
+    reads.count()
+}
+
+fn watched(out: &[Output]) -> Option<Revision> {
+    out.iter().find_map(|it| match it {
+        Output::WatchConfig { after } => Some(*after),
+        _ => None,
+    })
+}
+
+/// Checks that a watch which ends in another history than it began in is followed by a read. Renewed at
+/// its old revision, it never reports a change that the restored store wrote under that number or a
+/// lower one, so that an accepted version was not in force until the next change.
+#[rstest]
+#[case::same_number(3, 100, 4, 100, true)]
+#[case::lower_number(3, 100, 4, 95, true)]
+#[case::higher_number(3, 100, 4, 120, true)]
+#[case::no_era_lower_number(0, 100, 0, 95, true)]
+#[case::same_era(3, 100, 3, 120, false)]
+#[case::late_answer(3, 100, 2, 120, true)]
+fn end_watch_restored(
+    #[case] watched_era: u64,
+    #[case] watched_number: u64,
+    #[case] era: u64,
+    #[case] number: u64,
+    #[case] is_read: bool,
+) {
+    let mut node = Node::new();
+    node.start_watching();
+    let base = Revision::new(Era(watched_era), watched_number);
+    let out = node.handle_store_event(stored(5, base));
+    assert_eq!(watched(&out), Some(base));
+    node.now = node.now + WATCH_TIME;
+    let store_revision = Revision::new(Era(era), number);
+    let mut out = node.handle_store_event(StoreEvent::Unchanged { store_revision });
+    // Only an answer that was overtaken is followed by the backoff.
+    let delay = if era < watched_era { 500 } else { 0 };
+    out.extend(node.wake(Duration::from_millis(delay)));
+    assert_eq!(
+        (config_reads(&out), watched(&out).is_some()),
+        (usize::from(is_read), !is_read)
+    );
+    if is_read && era >= watched_era {
+        let out = node.handle_store_event(stored(6, store_revision));
+        assert_eq!(watched(&out), Some(store_revision));
+        assert_eq!(
+            (node.version(), node.machine.report().store_restores),
+            (6, 1)
+        );
+    }
+}
+
+/// Checks that a node notices each of two restores, and that an answer of an earlier era which arrives
+/// late neither counts as one nor is watched from.
+#[rstest]
+fn end_watch_restored_twice() {
+    let mut node = Node::new();
+    node.start_watching();
+    for (era, version) in [(1, 5), (2, 6), (3, 7)] {
+        let store_revision = Revision::new(Era(era), 10);
+        let out = node.handle_store_event(stored(version, store_revision));
+        assert_eq!(
+            (watched(&out), node.version()),
+            (Some(store_revision), version)
+        );
+        node.now = node.now + WATCH_TIME;
+        let unchanged = StoreEvent::Unchanged {
+            store_revision: Revision::new(Era(era + 1), 10),
+        };
+        node.handle_store_event(unchanged);
+        assert_eq!(config_reads(&node.wake(Duration::ZERO)), 1);
+    }
+    assert_eq!(node.machine.report().store_restores, 3);
+    let out = node.handle_store_event(stored(8, Revision::new(Era(1), 90)));
+    assert_eq!((watched(&out), node.version()), (None, 8));
+    assert_eq!(config_reads(&node.wake(Duration::from_secs(1))), 1);
+    assert_eq!(node.machine.report().store_restores, 3);
+}
+
+/// Checks that an answer about contacts which shows a restore ends the open watch, which would otherwise
+/// wait at a revision of the lost history for its whole time.
+#[rstest]
+#[case::restored(2, 1)]
+#[case::same_era(1, 0)]
+#[case::late_answer(0, 0)]
+fn read_contacts_restored(#[case] era: u64, #[case] expected_reads: usize) {
+    let mut node = Node::new();
+    node.start_watching();
+    node.handle_store_event(stored(5, Revision::new(Era(1), 10)));
+    let mut out = Vec::new();
+    let event = ContactsEvent::Value {
+        addresses: vec![peer_address(1)],
+        revision: Revision::new(Era(era), 7),
+    };
+    let table_and_domain = (&member_table(1), &Domain::new("apapa"));
+    node.machine.handle_contacts_event(
+        node.now,
+        event,
+        table_and_domain,
+        &mut node.random,
+        &mut out,
+    );
+    let cancels = out
+        .iter()
+        .filter(|it| matches!(it, Output::CancelConfigCall));
+    assert_eq!(cancels.count(), expected_reads);
+    assert_eq!(config_reads(&node.wake(Duration::ZERO)), expected_reads);
+}
+
+/// Checks that a node limits its calls to a store whose answers alternate between two eras.
+#[rstest]
+fn limit_store_calls_eras() {
+    let mut node = Node::new();
+    let mut calls = 0;
+    let mut out = node.start_watching();
+    for _ in 0..6_000 {
+        for output in std::mem::take(&mut out) {
+            let store_revision = Revision::new(Era(1 + calls % 2), calls);
+            let event = match output {
+                Output::ReadConfig => stored(5, store_revision),
+                Output::WatchConfig { .. } => StoreEvent::Unchanged { store_revision },
+                _ => continue,
+            };
+            calls += 1;
+            out.extend(node.handle_store_event(event));
+        }
+        out.extend(node.wake(Duration::from_millis(10)));
+    }
+    assert!(calls <= 64, "{calls} calls in 60 s");
+    assert_eq!(node.machine.report().store_restores, 1);
+}
+
 /// Checks that a node limits its calls to a store that fails or reports changes all the time, and
 /// doesn't spend all calls on reads but also watches.
 #[rstest]
@@ -266,8 +414,8 @@
                 Output::ReadConfig | Output::WatchConfig { .. } if fails => StoreEvent::Failed,
                 Output::ReadConfig | Output::WatchConfig { .. } => StoreEvent::Value {
                     record: Some(record(5, &config_text(5))),
-                    revision: Revision(1),
-                    store_revision: Revision(1),
+                    revision: Revision::from(1),
+                    store_revision: Revision::from(1),
                     is_writable: true,
                 },
                 _ => continue,
@@ -322,7 +470,7 @@
         let addresses = listed.iter().map(|host| peer_address(*host)).collect();
         let event = ContactsEvent::Value {
             addresses,
-            revision: Revision(2),
+            revision: Revision::from(2),
         };
         node.machine.handle_contacts_event(
             node.now,
@@ -390,7 +538,7 @@
             requested_domains.extend(other);
             let event = ContactsEvent::Value {
                 addresses: vec![peer_address(1), peer_address(2), peer_address(3)],
-                revision: Revision(2),
+                revision: Revision::from(2),
             };
             let table_and_domain = (&member_table, &own_domain);
             node.machine.handle_contacts_event(
--- a/components/store/src/etcd.rs
+++ b/components/store/src/etcd.rs
@@ -53,9 +53,9 @@
         let call = self
             .client
             .call(Method::POST, path, Some(&body), Duration::ZERO);
-        let (status, response) = call.await?;
-        check_status(status)?;
-        Ok(response)
+        let response = call.await?;
+        check_status(response.status())?;
+        Ok(response.into_body())
     }
 
     /// Reads a watch stream up to the first message with events. Returns the entry of its last event,
@@ -127,17 +127,17 @@
                     "key": key,
                     "target": "MOD",
                     "result": "EQUAL",
-                    "mod_revision": expected.0.to_string(),
+                    "mod_revision": expected.number.to_string(),
                 }],
                 "success": [{ "request_put": { "key": key, "value": STANDARD.encode(value) } }],
                 "failure": [{ "request_range": { "key": key } }],
             });
             let response = self.call("/v3/kv/txn", body).await?;
+            let store_revision = parse_revision(&response["header"]["revision"]);
             if response["succeeded"].as_bool() == Some(true) {
-                return Ok(SwapOutcome::Done);
+                return Ok(SwapOutcome::Done(store_revision.unwrap_or_default()));
             }
             let range = &response["responses"][0]["response_range"];
-            let store_revision = parse_revision(&response["header"]["revision"]);
             Ok(SwapOutcome::Conflict(decode_entry(
                 &range["kvs"][0],
                 store_revision,
@@ -147,7 +147,7 @@
 
     fn watch<'a>(&'a self, key: &'a str, after: Revision) -> StoreFuture<'a, WatchOutcome> {
         Box::pin(async move {
-            let start = after.0.saturating_add(1).to_string();
+            let start = after.number.saturating_add(1).to_string();
             let create = json!({ "key": STANDARD.encode(key), "start_revision": start });
             let body = json!({ "create_request": create });
             let watch_result = timeout(WATCH_TIMEOUT, self.read_watch_event(body)).await;
@@ -189,5 +189,6 @@
 }
 
 fn parse_revision(number: &Value) -> Option<Revision> {
-    Some(Revision(number.as_str()?.parse().ok()?))
+    let number: u64 = number.as_str()?.parse().ok()?;
+    Some(Revision::from(number))
 }
--- a/components/store/src/http.rs
+++ b/components/store/src/http.rs
@@ -17,7 +17,6 @@
 use hyper::Method;
 use hyper::Request;
 use hyper::Response;
-use hyper::StatusCode;
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
@@ -102,21 +101,20 @@
         path: &str,
         body: Option<&Value>,
         extra_time: Duration,
-    ) -> Result<(StatusCode, Value), Error> {
+    ) -> Result<Response<Value>, Error> {
         let time_limit = self.timeout + extra_time;
         let exchange = async {
             let response = self.send(method, path, body).await?;
-            let status = response.status();
-            let body = Limited::new(response.into_body(), MAX_RESPONSE_BYTES);
+            let (head, body) = response.into_parts();
+            let body = Limited::new(body, MAX_RESPONSE_BYTES);
             let bytes = body.collect().await.map_err(outcome_unknown)?.to_bytes();
-            // The status of an error response is enough, so its body need not be JSON.
-            if !status.is_success() {
-                return Ok((status, serde_json::from_slice(&bytes).unwrap_or_default()));
-            }
-            Ok((
-                status,
-                serde_json::from_slice(&bytes).map_err(outcome_unknown)?,
-            ))
+            let body = match serde_json::from_slice(&bytes) {
+                Ok(body) => body,
+                Err(error) if head.status.is_success() => return Err(outcome_unknown(error)),
+                // The status of an error response is enough, so its body need not be JSON.
+                Err(_) => Value::default(),
+            };
+            Ok(Response::from_parts(head, body))
         };
         timeout(time_limit, exchange).await.unwrap_or_else(|_| {
             Err(outcome_unknown(format!(
--- a/components/store/src/lib.rs
+++ b/components/store/src/lib.rs
@@ -18,6 +18,7 @@
 use kernel::plugin;
 use kernel::plugin::EXTENSION_POINTS;
 use kernel::plugin::ExtensionPoint;
+use spread::Era;
 use spread::Revision;
 
 pub use contacts::contacts_key;
@@ -72,19 +73,29 @@
 /// Result of a compare-and-swap.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum SwapOutcome {
-    /// The value was written.
-    Done,
+    /// The value was written at this revision.
+    Done(Revision),
     /// The key has another revision, so nothing was written; holds its current entry.
     Conflict(Entry),
 }
 
+impl SwapOutcome {
+    /// Era of the store's answer.
+    pub fn era(&self) -> Era {
+        match self {
+            Self::Done(revision) => revision.era,
+            Self::Conflict(entry) => entry.store_revision.era,
+        }
+    }
+}
+
 /// Result of a watch.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum WatchOutcome {
     /// The key was set to this entry, or deleted.
     Changed(Entry),
-    /// The store reported that the key did not change within the time limit of the watch.
-    Unchanged,
+    /// The key did not change within the time limit of the watch, up to this revision of the store.
+    Unchanged(Revision),
 }
 
 /// Future of a call to the store.
--- a/components/store/tests/etcd.rs
+++ b/components/store/tests/etcd.rs
@@ -84,7 +84,7 @@
 async fn compare_and_swap_failure(#[case] response: Option<String>, #[case] expected: &str) {
     let store = store_at(serve(response));
     let error = store
-        .compare_and_swap("k", Revision(1), vec![1])
+        .compare_and_swap("k", Revision::from(1), vec![1])
         .await
         .expect_err("write fails");
     assert_eq!(error_kind(&error), expected, "{error}");
@@ -97,7 +97,7 @@
         .and_then(|it| it.local_addr())
         .expect("free port");
     let error = store_at(address)
-        .compare_and_swap("k", Revision(1), vec![1])
+        .compare_and_swap("k", Revision::from(1), vec![1])
         .await
         .expect_err("write fails");
     assert_eq!(error_kind(&error), "unreachable", "{error}");
@@ -114,8 +114,8 @@
         .expect("response");
     let expected = Entry {
         value: Some(b"hi".to_vec()),
-        revision: Revision(7),
-        store_revision: Revision(9),
+        revision: Revision::from(7),
+        store_revision: Revision::from(9),
     };
     assert_eq!(read, expected);
     let missing = store_at(serve(http_response(
@@ -127,18 +127,21 @@
     .expect("response");
     let expected = Entry {
         value: None,
-        revision: Revision(0),
-        store_revision: Revision(9),
+        revision: Revision::from(0),
+        store_revision: Revision::from(9),
     };
     assert_eq!(missing, expected);
-    let done = store_at(serve(http_response("200 OK", r#"{"succeeded": true}"#)))
-        .compare_and_swap("k", Revision(0), Vec::new())
-        .await;
-    assert_eq!(done, Ok(SwapOutcome::Done));
+    let done = store_at(serve(http_response(
+        "200 OK",
+        r#"{"header": {"revision": "8"}, "succeeded": true}"#,
+    )))
+    .compare_and_swap("k", Revision::from(0), Vec::new())
+    .await;
+    assert_eq!(done, Ok(SwapOutcome::Done(Revision::from(8))));
     let conflict =
         format!(r#"{{"header": {{"revision": "9"}}, "responses": [{{"response_range": {kvs}}}]}}"#);
     let conflict = store_at(serve(http_response("200 OK", &conflict)))
-        .compare_and_swap("k", Revision(0), Vec::new())
+        .compare_and_swap("k", Revision::from(0), Vec::new())
         .await;
     assert_eq!(conflict, Ok(SwapOutcome::Conflict(read)));
 }
@@ -166,13 +169,13 @@
         "200 OK",
         &format!("{created}\n{line}\n").replace("\n\n", "\n"),
     );
-    let outcome = match store_at(serve(body)).watch("k", Revision(7)).await {
+    let outcome = match store_at(serve(body)).watch("k", Revision::from(7)).await {
         Ok(WatchOutcome::Changed(entry)) => {
-            assert_eq!(entry.store_revision, Revision(8));
+            assert_eq!(entry.store_revision, Revision::from(8));
             let event = entry.value.map_or("deleted", |_| "event");
             event.to_owned()
         }
-        Ok(WatchOutcome::Unchanged) => "nothing".to_owned(),
+        Ok(WatchOutcome::Unchanged(_)) => "nothing".to_owned(),
         Err(error) => error.to_string(),
     };
     assert!(outcome.contains(expected), "{outcome}");
--- a/src/store_client.rs
+++ b/src/store_client.rs
@@ -77,7 +77,7 @@
 ) -> Result<WriteOutcome, StoreError> {
     let value = encode_record(record);
     match store.compare_and_swap(CONFIG_KEY, expected, value).await {
-        Ok(SwapOutcome::Done) => Ok(WriteOutcome::Done),
+        Ok(SwapOutcome::Done(_)) => Ok(WriteOutcome::Done),
         // A conflict means that nothing was written, whatever the key holds. An unreadable record is
         // therefore reported as a refusal; `Unreadable` would leave the outcome of the write open.
         Ok(SwapOutcome::Conflict(found)) => match decode_entry(found) {
