Write lost contacts again when the store returns from an older copy

A node that starts on a restored store without contacts finds no other node, serves alone, and takes the older configuration of the store.

Cause: watchers read the contacts every 30 to 40 s and write them at most every 30 s, since a list that was written is taken to stay. A write that was under way over the restore counted as done on a base that it never read, because the revision is given out again. Class: what was acknowledged is taken to last.

Evidence: with the calls of read_again taken out, restore_store_without_contacts fails at components/control/tests/fleet/faults.rs:296 with contacts of 0 of 3 failure domains 4 s after the restore, and write_contacts_restored at components/spread/tests/machine.rs:438 with 'no write of contacts'. They pass now.

Why it works: an answer in a new era plans a read of the contacts within 500 ms and lets the write that may follow pass the limit of one in 30 s. A call that was under way counts as unknown and is followed by a read. A call that waits for the budget is dropped, as its base is of the lost history. Only watchers do this, within the call budget.

--- a/components/control/tests/fleet/driver/store.rs
+++ b/components/control/tests/fleet/driver/store.rs
@@ -32,6 +32,12 @@
     contacts: BTreeMap<String, (Vec<SocketAddr>, u64)>,
 }
 
+impl Data {
+    pub(crate) fn clear_contacts(&mut self) {
+        self.contacts.clear();
+    }
+}
+
 #[derive(Default)]
 pub(crate) struct Store {
     data: Data,
@@ -85,6 +91,12 @@
         self.data.clone()
     }
 
+    /// Number of failure domains that have contacts.
+    pub(crate) fn contacts_domains(&self) -> usize {
+        let lists = self.data.contacts.values();
+        lists.filter(|(addresses, _)| !addresses.is_empty()).count()
+    }
+
     /// Returns to a copy of the data. Watches stay open.
     pub(crate) fn restore(&mut self, copy: Data) {
         self.data = copy;
--- a/components/control/tests/fleet/faults.rs
+++ b/components/control/tests/fleet/faults.rs
@@ -280,6 +280,23 @@
     assert!(versions.into_iter().all(|it| it == version));
 }
 
+/// Checks that the contacts of each failure domain are in the store again within the time of a change, after it
+/// returned from a copy without them. A node that starts without them serves alone.
+#[rstest]
+fn restore_store_without_contacts() {
+    let mut fleet = Fleet::start_serving(22, NODES);
+    fleet.store.read_only_config = true;
+    let mut copy = fleet.store.copy();
+    copy.clear_contacts();
+    fleet.store.restore(copy);
+    fleet.run(2.0);
+    let deliveries = fleet.store.expire_watches();
+    fleet.deliver_all(deliveries);
+    fleet.run(2.0);
+    assert_eq!(fleet.store.contacts_domains(), 3);
+    assert_eq!(fleet.history.violations, Vec::<String>::new());
+}
+
 /// Checks that effects depend only on inputs, time and random numbers.
 #[rstest]
 fn replay_same_seed() {
--- a/components/spread/src/contacts.rs
+++ b/components/spread/src/contacts.rs
@@ -23,6 +23,9 @@
 /// Shortest interval between two reads by a node that isn't isolated, and between two writes.
 const REFRESH_INTERVAL: Duration = Duration::from_secs(30);
 
+/// Bound of the random delay before the read after the store has returned from an older copy.
+const RESTORE_DELAY_BOUND: Duration = Duration::from_millis(500);
+
 /// Answer of the store to a call for contacts.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum ContactsEvent {
@@ -63,6 +66,8 @@
     known_domains: Vec<Domain>,
     /// Failure domains without a known live node at the last answer.
     missing_domains: Vec<Domain>,
+    /// Whether the store has returned from an older copy since the running call was made.
+    is_superseded: bool,
     /// Whether the last list had addresses of nodes that aren't known to be alive.
     has_unconfirmed: bool,
 }
@@ -76,6 +81,7 @@
             last_write: None,
             known_domains: Vec::new(),
             missing_domains: Vec::new(),
+            is_superseded: false,
             has_unconfirmed: false,
         }
     }
@@ -135,6 +141,20 @@
         }
     }
 
+    /// Plans a read soon, because the store has returned from an older copy, which may lack the
+    /// contacts. A call that is running may have been made on the lost history.
+    pub(crate) fn read_again(&mut self, now: Time, random: &mut dyn Random) {
+        self.last_write = None;
+        self.delayed_call = None;
+        match self.call {
+            CallState::Disabled => {}
+            CallState::Due(_) => {
+                self.call = CallState::Due(now + random_below(RESTORE_DELAY_BOUND, random));
+            }
+            CallState::InFlight { .. } => self.is_superseded = true,
+        }
+    }
+
     fn start_call(
         &mut self,
         now: Time,
@@ -166,10 +186,12 @@
         if !matches!(self.call, CallState::InFlight { .. }) {
             return;
         }
+        let is_superseded = std::mem::take(&mut self.is_superseded);
         self.missing_domains = self.find_missing_domains(table);
         let is_isolated = table.live_count() <= 1 || !self.missing_domains.is_empty();
         self.call = match event {
             ContactsEvent::Failed => CallState::Due(now + self.backoff.next_delay(random)),
+            _ if is_superseded => CallState::Due(now + random_below(RESTORE_DELAY_BOUND, random)),
             // An isolated node reads again soon to find others.
             _ if is_isolated => {
                 CallState::Due(now + Duration::from_secs(1) + self.backoff.next_delay(random))
--- a/components/spread/src/machine.rs
+++ b/components/spread/src/machine.rs
@@ -148,6 +148,7 @@
         let is_outdated = store_revision.is_some_and(|it| self.store_position.is_outdated(it.era));
         if store_revision.is_some_and(|it| self.store_position.advance(it)) {
             self.record_restore(out);
+            self.contacts.read_again(now, random);
         }
         let mut newer_record = None;
         match &event {
@@ -197,6 +198,7 @@
         if era.is_some_and(|it| self.store_position.advance(Revision::new(it, 0))) {
             self.record_restore(out);
             self.store_watch.read_again(now, out);
+            self.contacts.read_again(now, random);
         }
         let event = match is_outdated {
             true => ContactsEvent::Failed,
--- a/components/spread/tests/machine.rs
+++ b/components/spread/tests/machine.rs
@@ -376,6 +376,79 @@
     assert_eq!(config_reads(&node.wake(Duration::ZERO)), expected_reads);
 }
 
+/// Checks that contacts which a restored store has lost are written again soon, whichever answer shows the
+/// restore. They stayed lost for the interval between two reads, 30 s or more, in which a node that
+/// started found no other node.
+#[rstest]
+#[case::seen_by_watch(false, false)]
+#[case::seen_by_late_answer(true, false)]
+#[case::seen_by_write(true, true)]
+fn write_contacts_restored(#[case] seen_by_contacts: bool, #[case] write_in_flight: bool) {
+    let mut node = Node::new();
+    let (member_table, domain) = (member_table(3), Domain::new("apapa"));
+    let view = (&member_table, &domain);
+    let hosts = [1, 2, 3].map(peer_address).to_vec();
+    let (old, new) = (Era(1), Era(2));
+    node.start_watching();
+    node.handle_store_event(stored(5, Revision::new(old, 10)));
+    let listed = |addresses: &[SocketAddr], era, number| ContactsEvent::Value {
+        addresses: addresses.to_vec(),
+        revision: Revision::new(era, number),
+    };
+    let handle = |node: &mut Node, event| {
+        let mut out = Vec::new();
+        let (now, random) = (node.now, &mut node.random);
+        node.machine
+            .handle_contacts_event(now, event, view, random, &mut out);
+        out
+    };
+    // The first read finds no contacts, so the node writes them.
+    let mut out = handle(&mut node, listed(&[], old, 0));
+    let has_write = |out: &[Output]| {
+        out.iter()
+            .any(|it| matches!(it, Output::WriteContacts { .. }))
+    };
+    assert!(has_write(&out));
+    if !write_in_flight {
+        handle(&mut node, ContactsEvent::Written { era: old });
+        // The wait for the next read spans several lengths of a watch.
+        node.now = node.now + WATCH_TIME;
+    }
+    if seen_by_contacts {
+        out = handle(&mut node, ContactsEvent::Written { era: new });
+    } else {
+        let store_revision = Revision::new(new, 10);
+        out = node.handle_store_event(StoreEvent::Unchanged { store_revision });
+    }
+    let restored_at = node.now;
+    while !has_write(&out) {
+        let calls = std::mem::take(&mut out);
+        for call in calls {
+            out.extend(match call {
+                Output::ReadConfig => node.handle_store_event(stored(5, Revision::new(new, 10))),
+                Output::ReadContacts { .. } => handle(&mut node, listed(&[], new, 0)),
+                _ => continue,
+            });
+        }
+        if has_write(&out) {
+            break;
+        }
+        out.extend(node.wake(Duration::from_millis(100)));
+        let elapsed = node.now.since(restored_at);
+        assert!(elapsed <= Duration::from_secs(4), "no write of contacts");
+    }
+    let written = out.iter().find_map(|it| match it {
+        Output::WriteContacts {
+            expected,
+            addresses,
+        } => Some((*expected, addresses.clone())),
+        _ => None,
+    });
+    let (expected, mut addresses) = written.expect("contacts are written");
+    addresses.sort_unstable();
+    assert_eq!((expected, addresses), (Revision::new(new, 0), hosts));
+}
+
 /// Checks that a node limits its calls to a store whose answers alternate between two eras.
 #[rstest]
 fn limit_store_calls_eras() {
