Do not report an edit as never written after a restore of the store

What callers saw: an operator whose apply or settle ran while the store returned from an older copy could be told 'not accepted', and the edit came into force later.

Cause: a base record under another revision than the write expects was taken as proof that the write can no longer take effect. That holds only if the revision has risen: a restored store gives lower ones, and the expected one out again.

Evidence: before, apply_fault::case_24_write_delayed_then_restored failed at components/accept/tests/accept/apply.rs:59 with 'refused' for 'unknown', and settle_restored at components/accept/tests/accept/settle.rs:74 with 'never written' for 'unknown'. They pass now. The tests missed it because their restore gave a new, higher revision.

Why it works: an earlier write counts as settled only once the revision of the key includes the newest one that any attempt has expected; the edit id carries that one.

--- a/components/accept/src/apply.rs
+++ b/components/accept/src/apply.rs
@@ -26,6 +26,8 @@
     record: Record,
     /// Revision that the key must have for the write to succeed.
     expected: Revision,
+    /// Newest revision that any attempt has expected.
+    newest_expected: Revision,
 }
 
 /// Makes one edit the next version: reads the key, writes the edit by compare-and-swap, and reads
@@ -71,7 +73,7 @@
         let outcome = match &self.planned_write {
             Some(planned_write) if self.write_unresolved || self.write_in_flight => {
                 Outcome::Unknown {
-                    edit_id: EditId::new(&planned_write.record, planned_write.expected),
+                    edit_id: EditId::new(&planned_write.record, planned_write.newest_expected),
                     message: rejection.to_string(),
                 }
             }
@@ -119,6 +121,7 @@
             base: current.cloned(),
             record: self.edit.to_record(current),
             expected,
+            newest_expected: expected,
         });
         self.request_write(effects);
     }
@@ -192,11 +195,15 @@
             (Some(entry), base) => {
                 let version_and_edit = |it: &Record| (it.version, it.edit_hash);
                 if base.as_ref().map(version_and_edit) == Some(version_and_edit(&entry.record)) {
-                    // A node or `settle` may have written the base record again, which changes the
-                    // revision. An earlier write of the edit can then no longer take effect.
+                    // A node or `settle` may have written the base record again, which raises the
+                    // revision. An earlier write of the edit can then no longer take effect. It still
+                    // can if the revision has fallen, as in a store that was restored.
                     if planned_write.expected != entry.revision {
                         planned_write.expected = entry.revision;
-                        self.write_unresolved = false;
+                        if entry.revision.includes(planned_write.newest_expected) {
+                            planned_write.newest_expected = entry.revision;
+                            self.write_unresolved = false;
+                        }
                     }
                     return self.request_write(effects);
                 }
--- a/components/accept/src/settle.rs
+++ b/components/accept/src/settle.rs
@@ -76,6 +76,11 @@
             let expected = revision;
             return effects.push(Effect::Write { record, expected });
         }
+        if !revision.includes(edit_id.expected) {
+            let message = "the store has returned to an older revision, so that a delayed write can still take \
+                effect; applying the text again is safe";
+            return self.finish_unknown(message.into(), effects);
+        }
         // The base version is stored under another revision, or another record has the version that
         // the edit would have got.
         if record.version.next() == edit_id.version || record.version == edit_id.version {
--- a/components/accept/tests/accept/apply.rs
+++ b/components/accept/tests/accept/apply.rs
@@ -52,6 +52,7 @@
 #[case::read_back_not_written_concurrent_edit(&[NO_FAULT, Fault::CallLost, Fault::ConcurrentEdit], "concurrent edit")]
 #[case::read_back_not_written_two_concurrent_edits(&[NO_FAULT, Fault::CallLost, Fault::TwoConcurrentEdits], "unknown")]
 #[case::write_unreachable_then_concurrent_edit(&[NO_FAULT, Fault::Unreachable, Fault::ConcurrentEdit], "concurrent edit")]
+#[case::write_delayed_then_restored(&[Fault::Rewritten, Fault::WriteDelayed, Fault::RevisionRestored, Fault::Refused], "unknown")]
 fn apply_fault(#[case] faults: &[Fault], #[case] expected: &str) {
     let mut store = FakeStore::with_versions(2);
     let outcome = apply(&mut store, edit("mine", Base::Current), faults);
--- a/components/accept/tests/accept/settle.rs
+++ b/components/accept/tests/accept/settle.rs
@@ -62,6 +62,23 @@
     ));
 }
 
+// Checks that no edit is reported as never written after the store has returned to an older copy. The
+// revision that its write expects is given out again, so that a delayed write can still take effect.
+#[test]
+fn settle_restored() {
+    let mut store = FakeStore::with_versions(2);
+    store.rewrite();
+    let id = apply_without_answer(&mut store, Fault::CallLost);
+    store.restore_revision();
+    let outcome = run(SettleMachine::new(id, deadline()), &mut store, &[]);
+    assert_eq!(outcome_name(&outcome), "unknown", "{outcome:?}");
+    // Later writes pass the expected revision, which proves that the write can't take effect.
+    store.rewrite();
+    store.rewrite();
+    let outcome = run(SettleMachine::new(id, deadline()), &mut store, &[]);
+    assert_eq!(outcome_name(&outcome), "never written", "{outcome:?}");
+}
+
 // Checks that malformed edit ids are rejected, so that none is read as the id of another edit.
 #[rstest]
 #[case::empty("")]
--- a/components/accept/tests/accept/support.rs
+++ b/components/accept/tests/accept/support.rs
@@ -42,6 +42,9 @@
     TwoConcurrentEdits,
     /// A node writes the stored record again just before the call, which changes the revision.
     Rewritten,
+    /// The store returns, just before the call, to a copy from before the last write of the same record,
+    /// whose revision is given out again.
+    RevisionRestored,
     /// The store is restored to the previous record just before the call.
     Restored,
 }
@@ -102,6 +105,20 @@
         });
     }
 
+    /// Writes the stored record again.
+    pub(crate) fn rewrite(&mut self) {
+        self.revision += 1;
+        let revision = Revision::from(self.revision);
+        self.entry.iter_mut().for_each(|it| it.revision = revision);
+    }
+
+    /// Returns to a copy from before the stored record was written again.
+    pub(crate) fn restore_revision(&mut self) {
+        self.revision -= 1;
+        let revision = Revision::from(self.revision);
+        self.entry.iter_mut().for_each(|it| it.revision = revision);
+    }
+
     /// Accepts an edit of another operator.
     pub(crate) fn put_other_edit(&mut self) {
         let base = self.entry.as_ref().map(|it| it.record.clone());
@@ -137,11 +154,8 @@
         match fault {
             Fault::ConcurrentEdit => self.put_other_edit(),
             Fault::TwoConcurrentEdits => (0..2).for_each(|_| self.put_other_edit()),
-            Fault::Rewritten if self.entry.is_some() => {
-                self.revision += 1;
-                let revision = Revision::from(self.revision);
-                self.entry.iter_mut().for_each(|it| it.revision = revision);
-            }
+            Fault::Rewritten if self.entry.is_some() => self.rewrite(),
+            Fault::RevisionRestored => self.restore_revision(),
             Fault::Restored if self.history.len() > 1 => {
                 let record = self.history[self.history.len() - 2].clone();
                 self.put(record);
