End a watch of etcd whose store has returned to a lower revision

Between a read and the watch that follows, a store that is restored leaves the watch waiting for a revision that it reaches much later, so that changes below it are missed for up to 20 s.

Cause: the watch starts after a revision of the lost history, and etcd holds such a watch open.

Evidence: before, watch_restored::case_1_restored failed at components/store/tests/etcd.rs:197, as the watch went on to its end. It passes now.

Why it works: the header of each message of a watch bears the store's revision when it was made. One below the revision that was read ends the watch, and a read follows. A member that lags behind causes the same, at the cost of calls with the backoff.

--- a/components/store/src/etcd.rs
+++ b/components/store/src/etcd.rs
@@ -59,9 +59,8 @@
     }
 
     /// Reads a watch stream up to the first message with events. Returns the entry of its last event,
-    /// or an entry
-    /// without a value if that event deleted the key.
-    async fn read_watch_event(&self, body: Value) -> Result<Entry, Error> {
+    /// which has no value if that event deleted the key.
+    async fn read_watch_event(&self, body: Value, after: Revision) -> Result<Entry, Error> {
         let response = self.client.send(Method::POST, "/v3/watch", Some(&body));
         let response = response.await?;
         check_status(response.status())?;
@@ -88,6 +87,14 @@
                         "the store ended the watch: {message}"
                     )));
                 }
+                // A store that was restored would otherwise be silent until it reaches the revision.
+                let current = parse_revision(&message["result"]["header"]["revision"]);
+                if let Some(current) = current.filter(|it| !it.includes(after)) {
+                    return Err(outcome_unknown(format!(
+                        "the store has returned to revision {}",
+                        current.number
+                    )));
+                }
                 let Some(event) = message["result"]["events"]
                     .as_array()
                     .and_then(|it| it.last())
@@ -150,7 +157,7 @@
             let start = after.number.saturating_add(1).to_string();
             let create = json!({ "key": STANDARD.encode(key), "start_revision": start });
             let body = json!({ "create_request": create });
-            let watch_result = timeout(WATCH_TIMEOUT, self.read_watch_event(body)).await;
+            let watch_result = timeout(WATCH_TIMEOUT, self.read_watch_event(body, after)).await;
             // A timeout is an error, not `Unchanged`: a silent connection may as well be dead.
             watch_result
                 .map(|response| response.map(WatchOutcome::Changed))
--- a/components/store/tests/etcd.rs
+++ b/components/store/tests/etcd.rs
@@ -181,6 +181,22 @@
     assert!(outcome.contains(expected), "{outcome}");
 }
 
+// Checks that a watch ends if the store's revision is below the one that was read. After a restore it would
+// wait for a revision that comes much later, and miss the changes below it.
+#[rstest]
+#[case::restored("6", "the store has returned to revision 6")]
+#[case::same("7", "the watch ended")]
+#[case::higher("9", "the watch ended")]
+#[tokio::test]
+async fn watch_restored(#[case] revision: &str, #[case] expected: &str) {
+    let created =
+        format!(r#"{{"result": {{"header": {{"revision": "{revision}"}}, "created": true}}}}"#);
+    let body = http_response("200 OK", &format!("{created}\n"));
+    let result = store_at(serve(body)).watch("k", Revision::from(7)).await;
+    let error = result.expect_err("no event");
+    assert!(error.to_string().contains(expected), "{error}");
+}
+
 // Checks that params with which no call could succeed are refused.
 #[rstest]
 #[case::valid("127.33.4.1:1", "1", true)]
