Test a new node and a write-back on a store that is restored

Nodes that may write the configuration back do so, also when the store returns from the copy again 1, 3 or 5 ms after their reads began.

--- a/components/control/tests/fleet/driver/mod.rs
+++ b/components/control/tests/fleet/driver/mod.rs
@@ -103,6 +103,8 @@
     pub(crate) faults: Faults,
     pub(crate) counters: TrafficCounters,
     pub(crate) history: History,
+    /// Whether the settings of a new process list contacts.
+    pub(crate) settings_contacts: bool,
     /// Whether topologies are recorded in the history, and datagrams are encoded and decoded.
     pub(crate) recording: bool,
     /// Hash over all effects, if it is computed.
@@ -130,6 +132,7 @@
             faults: Faults::default(),
             counters: TrafficCounters::default(),
             history: History::new(services),
+            settings_contacts: true,
             recording: true,
             effect_hash: None,
             services,
@@ -182,7 +185,12 @@
             stage: Stage::Warming,
             upstream: None,
         };
-        let contacts = self.nodes.iter().take(2 * self.domains);
+        let listed = if self.settings_contacts {
+            2 * self.domains
+        } else {
+            0
+        };
+        let contacts = self.nodes.iter().take(listed);
         let contacts = contacts.map(|it| it.address).collect();
         Machine::new(own, contacts, Parameters::default(), Time(self.now))
     }
--- a/components/control/tests/fleet/driver/store.rs
+++ b/components/control/tests/fleet/driver/store.rs
@@ -91,6 +91,11 @@
         self.data.clone()
     }
 
+    /// Version of the configuration; 0 if there is none.
+    pub(crate) fn version(&self) -> u64 {
+        self.data.record.as_ref().map_or(0, |it| it.version.0)
+    }
+
     /// Number of failure domains that have contacts.
     pub(crate) fn contacts_domains(&self) -> usize {
         let lists = self.data.contacts.values();
--- a/components/control/tests/fleet/faults.rs
+++ b/components/control/tests/fleet/faults.rs
@@ -297,6 +297,53 @@
     assert_eq!(fleet.history.violations, Vec::<String>::new());
 }
 
+/// Checks that a node which starts on a restored store, with neither contacts nor the newest version there,
+/// gets the newest version once the others have written their contacts again. It serves the older one
+/// until then, as it knows of no other node.
+#[rstest]
+fn restore_store_new_node() {
+    let mut fleet = Fleet::start_serving(23, NODES);
+    fleet.store.read_only_config = true;
+    let mut copy = fleet.store.copy();
+    copy.clear_contacts();
+    fleet.accept(2);
+    fleet.run(5.0);
+    fleet.store.restore(copy);
+    fleet.settings_contacts = false;
+    let index = fleet.add(Some(Stage::Ready));
+    fleet.run(2.0);
+    let deliveries = fleet.store.expire_watches();
+    fleet.deliver_all(deliveries);
+    // Nodes serve again within 15 s of a fault.
+    fleet.run(13.0);
+    let machine = &fleet.nodes[index].machine;
+    assert_eq!(machine.config_id().version.0, 2);
+    assert_eq!(machine.table().live_count(), NODES + 1);
+}
+
+/// Checks that a watcher writes the configuration back, once nodes may write it, also if the store returns from
+/// the copy again while the writes are under way.
+#[rstest]
+fn restore_store_write_back(#[values(0.001, 0.003, 0.005)] elapsed: f64) {
+    let mut fleet = Fleet::start_serving(24, NODES);
+    let copy = fleet.store.copy();
+    fleet.accept(2);
+    fleet.run(5.0);
+    fleet.store.restore(copy.clone());
+    let deliveries = fleet.store.expire_watches();
+    fleet.deliver_all(deliveries);
+    fleet.run(elapsed);
+    fleet.store.restore(copy);
+    for _ in 0..2 {
+        fleet.run(2.0);
+        let deliveries = fleet.store.expire_watches();
+        fleet.deliver_all(deliveries);
+    }
+    fleet.run(2.0);
+    assert_eq!(fleet.store.version(), 2);
+    assert_eq!(fleet.history.violations, Vec::<String>::new());
+}
+
 /// Checks that effects depend only on inputs, time and random numbers.
 #[rstest]
 fn replay_same_seed() {
