Return the soak's store to an older copy

The fake store could be restored, but no plan of the soak did so, which is one reason why the incident of the restored store was not found by it.

--- a/lab/src/scenario/soak/plan.rs
+++ b/lab/src/scenario/soak/plan.rs
@@ -180,12 +180,14 @@
             duration,
         ),
         13 => {
-            let fault = match random.below(3) {
+            let fault = match random.below(4) {
                 0 => json!({ "outage": "refuse" }),
                 1 => json!({ "outage": "hang" }),
+                2 => json!({ "backup": true }),
                 _ => json!({ "lose_answers": 1 + random.below(4) }),
             };
-            let normal = json!({ "outage": "none", "lose_answers": 0 });
+            let is_restore = fault["backup"] == true;
+            let normal = json!({ "outage": "none", "lose_answers": 0, "restore": is_restore });
             (Action::Store(fault), Some(Action::Store(normal)), duration)
         }
         14 => {
