--- a/components/control/tests/upstream.rs
+++ b/components/control/tests/upstream.rs
@@ -193,10 +193,12 @@
             text,
         }
     };
-    let revision = spread::Revision(1);
+    let revision = spread::Revision::from(1);
     node.input(Input::Store(spread::StoreEvent::Value {
         record: Some(record),
         revision,
+        store_revision: revision,
+        is_writable: true,
     }));
     let addresses = Vec::new();
     node.input(Input::Contacts(spread::ContactsEvent::Value {
--- a/components/daemon/src/executor.rs
+++ b/components/daemon/src/executor.rs
@@ -15,6 +15,7 @@
 use crate::event_log::StoreHealth;
 use crate::event_log::log_failed_call;
 use crate::event_log::log_member_changes;
+use crate::event_log::log_store_changes;
 use crate::state_metrics;
 use config::Record;
 use control::CallId;
@@ -175,6 +176,7 @@
     fn start_config_call(&mut self, watch_after: Option<Revision>) {
         self.cancel_config_call();
         let store = Arc::clone(&self.store);
+        let is_writable = store.is_writable(CONFIG_KEY);
         self.metrics.count_store_call(if watch_after.is_some() {
             "watch"
         } else {
@@ -187,13 +189,13 @@
                 None => store.read(CONFIG_KEY).await.map(WatchOutcome::Changed),
             };
             Input::Store(match result {
-                Ok(WatchOutcome::Unchanged) => {
+                Ok(WatchOutcome::Unchanged(store_revision)) => {
                     health.record_success();
-                    StoreEvent::Unchanged
+                    StoreEvent::Unchanged { store_revision }
                 }
                 Ok(WatchOutcome::Changed(entry)) => {
                     health.record_success();
-                    decode_store_event(entry)
+                    decode_store_event(&entry, is_writable)
                 }
                 Err(error) => {
                     health.record_failure(&error);
@@ -209,14 +211,10 @@
         let health = Arc::clone(&self.store_health);
         let value = encode_record(record);
         self.metrics.count_store_call("write");
-        warn!(
-            event = "store-behind", version = record.version.0;
-            "the store has an older configuration than the fleet; writing the newer one to it"
-        );
         self.config_call = Some(self.spawn_call(async move {
             Input::Store(
                 match store.compare_and_swap(CONFIG_KEY, expected, value).await {
-                    Ok(_) => StoreEvent::Written,
+                    Ok(outcome) => StoreEvent::Written { era: outcome.era() },
                     Err(error) => {
                         health.record_failure(&error);
                         StoreEvent::Failed
@@ -234,10 +232,8 @@
         self.spawn_call(async move {
             Input::Contacts(match store.read(&key).await {
                 Ok(entry) => ContactsEvent::Value {
-                    revision: entry.as_ref().map(|it| it.revision).unwrap_or_default(),
-                    addresses: entry
-                        .and_then(|it| decode_contacts(&it.value))
-                        .unwrap_or_default(),
+                    revision: entry.revision,
+                    addresses: decode_addresses(&entry),
                 },
                 Err(error) => {
                     health.record_failure(&error);
@@ -255,11 +251,8 @@
         self.metrics.count_store_call("read");
         self.spawn_call(async move {
             let entry = store.read(&key).await;
-            let entry = entry
-                .inspect_err(|error| health.record_failure(error))
-                .ok()
-                .flatten();
-            let addresses = entry.and_then(|it| decode_contacts(&it.value));
+            let entry = entry.inspect_err(|error| health.record_failure(error));
+            let addresses = entry.map(|it| decode_addresses(&it));
             Input::Contacts(ContactsEvent::OtherDomain {
                 addresses: addresses.unwrap_or_default(),
             })
@@ -274,7 +267,7 @@
         self.metrics.count_store_call("write");
         self.spawn_call(async move {
             Input::Contacts(match store.compare_and_swap(&key, expected, value).await {
-                Ok(_) => ContactsEvent::Written,
+                Ok(outcome) => ContactsEvent::Written { era: outcome.era() },
                 Err(error) => {
                     health.record_failure(&error);
                     ContactsEvent::Failed
@@ -294,6 +287,7 @@
         let old_topology = self.topology.load_full();
         state_metrics::count_changes(&self.metrics, &old_topology, &topology);
         log_member_changes(&old_topology, &topology);
+        log_store_changes(&old_topology, &topology);
         let old_version = old_topology.snapshot.as_ref().map(|it| it.version());
         let new_version = topology.snapshot.as_ref().map(|it| it.version());
         let own_upstream = topology.own_upstream.clone();
@@ -313,21 +307,23 @@
     }
 }
 
-fn decode_store_event(entry: Option<Entry>) -> StoreEvent {
-    let Some(entry) = entry else {
-        return StoreEvent::Value {
-            record: None,
-            revision: Revision::default(),
-        };
-    };
-    let revision = entry.revision;
-    match decode_record(&entry.value) {
-        Some(record) => StoreEvent::Value {
-            record: Some(record),
-            revision,
-        },
-        None => StoreEvent::Unreadable { revision },
+fn decode_store_event(entry: &Entry, is_writable: bool) -> StoreEvent {
+    let store_revision = entry.store_revision;
+    let record = entry.value.as_deref().map(decode_record);
+    if matches!(record, Some(None)) {
+        return StoreEvent::Unreadable { store_revision };
     }
+    StoreEvent::Value {
+        record: record.flatten(),
+        revision: entry.revision,
+        store_revision,
+        is_writable,
+    }
+}
+
+fn decode_addresses(entry: &Entry) -> Vec<SocketAddr> {
+    let addresses = entry.value.as_deref().and_then(decode_contacts);
+    addresses.unwrap_or_default()
 }
 
 async fn pull_config(
--- a/components/spread/src/store_watch.rs
+++ b/components/spread/src/store_watch.rs
@@ -1,6 +1,8 @@
 //! Reads, watches and writes back the configuration key of the store.
 
+use crate::Era;
 use crate::Output;
+use crate::Revision;
 use crate::store_call::Backoff;
 use crate::store_call::CallBudget;
 use crate::store_call::CallState;
@@ -8,11 +10,6 @@
 use kernel::Random;
 use kernel::Time;
 
-/// Revision of a key in the store, which every write of the key changes; 0 stands for a missing
-/// key.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
-pub struct Revision(pub u64);
-
 /// Answer of the store to a call for the configuration key.
 #[derive(Clone, Debug)]
 pub enum StoreEvent {
@@ -20,17 +17,35 @@
     Value {
         record: Option<Record>,
         revision: Revision,
+        /// Revision of the store up to which this is the newest record.
+        store_revision: Revision,
+        /// Whether nodes may write the key.
+        is_writable: bool,
     },
     /// The key holds a value that isn't a record.
-    Unreadable { revision: Revision },
-    /// The watch ended without a change.
-    Unchanged,
-    /// The write has been answered; another write may have come first.
-    Written,
+    Unreadable { store_revision: Revision },
+    /// The watch ended without a change up to this revision of the store.
+    Unchanged { store_revision: Revision },
+    /// The write has been answered in this era; another write may have come first.
+    Written { era: Era },
     /// The call or the watch failed.
     Failed,
 }
 
+impl StoreEvent {
+    /// Revision of the store that the answer shows, with the number 0 if only the era is known;
+    /// `None` if there was no answer.
+    pub(crate) fn store_revision(&self) -> Option<Revision> {
+        match self {
+            Self::Value { store_revision, .. }
+            | Self::Unreadable { store_revision }
+            | Self::Unchanged { store_revision } => Some(*store_revision),
+            Self::Written { era } => Some(Revision::new(*era, 0)),
+            Self::Failed => None,
+        }
+    }
+}
+
 /// State of the calls for the configuration key, which only watchers make.
 #[derive(Debug)]
 pub(crate) struct StoreWatch {
@@ -87,6 +102,15 @@
         }
     }
 
+    /// Replaces the running call by a read, because the store has returned from an older copy.
+    pub(crate) fn read_again(&mut self, now: Time, out: &mut Vec<Output>) {
+        if self.call != CallState::Disabled {
+            self.call = CallState::Due(now);
+            self.delayed_call = None;
+            out.push(Output::CancelConfigCall);
+        }
+    }
+
     fn start_call(
         &mut self,
         now: Time,
@@ -97,8 +121,8 @@
         self.call = CallState::start(now, budget, call, &mut self.delayed_call, out);
     }
 
-    /// Makes the next call after an answer of the store. `newer_record` is the record in force if
-    /// the store has an older one, and is written back.
+    /// Makes the next call after an answer of the store. `newer_record` is the record to write
+    /// back, if the store has an older one.
     pub(crate) fn continue_after(
         &mut self,
         now: Time,
@@ -108,19 +132,30 @@
         out: &mut Vec<Output>,
     ) {
         // The answer to a call that timed out or was cancelled may still arrive.
-        let CallState::InFlight { is_watch, .. } = self.call else {
+        if !matches!(self.call, CallState::InFlight { .. }) {
             return;
-        };
-        let (is_missing, revision) = match event {
-            StoreEvent::Value { record, revision } => (record.is_none(), *revision),
-            StoreEvent::Unreadable { revision } => (false, *revision),
-            StoreEvent::Unchanged => {
+        }
+        let (revision, store_revision) = match event {
+            StoreEvent::Value {
+                revision,
+                store_revision,
+                ..
+            } => (*revision, *store_revision),
+            StoreEvent::Unreadable { store_revision } => (Revision::default(), *store_revision),
+            // The watch has waited at a revision of a history that the store no longer has.
+            StoreEvent::Unchanged { store_revision }
+                if !store_revision.includes(self.watched_revision) =>
+            {
+                self.call = CallState::Due(now);
+                return;
+            }
+            StoreEvent::Unchanged { .. } => {
                 let call = Output::WatchConfig {
                     after: self.watched_revision,
                 };
                 return self.start_call(now, budget, call, out);
             }
-            StoreEvent::Written => {
+            StoreEvent::Written { .. } => {
                 self.call = CallState::Due(now);
                 return;
             }
@@ -135,14 +170,11 @@
                 expected: revision,
                 record,
             },
-            // A watch that reports a deletion gives no revision from which to continue.
-            None if is_missing && is_watch => {
-                self.call = CallState::Due(now);
-                return;
-            }
             None => {
-                self.watched_revision = revision;
-                Output::WatchConfig { after: revision }
+                self.watched_revision = store_revision;
+                Output::WatchConfig {
+                    after: store_revision,
+                }
             }
         };
         self.start_call(now, budget, call, out);
--- a/components/store/src/etcd.rs
+++ b/components/store/src/etcd.rs
@@ -53,14 +53,14 @@
         let call = self
             .client
             .call(Method::POST, path, Some(&body), Duration::ZERO);
-        let (status, response) = call.await?;
-        check_status(status)?;
-        Ok(response)
+        let response = call.await?;
+        check_status(response.status())?;
+        Ok(response.into_body())
     }
 
     /// Reads a watch stream up to the first message with events. Returns the entry of its last event,
-    /// or `None` if that event deleted the key.
-    async fn read_watch_event(&self, body: Value) -> Result<Option<Entry>, Error> {
+    /// which has no value if that event deleted the key.
+    async fn read_watch_event(&self, body: Value, after: Revision) -> Result<Entry, Error> {
         let response = self.client.send(Method::POST, "/v3/watch", Some(&body));
         let response = response.await?;
         check_status(response.status())?;
@@ -87,13 +87,21 @@
                         "the store ended the watch: {message}"
                     )));
                 }
+                // A store that was restored would otherwise be silent until it reaches the revision.
+                let current = parse_revision(&message["result"]["header"]["revision"]);
+                if let Some(current) = current.filter(|it| !it.includes(after)) {
+                    return Err(outcome_unknown(format!(
+                        "the store has returned to revision {}",
+                        current.number
+                    )));
+                }
                 let Some(event) = message["result"]["events"]
                     .as_array()
                     .and_then(|it| it.last())
                 else {
                     continue;
                 };
-                return Ok(decode_entry(&event["kv"]));
+                return Ok(decode_entry(&event["kv"], None));
             }
         }
         Err(Error::OutcomeUnknown {
@@ -103,12 +111,13 @@
 }
 
 impl Store for EtcdStore {
-    fn read<'a>(&'a self, key: &'a str) -> StoreFuture<'a, Option<Entry>> {
+    fn read<'a>(&'a self, key: &'a str) -> StoreFuture<'a, Entry> {
         Box::pin(async move {
             let response = self
                 .call("/v3/kv/range", json!({ "key": STANDARD.encode(key) }))
                 .await?;
-            Ok(response["kvs"].get(0).and_then(decode_entry))
+            let store_revision = parse_revision(&response["header"]["revision"]);
+            Ok(decode_entry(&response["kvs"][0], store_revision))
         })
     }
 
@@ -125,28 +134,30 @@
                     "key": key,
                     "target": "MOD",
                     "result": "EQUAL",
-                    "mod_revision": expected.0.to_string(),
+                    "mod_revision": expected.number.to_string(),
                 }],
                 "success": [{ "request_put": { "key": key, "value": STANDARD.encode(value) } }],
                 "failure": [{ "request_range": { "key": key } }],
             });
             let response = self.call("/v3/kv/txn", body).await?;
+            let store_revision = parse_revision(&response["header"]["revision"]);
             if response["succeeded"].as_bool() == Some(true) {
-                return Ok(SwapOutcome::Done);
+                return Ok(SwapOutcome::Done(store_revision.unwrap_or_default()));
             }
             let range = &response["responses"][0]["response_range"];
-            Ok(SwapOutcome::Conflict(
-                range["kvs"].get(0).and_then(decode_entry),
-            ))
+            Ok(SwapOutcome::Conflict(decode_entry(
+                &range["kvs"][0],
+                store_revision,
+            )))
         })
     }
 
     fn watch<'a>(&'a self, key: &'a str, after: Revision) -> StoreFuture<'a, WatchOutcome> {
         Box::pin(async move {
-            let start = after.0.saturating_add(1).to_string();
+            let start = after.number.saturating_add(1).to_string();
             let create = json!({ "key": STANDARD.encode(key), "start_revision": start });
             let body = json!({ "create_request": create });
-            let watch_result = timeout(WATCH_TIMEOUT, self.read_watch_event(body)).await;
+            let watch_result = timeout(WATCH_TIMEOUT, self.read_watch_event(body, after)).await;
             // A timeout is an error, not `Unchanged`: a silent connection may as well be dead.
             watch_result
                 .map(|response| response.map(WatchOutcome::Changed))
@@ -170,10 +181,21 @@
     }
 }
 
-/// Decodes a key-value pair of a response; returns `None` if a field is missing or malformed. The
-/// pair of a deleted key has no value.
-fn decode_entry(kv: &Value) -> Option<Entry> {
-    let value = STANDARD.decode(kv["value"].as_str()?).ok()?;
-    let revision = Revision(kv["mod_revision"].as_str()?.parse().ok()?);
-    Some(Entry { value, revision })
+/// Decodes a key-value pair of a response that was complete at `store_revision`. A missing or
+/// malformed pair, and that of a deleted key, stand for a missing key.
+fn decode_entry(kv: &Value, store_revision: Option<Revision>) -> Entry {
+    let value = kv["value"].as_str().and_then(|it| STANDARD.decode(it).ok());
+    let revision = parse_revision(&kv["mod_revision"]);
+    let store_revision = store_revision.or(revision).unwrap_or_default();
+    let (value, revision) = value.zip(revision).unzip();
+    Entry {
+        value,
+        revision: revision.unwrap_or_default(),
+        store_revision,
+    }
+}
+
+fn parse_revision(number: &Value) -> Option<Revision> {
+    let number: u64 = number.as_str()?.parse().ok()?;
+    Some(Revision::from(number))
 }
--- a/components/store/src/lib.rs
+++ b/components/store/src/lib.rs
@@ -18,6 +18,7 @@
 use kernel::plugin;
 use kernel::plugin::EXTENSION_POINTS;
 use kernel::plugin::ExtensionPoint;
+use spread::Era;
 use spread::Revision;
 
 pub use contacts::contacts_key;
@@ -60,29 +61,41 @@
 /// Value of a key with its revision.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Entry {
-    /// The value.
-    pub value: Vec<u8>,
-    /// Revision at which the key was last modified.
+    /// The value; `None` if the key does not exist.
+    pub value: Option<Vec<u8>>,
+    /// Revision at which the key was last modified, or that of a missing key.
     pub revision: Revision,
+    /// Revision of the store up to which this is the newest value. A watch that starts here needs no
+    /// older history.
+    pub store_revision: Revision,
 }
 
 /// Result of a compare-and-swap.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum SwapOutcome {
-    /// The value was written.
-    Done,
-    /// The key has another revision, so nothing was written; holds its current entry, or `None` if
-    /// the key does not exist.
-    Conflict(Option<Entry>),
+    /// The value was written at this revision.
+    Done(Revision),
+    /// The key has another revision, so nothing was written; holds its current entry.
+    Conflict(Entry),
+}
+
+impl SwapOutcome {
+    /// Era of the store's answer.
+    pub fn era(&self) -> Era {
+        match self {
+            Self::Done(revision) => revision.era,
+            Self::Conflict(entry) => entry.store_revision.era,
+        }
+    }
 }
 
 /// Result of a watch.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum WatchOutcome {
-    /// The key was set to this entry, or deleted if `None`.
-    Changed(Option<Entry>),
-    /// The store reported that the key did not change within the time limit of the watch.
-    Unchanged,
+    /// The key was set to this entry, or deleted.
+    Changed(Entry),
+    /// The key did not change within the time limit of the watch, up to this revision of the store.
+    Unchanged(Revision),
 }
 
 /// Future of a call to the store.
@@ -90,8 +103,14 @@
 
 /// Client of a key-value store with compare-and-swap and watches.
 pub trait Store: Send + Sync {
-    /// Reads a key; returns `None` if it does not exist.
-    fn read<'a>(&'a self, key: &'a str) -> StoreFuture<'a, Option<Entry>>;
+    /// Whether nodes may write a key. Where operators write the configuration by themselves, nodes
+    /// cannot replace it.
+    fn is_writable(&self, _key: &str) -> bool {
+        true
+    }
+
+    /// Reads a key, which may not exist.
+    fn read<'a>(&'a self, key: &'a str) -> StoreFuture<'a, Entry>;
 
     /// Writes a key if its revision is `expected`; revision 0 stands for a key that does not exist.
     fn compare_and_swap<'a>(
--- a/components/store/tests/etcd.rs
+++ b/components/store/tests/etcd.rs
@@ -12,6 +12,7 @@
 use kernel::plugin;
 use kernel::plugin::Params;
 use spread::Revision;
+use store::Entry;
 use store::Error;
 use store::STORE_PLUGINS;
 use store::Store;
@@ -83,7 +84,7 @@
 async fn compare_and_swap_failure(#[case] response: Option<String>, #[case] expected: &str) {
     let store = store_at(serve(response));
     let error = store
-        .compare_and_swap("k", Revision(1), vec![1])
+        .compare_and_swap("k", Revision::from(1), vec![1])
         .await
         .expect_err("write fails");
     assert_eq!(error_kind(&error), expected, "{error}");
@@ -96,7 +97,7 @@
         .and_then(|it| it.local_addr())
         .expect("free port");
     let error = store_at(address)
-        .compare_and_swap("k", Revision(1), vec![1])
+        .compare_and_swap("k", Revision::from(1), vec![1])
         .await
         .expect_err("write fails");
     assert_eq!(error_kind(&error), "unreachable", "{error}");
@@ -105,29 +106,44 @@
 // Checks that responses to reads and writes are decoded.
 #[tokio::test]
 async fn call_responses() {
-    let entry = r#"{"kvs": [{"value": "aGk=", "mod_revision": "7"}]}"#;
-    let read = store_at(serve(http_response("200 OK", entry)))
+    let kvs = r#"{"kvs": [{"value": "aGk=", "mod_revision": "7"}]}"#;
+    let entry = kvs.replacen('{', r#"{"header": {"revision": "9"}, "#, 1);
+    let read = store_at(serve(http_response("200 OK", &entry)))
         .read("k")
         .await
-        .expect("response")
-        .expect("key exists");
-    assert_eq!(
-        (read.value.as_slice(), read.revision),
-        (b"hi".as_slice(), Revision(7))
-    );
-    let none = store_at(serve(http_response("200 OK", "{}")))
-        .read("k")
-        .await;
-    assert_eq!(none, Ok(None));
-    let done = store_at(serve(http_response("200 OK", r#"{"succeeded": true}"#)))
-        .compare_and_swap("k", Revision(0), Vec::new())
-        .await;
-    assert_eq!(done, Ok(SwapOutcome::Done));
-    let conflict = format!(r#"{{"responses": [{{"response_range": {entry}}}]}}"#);
+        .expect("response");
+    let expected = Entry {
+        value: Some(b"hi".to_vec()),
+        revision: Revision::from(7),
+        store_revision: Revision::from(9),
+    };
+    assert_eq!(read, expected);
+    let missing = store_at(serve(http_response(
+        "200 OK",
+        r#"{"header": {"revision": "9"}}"#,
+    )))
+    .read("k")
+    .await
+    .expect("response");
+    let expected = Entry {
+        value: None,
+        revision: Revision::from(0),
+        store_revision: Revision::from(9),
+    };
+    assert_eq!(missing, expected);
+    let done = store_at(serve(http_response(
+        "200 OK",
+        r#"{"header": {"revision": "8"}, "succeeded": true}"#,
+    )))
+    .compare_and_swap("k", Revision::from(0), Vec::new())
+    .await;
+    assert_eq!(done, Ok(SwapOutcome::Done(Revision::from(8))));
+    let conflict =
+        format!(r#"{{"header": {{"revision": "9"}}, "responses": [{{"response_range": {kvs}}}]}}"#);
     let conflict = store_at(serve(http_response("200 OK", &conflict)))
-        .compare_and_swap("k", Revision(0), Vec::new())
+        .compare_and_swap("k", Revision::from(0), Vec::new())
         .await;
-    assert_eq!(conflict, Ok(SwapOutcome::Conflict(Some(read))));
+    assert_eq!(conflict, Ok(SwapOutcome::Conflict(read)));
 }
 
 // Checks that a watch ends at its first event, and with an error once no event can follow.
@@ -153,15 +169,34 @@
         "200 OK",
         &format!("{created}\n{line}\n").replace("\n\n", "\n"),
     );
-    let outcome = match store_at(serve(body)).watch("k", Revision(7)).await {
-        Ok(WatchOutcome::Changed(Some(_))) => "event".to_owned(),
-        Ok(WatchOutcome::Changed(None)) => "deleted".to_owned(),
-        Ok(WatchOutcome::Unchanged) => "nothing".to_owned(),
+    let outcome = match store_at(serve(body)).watch("k", Revision::from(7)).await {
+        Ok(WatchOutcome::Changed(entry)) => {
+            assert_eq!(entry.store_revision, Revision::from(8));
+            let event = entry.value.map_or("deleted", |_| "event");
+            event.to_owned()
+        }
+        Ok(WatchOutcome::Unchanged(_)) => "nothing".to_owned(),
         Err(error) => error.to_string(),
     };
     assert!(outcome.contains(expected), "{outcome}");
 }
 
+// Checks that a watch ends if the store's revision is below the one that was read. After a restore it would
+// wait for a revision that comes much later, and miss the changes below it.
+#[rstest]
+#[case::restored("6", "the store has returned to revision 6")]
+#[case::same("7", "the watch ended")]
+#[case::higher("9", "the watch ended")]
+#[tokio::test]
+async fn watch_restored(#[case] revision: &str, #[case] expected: &str) {
+    let created =
+        format!(r#"{{"result": {{"header": {{"revision": "{revision}"}}, "created": true}}}}"#);
+    let body = http_response("200 OK", &format!("{created}\n"));
+    let result = store_at(serve(body)).watch("k", Revision::from(7)).await;
+    let error = result.expect_err("no event");
+    assert!(error.to_string().contains(expected), "{error}");
+}
+
 // Checks that params with which no call could succeed are refused.
 #[rstest]
 #[case::valid("127.33.4.1:1", "1", true)]
