Accept fractions and missing figures in what an environment fills in

Cause: retry read slack as a whole number, although it is only ever divided among the nodes. The class: of the values that the settings template leaves to the platform, also descriptors was read as a whole number; stop_grace_s, ratio, window_s, slack, descriptors and service ended the node if the platform has no value, and the bounds and the limit if it states true or false.

Fix, by placeholder of deploy/node.yaml: - bounds (slack, ratio, window_s, stop_grace_s): real-valued, read by quantity::parse. Without a figure (empty, true, false) the default holds. - descriptors: a limit on whole things; its fraction is dropped. Without a figure the default holds. - service: empty counts as not set. An empty list of domains was accepted before and has a test now. - node, domain, addresses and ports: required, still refused if they are empty. An empty value of any other optional setting or param counts as not set too. Negative, infinite, NaN and out of range are refused as before, now with the accepted range.

--- a/components/http1/src/lib.rs
+++ b/components/http1/src/lib.rs
@@ -61,7 +61,7 @@
             .without(DESCRIPTORS_PARAM)
             .without(PIPELINE_PARAM);
         let dialect = plugin::build(DIALECT_PARAM, &DIALECT_PLUGINS, name, &dialect_params)?;
-        let descriptors = params.u64_or(DESCRIPTORS_PARAM, DEFAULT_DESCRIPTORS)?;
+        let descriptors = params.limit_or(DESCRIPTORS_PARAM, DEFAULT_DESCRIPTORS)?;
         let pipeline = params.u64_or(PIPELINE_PARAM, DEFAULT_PIPELINE)?;
         if !(1..=MAX_PIPELINE).contains(&pipeline) {
             return Err(plugin::Error::InvalidParam {
--- a/components/kernel/src/lib.rs
+++ b/components/kernel/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod clock;
 pub mod control_loop;
 pub mod plugin;
+pub mod quantity;
 pub mod random;
 
 mod state_machine;
--- a/components/kernel/src/plugin.rs
+++ b/components/kernel/src/plugin.rs
@@ -9,6 +9,11 @@
 use linkme::distributed_slice;
 use quick_error::quick_error;
 
+use crate::quantity;
+
+/// Accepted values of a limit.
+const LIMITS: RangeInclusive<f64> = 0.0..=u64::MAX as f64;
+
 /// All extension points of the program.
 #[distributed_slice]
 pub static EXTENSION_POINTS: [ExtensionPoint];
@@ -56,11 +61,11 @@
         }
     }
 
-    /// Returns the value of the param `name` as written in the settings.
+    /// Returns the value of the param `name` as written in the settings. An empty value counts as not
+    /// set.
     pub fn get(&self, name: &str) -> Option<&str> {
-        self.position(name)
-            .ok()
-            .map(|index| self.values[index].1.as_str())
+        let index = self.position(name).ok()?;
+        Some(self.values[index].1.as_str()).filter(|value| !value.is_empty())
     }
 
     /// Parses the param `name` as a whole number; returns `default` if the param is not set.
@@ -75,21 +80,32 @@
         })
     }
 
-    /// Parses the param `name` as a number in `range`; returns `default` if the param is not set.
+    /// Parses the param `name` as a limit on whole things, of which a fraction is dropped; returns
+    /// `default` if the param is not set or states no figure.
+    pub fn limit_or(&self, name: &str, default: u64) -> Result<u64, Error> {
+        let limit = self.quantity(name, LIMITS)?;
+        Ok(limit.map_or(default, |limit| limit as u64))
+    }
+
+    /// Parses the param `name` as a number in `range`; returns `default` if the param is not set or
+    /// states no figure.
     pub fn f64_or(
         &self,
         name: &str,
         default: f64,
         range: RangeInclusive<f64>,
     ) -> Result<f64, Error> {
-        let Some(value) = self.get(name) else {
-            return Ok(default);
-        };
-        let number = value.parse().ok().filter(|number| range.contains(number));
-        number.ok_or_else(|| Error::InvalidParam {
+        Ok(self.quantity(name, range)?.unwrap_or(default))
+    }
+
+    /// Parses the param `name` as a number in `range`; returns `None` if the param is not set or states
+    /// no figure.
+    pub fn quantity(&self, name: &str, range: RangeInclusive<f64>) -> Result<Option<f64>, Error> {
+        let value = self.get(name).unwrap_or_default();
+        quantity::parse(value, range).map_err(|error| Error::InvalidQuantity {
             name: name.to_owned(),
             value: value.to_owned(),
-            expected: "a number in the range of the param",
+            hint: error.to_string(),
         })
     }
 
@@ -135,6 +151,10 @@
         InvalidParam { name: String, value: String, expected: &'static str } {
             display("plug-in param {name}: {value:?} is not {expected}")
         }
+        /// A param of the plug-in is not a number in the range of the param.
+        InvalidQuantity { name: String, value: String, hint: String } {
+            display("plug-in param {name}: {value:?} is not usable; {hint}")
+        }
     }
 }
 
--- a/components/retry/src/budget.rs
+++ b/components/retry/src/budget.rs
@@ -37,6 +37,8 @@
 const RATIOS: RangeInclusive<f64> = 0.0..=1.0;
 /// Accepted values of the param `window_s`, in seconds.
 const WINDOW_SECONDS: RangeInclusive<f64> = 0.1..=3_600.0;
+/// Accepted values of the param `slack`, in retries.
+const SHARED_RESERVES: RangeInclusive<f64> = 0.0..=1e9;
 /// Upper bound of the random wait before the first retry; doubles with each further retry.
 const INITIAL_MAX_JITTER: Duration = Duration::from_millis(5);
 /// Upper bound of the random wait before any retry.
@@ -79,7 +81,7 @@
     /// `percent`: most executions beyond the first per request, onward calls included), `attempts`
     /// (maximum number of attempts at a request), `window_s` (seconds of a window), `reserve` (retries
     /// of a node in one window regardless of its first attempts) and `slack` (the same for all nodes
-    /// together, in place of `reserve`).
+    /// together, in place of `reserve`). Fails if a param is unknown or its value is not accepted.
     pub fn from_params(params: &Params) -> Result<Self, Error> {
         params.check_names(&[
             "attempts", "percent", "ratio", "reserve", "slack", "window_s",
@@ -87,15 +89,13 @@
         let max_attempts = params.u64_or("attempts", DEFAULT_MAX_ATTEMPTS)?;
         let reserve = params.u64_or("reserve", DEFAULT_RESERVE)?;
         let percent = params.u64_or("percent", DEFAULT_PERCENT)?.min(100);
-        let tokens_per_request = match params.get("ratio") {
+        let tokens_per_request = match params.quantity("ratio", RATIOS)? {
             None => percent as f64 / 100.0,
-            Some(_) if params.get("percent").is_none() => {
-                params.f64_or("ratio", 0.0, RATIOS)? * RATIO_PART
-            }
+            Some(ratio) if params.get("percent").is_none() => ratio * RATIO_PART,
             Some(ratio) => {
                 return Err(Error::InvalidParam {
                     name: "ratio".to_owned(),
-                    value: ratio.to_owned(),
+                    value: ratio.to_string(),
                     expected: "allowed beside 'percent'",
                 });
             }
@@ -106,7 +106,7 @@
             window: Duration::from_secs_f64(window),
             max_attempts: u32::try_from(max_attempts).unwrap_or(u32::MAX),
             reserve: reserve as f64,
-            shared_reserve: params.u64_or("slack", 0)? as f64,
+            shared_reserve: params.f64_or("slack", 0.0, SHARED_RESERVES)?,
             buckets: Vec::new(),
         })
     }
--- a/components/retry/tests/budget.rs
+++ b/components/retry/tests/budget.rs
@@ -38,6 +38,12 @@
     RetryBudget::from_params(&Params::default()).expect("default params are valid")
 }
 
+fn budget_with(pairs: &[(&str, &str)]) -> RetryBudget {
+    let to_owned = |(name, value): &(&str, &str)| (name.to_string(), value.to_string());
+    let params = Params::from_pairs(pairs.iter().map(to_owned));
+    RetryBudget::from_params(&params).expect("the params are valid")
+}
+
 /// A retry is denied if it could run a request twice, if a level further out retries too, if the
 /// attempts or the body are used up, or if it would come after the deadline.
 #[rstest]
@@ -119,11 +125,12 @@
 
 /// Each node gets an equal part of the shared reserve, so that all nodes together stay within it.
 #[rstest]
-#[case::few_nodes(4, 7)]
-#[case::many_nodes(14, 2)]
-fn set_node_count_share(#[case] node_count: usize, #[case] expected: usize) {
-    let params = Params::from_pairs([("slack".to_owned(), "56".to_owned())]);
-    let mut budget = RetryBudget::from_params(&params).expect("the params are valid");
+#[case::few_nodes("56", 4, 7)]
+#[case::many_nodes("56", 14, 2)]
+#[case::fraction("33.82352941176471", 4, 4)]
+#[case::part_of_a_fraction("33.9", 3, 5)]
+fn set_node_count_share(#[case] slack: &str, #[case] node_count: usize, #[case] expected: usize) {
+    let mut budget = budget_with(&[("slack", slack)]);
     budget.set_node_count(node_count);
     let mut random = SeededRandom::new(1);
     let allowed = (0..100).filter(|_| budget.allow(Time(0), FAILURE, &mut random).is_ok());
@@ -161,3 +168,40 @@
     }
     assert_eq!(Some(retries), retries_per_100);
 }
+
+/// Guards against nodes that end at their start because a limit on retries is a fraction or not stated, and
+/// against a limit that is not stated and forbids or allows all retries: the default holds.
+#[rstest]
+#[case::slack_fraction("slack", "33.82352941176471")]
+#[case::slack_absent("slack", "")]
+#[case::slack_switched_off("slack", "false")]
+#[case::ratio_absent("ratio", "")]
+#[case::ratio_switched_on("ratio", "true")]
+#[case::window_fraction("window_s", "9.5")]
+#[case::window_absent("window_s", "")]
+#[case::window_switched_off("window_s", "false")]
+fn from_params_accepted(#[case] name: &str, #[case] value: &str) {
+    let mut budget = budget_with(&[(name, value)]);
+    let mut random = SeededRandom::new(1);
+    for _ in 0..3 {
+        assert!(budget.allow(Time(0), FAILURE, &mut random).is_ok());
+    }
+    assert!(budget.allow(Time(0), FAILURE, &mut random).is_err());
+    for _ in 0..11 {
+        budget.record_first_attempt(Time(0), SERVICE);
+    }
+    assert!(budget.allow(Time(0), FAILURE, &mut random).is_ok());
+    assert!(budget.allow(Time(0), FAILURE, &mut random).is_err());
+}
+
+/// Guards against a limit on retries that has no meaning and allows any number of them.
+#[rstest]
+fn from_params_slack_refused(
+    #[values("-1", "-0.5", "NaN", "inf", "1e30", "56 retries")] slack: &str,
+) {
+    let params = Params::from_pairs([("slack".to_owned(), slack.to_owned())]);
+    let error = RetryBudget::from_params(&params).expect_err("the value is refused");
+    let expected =
+        format!("plug-in param slack: {slack:?} is not usable; write a number from 0 to ");
+    assert!(error.to_string().starts_with(&expected), "{error}");
+}
--- a/components/settings/src/check.rs
+++ b/components/settings/src/check.rs
@@ -12,6 +12,7 @@
 use crate::Settings;
 use crate::raw::RawSettings;
 use crate::settings;
+use kernel::quantity;
 
 /// Maximum length of a name, in bytes. Names of instances and failure domains are sent in datagrams.
 const MAX_NAME_BYTES: usize = 63;
@@ -34,6 +35,11 @@
     }
 }
 
+/// Returns the value of an optional key; an empty value counts as not set.
+fn non_empty(raw: Option<&Spanned<String>>) -> Option<&Spanned<String>> {
+    raw.filter(|raw| !raw.value.is_empty())
+}
+
 /// Collects the problems of one file.
 #[derive(Default)]
 struct Checker {
@@ -55,7 +61,7 @@
         // The upstream must not be an address of the node itself: the node would forward a request to
         // itself endlessly.
         let upstream = self.check_unique_address("upstream", &raw.upstream);
-        let service = raw.service.as_ref();
+        let service = non_empty(raw.service.as_ref());
         let service = service.and_then(|service| self.check_name("service", service));
         let contacts = self.check_contacts(&raw.contacts);
         let default_threads = settings::DEFAULT_TRAFFIC_THREADS;
@@ -211,7 +217,10 @@
 
     /// Returns the drain limit in milliseconds, from whichever of its two keys is set.
     fn check_drain_limit(&mut self, raw: &RawSettings) -> Option<u64> {
-        let Some(grace) = &raw.stop_grace_s else {
+        // An environment that knows no grace time leaves the value empty or switches it off.
+        let grace = raw.stop_grace_s.as_ref();
+        let seconds = grace.map(|grace| quantity::parse(&grace.value, STOP_GRACE_SECONDS));
+        let (Some(grace), Some(seconds)) = (grace, seconds.and_then(Result::transpose)) else {
             return self.check_number(
                 "drain_limit_ms",
                 raw.drain_limit_ms.as_ref(),
@@ -220,15 +229,13 @@
                 settings::DEFAULT_DRAIN_LIMIT_MS,
             );
         };
-        if raw.drain_limit_ms.is_some() {
+        if non_empty(raw.drain_limit_ms.as_ref()).is_some() {
             let message = "is set together with drain_limit_ms".to_owned();
             let hint = "remove one: the drain limit follows from stop_grace_s";
             self.add_problem("stop_grace_s", grace, message, hint);
             return None;
         }
-        let seconds = grace.value.parse::<f64>().ok();
-        let seconds = seconds.filter(|seconds| STOP_GRACE_SECONDS.contains(seconds));
-        let Some(seconds) = seconds else {
+        let Ok(seconds) = seconds else {
             let message = format!("{:?} is not usable", grace.value);
             let hint = format!(
                 "write a number of seconds from {} to {}, without a unit",
@@ -250,7 +257,7 @@
         max: u64,
         default: u64,
     ) -> Option<u64> {
-        let Some(raw) = raw else {
+        let Some(raw) = non_empty(raw) else {
             return Some(default);
         };
         match raw.value.parse() {
--- a/components/settings/tests/settings.rs
+++ b/components/settings/tests/settings.rs
@@ -124,6 +124,16 @@
     "stop_grace_s: .nan\nstore:",
     "line 10: stop_grace_s: \".nan\" is not usable"
 )]
+#[case::grace_infinite(
+    "store:",
+    "stop_grace_s: inf\nstore:",
+    "line 10: stop_grace_s: \"inf\" is not usable; write a number of seconds from 1 to 600"
+)]
+#[case::grace_negative(
+    "store:",
+    "stop_grace_s: -6\nstore:",
+    "line 10: stop_grace_s: \"-6\" is not usable; write a number of seconds from 1 to 600"
+)]
 #[case::grace_and_limit(
     "store:",
     "stop_grace_s: 6\ndrain_limit_ms: 5000\nstore:",
@@ -179,6 +189,32 @@
     assert_eq!(settings.drain_limit_ms, drain_limit_ms);
 }
 
+/// Guards against nodes that all end at their start because their supervisor states no grace time: the default
+/// holds, or the limit that is set beside it.
+#[rstest]
+#[case::empty("stop_grace_s: \"\"", 30_000)]
+#[case::null("stop_grace_s:", 30_000)]
+#[case::switched_off("stop_grace_s: \"false\"", 30_000)]
+#[case::switched_on("stop_grace_s: true", 30_000)]
+#[case::beside_limit("stop_grace_s: \"\"\ndrain_limit_ms: 5000", 5_000)]
+#[case::empty_limit("drain_limit_ms: \"\"", 30_000)]
+fn parse_stop_grace_absent(#[case] line: &str, #[case] drain_limit_ms: u64) {
+    let text = VALID.replace("store:", &format!("{line}\nstore:"));
+    let settings = parse(Path::new("node.yaml"), &text).expect("settings are valid");
+    assert_eq!(settings.drain_limit_ms, drain_limit_ms);
+}
+
+/// Guards against nodes that end at their start because the environment names no service, or no failure
+/// domains beside their own.
+#[rstest]
+#[case::empty("service: \"\"\ndomains: [ ]")]
+#[case::null("service:\ndomains: []")]
+fn parse_empty(#[case] lines: &str) {
+    let text = VALID.replace("store:", &format!("{lines}\nstore:"));
+    let settings = parse(Path::new("node.yaml"), &text).expect("settings are valid");
+    assert_eq!((settings.service, settings.domains), (None, Vec::new()));
+}
+
 /// Appends the keys of the settings, as paths in the file, with their values. The value of a plug-in
 /// is its name.
 fn flatten(prefix: &str, value: &serde_json::Value, keys: &mut Vec<(String, String)>) {
