Test that a calm fleet saves up no retries

What callers would see: after a long calm, a failing upstream gets many times the retries that its budget allows, because every node has saved up tokens.

Cause: nothing failed when the cap on the tokens that time adds was taken out of RetryBudget. A service whose tokens were once spent keeps its bucket, and its refill then goes on for as long as the fleet is calm.

The code stays as it is. The test states the budget for fewer nodes than half of the shared reserve; with more nodes each still holds the one token of a retry.

--- a/components/retry/tests/budget.rs
+++ b/components/retry/tests/budget.rs
@@ -205,3 +205,56 @@
         format!("plug-in param slack: {slack:?} is not usable; write a number from 0 to ");
     assert!(error.to_string().starts_with(&expected), "{error}");
 }
+
+/// What the nodes of a fleet do before an incident.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Calm {
+    /// No node has a request.
+    NoRequests,
+    /// Each node has a request in each second; none fails.
+    Requests,
+    /// Each node spends all of its tokens, then no node has a request.
+    NoRequestsAfterRetries,
+}
+
+/// Guards against a fleet that saves up retries while it is calm and sends them all at once when an
+/// upstream fails: in any window, the nodes together retry no more often than the budget of one window.
+#[rstest]
+fn allow_after_calm(
+    #[values(Calm::NoRequests, Calm::Requests, Calm::NoRequestsAfterRetries)] calm: Calm,
+    #[values("56", "33.82352941176471")] slack: &str,
+    #[values(0.25, 12.0, 1_000.0)] calm_windows: f64,
+) {
+    const NODE_COUNT: usize = 4;
+    const WINDOW_MICROS: u64 = 10_000_000;
+    const STEP_MICROS: u64 = 10_000;
+    let incident = (calm_windows * WINDOW_MICROS as f64) as u64;
+    let mut random = SeededRandom::new(1);
+    let mut retries = Vec::new();
+    for _ in 0..NODE_COUNT {
+        let mut budget = budget_with(&[("slack", slack), ("ratio", "0.2"), ("window_s", "10")]);
+        budget.set_node_count(NODE_COUNT);
+        if calm == Calm::NoRequestsAfterRetries {
+            while budget.allow(Time(0), FAILURE, &mut random).is_ok() {}
+        }
+        if calm == Calm::Requests {
+            for now in (0..incident).step_by(1_000_000) {
+                budget.record_first_attempt(Time(now), SERVICE);
+            }
+        }
+        // From here on, each node retries whenever it may; nobody sends new requests.
+        for now in (incident..incident + 3 * WINDOW_MICROS).step_by(STEP_MICROS as usize) {
+            while budget.allow(Time(now), FAILURE, &mut random).is_ok() {
+                retries.push(now);
+            }
+        }
+    }
+    retries.sort_unstable();
+    let count_from = |index: usize| {
+        let end = retries[index] + WINDOW_MICROS;
+        retries.partition_point(|now| *now < end) - index
+    };
+    let most = (0..retries.len()).map(count_from).max().unwrap_or(0);
+    let allowed: f64 = slack.parse().expect("the slack is a number");
+    assert!(most as f64 <= allowed, "{most} retries in one window");
+}
