Continue a watch from the revision up to which it saw no change

What callers saw: not measured. Where the store drops its history (historyS is 20 s on the platform), a watch of a configuration that does not change gets 410 once per span of history, and is replaced by a read after the backoff.

Cause: an answer without a change carries the store's revision, but the next watch started again at the revision of the read. The platform's pages say to continue from storeRevision. A watch whose prefix matches a key that changes would also end at once each time, at the rate of the call budget.

Evidence: continue_watch_unchanged fails before, as the second watch starts at 100 in place of 120; with the change the tests of spread and control pass.

Why it works: the answer is only used where it includes the revision that was watched, so it is of the same era and not lower.

--- a/components/spread/src/store_watch.rs
+++ b/components/spread/src/store_watch.rs
@@ -149,9 +149,10 @@
                 self.call = CallState::Due(now);
                 return;
             }
-            StoreEvent::Unchanged { .. } => {
+            StoreEvent::Unchanged { store_revision } => {
+                self.watched_revision = *store_revision;
                 let call = Output::WatchConfig {
-                    after: self.watched_revision,
+                    after: *store_revision,
                 };
                 return self.start_call(now, budget, call, out);
             }
--- a/components/spread/tests/machine.rs
+++ b/components/spread/tests/machine.rs
@@ -632,3 +632,19 @@
     requested_domains.dedup();
     assert_eq!(requested_domains, domains[1..]);
 }
+
+/// Checks that a watch goes on from the revision up to which it saw no change. Renewed at the revision of
+/// the read, it leaves the history that the store keeps, gets 410, and the node has no watch until the
+/// next read.
+#[rstest]
+fn continue_watch_unchanged() {
+    let mut node = Node::new();
+    node.start_watching();
+    node.handle_store_event(stored(5, Revision::new(Era(3), 100)));
+    for number in [120, 120, 150] {
+        node.now = node.now + WATCH_TIME;
+        let store_revision = Revision::new(Era(3), number);
+        let out = node.handle_store_event(StoreEvent::Unchanged { store_revision });
+        assert_eq!(watched(&out), Some(store_revision));
+    }
+}
