Test that contacts of an earlier era are not written on

With the check of handle_contacts_event taken out (the answer handled as it is in place of as a failure), no test of spread or control failed. Now write_contacts_late_answer::case_1_late_answer does.

--- a/components/spread/tests/machine.rs
+++ b/components/spread/tests/machine.rs
@@ -648,3 +648,30 @@
         assert_eq!(watched(&out), Some(store_revision));
     }
 }
+
+/// Checks that contacts which were read before a restore are not written on. Their revision is of the lost
+/// history, and the restored store may have given the number out again for another list.
+#[rstest]
+#[case::late_answer(1, false)]
+#[case::newest_era(2, true)]
+fn write_contacts_late_answer(#[case] era: u64, #[case] is_written: bool) {
+    let mut node = Node::new();
+    node.start_watching();
+    node.handle_store_event(stored(5, Revision::new(Era(2), 10)));
+    let event = ContactsEvent::Value {
+        addresses: Vec::new(),
+        revision: Revision::new(Era(era), 7),
+    };
+    let mut out = Vec::new();
+    node.machine.handle_contacts_event(
+        node.now,
+        event,
+        (&member_table(3), &Domain::new("apapa")),
+        &mut node.random,
+        &mut out,
+    );
+    let writes = out
+        .iter()
+        .any(|it| matches!(it, Output::WriteContacts { .. }));
+    assert_eq!(writes, is_written);
+}
