Complete a list of contacts that names unknown nodes at once

Cause: the node lists itself alone. The others read a list with an address that they don't know, and wait for their next read, 30 s or more later, before they write at all, though only the removal of unknown addresses needs that.

Evidence: before, update_contacts::case_5_new_listed_alone (no write) and restore_store_new_node::case_2_start_before_reads (version 1 after 15 s) fail.

Why it works: missing live addresses are added at once and unknown ones stay in the list until a second read finds them still unknown, as before.

--- a/components/control/tests/fleet/faults.rs
+++ b/components/control/tests/fleet/faults.rs
@@ -299,10 +299,13 @@
 
 /// Checks that a node which starts on a restored store, with neither contacts nor the newest version there,
 /// gets the newest version once the others have written their contacts again. It serves the older one
-/// until then, as it knows of no other node.
+/// until then, as it knows of no other node. A node that lists itself before the others have read the contacts
+/// was alone there until their next read, 30 s or more later.
 #[rstest]
-fn restore_store_new_node() {
-    let mut fleet = Fleet::start_serving(23, NODES);
+#[case::start_at_restore(23, 0.0)]
+#[case::start_before_reads(177, 1.6016)]
+fn restore_store_new_node(#[case] seed: u64, #[case] elapsed: f64) {
+    let mut fleet = Fleet::start_serving(seed, NODES);
     fleet.store.read_only_config = true;
     let mut copy = fleet.store.copy();
     copy.clear_contacts();
@@ -310,8 +313,9 @@
     fleet.run(5.0);
     fleet.store.restore(copy);
     fleet.settings_contacts = false;
+    fleet.run(elapsed);
     let index = fleet.add(Some(Stage::Ready));
-    fleet.run(2.0);
+    fleet.run(2.0 - elapsed);
     let deliveries = fleet.store.expire_watches();
     fleet.deliver_all(deliveries);
     // Nodes serve again within 15 s of a fault.
--- a/components/spread/src/contacts.rs
+++ b/components/spread/src/contacts.rs
@@ -233,21 +233,21 @@
             .collect();
         live_by_score.sort_unstable();
         let is_live = |address: &SocketAddr| live_by_score.iter().any(|(_, it)| it == address);
-        let mut updated: Vec<_> = listed.iter().copied().filter(is_live).collect();
-        updated.truncate(MAX_ADDRESSES);
-        let has_unconfirmed_now = updated.len() < listed.len();
-        let is_incomplete = updated.len() < live_by_score.len().min(MAX_ADDRESSES);
-        // Nodes that aren't known to be alive may be behind a network partition or not discovered
-        // yet, so their addresses are removed only if they are still unconfirmed at the next read.
+        let has_unconfirmed_now = !listed.iter().all(is_live);
         let had_unconfirmed_before =
             std::mem::replace(&mut self.has_unconfirmed, has_unconfirmed_now);
+        // Nodes that aren't known to be alive may be behind a network partition or not discovered
+        // yet, so their addresses are removed only if they are still unconfirmed at the next read.
+        let is_kept = |address: &SocketAddr| is_live(address) || !had_unconfirmed_before;
+        let mut updated: Vec<_> = listed.iter().copied().filter(is_kept).collect();
+        updated.truncate(MAX_ADDRESSES);
+        let has_removed = updated.len() < listed.len();
+        let is_missing = |(_, address): &(_, SocketAddr)| !updated.contains(address);
+        let is_incomplete = updated.len() < MAX_ADDRESSES && live_by_score.iter().any(is_missing);
         let written_recently = self
             .last_write
             .is_some_and(|it| now.since(it) < REFRESH_INTERVAL);
-        if !(is_incomplete || has_unconfirmed_now)
-            || (has_unconfirmed_now && !had_unconfirmed_before)
-            || written_recently
-        {
+        if !(is_incomplete || has_removed) || written_recently {
             return None;
         }
         for (_, address) in live_by_score {
--- a/components/spread/tests/machine.rs
+++ b/components/spread/tests/machine.rs
@@ -530,6 +530,7 @@
 #[case::incomplete(&[1, 2], 3, [Some(3), Some(3)])]
 #[case::many_members(&[], 20, [Some(8), Some(8)])]
 #[case::dead_listed_twice(&[1, 2, 3, 99], 3, [None, Some(3)])]
+#[case::new_listed_alone(&[98], 3, [Some(4), Some(3)])]
 fn update_contacts(
     #[case] listed: &[u8],
     #[case] live: u8,
