--- a/components/spread/tests/machine.rs
+++ b/components/spread/tests/machine.rs
@@ -530,6 +530,7 @@
 #[case::incomplete(&[1, 2], 3, [Some(3), Some(3)])]
 #[case::many_members(&[], 20, [Some(8), Some(8)])]
 #[case::dead_listed_twice(&[1, 2, 3, 99], 3, [None, Some(3)])]
+#[case::new_listed_alone(&[98], 3, [Some(4), Some(3)])]
 fn update_contacts(
     #[case] listed: &[u8],
     #[case] live: u8,
@@ -632,3 +633,46 @@
     requested_domains.dedup();
     assert_eq!(requested_domains, domains[1..]);
 }
+
+/// Checks that a watch goes on from the revision up to which it saw no change. Renewed at the revision of
+/// the read, it leaves the history that the store keeps, gets 410, and the node has no watch until the
+/// next read.
+#[rstest]
+fn continue_watch_unchanged() {
+    let mut node = Node::new();
+    node.start_watching();
+    node.handle_store_event(stored(5, Revision::new(Era(3), 100)));
+    for number in [120, 120, 150] {
+        node.now = node.now + WATCH_TIME;
+        let store_revision = Revision::new(Era(3), number);
+        let out = node.handle_store_event(StoreEvent::Unchanged { store_revision });
+        assert_eq!(watched(&out), Some(store_revision));
+    }
+}
+
+/// Checks that contacts which were read before a restore are not written on. Their revision is of the lost
+/// history, and the restored store may have given the number out again for another list.
+#[rstest]
+#[case::late_answer(1, false)]
+#[case::newest_era(2, true)]
+fn write_contacts_late_answer(#[case] era: u64, #[case] is_written: bool) {
+    let mut node = Node::new();
+    node.start_watching();
+    node.handle_store_event(stored(5, Revision::new(Era(2), 10)));
+    let event = ContactsEvent::Value {
+        addresses: Vec::new(),
+        revision: Revision::new(Era(era), 7),
+    };
+    let mut out = Vec::new();
+    node.machine.handle_contacts_event(
+        node.now,
+        event,
+        (&member_table(3), &Domain::new("apapa")),
+        &mut node.random,
+        &mut out,
+    );
+    let writes = out
+        .iter()
+        .any(|it| matches!(it, Output::WriteContacts { .. }));
+    assert_eq!(writes, is_written);
+}
