--- a/components/daemon/tests/drain.rs
+++ b/components/daemon/tests/drain.rs
@@ -2,6 +2,7 @@
 
 mod support;
 
+use std::net::SocketAddr;
 use std::sync::atomic::Ordering::SeqCst;
 use std::time::Duration;
 use std::time::Instant;
@@ -32,7 +33,7 @@
 }
 
 /// Sends requests, up to 10 on each connection, until the node no longer listens or 100 have ended.
-fn spawn_caller(callers: std::net::SocketAddr, method: &'static str) -> JoinHandle<OutcomeCounts> {
+fn spawn_caller(callers: SocketAddr, method: &'static str) -> JoinHandle<OutcomeCounts> {
     tokio::spawn(async move {
         let mut counts = OutcomeCounts::default();
         for _ in 0..100 {
@@ -63,6 +64,37 @@
     })
 }
 
+/// Sends a request to a node at `callers` and returns once the upstream of `owner` runs it.
+async fn send_running(
+    callers: SocketAddr,
+    owner: &Node,
+    request: impl AsRef<[u8]>,
+) -> CallerConnection {
+    let count_before = owner.upstream_record.request_count();
+    let mut caller = CallerConnection::connect(callers).await;
+    caller.send(request).await;
+    wait_until("request", || {
+        owner.upstream_record.request_count() > count_before
+    })
+    .await;
+    caller
+}
+
+/// Starts a node that serves, with other times of its drain than the default.
+async fn start_lingering(
+    store: SocketAddr,
+    drain_limit_ms: u64,
+    (linger_ms, notice_ms): (u64, u64),
+) -> Node {
+    let node = Node::spawn_with(store, &[], drain_limit_ms, |settings| {
+        settings.drain_linger_ms = linger_ms;
+        settings.drain_notice_ms = notice_ms;
+    })
+    .await;
+    node.wait_until_serving().await;
+    node
+}
+
 /// Checks that a drain cuts off no request, whether it arrived at the leaving node or was forwarded to it
 /// by another node.
 #[rstest]
@@ -131,12 +163,11 @@
 ) {
     let store = start_store().await;
     let node = Node::start(store, &[], drain_limit_ms).await;
-    let count_before = node.upstream_record.request_count();
-    let mut caller = CallerConnection::connect(node.settings.listen.callers).await;
-    caller.send(request_with_body("POST", path, 1)).await;
-    wait_until("request", || {
-        node.upstream_record.request_count() > count_before
-    })
+    let mut caller = send_running(
+        node.settings.listen.callers,
+        &node,
+        request_with_body("POST", path, 1),
+    )
     .await;
     let started = Instant::now();
     node.drain(false).await;
@@ -167,14 +198,11 @@
 async fn drain_signal_after_operator(#[case] signals: u32, #[case] finishes: bool) {
     let store = start_store().await;
     let node = Node::start(store, &[], DRAIN_LIMIT_MS).await;
-    let count_before = node.upstream_record.request_count();
-    let mut caller = CallerConnection::connect(node.settings.listen.callers).await;
-    caller
-        .send(request_with_body("POST", "/wait/1500", 1))
-        .await;
-    wait_until("request", || {
-        node.upstream_record.request_count() > count_before
-    })
+    let mut caller = send_running(
+        node.settings.listen.callers,
+        &node,
+        request_with_body("POST", "/wait/1500", 1),
+    )
     .await;
     node.drain(true).await;
     for _ in 0..signals {
@@ -377,13 +405,7 @@
     let served =
         async { while exchange(callers, get_request("/x")).await.unwrap().status() != 200 {} };
     tokio::time::timeout(TIMEOUT, served).await.unwrap();
-    let count_before = owner.upstream_record.request_count();
-    let mut caller = CallerConnection::connect(callers).await;
-    caller.send(request_with_body(method, "/never", 1)).await;
-    wait_until("request", || {
-        owner.upstream_record.request_count() > count_before
-    })
-    .await;
+    let mut caller = send_running(callers, owner, request_with_body(method, "/never", 1)).await;
     leaving_node.drain(false).await;
     if second_stop {
         leaving_node.drain(false).await;
@@ -466,12 +488,7 @@
     #[values("GET", "POST")] method: &str,
 ) {
     let store = start_store().await;
-    let node = Node::spawn_with(store, &[], 2_000, |settings| {
-        settings.drain_linger_ms = 900;
-        settings.drain_notice_ms = 100;
-    })
-    .await;
-    node.wait_until_serving().await;
+    let node = start_lingering(store, 2_000, (900, 100)).await;
     node.drain(false).await;
     tokio::time::sleep(Duration::from_millis(200)).await;
     let mut caller = CallerConnection::connect(node.settings.listen.callers).await;
@@ -490,22 +507,10 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn drain_connection_after_listeners() {
     let store = start_store().await;
-    let node = Node::spawn_with(store, &[], DRAIN_LIMIT_MS, |settings| {
-        settings.drain_linger_ms = 100;
-        settings.drain_notice_ms = 100;
-    })
-    .await;
-    node.wait_until_serving().await;
+    let node = start_lingering(store, DRAIN_LIMIT_MS, (100, 100)).await;
     let callers = node.settings.listen.callers;
-    let count_before = node.upstream_record.request_count();
-    let mut running = CallerConnection::connect(callers).await;
-    running
-        .send(request_with_body("POST", "/wait/2500", 1))
-        .await;
-    wait_until("request", || {
-        node.upstream_record.request_count() > count_before
-    })
-    .await;
+    let mut running =
+        send_running(callers, &node, request_with_body("POST", "/wait/2500", 1)).await;
     node.drain(false).await;
     tokio::time::sleep(Duration::from_millis(500)).await;
     let started = Instant::now();
@@ -524,21 +529,10 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn drain_upstream_call_after_listeners() {
     let store = start_store().await;
-    let node = Node::spawn_with(store, &[], DRAIN_LIMIT_MS, |settings| {
-        settings.drain_linger_ms = 100;
-        settings.drain_notice_ms = 100;
-    })
-    .await;
-    node.wait_until_serving().await;
+    let node = start_lingering(store, DRAIN_LIMIT_MS, (100, 100)).await;
     let callers = node.settings.listen.callers;
-    let count_before = node.upstream_record.request_count();
-    let mut caller = CallerConnection::connect(callers).await;
     let head = format!("GET /onward HTTP/1.1\r\nhost: h\r\nx-via: {callers}\r\n\r\n");
-    caller.send(head).await;
-    wait_until("request", || {
-        node.upstream_record.request_count() > count_before
-    })
-    .await;
+    let mut caller = send_running(callers, &node, head).await;
     node.drain(false).await;
     let response = caller.receive().await.expect("the request is answered");
     assert_eq!(response.status(), 200);
