--- a/components/front/src/driver.rs
+++ b/components/front/src/driver.rs
@@ -15,6 +15,7 @@
 use crate::Permit;
 use crate::health_log;
 use crate::permit::Admitted;
+use crate::upstream_log;
 use control::Topology;
 use ids::NodeId;
 use ids::RequestId;
@@ -386,6 +387,7 @@
                         let _ = sender.send(outcome);
                     }
                 }
+                owner::Effect::RateLimitReported(report) => upstream_log::log_rate_limit(report),
                 owner::Effect::Drained => self.drained.cancel(),
             }
         }
--- a/components/front/src/lib.rs
+++ b/components/front/src/lib.rs
@@ -9,6 +9,7 @@
 mod health_log;
 mod permit;
 mod query;
+mod upstream_log;
 
 use std::io;
 use std::net::SocketAddr;
--- /dev/null
+++ b/components/front/src/upstream_log.rs
@@ -0,0 +1,35 @@
+//! Log lines on what the upstream states about itself in its responses.
+
+use std::time::Duration;
+
+use log::info;
+use log::warn;
+
+use telemetry::LogLimiter;
+use traffic::owner::RateLimitReport;
+
+/// Limit on log lines per second. A limit that stays the same is reported once a second; one that differs
+/// in each response would cause a line for each.
+const MAX_LINES_PER_SECOND: u32 = 5;
+
+static LOG_LIMITER: LogLimiter =
+    LogLimiter::with_lines(MAX_LINES_PER_SECOND, Duration::from_secs(1));
+
+/// Logs the rate limit that the upstream names, and how many requests it was sent.
+pub(crate) fn log_rate_limit(report: RateLimitReport) {
+    let Some(suppressed) = LOG_LIMITER.admit() else {
+        return;
+    };
+    let during_ms = u64::try_from(report.elapsed.as_millis()).unwrap_or(u64::MAX);
+    match report.limit {
+        Some(limit) => warn!(
+            event = "upstream-limit", limit_per_s = limit.per_second(), sent = report.sent, during_ms,
+            held = suppressed;
+            "upstream names a rate limit"
+        ),
+        None => info!(
+            event = "upstream-limit-ended", sent = report.sent, during_ms, held = suppressed;
+            "upstream names no rate limit any more"
+        ),
+    }
+}
--- a/components/http1/src/dialect.rs
+++ b/components/http1/src/dialect.rs
@@ -23,6 +23,7 @@
 use kernel::plugin;
 use kernel::plugin::EXTENSION_POINTS;
 use kernel::plugin::ExtensionPoint;
+use policy::RequestRate;
 use traffic::Refusal;
 use wire::header;
 
@@ -77,6 +78,13 @@
     Mismatched,
 }
 
+/// What an upstream states about itself in the head of a response.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct UpstreamNotice {
+    /// Rate of requests from all nodes together that the upstream accepts; `None` if it names no limit.
+    pub rate_limit: Option<RequestRate>,
+}
+
 /// Response to a caller whose request is refused or has failed.
 #[derive(Clone, Debug)]
 pub struct RefusalResponse {
@@ -109,6 +117,10 @@
         status_means_not_run: bool,
     ) -> ResponseClass;
 
+    /// Reads what the upstream states about itself in a response to the request that it was sent; `None` if
+    /// the response is not from the run that the request was intended for, or its statement is malformed.
+    fn read_notice(&self, response: &Parts) -> Option<UpstreamNotice>;
+
     /// Whether a response without a declared length is complete when the upstream closes the
     /// connection.
     fn accepts_close_delimited(&self) -> bool;
@@ -172,6 +184,10 @@
         }
     }
 
+    fn read_notice(&self, _: &Parts) -> Option<UpstreamNotice> {
+        Some(UpstreamNotice::default())
+    }
+
     fn accepts_close_delimited(&self) -> bool {
         false
     }
--- a/components/http1/src/dispatch.rs
+++ b/components/http1/src/dispatch.rs
@@ -41,6 +41,7 @@
 use ids::ServiceId;
 use traffic::Refusal;
 use traffic::owner::IncomingRequest;
+use traffic::owner::Input;
 use wire::header;
 
 /// Time for the response of an upstream that stops at the deadline to arrive, if the request expires later. The
@@ -270,6 +271,11 @@
                 ));
             }
         };
+    if let Some(notice) = shared.dialect.read_notice(&parts) {
+        shared.driver.step_owner(Input::UpstreamResponded {
+            rate_limit: notice.rate_limit,
+        });
+    }
     let elapsed = shared.driver.now().since(now);
     let refused = shed.then_some((Verdict::NotRun, Reason::UpstreamRefused));
     events::log_finished(&trace_id, status, elapsed, refused);
--- a/components/http1/src/lib.rs
+++ b/components/http1/src/lib.rs
@@ -47,6 +47,7 @@
 pub use dialect::RefusalResponse;
 pub use dialect::RequestDirectives;
 pub use dialect::ResponseClass;
+pub use dialect::UpstreamNotice;
 pub use dialect::refusal_status;
 
 #[distributed_slice(FRONT_END_PLUGINS)]
--- a/components/policy/src/lib.rs
+++ b/components/policy/src/lib.rs
@@ -6,6 +6,7 @@
 mod admission;
 mod balance;
 mod health;
+mod request_rate;
 mod retry;
 
 pub use admission::ADMISSION_PLUGINS;
@@ -22,6 +23,7 @@
 pub use health::HEALTH_PLUGINS;
 pub use health::Health;
 pub use health::HealthChange;
+pub use request_rate::RequestRate;
 pub use retry::FailedAttempt;
 pub use retry::RETRY_PLUGINS;
 pub use retry::Retry;
--- /dev/null
+++ b/components/policy/src/request_rate.rs
@@ -0,0 +1,33 @@
+//! Rate of requests that an upstream accepts.
+
+use std::time::Duration;
+
+/// Thousandths in one request a second.
+const THOUSANDTHS: f64 = 1_000.0;
+
+/// A number of requests a second, with a resolution of one request in 1,000 s.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct RequestRate {
+    thousandths: u64,
+}
+
+impl RequestRate {
+    /// Converts requests a second; `None` if the number is negative, infinite or not a number.
+    pub fn from_per_second(requests: f64) -> Option<Self> {
+        let is_rate = requests.is_finite() && requests >= 0.0;
+        is_rate.then_some(Self {
+            thousandths: (requests * THOUSANDTHS) as u64,
+        })
+    }
+
+    /// Requests a second.
+    pub fn per_second(self) -> f64 {
+        self.thousandths as f64 / THOUSANDTHS
+    }
+
+    /// Time between two requests at this rate; `None` if the rate is zero.
+    pub fn interval(self) -> Option<Duration> {
+        let micros = 1_000_000_000_u64.checked_div(self.thousandths)?;
+        Some(Duration::from_micros(micros))
+    }
+}
--- a/components/simulate/src/node.rs
+++ b/components/simulate/src/node.rs
@@ -175,6 +175,7 @@
                         });
                     }
                 }
+                Effect::RateLimitReported(_) => {}
                 Effect::Drained => self.exit_owner(owner),
             }
         }
--- a/components/traffic/src/owner.rs
+++ b/components/traffic/src/owner.rs
@@ -2,6 +2,7 @@
 
 mod dedup;
 mod message;
+mod upstream_limit;
 
 use std::time::Duration;
 
@@ -12,6 +13,7 @@
 use crate::ledger::Ledger;
 use crate::ledger::Outcome;
 use crate::ledger::RecordState;
+use crate::owner::upstream_limit::UpstreamLimit;
 use errors::Reason;
 use errors::Verdict;
 use ids::NodeId;
@@ -29,6 +31,7 @@
 pub use message::IncomingRequest;
 pub use message::Input;
 pub use message::OutcomeQuery;
+pub use message::RateLimitReport;
 
 /// Number of requests that the ledger can record.
 const LEDGER_CAPACITY: usize = 100_000;
@@ -56,6 +59,7 @@
     open_requests: Vec<(u64, Phase)>,
     next_ledger_expiry: Time,
     upstream_end: UpstreamEnd,
+    upstream_limit: UpstreamLimit,
     /// Whether the upstream is known to be warm.
     upstream_warm: bool,
     /// Time by which the upstream has to be done, because the node ends soon after.
@@ -87,6 +91,7 @@
             open_requests: Vec::new(),
             next_ledger_expiry: Time::default(),
             upstream_end,
+            upstream_limit: UpstreamLimit::default(),
             upstream_warm: false,
             work_end: None,
             leaving: false,
@@ -204,6 +209,7 @@
                 return self.free_slot(now, tag, effects);
             }
             self.open_requests[index].1 = Phase::Dispatched(request.dispatch(now));
+            self.upstream_limit.record_sent();
             effects.push(Effect::Start { tag, deadline });
         }
     }
@@ -450,6 +456,10 @@
             }
             Input::UpstreamAnnounced { stage, slots } => self.set_stage(now, stage, slots, effects),
             Input::UpstreamWarmed { warm } => self.set_warm(now, warm, effects),
+            Input::UpstreamResponded { rate_limit } => {
+                let report = self.upstream_limit.set(now, rate_limit);
+                effects.extend(report.map(Effect::RateLimitReported));
+            }
             Input::EndScheduled { work_end } => self.work_end = Some(work_end),
             Input::Shutdown => self.refuse_all_queued(now, effects),
             Input::Drain => {
--- a/components/traffic/src/owner/message.rs
+++ b/components/traffic/src/owner/message.rs
@@ -1,5 +1,7 @@
 //! Inputs and effects of the owner's state machine.
 
+use std::time::Duration;
+
 use crate::Refusal;
 use crate::ledger::Outcome;
 use errors::Verdict;
@@ -9,6 +11,7 @@
 use ids::RouteId;
 use kernel::Time;
 use member::Stage;
+use policy::RequestRate;
 
 /// A request as it arrives at the owner.
 #[derive(Clone, Copy, Debug)]
@@ -80,6 +83,9 @@
     /// The upstream is warm, so that it can run as many requests as it has slots, or it still warms up.
     /// Without this input, the upstream counts as warming up when it gets slots.
     UpstreamWarmed { warm: bool },
+    /// The upstream has begun a response; `rate_limit` is the rate of requests that it accepts according to
+    /// that response.
+    UpstreamResponded { rate_limit: Option<RequestRate> },
     /// The node is leaving and accepts requests for a while; none may run beyond `work_end`.
     EndScheduled { work_end: Time },
     /// The node is leaving: it finishes accepted requests and refuses new ones.
@@ -88,6 +94,17 @@
     Shutdown,
 }
 
+/// Rate limit of the upstream and the requests that were sent to it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RateLimitReport {
+    /// Limit that the upstream names now; `None` if it has just ended.
+    pub limit: Option<RequestRate>,
+    /// Number of requests that were sent to the upstream since the previous report on the limit.
+    pub sent: u32,
+    /// Time since the previous report on the limit; zero if this is the first one.
+    pub elapsed: Duration,
+}
+
 /// Actions that the state machine requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Effect {
@@ -99,6 +116,8 @@
     Abort { tag: u64 },
     /// Answer an outcome query.
     ReportOutcome { tag: u64, outcome: Outcome },
+    /// The upstream has named a limit or another one, or a second has passed since the last report on it.
+    RateLimitReported(RateLimitReport),
     /// All requests that were accepted before the drain have ended.
     Drained,
 }
--- a/components/traffic/tests/weighted_targets.rs
+++ b/components/traffic/tests/weighted_targets.rs
@@ -18,6 +18,7 @@
 use ids::NodeId;
 use ids::RequestId;
 use ids::Version;
+
 use kernel::StateMachine as _;
 use kernel::Time;
 use kernel::plugin::Params;
