Pace the requests to an upstream that names a rate limit

Cause: no part of the product read the limit. An owner was held back only by the concurrency limit, which follows latency and refusals, and an upstream with a named limit shows neither.

Change: the owner, which sees every request to its upstream whichever node it began at, applies the limit of the latest response. Admission paces the starts by the generic cell rate algorithm. The mean number of requests that run at once under the limit takes the place of the concurrency limit in the estimated waits and in the reported load, so that spillover, early refusals, retry-after and balancing follow the limit. A response without a limit ends it. An owner that has just started learns the limit from the entries that were told.

--- a/components/admit/src/fifo.rs
+++ b/components/admit/src/fifo.rs
@@ -5,6 +5,7 @@
 
 use linkme::distributed_slice;
 
+use crate::rate_limit::RateLimit;
 use errors::Reason;
 use ids::Rank;
 use kernel::Plugin;
@@ -17,6 +18,7 @@
 use policy::Decision;
 use policy::Job;
 use policy::Load;
+use policy::RequestRate;
 use policy::Ticket;
 
 /// Default maximum number of waiting requests.
@@ -36,6 +38,9 @@
     max_queued: usize,
     slots: u32,
     running: u32,
+    rate_limit: RateLimit,
+    /// When the rate limit lets the next waiting request start; `None` if none waits for the limit.
+    next_start: Option<Time>,
     queue: VecDeque<Job>,
 }
 
@@ -50,13 +55,20 @@
             max_queued,
             slots: 0,
             running: 0,
+            rate_limit: RateLimit::default(),
+            next_start: None,
             queue: VecDeque::new(),
         })
     }
 
     /// Starts waiting requests while slots are free, and refuses those that have expired.
     fn dispatch(&mut self, now: Time, decisions: &mut Vec<Decision>) {
-        while self.running < self.slots {
+        self.next_start = None;
+        while self.running < self.slots && !self.queue.is_empty() {
+            self.next_start = self.rate_limit.opens_at(now);
+            if self.next_start.is_some() {
+                return;
+            }
             let Some(job) = self.queue.pop_front() else {
                 return;
             };
@@ -65,6 +77,7 @@
                 continue;
             }
             self.running += 1;
+            self.rate_limit.record_start(now);
             decisions.push(Decision::Start(job.ticket));
         }
     }
@@ -86,6 +99,16 @@
 
     fn end_slow_start(&mut self, _: Time, _: &mut Vec<Decision>) {}
 
+    fn set_rate_limit(
+        &mut self,
+        now: Time,
+        rate: Option<RequestRate>,
+        decisions: &mut Vec<Decision>,
+    ) {
+        self.rate_limit.set(now, rate, self.running as usize);
+        self.dispatch(now, decisions);
+    }
+
     fn offer(&mut self, now: Time, job: Job, decisions: &mut Vec<Decision>) {
         if self.queue.len() >= self.max_queued {
             decisions.push(refuse(job.ticket, Reason::QueueFull));
@@ -110,10 +133,12 @@
         let expired = self.queue.iter().filter(|job| job.expires <= now);
         decisions.extend(expired.map(|job| refuse(job.ticket, Reason::DeadlinePassed)));
         self.queue.retain(|job| job.expires > now);
+        self.dispatch(now, decisions);
     }
 
     fn next_wake(&self) -> Option<Time> {
-        self.queue.iter().map(|job| job.expires).min()
+        let expiry = self.queue.iter().map(|job| job.expires).min();
+        expiry.into_iter().chain(self.next_start).min()
     }
 
     fn load(&self) -> Load {
--- a/components/admit/src/lib.rs
+++ b/components/admit/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod fifo;
 mod ranked;
+mod rate_limit;
 
 pub use fifo::FifoAdmission;
 pub use ranked::RankedAdmission;
--- a/components/admit/src/ranked.rs
+++ b/components/admit/src/ranked.rs
@@ -4,7 +4,8 @@
 //! longer meet its latency objective is moved behind all requests that can, because in an overload
 //! a queue in order of arrival would serve every request too late for its objective. Less urgent
 //! ranks keep a small share of the slot time, the routes of a rank share its slot time by weight,
-//! and the limit on concurrent requests is learned.
+//! and the limit on concurrent requests is learned. A rate limit that the upstream names paces the starts,
+//! and counts in the estimates as the number of requests that run at once at that rate.
 //!
 //! Slot time is the time for which a request occupies one of the upstream's slots.
 
@@ -25,6 +26,7 @@
 use low_rank_share::LowRankShare;
 use service_times::ServiceTimes;
 
+use crate::rate_limit::RateLimit;
 use errors::Reason;
 use ids::Rank;
 use ids::RouteId;
@@ -38,6 +40,7 @@
 use policy::Decision;
 use policy::Job;
 use policy::Load;
+use policy::RequestRate;
 use policy::Ticket;
 
 /// Default maximum number of waiting requests of one level.
@@ -83,6 +86,7 @@
     /// Maximum number of waiting requests of all levels together.
     max_queued: usize,
     limit: ConcurrencyLimit,
+    rate_limit: RateLimit,
     service_times: ServiceTimes,
     low_rank_share: LowRankShare,
     /// Indexed by level.
@@ -98,6 +102,8 @@
     /// Time before which every waiting request can still start in time to finish before it expires;
     /// `None` if no request waits.
     next_deadline_miss: Option<Time>,
+    /// When the rate limit lets the next waiting request start; `None` if none waits for the limit.
+    next_start: Option<Time>,
 }
 
 impl RankedAdmission {
@@ -114,6 +120,7 @@
             max_queued_per_level: usize::try_from(max_queued_per_level).unwrap_or(usize::MAX),
             max_queued: usize::try_from(max_queued).unwrap_or(usize::MAX),
             limit: ConcurrencyLimit::default(),
+            rate_limit: RateLimit::default(),
             service_times: ServiceTimes::default(),
             low_rank_share: LowRankShare::new(
                 params.u64_or("share", low_rank_share::DEFAULT_PERCENT)?,
@@ -123,6 +130,7 @@
             share_cursor: 0,
             next_objective_miss: None,
             next_deadline_miss: None,
+            next_start: None,
         })
     }
 
@@ -135,6 +143,14 @@
         self.running.len() < self.limit.get() as usize
     }
 
+    /// Number of requests that can run at once on average, within the learned limit and the rate limit.
+    fn concurrency(&self) -> f64 {
+        let limit = f64::from(self.limit.get().max(1));
+        let mean_length = Duration::from_micros(self.service_times.mean() as u64);
+        let paced = self.rate_limit.concurrency(mean_length);
+        paced.map_or(limit, |paced| paced.min(limit))
+    }
+
     /// Slot time that a request is assumed to take at most, in microseconds; [`UNMEASURED_COST`] if
     /// its route has not been measured.
     fn worst_case_cost(&self, job: &Job) -> f64 {
@@ -183,23 +199,21 @@
                 / waiting_levels.max(1) as f64;
             wait = wait.min(work / fraction);
         }
-        let slots = f64::from(self.limit.get().max(1));
-        Duration::from_micros((wait / slots) as u64)
+        Duration::from_micros((wait / self.concurrency()) as u64)
     }
 
     /// Whether many requests of the level wait and few are refused. In this state, a less urgent
     /// request that runs first delays requests that could be served in time.
     fn is_contended(&self, queue: &LevelQueue) -> bool {
-        queue.requests.len() >= self.limit.get() as usize && !queue.is_overloaded()
+        queue.requests.len() as f64 >= self.concurrency() && !queue.is_overloaded()
     }
 
     /// Estimated wait in the queue of a request that arrives now.
     fn estimate_wait(&self, now: Time, level: usize, job: &Job, cost: f64) -> Duration {
         let has_waiting = |queue: &LevelQueue| !queue.is_empty();
         let is_next = !self.queues[..=level].iter().any(has_waiting);
-        if self.has_free_slot()
-            && (is_next || self.worst_case_cost(job) < self.cost_bound(now, level))
-        {
+        let may_start = self.has_free_slot() && self.rate_limit.opens_at(now).is_none();
+        if may_start && (is_next || self.worst_case_cost(job) < self.cost_bound(now, level)) {
             return Duration::ZERO;
         }
         let requests = &self.queues[level].requests;
@@ -327,6 +341,16 @@
         self.dispatch(now, decisions);
     }
 
+    fn set_rate_limit(
+        &mut self,
+        now: Time,
+        rate: Option<RequestRate>,
+        decisions: &mut Vec<Decision>,
+    ) {
+        self.rate_limit.set(now, rate, self.running.len());
+        self.dispatch(now, decisions);
+    }
+
     fn offer(&mut self, now: Time, job: Job, decisions: &mut Vec<Decision>) {
         let cost = self.service_times.cost(job.route);
         let latest_objective_start = self.latest_objective_start(now, &job);
@@ -440,6 +464,7 @@
         self.next_deadline_miss
             .into_iter()
             .chain(self.next_objective_miss)
+            .chain(self.next_start)
             .min()
     }
 
@@ -452,7 +477,7 @@
             queued_by_rank: std::array::from_fn(|rank| queued(&self.queues[rank])),
             running: u32::try_from(self.running.len()).unwrap_or(u32::MAX),
             queued: u32::try_from(self.queued_count()).unwrap_or(u32::MAX),
-            limit: self.limit.get(),
+            limit: self.limit.get().min(self.concurrency().ceil() as u32),
             least_urgent_accepted: Rank(u8::try_from(least_urgent_accepted).unwrap_or(u8::MAX)),
         }
     }
--- a/components/admit/src/ranked/dispatch.rs
+++ b/components/admit/src/ranked/dispatch.rs
@@ -89,7 +89,13 @@
     /// Starts waiting requests while slots are free.
     pub(super) fn dispatch(&mut self, now: Time, decisions: &mut Vec<Decision>) {
         self.demote(now, decisions);
+        self.next_start = None;
         while self.has_free_slot() {
+            let opens_at = self.rate_limit.opens_at(now);
+            if opens_at.is_some() {
+                self.next_start = opens_at.filter(|_| self.queued_count() > 0);
+                break;
+            }
             let Some((level, from_low_rank_share)) = self.next_level(now) else {
                 break;
             };
@@ -102,6 +108,7 @@
                 self.refuse(&waiting.job, reason, decisions);
                 continue;
             }
+            self.rate_limit.record_start(now);
             self.start(level, from_low_rank_share, &waiting, decisions);
         }
         for queue in &mut self.queues {
--- a/components/http1/src/attempt.rs
+++ b/components/http1/src/attempt.rs
@@ -264,6 +264,7 @@
         rank: profile.rank,
         weight,
         idempotent: profile.idempotent,
+        rate_limit: attempt.rate_limit,
     };
     let upstream_request = UpstreamRequest {
         incoming,
@@ -280,6 +281,7 @@
                 reason: Some(outgoing.body.abort_reason().unwrap_or(refusal.reason)),
                 retry_after: refusal.retry_after,
                 load: Some(shared.driver.load()),
+                rate_limit: None,
                 upstream_failed: false,
             },
         },
@@ -326,7 +328,11 @@
     let spillable = attempt
         .spillable
         .then(|| (header::SPILLABLE, "1".to_owned()));
+    let rate_limit = attempt
+        .rate_limit
+        .map(|it| (header::RATE_LIMIT, it.per_second().to_string()));
     let optional = objective.into_iter().chain(work_end).chain(spillable);
+    let optional = optional.chain(rate_limit);
     for (name, value) in values.into_iter().chain(optional) {
         if let Ok(value) = HeaderValue::from_str(&value) {
             request.headers_mut().insert(name, value);
@@ -380,8 +386,8 @@
     Some(Request::from_parts(outgoing.parts.clone(), payload))
 }
 
-/// Reads verdict, reason, load and retry delay from the headers of an owner's response.
-pub(crate) fn read_attempt_response(response: Response<Payload>) -> AttemptResponse {
+/// Reads verdict, reason, load, rate limit and retry delay from the headers of an owner's response.
+fn read_attempt_response(response: Response<Payload>) -> AttemptResponse {
     let upstream_failed = response.status().is_server_error();
     let headers = response.headers();
     let verdict = parse_header::<Verdict>(headers, header::VERDICT).unwrap_or(Verdict::MayHaveRun);
@@ -391,6 +397,7 @@
         .and_then(|value| header::parse_load(value.to_str().ok()?));
     let retry_after =
         parse_header(headers, header::RETRY_AFTER).map_or(Duration::ZERO, Duration::from_millis);
+    let rate_limit = parse_header(headers, header::RATE_LIMIT);
     AttemptResponse {
         response,
         report: AttemptReport {
@@ -398,6 +405,7 @@
             reason,
             retry_after,
             load,
+            rate_limit,
             upstream_failed,
         },
     }
@@ -409,6 +417,7 @@
         reason: Some(reason),
         retry_after: Duration::ZERO,
         load: None,
+        rate_limit: None,
         upstream_failed: false,
     };
     AttemptResponse {
--- a/components/http1/src/dialect.rs
+++ b/components/http1/src/dialect.rs
@@ -184,8 +184,12 @@
         }
     }
 
-    fn read_notice(&self, _: &Parts) -> Option<UpstreamNotice> {
-        Some(UpstreamNotice::default())
+    fn read_notice(&self, response: &Parts) -> Option<UpstreamNotice> {
+        let rate_limit = match response.headers.get(header::RATE_LIMIT) {
+            Some(value) => Some(value.to_str().ok()?.parse().ok()?),
+            None => None,
+        };
+        Some(UpstreamNotice { rate_limit })
     }
 
     fn accepts_close_delimited(&self) -> bool {
--- a/components/http1/src/dispatch.rs
+++ b/components/http1/src/dispatch.rs
@@ -21,6 +21,7 @@
 use crate::DispatchContext;
 use crate::ResponseClass;
 use crate::SharedState;
+use crate::UpstreamNotice;
 use crate::body::Payload;
 use crate::body::RelayEnd;
 use crate::body::RelaySource;
@@ -271,15 +272,16 @@
                 ));
             }
         };
-    if let Some(notice) = shared.dialect.read_notice(&parts) {
-        shared.driver.step_owner(Input::UpstreamResponded {
-            rate_limit: notice.rate_limit,
-        });
+    let notice = shared.dialect.read_notice(&parts);
+    if let Some(UpstreamNotice { rate_limit }) = notice {
+        shared
+            .driver
+            .step_owner(Input::UpstreamResponded { rate_limit });
     }
     let elapsed = shared.driver.now().since(now);
     let refused = shed.then_some((Verdict::NotRun, Reason::UpstreamRefused));
     events::log_finished(&trace_id, status, elapsed, refused);
-    set_verdict_headers(&mut parts.headers, shed);
+    set_internal_headers(&mut parts.headers, shed, notice.unwrap_or_default());
     let started = StartedResponse {
         parts,
         body,
@@ -365,8 +367,9 @@
             || parts.headers.contains_key(TRANSFER_ENCODING))
 }
 
-/// Replaces the internal headers of a response by its verdict and, if it was shed, the reason.
-fn set_verdict_headers(headers: &mut HeaderMap, shed: bool) {
+/// Replaces the internal headers of a response by its verdict, the reason if it was shed, and the rate limit
+/// that the upstream names.
+fn set_internal_headers(headers: &mut HeaderMap, shed: bool, notice: UpstreamNotice) {
     remove_internal_headers(headers);
     remove_hop_by_hop_headers(headers);
     let verdict = HeaderValue::from_static(verdict_of(shed).name());
@@ -375,6 +378,10 @@
         let reason = HeaderValue::from_static(Reason::UpstreamRefused.name());
         headers.insert(header::REASON, reason);
     }
+    let rate_limit = notice.rate_limit.map(|it| it.per_second().to_string());
+    if let Some(Ok(value)) = rate_limit.map(|it| HeaderValue::from_str(&it)) {
+        headers.insert(header::RATE_LIMIT, value);
+    }
 }
 
 /// Number of connections that the upstream accepts: the lower of the announced and the configured
--- a/components/policy/src/admission.rs
+++ b/components/policy/src/admission.rs
@@ -4,6 +4,7 @@
 
 use linkme::distributed_slice;
 
+use crate::RequestRate;
 use errors::Reason;
 use ids::Rank;
 use ids::RouteId;
@@ -82,7 +83,7 @@
     /// Number of waiting requests of each rank; a request waits for those of its own rank and of
     /// more urgent ones.
     pub queued_by_rank: [u32; Rank::COUNT],
-    /// Number of requests that may run at once.
+    /// Number of requests that may run at once, or that run on average if the upstream limits their rate.
     pub limit: u32,
     /// Least urgent rank whose requests are accepted at present.
     pub least_urgent_accepted: Rank,
@@ -97,6 +98,14 @@
     /// Ends the slow start of an upstream that is known to be warm, so that it gets all its slots.
     fn end_slow_start(&mut self, now: Time, decisions: &mut Vec<Decision>);
 
+    /// Sets the rate of requests that the upstream accepts; `None` if it names no limit.
+    fn set_rate_limit(
+        &mut self,
+        now: Time,
+        rate: Option<RequestRate>,
+        decisions: &mut Vec<Decision>,
+    );
+
     /// Offers a request. Each request gets exactly one decision, now or later, unless it is
     /// cancelled.
     fn offer(&mut self, now: Time, job: Job, decisions: &mut Vec<Decision>);
--- a/components/policy/src/request_rate.rs
+++ b/components/policy/src/request_rate.rs
@@ -1,5 +1,6 @@
 //! Rate of requests that an upstream accepts.
 
+use std::str::FromStr;
 use std::time::Duration;
 
 /// Thousandths in one request a second.
@@ -31,3 +32,13 @@
         Some(Duration::from_micros(micros))
     }
 }
+
+impl FromStr for RequestRate {
+    type Err = ();
+
+    /// Parses requests a second, a decimal number.
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let requests = text.trim().parse().map_err(|_| ())?;
+        Self::from_per_second(requests).ok_or(())
+    }
+}
--- a/components/simulate/src/entry_call.rs
+++ b/components/simulate/src/entry_call.rs
@@ -201,6 +201,7 @@
             rank: profile.rank,
             weight: 1,
             idempotent: profile.idempotent,
+            rate_limit: attempt.rate_limit,
         };
         let to = attempt.request_address;
         self.send_after(
@@ -408,6 +409,7 @@
         reason: Some(reason),
         retry_after: Duration::ZERO,
         load: None,
+        rate_limit: None,
         upstream_failed: false,
     }
 }
--- a/components/simulate/src/node.rs
+++ b/components/simulate/src/node.rs
@@ -251,6 +251,7 @@
             reason: Some(refusal.reason),
             retry_after: refusal.retry_after,
             load: Some(self.owners[owner].machine.load()),
+            rate_limit: None,
             upstream_failed: false,
         };
         self.send_response(pending, report, None);
@@ -314,6 +315,7 @@
             reason,
             retry_after: Duration::ZERO,
             load: Some(self.owners[owner].machine.load()),
+            rate_limit: None,
             upstream_failed: false,
         };
         if verdict == Verdict::NotRun {
--- a/components/traffic/src/entry.rs
+++ b/components/traffic/src/entry.rs
@@ -153,6 +153,8 @@
             return refuse(context, refusal);
         };
         call.limit_deadline(self.work_end);
+        let node_state = self.node_states.get(endpoint.node);
+        let rate_limit = node_state.and_then(|state| state.rate_limit(context.now));
         let spillable = has_alternative && call.is_spillable(context.now);
         let attempt = Attempt {
             number: call.attempt.map_or(1, |previous| previous.number + 1),
@@ -163,6 +165,7 @@
             give_up_at: call.give_up_at(),
             objective: call.objective,
             spillable,
+            rate_limit,
             delay,
         };
         call.start_attempt(attempt);
@@ -202,6 +205,8 @@
         }
         if matches!(report.reason, None | Some(Reason::UpstreamRefused)) {
             self.health.record_shed(now, node, report.reason.is_some());
+            self.node_states
+                .record_rate_limit(now, node, report.rate_limit);
         }
         if let Some(success) = success
             && let Some(health_change) = self.health.record_outcome(now, node, success)
@@ -490,6 +495,7 @@
         reason: Some(Reason::ConnectionSilent),
         retry_after: Duration::ZERO,
         load: None,
+        rate_limit: None,
         upstream_failed: false,
     }
 }
--- a/components/traffic/src/entry/message.rs
+++ b/components/traffic/src/entry/message.rs
@@ -18,6 +18,7 @@
 use kernel::Time;
 use policy::HealthChange;
 use policy::Load;
+use policy::RequestRate;
 
 /// The parts of a request's head that the entry uses.
 #[derive(Clone, Debug)]
@@ -62,6 +63,8 @@
     pub objective: Option<Time>,
     /// Whether the owner may refuse the request because it would miss its objective there.
     pub spillable: bool,
+    /// Rate limit that the upstream has named in a recent response.
+    pub rate_limit: Option<RequestRate>,
     /// Delay before the request is sent.
     pub delay: Duration,
 }
@@ -123,6 +126,8 @@
     pub retry_after: Duration,
     /// Load that the owner reported with its answer.
     pub load: Option<Load>,
+    /// Rate limit that the upstream names in its answer.
+    pub rate_limit: Option<RequestRate>,
     /// Whether the answer is a server error of the upstream; it is relayed like any other.
     pub upstream_failed: bool,
 }
--- a/components/traffic/src/entry/node_state.rs
+++ b/components/traffic/src/entry/node_state.rs
@@ -8,12 +8,16 @@
 use kernel::Time;
 use policy::FULL_WEIGHT;
 use policy::Load;
+use policy::RequestRate;
 
 /// Age at which a load report no longer counts; its weight falls linearly until then.
 const LOAD_LIFETIME: Duration = Duration::from_secs(1);
 /// Age up to which a load report can lead to early shedding. Owners under load send a report every
 /// few milliseconds, so an older report says little.
 const MAX_SHED_REPORT_AGE: Duration = Duration::from_millis(250);
+/// Age at which a rate limit no longer counts. An owner sends a request to its upstream at least every
+/// 5 s, however low the limit is.
+const RATE_LIMIT_LIFETIME: Duration = Duration::from_secs(10);
 /// Duration of the slow start, over which the weight of a new endpoint rises to its full value.
 const SLOW_START: Duration = Duration::from_secs(5);
 /// Weight of an endpoint at the beginning of its slow start, in thousandths.
@@ -32,6 +36,8 @@
     in_flight: [u32; Rank::COUNT],
     /// Latest load report and the time of its arrival.
     load: Option<(Load, Time)>,
+    /// Rate limit that the upstream named in its latest response, and the time of that response.
+    rate_limit: Option<(RequestRate, Time)>,
     unavailable_until: Time,
 }
 
@@ -42,6 +48,7 @@
             ready_since: None,
             in_flight: [0; Rank::COUNT],
             load: None,
+            rate_limit: None,
             unavailable_until: Time::default(),
         }
     }
@@ -77,6 +84,12 @@
         })
     }
 
+    /// The rate limit that the upstream has named in a recent response.
+    pub(crate) fn rate_limit(&self, now: Time) -> Option<RequestRate> {
+        let (rate, named_at) = self.rate_limit?;
+        (now.since(named_at) < RATE_LIMIT_LIFETIME).then_some(rate)
+    }
+
     /// Whether the node has refused a request because it accepts none for some time.
     pub(crate) fn is_unavailable(&self, now: Time) -> bool {
         self.unavailable_until > now
@@ -126,6 +139,10 @@
         self.get_mut(node).load = Some((load, now));
     }
 
+    pub(crate) fn record_rate_limit(&mut self, now: Time, node: NodeId, rate: Option<RequestRate>) {
+        self.get_mut(node).rate_limit = rate.map(|rate| (rate, now));
+    }
+
     pub(crate) fn mark_unavailable(&mut self, now: Time, node: NodeId, duration: Duration) {
         self.get_mut(node).unavailable_until = now + duration.min(MAX_UNAVAILABLE_TIME);
     }
--- a/components/traffic/src/owner.rs
+++ b/components/traffic/src/owner.rs
@@ -25,6 +25,7 @@
 use policy::Decision;
 use policy::Job;
 use policy::Load;
+use policy::RequestRate;
 use policy::Ticket;
 
 pub use message::Effect;
@@ -62,6 +63,8 @@
     upstream_limit: UpstreamLimit,
     /// Whether the upstream is known to be warm.
     upstream_warm: bool,
+    /// Whether the upstream has responded to a request of this process.
+    upstream_responded: bool,
     /// Time by which the upstream has to be done, because the node ends soon after.
     work_end: Option<Time>,
     /// Whether the node is leaving and accepts no new requests, whatever the upstream announces.
@@ -93,6 +96,7 @@
             upstream_end,
             upstream_limit: UpstreamLimit::default(),
             upstream_warm: false,
+            upstream_responded: false,
             work_end: None,
             leaving: false,
             drained: false,
@@ -114,6 +118,7 @@
             });
             return;
         }
+        self.adopt_rate_limit(now, incoming.rate_limit, effects);
         if !self.ledger.upsert(dedup::new_record(
             &incoming,
             RecordState::Open { tag: incoming.tag },
@@ -391,6 +396,38 @@
         }
     }
 
+    /// Applies the rate limit that a response of the upstream names, or its end.
+    fn handle_response(
+        &mut self,
+        now: Time,
+        rate_limit: Option<RequestRate>,
+        effects: &mut Vec<Effect>,
+    ) {
+        let report = self.upstream_limit.set(now, rate_limit);
+        effects.extend(report.map(Effect::RateLimitReported));
+        let mut decisions = Vec::new();
+        self.admission
+            .set_rate_limit(now, rate_limit, &mut decisions);
+        self.apply_decisions(now, decisions, effects);
+        self.upstream_responded = true;
+    }
+
+    /// Applies the rate limit that the sender of a request knows from an earlier response of the upstream.
+    /// After a response to a request of this process, only responses count.
+    fn adopt_rate_limit(
+        &mut self,
+        now: Time,
+        rate_limit: Option<RequestRate>,
+        effects: &mut Vec<Effect>,
+    ) {
+        if rate_limit.is_some() && !self.upstream_responded {
+            let mut decisions = Vec::new();
+            self.admission
+                .set_rate_limit(now, rate_limit, &mut decisions);
+            self.apply_decisions(now, decisions, effects);
+        }
+    }
+
     /// Refuses the queued requests once the upstream is leaving, so that their senders try other
     /// endpoints. If the node leaves with its upstream, it accepts no new requests and finishes the
     /// queued ones instead.
@@ -457,8 +494,7 @@
             Input::UpstreamAnnounced { stage, slots } => self.set_stage(now, stage, slots, effects),
             Input::UpstreamWarmed { warm } => self.set_warm(now, warm, effects),
             Input::UpstreamResponded { rate_limit } => {
-                let report = self.upstream_limit.set(now, rate_limit);
-                effects.extend(report.map(Effect::RateLimitReported));
+                self.handle_response(now, rate_limit, effects);
             }
             Input::EndScheduled { work_end } => self.work_end = Some(work_end),
             Input::Shutdown => self.refuse_all_queued(now, effects),
--- a/components/traffic/src/owner/message.rs
+++ b/components/traffic/src/owner/message.rs
@@ -41,6 +41,8 @@
     pub weight: u32,
     /// Whether the request may run more than once.
     pub idempotent: bool,
+    /// Rate limit that the upstream has named in a recent response to the sender.
+    pub rate_limit: Option<RequestRate>,
 }
 
 /// A query for the outcome of one attempt.
--- a/components/traffic/tests/entry.rs
+++ b/components/traffic/tests/entry.rs
@@ -32,6 +32,7 @@
 use member::Status;
 use member::Upstream;
 use policy::Load;
+use policy::RequestRate;
 use retry::RetryBudget;
 use traffic::Refusal;
 use traffic::entry::Attempt;
@@ -175,6 +176,7 @@
             reason: None,
             retry_after: Duration::ZERO,
             load,
+            rate_limit: None,
             upstream_failed: false,
         };
         self.report_attempt(now, call, report);
@@ -204,6 +206,7 @@
         reason: Some(reason),
         retry_after: Duration::ZERO,
         load: None,
+        rate_limit: None,
         upstream_failed: false,
     }
 }
@@ -458,6 +461,7 @@
             reason: None,
             retry_after: Duration::ZERO,
             load: None,
+            rate_limit: None,
             upstream_failed: failing,
         };
         let effects = harness.report_attempt(now, call, report);
@@ -504,6 +508,7 @@
                 reason: Some(Reason::QueueFull),
                 retry_after: Duration::from_millis(retry_after_ms),
                 load: None,
+                rate_limit: None,
                 upstream_failed: false,
             };
             effects = harness.report_attempt(now, find_forwarded(&effects).0, report);
@@ -645,3 +650,35 @@
     );
     assert_eq!(harness.machine.open_calls(), 0);
 }
+
+/// Guards against an owner that has just started and does not learn of its upstream's limit from the entries
+/// that know it, and against an entry that repeats a limit which has ended or is old.
+#[rstest]
+#[case::named(&[Some(7.5)], 1, Some(7.5))]
+#[case::changed(&[Some(7.5), Some(3.0)], 1, Some(3.0))]
+#[case::ended(&[Some(7.5), None], 1, None)]
+#[case::old(&[Some(7.5)], 10 * SECOND_US, None)]
+fn forward_rate_limit(
+    #[case] named: &[Option<f64>],
+    #[case] later_us: u64,
+    #[case] expected: Option<f64>,
+) {
+    let mut harness = Harness::new(99, [1]);
+    for named in named {
+        let (call, _) = find_forwarded(&harness.arrive(0, "GET", "/calm"));
+        let report = AttemptReport {
+            verdict: Verdict::Ran,
+            reason: None,
+            rate_limit: named.and_then(RequestRate::from_per_second),
+            ..failure_report(Verdict::Ran, Reason::NoRoute)
+        };
+        harness.report_attempt(0, call, report);
+        harness.step(0, Input::CallEnded { call });
+        // A refusal by the owner itself says nothing of the upstream.
+        let (call, _) = find_forwarded(&harness.arrive(0, "GET", "/calm"));
+        let report = failure_report(Verdict::NotRun, Reason::QueueFull);
+        harness.report_attempt(0, call, report);
+    }
+    let (_, attempt) = find_forwarded(&harness.arrive(later_us, "GET", "/calm"));
+    assert_eq!(attempt.rate_limit.map(RequestRate::per_second), expected);
+}
--- a/components/traffic/tests/owner.rs
+++ b/components/traffic/tests/owner.rs
@@ -17,6 +17,7 @@
 use kernel::plugin::Params;
 use kernel::random::SeededRandom;
 use member::Stage;
+use policy::RequestRate;
 use traffic::ledger::Outcome;
 use traffic::owner::Effect;
 use traffic::owner::IncomingRequest;
@@ -70,6 +71,7 @@
         rank: Rank(0),
         weight: 1,
         idempotent,
+        rate_limit: None,
     }
 }
 
@@ -408,3 +410,86 @@
     let effects = step(&mut owner, 0, Input::Arrived(request));
     assert_eq!(effects, [Effect::Start { tag: 1, deadline }]);
 }
+
+/// Guards against a sender whose knowledge of a limit is older than the upstream's latest response: the limit
+/// would outlive the need of the upstream.
+#[rstest]
+#[case::before_response(None, 1)]
+#[case::after_response(Some(Input::UpstreamResponded { rate_limit: None }), 12)]
+fn arrive_known_rate_limit(#[case] response: Option<Input>, #[case] expected: usize) {
+    let mut owner = new_owner(12);
+    step(&mut owner, 0, Input::UpstreamWarmed { warm: true });
+    if let Some(response) = response {
+        step(&mut owner, 0, response);
+    }
+    let arrivals = (1..=12).flat_map(|tag| {
+        let request = IncomingRequest {
+            rate_limit: RequestRate::from_per_second(2.0),
+            ..other_request(tag)
+        };
+        step(&mut owner, 1, Input::Arrived(request))
+    });
+    let effects: Vec<Effect> = arrivals.collect();
+    let started = effects.iter();
+    let started = started.filter(|it| matches!(it, Effect::Start { .. }));
+    assert_eq!(started.count(), expected);
+}
+
+/// Guards against an owner that sends its upstream more requests than the upstream accepts from all nodes
+/// together, whichever nodes the requests come from and whether or not a new process owns the upstream.
+#[rstest]
+fn arrive_rate_limit(#[values(0.5, 9.5, 42.3)] limit: f64, #[values(false, true)] restarted: bool) {
+    let response = Input::UpstreamResponded {
+        rate_limit: RequestRate::from_per_second(limit),
+    };
+    let mut owner = new_owner(13);
+    step(&mut owner, 0, Input::UpstreamWarmed { warm: true });
+    if !restarted {
+        step(&mut owner, 0, Input::UpstreamResponded { rate_limit: None });
+    }
+    let (mut now, mut tag) = (0, 0);
+    let mut starts = Vec::new();
+    let mut running: Vec<(u64, u64)> = Vec::new();
+    while now < 12_000_000 {
+        now += 1_000;
+        let mut effects = Vec::new();
+        owner.wake(Time(now), &mut SeededRandom::new(1), &mut effects);
+        // 200 requests a second arrive, and each takes 60 ms.
+        if now % 5_000 == 0 {
+            tag += 1;
+            let request = IncomingRequest {
+                expires: Time(now + 500_000),
+                deadline: Time(now + 500_000),
+                rate_limit: RequestRate::from_per_second(limit).filter(|_| restarted),
+                ..other_request(tag)
+            };
+            effects.extend(step(&mut owner, now, Input::Arrived(request)));
+        }
+        while running.first().is_some_and(|(_, end)| *end <= now) {
+            let (finished, _) = running.remove(0);
+            effects.extend(step(&mut owner, now, response));
+            effects.extend(step(&mut owner, now, finish_input(finished, Verdict::Ran)));
+        }
+        for effect in effects {
+            if let Effect::Start { tag, .. } = effect {
+                starts.push(now);
+                running.push((tag, now + 60_000));
+            }
+        }
+    }
+    // The limit is first named 60 ms after the start. The senders know it from the process before.
+    let from = if restarted { 0 } else { 3_000_000 };
+    let allowed = 1.5 * 4.0 * limit + 5.0;
+    for begin in starts.iter().filter(|it| **it >= from) {
+        let span = starts
+            .iter()
+            .filter(|it| (*begin..begin + 4_000_000).contains(it));
+        let count = span.count();
+        assert!(
+            count as f64 <= allowed,
+            "{count} from {begin} us, allowed {allowed}"
+        );
+    }
+    let late = starts.iter().filter(|it| **it >= 4_000_000).count();
+    assert!(late as f64 >= limit * 8.0 * 0.9 - 1.0, "{late} in 8 s");
+}
--- a/components/traffic/tests/weighted_targets.rs
+++ b/components/traffic/tests/weighted_targets.rs
@@ -133,6 +133,7 @@
             reason: Some(reason),
             retry_after: Duration::ZERO,
             load: None,
+            rate_limit: None,
             upstream_failed: false,
         };
         self.step(Input::AttemptReported {
--- a/components/wire/src/header.rs
+++ b/components/wire/src/header.rs
@@ -33,6 +33,10 @@
 pub const VERDICT: &str = "medlar-verdict";
 /// Reason why the request was refused.
 pub const REASON: &str = "medlar-reason";
+/// Number of requests a second that the upstream accepts from all nodes together, as a decimal number: in
+/// each response of an upstream that has such a limit, and in the requests of entries that have recently
+/// received such a response.
+pub const RATE_LIMIT: &str = "medlar-rate-limit";
 /// Time after which the owner that refused the request expects to accept it, in milliseconds.
 pub const RETRY_AFTER: &str = "medlar-retry-after-ms";
 /// Load of the owner as comma-separated numbers: running requests, queued requests, concurrency
