Log when an upstream states in a response that it is leaving

An upstream that leaves says so in its announcements and in each of its responses, and the two can come in either order. No log line showed the second. The dialect reads the statement, and the node logs upstream-leaving with the stage in which other nodes see the upstream at that time. Nothing acts on the statement yet.

--- a/components/front/src/driver.rs
+++ b/components/front/src/driver.rs
@@ -182,6 +182,11 @@
         }
     }
 
+    /// Reports that the run `run_id` of the upstream has stated in a response that it is leaving.
+    pub fn report_leaving(&self, run_id: Option<Arc<str>>) {
+        upstream_log::log_leaving(&self.topology(), run_id.as_deref());
+    }
+
     /// Token that is cancelled when a drain begins.
     pub fn leaving(&self) -> &CancellationToken {
         &self.leaving
--- a/components/http1/src/dialect.rs
+++ b/components/http1/src/dialect.rs
@@ -83,6 +83,8 @@
 pub struct UpstreamNotice {
     /// Rate of requests from all nodes together that the upstream accepts; `None` if it names no limit.
     pub rate_limit: Option<RequestRate>,
+    /// Whether the upstream is leaving.
+    pub leaving: bool,
 }
 
 /// Response to a caller whose request is refused or has failed.
@@ -189,7 +191,11 @@
             Some(value) => Some(value.to_str().ok()?.parse().ok()?),
             None => None,
         };
-        Some(UpstreamNotice { rate_limit })
+        let leaving = response.headers.get(header::LEAVING);
+        Some(UpstreamNotice {
+            rate_limit,
+            leaving: leaving.is_some_and(|value| value.as_bytes() == b"1"),
+        })
     }
 
     fn accepts_close_delimited(&self) -> bool {
--- a/components/http1/src/dispatch.rs
+++ b/components/http1/src/dispatch.rs
@@ -273,10 +273,18 @@
             }
         };
     let notice = shared.dialect.read_notice(&parts);
-    if let Some(UpstreamNotice { rate_limit }) = notice {
+    if let Some(UpstreamNotice {
+        rate_limit,
+        leaving,
+    }) = notice
+    {
         shared
             .driver
             .step_owner(Input::UpstreamResponded { rate_limit });
+        if leaving {
+            let run_id = upstream.and_then(|it| it.run_id.clone());
+            shared.driver.report_leaving(run_id);
+        }
     }
     let elapsed = shared.driver.now().since(now);
     let refused = shed.then_some((Verdict::NotRun, Reason::UpstreamRefused));
--- a/components/wire/src/header.rs
+++ b/components/wire/src/header.rs
@@ -37,6 +37,8 @@
 /// each response of an upstream that has such a limit, and in the requests of entries that have recently
 /// received such a response.
 pub const RATE_LIMIT: &str = "medlar-rate-limit";
+/// `1` in each response of an upstream that is leaving.
+pub const LEAVING: &str = "medlar-leaving";
 /// Time after which the owner that refused the request expects to accept it, in milliseconds.
 pub const RETRY_AFTER: &str = "medlar-retry-after-ms";
 /// Load of the owner as comma-separated numbers: running requests, queued requests, concurrency
