Drain an upstream that states in a response that it is leaving

What callers would have seen: requests sent to an upstream that is about to end, if its announcement is lost or late.

Cause: a statement in a response was not read, and an announcement as ready with a higher sequence number counted whatever the upstream had stated before.

Change: the front end passes the statement and the run that the request was sent to on to the control thread, which drains the endpoint, tells the other nodes, and keeps the run drained for 30 s although late announcements as ready arrive. The next process of the node does not adopt such an upstream. Another run or a later start under the same id is ready as usual, and so is a run that still announces itself as ready after 30 s.

--- a/components/admin/tests/admin.rs
+++ b/components/admin/tests/admin.rs
@@ -110,6 +110,7 @@
     );
     let admission =
         plugin::build("admission", &ADMISSION_PLUGINS, "ranked", &params).expect("registered");
+    let (inputs, receiver) = mpsc::channel(8);
     let driver = TrafficDriver::new(TrafficDriverParts {
         node_id: NodeId(1),
         clock: MonotonicClock::new(),
@@ -117,8 +118,8 @@
         entry,
         owner: traffic::owner::Machine::new(NodeId(1), admission, UpstreamEnd::Leave),
         metrics: Arc::new(Metrics::new().expect("counters")),
+        control_inputs: inputs.clone(),
     });
-    let (inputs, receiver) = mpsc::channel(8);
     let listener = TcpListener::bind("127.33.9.1:0")
         .await
         .expect("a free port");
--- a/components/control/src/machine.rs
+++ b/components/control/src/machine.rs
@@ -345,6 +345,10 @@
                 self.own_upstream.handle_departure(now, &run_id, order);
                 self.announce_upstream(random, out);
             }
+            Input::UpstreamLeaving { run_id } => {
+                self.own_upstream.handle_leaving(now, run_id);
+                self.announce_upstream(random, out);
+            }
             Input::Drain => {
                 self.lifecycle = self.lifecycle.take().map(NodeLifecycle::leave);
                 self.own_upstream.drain();
--- a/components/control/src/message.rs
+++ b/components/control/src/message.rs
@@ -60,6 +60,8 @@
         run_id: Arc<str>,
         order: Option<AnnouncementOrder>,
     },
+    /// A run of the upstream of this node has stated in a response that it is leaving.
+    UpstreamLeaving { run_id: Option<Arc<str>> },
     /// An operator or a signal asks the node to leave.
     Drain,
     /// The traffic threads have finished all requests.
--- a/components/control/src/own_upstream.rs
+++ b/components/control/src/own_upstream.rs
@@ -27,6 +27,11 @@
 /// run can have the same id.
 const DEPARTED_RUN_RETENTION: Duration = Duration::from_secs(30);
 
+/// Time for which a run that has stated that it is leaving counts as draining whatever it announces.
+/// Announcements from before the statement can arrive seconds late; a run that still announces itself as
+/// ready after this time is not leaving.
+const LEAVING_RUN_RETENTION: Duration = Duration::from_secs(30);
+
 /// The endpoint, with its stage as the variant.
 #[derive(Debug, Default)]
 enum EndpointState {
@@ -97,10 +102,21 @@
     lease_end: Option<Time>,
     /// Whether the node itself is leaving.
     leaving: bool,
+    /// Run that has stated in a response that it is leaving.
+    leaving_run: Option<LeavingRun>,
     /// Runs whose departure was announced while another run or no run was known.
     departed_runs: Vec<DepartedRun>,
 }
 
+/// A run of the upstream that has stated in a response that it is leaving.
+#[derive(Debug)]
+struct LeavingRun {
+    run_id: Option<Arc<str>>,
+    /// Start of the run, in milliseconds of Unix time, once it is known.
+    run_started_ms: Option<u64>,
+    remembered_until: Time,
+}
+
 /// A run of the upstream that has announced its departure.
 #[derive(Debug)]
 struct DepartedRun {
@@ -141,6 +157,11 @@
             return;
         }
         self.newest_order = self.newest_order.max(order);
+        let stage = if self.is_leaving_run(now, &upstream, order) {
+            stage.max(Stage::Draining)
+        } else {
+            stage
+        };
         self.announced_stage = Some(stage);
         let stage = if self.leaving {
             stage.max(Stage::Draining)
@@ -163,6 +184,42 @@
         }
     }
 
+    /// Handles the statement of a run in a response that it is leaving: drains the endpoint if it belongs to
+    /// this run.
+    pub(crate) fn handle_leaving(&mut self, now: Time, run_id: Option<Arc<str>>) {
+        let known = self.endpoint.state();
+        if known.is_none_or(|(_, upstream)| upstream.run_id != run_id) {
+            return;
+        }
+        self.leaving_run = Some(LeavingRun {
+            run_id,
+            run_started_ms: self.newest_order.map(|order| order.run_started_ms),
+            remembered_until: now + LEAVING_RUN_RETENTION,
+        });
+        self.announced_stage = self.announced_stage.max(Some(Stage::Draining));
+        self.advance_to(Stage::Draining);
+    }
+
+    /// Whether an announcement comes from a run that has stated that it is leaving. A later run can have the
+    /// same id.
+    fn is_leaving_run(
+        &mut self,
+        now: Time,
+        upstream: &Upstream,
+        order: Option<AnnouncementOrder>,
+    ) -> bool {
+        let run_started_ms = order.map(|order| order.run_started_ms);
+        let Some(leaving_run) = &mut self.leaving_run else {
+            return false;
+        };
+        let known_start = *leaving_run
+            .run_started_ms
+            .get_or_insert(run_started_ms.unwrap_or(u64::MAX));
+        leaving_run.run_id == upstream.run_id
+            && leaving_run.remembered_until > now
+            && run_started_ms.is_none_or(|run_started_ms| run_started_ms <= known_start)
+    }
+
     /// Handles the departure of a run of the upstream: ends the endpoint if it belongs to this run.
     /// Announcements of the run that arrive later have no effect.
     pub(crate) fn handle_departure(
--- a/components/control/tests/upstream.rs
+++ b/components/control/tests/upstream.rs
@@ -436,3 +436,92 @@
         .expect("the node knows itself");
     assert_eq!((own.status, own.stage), (Status::Left, expected));
 }
+
+/// An announcement of a run in this stage.
+fn announce_run(node: &mut Node, stage: Stage, run_id: &str, run_started_ms: u64, sequence: u64) {
+    let upstream = Upstream {
+        service: Arc::from("planta"),
+        run_id: Some(Arc::from(run_id)),
+        slots: 5,
+        max_connections: 9,
+    };
+    node.input(Input::UpstreamAnnounced {
+        stage,
+        upstream,
+        order: Some(AnnouncementOrder {
+            run_started_ms,
+            sequence,
+        }),
+    });
+}
+
+/// Guards against an upstream that gets new requests after it has stated in a response that it is leaving:
+/// because no announcement tells so, because an announcement from before arrives later, or because a next
+/// process of the node adopts it as ready. A later run is ready, whether or not it has the same id.
+#[rstest]
+#[case::no_announcement(None, Stage::Draining)]
+#[case::late_announcement(Some(("a", 1_000, 3)), Stage::Draining)]
+#[case::later_run(Some(("b", 2_000, 1)), Stage::Ready)]
+#[case::later_run_same_id(Some(("a", 2_000, 1)), Stage::Ready)]
+fn report_leaving(#[case] announced: Option<(&str, u64, u64)>, #[case] expected: Stage) {
+    let mut node = Node::new(&[]);
+    announce_run(&mut node, Stage::Ready, "a", 1_000, 2);
+    node.input(Input::UpstreamLeaving {
+        run_id: Some(Arc::from("a")),
+    });
+    assert_eq!(node.stage(), Some(Stage::Draining));
+    node.run(Duration::from_millis(100));
+    let published = node.topologies.last();
+    let own_stage = published.and_then(|(_, it)| it.own_upstream.as_ref().map(|(stage, _)| *stage));
+    assert_eq!(own_stage, Some(Stage::Draining));
+    if let Some((run_id, run_started_ms, sequence)) = announced {
+        announce_run(&mut node, Stage::Ready, run_id, run_started_ms, sequence);
+    }
+    assert_eq!(node.stage(), Some(expected));
+    // The stage that the node leaves behind is the one that the next process of the node adopts.
+    node.input(Input::Drain);
+    node.input(Input::Drained);
+    assert_eq!(node.stage(), Some(expected));
+}
+
+/// Guards against a statement of an earlier run that drains the present one.
+#[rstest]
+fn report_leaving_other_run() {
+    let mut node = Node::new(&[]);
+    announce_run(&mut node, Stage::Ready, "b", 2_000, 1);
+    node.input(Input::UpstreamLeaving {
+        run_id: Some(Arc::from("a")),
+    });
+    assert_eq!(node.stage(), Some(Stage::Ready));
+}
+
+/// Guards against an upstream that is ready again for a moment between its announcements and the responses that
+/// state that it is leaving.
+#[rstest]
+fn report_leaving_repeated() {
+    let mut node = Node::new(&[]);
+    announce_run(&mut node, Stage::Ready, "a", 1_000, 1);
+    for sequence in 2..20 {
+        node.input(Input::UpstreamLeaving {
+            run_id: Some(Arc::from("a")),
+        });
+        announce_run(&mut node, Stage::Ready, "a", 1_000, sequence);
+        assert_eq!(node.stage(), Some(Stage::Draining));
+        node.run(Duration::from_millis(1_500));
+    }
+}
+
+/// Guards against an upstream that never gets requests again after a statement that does not hold.
+#[rstest]
+fn report_leaving_withdrawn() {
+    let mut node = Node::new(&[]);
+    announce_run(&mut node, Stage::Ready, "a", 1_000, 1);
+    node.input(Input::UpstreamLeaving {
+        run_id: Some(Arc::from("a")),
+    });
+    for sequence in 2..22 {
+        node.run(Duration::from_millis(1_500));
+        announce_run(&mut node, Stage::Ready, "a", 1_000, sequence);
+    }
+    assert_eq!(node.stage(), Some(Stage::Ready));
+}
--- a/components/daemon/src/run.rs
+++ b/components/daemon/src/run.rs
@@ -141,6 +141,7 @@
         &MemberTable::default(),
         0,
     )));
+    let (inputs, receiver) = mpsc::channel(INPUT_QUEUE_CAPACITY);
     let driver = Arc::new(TrafficDriver::new(TrafficDriverParts {
         node_id,
         clock,
@@ -148,6 +149,7 @@
         entry: traffic::entry::Machine::new(plugins.balance, plugins.retry, plugins.health),
         owner: traffic::owner::Machine::new(node_id, plugins.admission, upstream_end(settings)),
         metrics: Arc::clone(&metrics),
+        control_inputs: inputs.clone(),
     }));
     // The driver owns the metrics; a strong reference from them to the driver would be a cycle.
     let weak_driver = Arc::downgrade(&driver);
@@ -157,7 +159,6 @@
             .map(|it| it.gauges())
             .unwrap_or_default()
     });
-    let (inputs, receiver) = mpsc::channel(INPUT_QUEUE_CAPACITY);
     let pending_calls = Arc::new(Mutex::new(PendingCalls::default()));
 
     let sender = open_transport(settings, plugins.transport.as_ref(), &inputs, &metrics).await?;
--- a/components/front/src/driver.rs
+++ b/components/front/src/driver.rs
@@ -9,6 +9,7 @@
 
 use arc_swap::ArcSwap;
 use tokio::sync::Notify;
+use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 use tokio_util::sync::CancellationToken;
 
@@ -17,6 +18,7 @@
 use crate::permit::Admitted;
 use crate::upstream_log;
 use control::Topology;
+use errors::Reason;
 use ids::NodeId;
 use ids::RequestId;
 use kernel::Clock;
@@ -24,6 +26,7 @@
 use kernel::Time;
 use kernel::clock::MonotonicClock;
 use kernel::random::SeededRandom;
+use member::Stage;
 use policy::Load;
 use telemetry::Metrics;
 use telemetry::TrafficGauges;
@@ -50,6 +53,8 @@
     pub owner: owner::Machine,
     /// Metrics of the process.
     pub metrics: Arc<Metrics>,
+    /// Inputs of the control thread.
+    pub control_inputs: mpsc::Sender<control::Input>,
 }
 
 /// Entry state machine with its source of randomness.
@@ -94,6 +99,7 @@
     /// Notified when the last open call ends while the node is leaving.
     calls_ended: Notify,
     metrics: Arc<Metrics>,
+    control_inputs: mpsc::Sender<control::Input>,
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -128,6 +134,7 @@
             abandoning_calls: CancellationToken::new(),
             calls_ended: Notify::new(),
             metrics: parts.metrics,
+            control_inputs: parts.control_inputs,
         }
     }
 
@@ -184,7 +191,22 @@
 
     /// Reports that the run `run_id` of the upstream has stated in a response that it is leaving.
     pub fn report_leaving(&self, run_id: Option<Arc<str>>) {
-        upstream_log::log_leaving(&self.topology(), run_id.as_deref());
+        let topology = self.topology();
+        let stage = topology.own_upstream.as_ref().map(|(stage, _)| *stage);
+        // A leaving node shows its upstream as draining whatever the upstream has announced.
+        let is_known = stage >= Some(Stage::Draining) && !self.is_leaving();
+        if !is_known {
+            upstream_log::log_leaving(stage, run_id.as_deref());
+            self.report_to_control(control::Input::UpstreamLeaving { run_id });
+        }
+    }
+
+    /// Passes a fact to the control thread without waiting. If its queue is full, the fact is dropped and
+    /// counted.
+    fn report_to_control(&self, input: control::Input) {
+        if self.control_inputs.try_send(input).is_err() {
+            self.metrics.count_drop(Reason::QueueOverflow);
+        }
     }
 
     /// Token that is cancelled when a drain begins.
@@ -309,7 +331,7 @@
                 Err(refusal)
             }
             Err(_) => Err(Refusal {
-                reason: errors::Reason::QueueOverflow,
+                reason: Reason::QueueOverflow,
                 verdict: errors::Verdict::MayHaveRun,
                 retry_after: MAX_TIMER_SLEEP,
             }),
--- a/components/front/src/upstream_log.rs
+++ b/components/front/src/upstream_log.rs
@@ -5,7 +5,7 @@
 use log::info;
 use log::warn;
 
-use control::Topology;
+use member::Stage;
 use telemetry::LogLimiter;
 use traffic::owner::RateLimitReport;
 
@@ -36,14 +36,11 @@
 }
 
 /// Logs that the upstream states in a response that it is leaving, and the stage in which other nodes see it.
-pub(crate) fn log_leaving(topology: &Topology, run_id: Option<&str>) {
+pub(crate) fn log_leaving(stage: Option<Stage>, run_id: Option<&str>) {
     let Some(suppressed) = LOG_LIMITER.admit() else {
         return;
     };
-    let own_upstream = topology.own_upstream.as_ref();
-    let stage = own_upstream.map_or("unknown".to_owned(), |(stage, _)| {
-        format!("{stage:?}").to_lowercase()
-    });
+    let stage = stage.map_or("unknown".to_owned(), |it| format!("{it:?}").to_lowercase());
     info!(
         event = "upstream-leaving", run = run_id.unwrap_or("none"), stage = stage.as_str(),
         held = suppressed;
--- a/components/http1/tests/support/mod.rs
+++ b/components/http1/tests/support/mod.rs
@@ -11,9 +11,11 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::Mutex;
 
 use arc_swap::ArcSwap;
 use tarpc::context::Context;
+use tokio::sync::mpsc;
 use tokio_util::sync::CancellationToken;
 
 use admit as _;
@@ -68,6 +70,9 @@
       - { method: PUT, path: "/**", rank: 1, deadline_ms: 700, idempotent: true }
 "#;
 
+/// Number of facts that can wait for the control thread.
+const CONTROL_QUEUE_CAPACITY: usize = 64;
+
 /// Control calls of other nodes; only queries of outcomes are implemented.
 #[derive(Clone)]
 struct PeerHandler(Arc<TrafficDriver>);
@@ -102,6 +107,8 @@
     pub(crate) driver: Arc<TrafficDriver>,
     pub(crate) front_end_stop: CancellationToken,
     pub(crate) front_end_task: tokio::task::JoinHandle<()>,
+    /// Facts that the traffic part reports to the control thread.
+    pub(crate) control_inputs: Mutex<mpsc::Receiver<control::Input>>,
     topology: Arc<ArcSwap<Topology>>,
 }
 
@@ -139,6 +146,7 @@
             build("retry", &RETRY_PLUGINS, "budget", &no_params).unwrap(),
             build("health", &HEALTH_PLUGINS, health, &no_params).unwrap(),
         );
+        let (control_inputs, control_receiver) = mpsc::channel(CONTROL_QUEUE_CAPACITY);
         let driver = Arc::new(TrafficDriver::new(TrafficDriverParts {
             node_id: id,
             clock,
@@ -146,6 +154,7 @@
             entry,
             owner: traffic::owner::Machine::new(id, admission, UpstreamEnd::Leave),
             metrics,
+            control_inputs,
         }));
         let (callers, requests, peer) = (free_address(), free_address(), free_address());
         let front_end_stop = CancellationToken::new();
@@ -169,6 +178,7 @@
             driver,
             front_end_stop,
             front_end_task,
+            control_inputs: Mutex::new(control_receiver),
             topology,
         };
         node.set_upstream_stage(Stage::Ready, slots);
--- a/components/http1/tests/support/upstream.rs
+++ b/components/http1/tests/support/upstream.rs
@@ -62,6 +62,7 @@
 /// - `/large`: a body of 1 MB;
 /// - `/trailer`: a trailer after the body;
 /// - `/shed`: status 503, by which the upstream states that it did not run the request;
+/// - `/leaving`: states that the upstream is leaving;
 /// - `/limited/<rate>`: names a limit of this many requests a second;
 /// - `/status/304`: a length without a body;
 /// - `/onward`: the status that a request to the address in `x-via` received;
@@ -194,6 +195,7 @@
             let rate = path.trim_start_matches("/limited/");
             format!("{head}medlar-rate-limit: {rate}\r\ncontent-length: 0\r\n\r\n").into_bytes()
         }
+        "/leaving" => format!("{head}medlar-leaving: 1\r\ncontent-length: 0\r\n\r\n").into_bytes(),
         "/shed" => b"HTTP/1.1 503 Busy\r\ncontent-length: 0\r\n\r\n".to_vec(),
         "/status/304" => b"HTTP/1.1 304 Not Modified\r\ncontent-length: 70\r\n\r\n".to_vec(),
         _ if message.head.starts_with("HEAD ") => {
