Log which requests ran at an upstream when it crashed

When a connection to the upstream breaks while a request may have run, the owner connects once more. If that fails and no other running request is answered within 20 ms, the upstream has crashed: the reason of the failure is upstream-crashed, and the line upstream-crashed names the request by its fingerprint and the crash by its number. A retry is decided as for a broken connection.

--- a/components/front/src/driver.rs
+++ b/components/front/src/driver.rs
@@ -415,6 +415,7 @@
                     }
                 }
                 owner::Effect::RateLimitReported(report) => upstream_log::log_rate_limit(report),
+                owner::Effect::RequestCrashed(crashed) => upstream_log::log_crashed(crashed),
                 owner::Effect::Drained => self.drained.cancel(),
             }
         }
--- a/components/front/src/permit.rs
+++ b/components/front/src/permit.rs
@@ -76,6 +76,13 @@
             },
         );
     }
+
+    /// Reports that the upstream crashed while it ran the request.
+    pub fn finish_crashed(mut self) {
+        self.ended = true;
+        let tag = self.tag;
+        self.driver.end_request(tag, Input::UpstreamCrashed { tag });
+    }
 }
 
 impl Drop for Permit {
--- a/components/front/src/upstream_log.rs
+++ b/components/front/src/upstream_log.rs
@@ -7,12 +7,18 @@
 
 use member::Stage;
 use telemetry::LogLimiter;
+use traffic::owner::CrashedRequest;
 use traffic::owner::RateLimitReport;
 
 /// Limit on log lines per second. A limit that stays the same is reported once a second; one that differs
 /// in each response would cause a line for each.
 const MAX_LINES_PER_SECOND: u32 = 5;
 
+/// Limit on log lines about requests that ran at an upstream when that crashed, one for each slot.
+const MAX_CRASH_LINES_PER_SECOND: u32 = 40;
+
+static CRASH_LIMITER: LogLimiter =
+    LogLimiter::with_lines(MAX_CRASH_LINES_PER_SECOND, Duration::from_secs(1));
 static LOG_LIMITER: LogLimiter =
     LogLimiter::with_lines(MAX_LINES_PER_SECOND, Duration::from_secs(1));
 
@@ -47,3 +53,16 @@
         "upstream states that it is leaving"
     );
 }
+
+/// Logs a request that ran at the upstream when that crashed.
+pub(crate) fn log_crashed(crashed: CrashedRequest) {
+    let Some(suppressed) = CRASH_LIMITER.admit() else {
+        return;
+    };
+    warn!(
+        event = "upstream-crashed", crash = crashed.crash,
+        fingerprint = crashed.fingerprint.to_string().as_str(),
+        ran_ms = u64::try_from(crashed.ran_for.as_millis()).unwrap_or(u64::MAX), held = suppressed;
+        "upstream crashed while it ran a request"
+    );
+}
--- a/components/http1/src/attempt.rs
+++ b/components/http1/src/attempt.rs
@@ -28,6 +28,7 @@
 use errors::Reason;
 use errors::Verdict;
 use front::query_outcome;
+use ids::Fingerprint;
 use ids::RequestId;
 use kernel::Time;
 use policy::Load;
@@ -52,6 +53,7 @@
 /// A request of a caller, from which the HTTP request of each attempt is built.
 pub(crate) struct OutgoingRequest {
     pub(crate) id: RequestId,
+    pub(crate) fingerprint: Fingerprint,
     /// Request head without internal and hop-by-hop headers.
     pub(crate) parts: Parts,
     pub(crate) body: RequestBody,
@@ -265,6 +267,7 @@
         weight,
         idempotent: profile.idempotent,
         rate_limit: attempt.rate_limit,
+        fingerprint: Some(outgoing.fingerprint),
     };
     let upstream_request = UpstreamRequest {
         incoming,
@@ -323,6 +326,7 @@
         (header::OWNER, attempt.node.to_string()),
         (header::EXPIRES, times.expires.0.to_string()),
         (header::ATTEMPT, attempt.number.to_string()),
+        (header::FINGERPRINT, outgoing.fingerprint.to_string()),
         (header::SERVICE, profile.service.to_string()),
     ];
     let spillable = attempt
--- a/components/http1/src/caller.rs
+++ b/components/http1/src/caller.rs
@@ -11,6 +11,8 @@
 use hyper::header::HOST;
 use hyper::header::HeaderValue;
 use hyper::header::TRANSFER_ENCODING;
+use hyper::http::request::Parts;
+use hyper::http::uri::PathAndQuery;
 use tokio::time::Instant;
 use tokio_util::task::AbortOnDropHandle;
 
@@ -36,6 +38,7 @@
 use crate::responses::not_run_refusal;
 use errors::Reason;
 use errors::Verdict;
+use ids::Fingerprint;
 use ids::RequestId;
 use traffic::Refusal;
 use traffic::entry::Attempt;
@@ -192,6 +195,7 @@
     };
     let mut outgoing = OutgoingRequest {
         id: head.id,
+        fingerprint: fingerprint(shared, &parts, &body),
         parts,
         body,
         sent: false,
@@ -231,6 +235,20 @@
     ))
 }
 
+/// Fingerprint of a request: the same whenever a caller repeats the request, at whichever node.
+fn fingerprint(shared: &SharedState, parts: &Parts, body: &RequestBody) -> Fingerprint {
+    let host = parts
+        .headers
+        .get(HOST)
+        .map_or(&[][..], HeaderValue::as_bytes);
+    let caller = shared.dialect.caller_id(&parts.headers);
+    let caller = caller.map_or(&[][..], HeaderValue::as_bytes);
+    let target = parts.uri.path_and_query().map_or("", PathAndQuery::as_str);
+    let method = parts.method.as_str();
+    let body = body.fingerprint().0.to_le_bytes();
+    Fingerprint::of(&[method.as_bytes(), host, target.as_bytes(), caller, &body])
+}
+
 /// Ends a call without an answer, because the process exits.
 fn abandon(shared: &SharedState, call: Option<CallKey>, sent: bool) -> Refusal {
     let topology = shared.driver.topology();
--- a/components/http1/src/dialect.rs
+++ b/components/http1/src/dialect.rs
@@ -8,6 +8,7 @@
 
 use hyper::HeaderMap;
 use hyper::StatusCode;
+use hyper::header::AUTHORIZATION;
 use hyper::header::CONTENT_TYPE;
 use hyper::header::HeaderValue;
 use hyper::header::RETRY_AFTER;
@@ -106,6 +107,11 @@
     /// Identifier that the caller gave the request, for log lines.
     fn trace_id<'a>(&self, headers: &'a HeaderMap) -> Option<&'a HeaderValue>;
 
+    /// Value by which a request names its caller, if it does; part of the request's fingerprint.
+    fn caller_id<'a>(&self, headers: &'a HeaderMap) -> Option<&'a HeaderValue> {
+        headers.get(AUTHORIZATION)
+    }
+
     /// Sets the headers of a request that is sent to the upstream.
     fn set_dispatch_headers(&self, headers: &mut HeaderMap, dispatch: &DispatchContext<'_>);
 
--- a/components/http1/src/dispatch.rs
+++ b/components/http1/src/dispatch.rs
@@ -349,7 +349,11 @@
 
 /// Finishes the permit of a failed request and returns the refusal for its sender.
 fn finish_failed(permit: Permit, (verdict, reason): UpstreamFailure) -> Refusal {
-    permit.finish(verdict, false, false);
+    if reason == Reason::UpstreamCrashed {
+        permit.finish_crashed();
+    } else {
+        permit.finish(verdict, false, false);
+    }
     Refusal {
         reason,
         verdict,
--- a/components/http1/src/node.rs
+++ b/components/http1/src/node.rs
@@ -146,6 +146,7 @@
         objective: parse_header(headers, header::OBJECTIVE).map(Time),
         spillable: headers.contains_key(header::SPILLABLE),
         rate_limit: parse_header(headers, header::RATE_LIMIT),
+        fingerprint: parse_header(headers, header::FINGERPRINT),
         // A route that this node's configuration does not contain yet gets the least urgent rank.
         rank: route_config.map_or(Rank(u8::MAX), |route| route.rank),
         weight: route_config.map_or(1, |route| route.weight),
--- a/components/http1/src/request_body.rs
+++ b/components/http1/src/request_body.rs
@@ -15,6 +15,7 @@
 use crate::body::StreamedBody;
 use crate::body::full;
 use errors::Reason;
+use ids::Fingerprint;
 
 /// Longest request body that is buffered, so that it can be sent again in a retry, in bytes.
 pub(crate) const MAX_BUFFERED_BODY_BYTES: usize = 64 * 1024;
@@ -24,7 +25,12 @@
     /// A small body that was read to its end.
     Buffered(Bytes),
     /// A large body that is still arriving; the payload is `None` once it was sent.
-    Streamed(Option<Payload>, AbortReason),
+    Streamed {
+        payload: Option<Payload>,
+        abort_reason: AbortReason,
+        /// Fingerprint of the part of the body that had arrived when the request was read.
+        start: Fingerprint,
+    },
 }
 
 impl RequestBody {
@@ -50,11 +56,22 @@
         }
         let remaining_bytes = max_bytes.saturating_sub(bytes.len() as u64);
         let abort_reason = AbortReason::default();
+        // The first bytes that arrive differ in number from time to time.
+        let start = Fingerprint::of(&[&bytes[..MAX_BUFFERED_BODY_BYTES.min(bytes.len())]]);
         let stream = StreamedBody::new(bytes, body, remaining_bytes, Arc::clone(&abort_reason));
-        Ok(Self::Streamed(
-            Some(Payload::Streamed(Box::new(stream))),
+        Ok(Self::Streamed {
+            payload: Some(Payload::Streamed(Box::new(stream))),
             abort_reason,
-        ))
+            start,
+        })
+    }
+
+    /// Fingerprint of the body, or of its first [`MAX_BUFFERED_BODY_BYTES`] bytes if it is larger.
+    pub(crate) fn fingerprint(&self) -> Fingerprint {
+        match self {
+            Self::Buffered(bytes) => Fingerprint::of(&[bytes]),
+            Self::Streamed { start, .. } => *start,
+        }
     }
 
     /// Whether the body is in memory, so that it can be sent again.
@@ -66,7 +83,7 @@
     pub(crate) fn payload(&mut self) -> Option<Payload> {
         match self {
             Self::Buffered(bytes) => Some(full(bytes.clone())),
-            Self::Streamed(payload, _) => payload.take(),
+            Self::Streamed { payload, .. } => payload.take(),
         }
     }
 
@@ -74,7 +91,7 @@
     pub(crate) fn abort_reason(&self) -> Option<Reason> {
         match self {
             Self::Buffered(_) => None,
-            Self::Streamed(_, abort_reason) => abort_reason.get().copied(),
+            Self::Streamed { abort_reason, .. } => abort_reason.get().copied(),
         }
     }
 }
--- a/components/http1/src/upstream.rs
+++ b/components/http1/src/upstream.rs
@@ -5,6 +5,8 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use hyper::Request;
@@ -22,6 +24,11 @@
 
 /// Timeout for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Timeout for the connection that shows whether an upstream that broke another one has crashed.
+const CRASH_CHECK_TIMEOUT: Duration = Duration::from_millis(100);
+/// Time in which an upstream that refuses connections but has not crashed answers one of the requests that
+/// are running.
+const CRASH_CONFIRMATION_DELAY: Duration = Duration::from_millis(20);
 /// Idle time after which a connection is closed. Common servers close idle connections after 5 s,
 /// and a request that is sent while the server closes may have run.
 const MAX_IDLE_TIME: Duration = Duration::from_secs(3);
@@ -43,6 +50,8 @@
 pub(crate) struct UpstreamClient {
     address: SocketAddr,
     connection_limit: Arc<ConnectionLimit>,
+    /// Number of responses whose heads have arrived.
+    responses: AtomicU64,
     /// Idle connections and when they became idle; the most recent is last.
     idle: Mutex<Vec<(ClientConnection, Time)>>,
 }
@@ -52,6 +61,7 @@
         Self {
             address,
             connection_limit: Arc::default(),
+            responses: AtomicU64::new(0),
             idle: Mutex::new(Vec::new()),
         }
     }
@@ -66,8 +76,43 @@
     ) -> Result<(Response<Incoming>, ClientConnection), UpstreamFailure> {
         let mut connection = self.acquire(limit, now).await?;
         match connection.send(request).await {
-            Ok(response) => Ok((response, connection)),
-            Err(mut error) => Err((execution_verdict(&mut error), Reason::ConnectionBroken)),
+            Ok(response) => {
+                self.responses.fetch_add(1, Ordering::Relaxed);
+                Ok((response, connection))
+            }
+            Err(mut error) => {
+                drop(connection);
+                let verdict = execution_verdict(&mut error);
+                let reason = if verdict == Verdict::MayHaveRun && self.is_down(limit, now).await {
+                    Reason::UpstreamCrashed
+                } else {
+                    Reason::ConnectionBroken
+                };
+                Err((verdict, reason))
+            }
+        }
+    }
+
+    /// Whether the upstream has crashed: it has broken a connection, accepts no other, and answers none of the
+    /// requests that were running. A connection that it accepts serves a later request.
+    async fn is_down(&self, limit: usize, now: Time) -> bool {
+        let responses = self.responses.load(Ordering::Relaxed);
+        let Some(slot) = self.connection_limit.try_acquire(limit) else {
+            return false;
+        };
+        let opening = ClientConnection::connect(self.address, (slot, None));
+        match timeout(CRASH_CHECK_TIMEOUT, opening).await {
+            Ok(Some(connection)) => {
+                self.release(connection, now);
+                false
+            }
+            Ok(None) => {
+                // Some upstreams reset connections while they are full, and answer others.
+                tokio::time::sleep(CRASH_CONFIRMATION_DELAY).await;
+                self.responses.load(Ordering::Relaxed) == responses
+            }
+            // A silent address shows nothing of the process.
+            Err(_) => false,
         }
     }
 
--- a/components/ids/src/lib.rs
+++ b/components/ids/src/lib.rs
@@ -8,6 +8,8 @@
 use std::str::FromStr;
 use std::sync::Arc;
 
+use sha2::Digest as _;
+use sha2::Sha256;
 use xxhash_rust::xxh3::xxh3_64;
 
 /// Version number of an accepted configuration; each accepted configuration has a higher version
@@ -89,6 +91,39 @@
     }
 }
 
+/// Hash of what makes two requests the same request: target, caller and content. Collision-resistant, so
+/// that no caller can make its request look like that of another one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Fingerprint(pub u128);
+
+impl Fingerprint {
+    /// Returns the hash of `parts`, which is different if the same bytes are divided in another way.
+    pub fn of(parts: &[&[u8]]) -> Self {
+        let mut hasher = Sha256::new();
+        for part in parts {
+            hasher.update((part.len() as u64).to_le_bytes());
+            hasher.update(part);
+        }
+        let mut bytes = [0; 16];
+        bytes.copy_from_slice(&hasher.finalize()[..16]);
+        Self(u128::from_le_bytes(bytes))
+    }
+}
+
+impl fmt::Display for Fingerprint {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:032x}", self.0)
+    }
+}
+
+impl FromStr for Fingerprint {
+    type Err = ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        u128::from_str_radix(text, 16).map(Self)
+    }
+}
+
 /// Identifier of a service, the same in each configuration version that lists the service.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ServiceId(pub u64);
--- a/components/simulate/src/entry_call.rs
+++ b/components/simulate/src/entry_call.rs
@@ -202,6 +202,7 @@
             weight: 1,
             idempotent: profile.idempotent,
             rate_limit: attempt.rate_limit,
+            fingerprint: None,
         };
         let to = attempt.request_address;
         self.send_after(
--- a/components/simulate/src/node.rs
+++ b/components/simulate/src/node.rs
@@ -175,7 +175,7 @@
                         });
                     }
                 }
-                Effect::RateLimitReported(_) => {}
+                Effect::RateLimitReported(_) | Effect::RequestCrashed(_) => {}
                 Effect::Drained => self.exit_owner(owner),
             }
         }
--- a/components/traffic/src/entry/call.rs
+++ b/components/traffic/src/entry/call.rs
@@ -158,9 +158,12 @@
     /// health; `None` if it says nothing about the node.
     pub(crate) fn assess(&self, report: &AttemptReport) -> Option<bool> {
         match report.reason {
-            Some(Reason::ConnectFailed | Reason::ConnectionBroken | Reason::ConnectionSilent) => {
-                Some(false)
-            }
+            Some(
+                Reason::ConnectFailed
+                | Reason::ConnectionBroken
+                | Reason::ConnectionSilent
+                | Reason::UpstreamCrashed,
+            ) => Some(false),
             // With a deadline below the silence timeout, no query shows whether the owner is
             // reachable.
             Some(Reason::DeadlinePassed) if report.verdict == Verdict::MayHaveRun => {
--- a/components/traffic/src/owner.rs
+++ b/components/traffic/src/owner.rs
@@ -1,5 +1,6 @@
 //! State machine of the owner, the node next to the upstream: admission, dispatch and the ledger.
 
+mod crashes;
 mod dedup;
 mod message;
 mod upstream_limit;
@@ -13,6 +14,7 @@
 use crate::ledger::Ledger;
 use crate::ledger::Outcome;
 use crate::ledger::RecordState;
+use crate::owner::crashes::Crashes;
 use crate::owner::upstream_limit::UpstreamLimit;
 use errors::Reason;
 use errors::Verdict;
@@ -28,6 +30,7 @@
 use policy::RequestRate;
 use policy::Ticket;
 
+pub use message::CrashedRequest;
 pub use message::Effect;
 pub use message::IncomingRequest;
 pub use message::Input;
@@ -61,6 +64,7 @@
     next_ledger_expiry: Time,
     upstream_end: UpstreamEnd,
     upstream_limit: UpstreamLimit,
+    crashes: Crashes,
     /// Whether the upstream is known to be warm.
     upstream_warm: bool,
     /// Whether the upstream has responded to a request of this process.
@@ -95,6 +99,7 @@
             next_ledger_expiry: Time::default(),
             upstream_end,
             upstream_limit: UpstreamLimit::default(),
+            crashes: Crashes::default(),
             upstream_warm: false,
             upstream_responded: false,
             work_end: None,
@@ -110,7 +115,7 @@
 
     fn handle_arrival(&mut self, now: Time, incoming: IncomingRequest, effects: &mut Vec<Effect>) {
         let deadline = self.limit_deadline(incoming.deadline);
-        let request = Request::new(incoming.id, deadline);
+        let request = Request::new(incoming.id, deadline, incoming.fingerprint);
         if let Err(refusal) = self.check_acceptable(now, &incoming, request) {
             effects.push(Effect::Refuse {
                 tag: incoming.tag,
@@ -289,6 +294,18 @@
         }
     }
 
+    /// Ends a request that ran when the upstream crashed.
+    fn handle_crash(&mut self, now: Time, tag: u64, effects: &mut Vec<Effect>) {
+        if let Ok(index) = self.position(tag)
+            && let Phase::Dispatched(request) = &self.open_requests[index].1
+        {
+            let ran_for = now.since(request.state().dispatched_at);
+            let crashed = self.crashes.record_crash(request.fingerprint(), ran_for);
+            effects.extend(crashed.map(Effect::RequestCrashed));
+        }
+        self.handle_finish(now, tag, (Verdict::MayHaveRun, false, false), effects);
+    }
+
     fn handle_cancel(&mut self, now: Time, tag: u64, effects: &mut Vec<Effect>) {
         let Ok(index) = self.position(tag) else {
             return;
@@ -410,6 +427,7 @@
             .set_rate_limit(now, rate_limit, &mut decisions);
         self.apply_decisions(now, decisions, effects);
         self.upstream_responded = true;
+        self.crashes.record_response();
     }
 
     /// Applies the rate limit that the sender of a request knows from an earlier response of the upstream.
@@ -486,6 +504,7 @@
             } => {
                 self.handle_finish(now, tag, (verdict, shed, stored), effects);
             }
+            Input::UpstreamCrashed { tag } => self.handle_crash(now, tag, effects),
             Input::Cancelled { tag } => self.handle_cancel(now, tag, effects),
             Input::OutcomeQueried { tag, query } => {
                 let outcome = self.report_outcome(now, query, effects);
--- a/components/traffic/src/owner/message.rs
+++ b/components/traffic/src/owner/message.rs
@@ -5,6 +5,7 @@
 use crate::Refusal;
 use crate::ledger::Outcome;
 use errors::Verdict;
+use ids::Fingerprint;
 use ids::NodeId;
 use ids::Rank;
 use ids::RequestId;
@@ -43,6 +44,8 @@
     pub idempotent: bool,
     /// Rate limit that the upstream has named in a recent response to the sender.
     pub rate_limit: Option<RequestRate>,
+    /// Fingerprint of the request; `None` if the sender does not state it.
+    pub fingerprint: Option<Fingerprint>,
 }
 
 /// A query for the outcome of one attempt.
@@ -76,6 +79,11 @@
         /// Whether the answer is stored and can be fetched.
         stored: bool,
     },
+    /// The upstream crashed while it ran the request: it broke the connection and accepts no other.
+    UpstreamCrashed {
+        /// Tag of the request.
+        tag: u64,
+    },
     /// The sender has disconnected or no longer needs the answer.
     Cancelled { tag: u64 },
     /// A sender queries the outcome of a request; [`Effect::ReportOutcome`] answers it.
@@ -107,6 +115,17 @@
     pub elapsed: Duration,
 }
 
+/// A request that ran at the upstream when that crashed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CrashedRequest {
+    /// Fingerprint of the request.
+    pub fingerprint: Fingerprint,
+    /// Number of the crash among those that this process has seen, from 1.
+    pub crash: u32,
+    /// Time for which the request had run.
+    pub ran_for: Duration,
+}
+
 /// Actions that the state machine requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Effect {
@@ -120,6 +139,8 @@
     ReportOutcome { tag: u64, outcome: Outcome },
     /// The upstream has named a limit or another one, or a second has passed since the last report on it.
     RateLimitReported(RateLimitReport),
+    /// The request ran at the upstream when that crashed.
+    RequestCrashed(CrashedRequest),
     /// All requests that were accepted before the drain have ended.
     Drained,
 }
--- a/components/traffic/src/request.rs
+++ b/components/traffic/src/request.rs
@@ -4,6 +4,7 @@
 
 use errors::Reason;
 use errors::Verdict;
+use ids::Fingerprint;
 use ids::RequestId;
 use kernel::Time;
 
@@ -30,6 +31,7 @@
 pub struct Request<S> {
     id: RequestId,
     deadline: Time,
+    fingerprint: Option<Fingerprint>,
     state: S,
 }
 
@@ -55,6 +57,11 @@
         self.deadline
     }
 
+    /// Fingerprint of the request, if its sender states it.
+    pub fn fingerprint(&self) -> Option<Fingerprint> {
+        self.fingerprint
+    }
+
     /// The life cycle state with its data.
     pub fn state(&self) -> &S {
         &self.state
@@ -63,10 +70,11 @@
 
 impl Request<Queued> {
     /// Creates a request that has arrived and waits for admission.
-    pub fn new(id: RequestId, deadline: Time) -> Self {
+    pub fn new(id: RequestId, deadline: Time, fingerprint: Option<Fingerprint>) -> Self {
         Self {
             id,
             deadline,
+            fingerprint,
             state: Queued,
         }
     }
@@ -76,6 +84,7 @@
         Request {
             id: self.id,
             deadline: self.deadline,
+            fingerprint: self.fingerprint,
             state: Dispatched { dispatched_at: now },
         }
     }
@@ -97,6 +106,7 @@
         Request {
             id: self.id,
             deadline: self.deadline,
+            fingerprint: self.fingerprint,
             state: Finished { verdict },
         }
     }
--- a/components/traffic/tests/owner.rs
+++ b/components/traffic/tests/owner.rs
@@ -72,6 +72,7 @@
         weight: 1,
         idempotent,
         rate_limit: None,
+        fingerprint: None,
     }
 }
 
--- a/components/wire/src/header.rs
+++ b/components/wire/src/header.rs
@@ -24,6 +24,8 @@
 pub const OBJECTIVE: &str = "medlar-objective-us";
 /// `1` if the owner may refuse the request because it would miss its objective there.
 pub const SPILLABLE: &str = "medlar-spillable";
+/// Fingerprint of the request, 32 hexadecimal digits: the same for each repetition by any caller's node.
+pub const FINGERPRINT: &str = "medlar-fingerprint";
 /// Number of the attempt at the request; the first attempt is 1.
 pub const ATTEMPT: &str = "medlar-attempt";
 /// `1` if the sender of the request, or a service in front of it, retries it; the receiver then must
