Quarantine requests that crash the upstreams that run them

Cause: what a request does was forgotten with its attempt. An entry retried it at the next upstream like any other, and no node knew that a copy of it had crashed an upstream elsewhere. The lines upstream-crashed show it in 23 of 24 crashes, and no other request in more than two. Overload is ruled out, since then each crash would have other requests; the entries' retries alone are not the cause, since most copies came from callers.

Change: all requests that ran at an upstream when it crashed are suspect. The control threads tell each other, each node counts the crashes since a request last completed, and refuses it for 0.3 s, 10 s and 10 minutes after the first, second and third one. Any completion clears it everywhere. Of the other requests of a crash those that are idempotent are retried once, 50 to 250 ms later; a second crash ends the attempts.

--- a/components/control/src/machine.rs
+++ b/components/control/src/machine.rs
@@ -10,6 +10,7 @@
 use crate::Topology;
 use crate::life_cycle::NodeLifecycle;
 use crate::own_upstream::OwnUpstream;
+use crate::suspects::Suspects;
 use ids::Domain;
 use ids::NodeId;
 use kernel::Random;
@@ -43,6 +44,7 @@
     membership: member::Machine,
     spread: spread::Machine,
     own_upstream: OwnUpstream,
+    suspects: Suspects,
     /// Service of the upstreams on this node's instance, if the settings name it.
     service: Option<Arc<str>>,
     /// `None` only while a transition of the life cycle takes the value.
@@ -60,6 +62,7 @@
     /// Creates the control state of a node that has just started.
     pub fn new(own: Member, contacts: Vec<SocketAddr>, parameters: Parameters, now: Time) -> Self {
         Self {
+            suspects: Suspects::new(own.id),
             domain: own.domain.clone(),
             membership: member::Machine::new(own, contacts, parameters, now),
             spread: spread::Machine::default(),
@@ -220,7 +223,10 @@
             self.generation,
         );
         let report = self.spread.report().clone();
-        effects.push(Effect::Publish(Arc::new(topology.with_report(report))));
+        let topology = topology
+            .with_report(report)
+            .with_suspects(Arc::new(self.suspects.table().view()));
+        effects.push(Effect::Publish(Arc::new(topology)));
     }
 
     /// Announces the state of this node's upstream to the other members if it has changed since the
@@ -349,6 +355,22 @@
                 self.own_upstream.handle_leaving(now, run_id);
                 self.announce_upstream(random, out);
             }
+            Input::RequestCrashed { fingerprint, crash } => {
+                self.topology_changed |= self.suspects.record_crash(now, fingerprint, crash);
+            }
+            Input::RequestCompleted { fingerprint } => {
+                self.topology_changed |= self.suspects.record_completion(now, fingerprint);
+            }
+            Input::CrashReports { from, reports } => {
+                let (has_news, replies) = self.suspects.merge(now, reports);
+                self.topology_changed |= has_news;
+                if !replies.is_empty() {
+                    effects.push(Effect::SendCrashReports {
+                        to: from,
+                        reports: replies,
+                    });
+                }
+            }
             Input::Drain => {
                 self.lifecycle = self.lifecycle.take().map(NodeLifecycle::leave);
                 self.own_upstream.drain();
@@ -389,6 +411,13 @@
         self.announce_upstream(random, &mut out);
         self.membership.wake(now, random, &mut out.membership);
         self.spread.wake(now, random, &mut out.spread);
+        for push in self.suspects.wake(now) {
+            let receivers = self.membership.random_live_members(push.fanout, random);
+            effects.extend(receivers.into_iter().map(|to| Effect::SendCrashReports {
+                to,
+                reports: push.reports.clone(),
+            }));
+        }
         self.process_outputs(now, out, random, effects);
     }
 
@@ -398,6 +427,7 @@
             .into_iter()
             .chain(self.spread.next_wake())
             .chain(self.own_upstream.next_wake())
+            .chain(self.suspects.next_wake())
             .chain(self.next_publish())
             .min()
     }
--- a/components/control/src/message.rs
+++ b/components/control/src/message.rs
@@ -7,6 +7,7 @@
 use crate::Topology;
 use config::Record;
 use ids::Domain;
+use ids::Fingerprint;
 use ids::Version;
 use member::ConfigId;
 use member::Message;
@@ -14,6 +15,7 @@
 use member::SyncRequest;
 use member::SyncResponse;
 use member::Upstream;
+use quarantine::Report;
 use spread::ContactsEvent;
 use spread::PullResponse;
 use spread::Revision;
@@ -62,6 +64,18 @@
     },
     /// A run of the upstream of this node has stated in a response that it is leaving.
     UpstreamLeaving { run_id: Option<Arc<str>> },
+    /// A request ran at the upstream of this node when that crashed; `crash` is the number of the crash.
+    RequestCrashed {
+        fingerprint: Fingerprint,
+        crash: u32,
+    },
+    /// A suspect request has completed at the upstream of this node.
+    RequestCompleted { fingerprint: Fingerprint },
+    /// Another node reports requests that crash upstreams.
+    CrashReports {
+        from: SocketAddr,
+        reports: Vec<Report>,
+    },
     /// An operator or a signal asks the node to leave.
     Drain,
     /// The traffic threads have finished all requests.
@@ -73,6 +87,11 @@
 pub enum Effect {
     /// Send a datagram.
     Send { to: SocketAddr, message: Message },
+    /// Send reports on requests that crash upstreams.
+    SendCrashReports {
+        to: SocketAddr,
+        reports: Vec<Report>,
+    },
     /// Pull the configuration of a node, unless its id is `have`.
     Pull { from: SocketAddr, have: ConfigId },
     /// Respond to [`Input::PullRequested`].
--- a/components/control/src/topology.rs
+++ b/components/control/src/topology.rs
@@ -14,6 +14,7 @@
 use member::MemberTable;
 use member::Stage;
 use member::Upstream;
+use quarantine::View;
 use spread::DistributionReport;
 
 /// Key of an endpoint in one topology.
@@ -51,6 +52,8 @@
     pub own_upstream: Option<(Stage, Upstream)>,
     /// Problems in the distribution of the configuration.
     pub report: DistributionReport,
+    /// Requests that are suspect of crashing upstreams.
+    pub suspects: Arc<View>,
     /// All known members, sorted by id.
     members: Vec<Arc<Member>>,
     endpoints: Arena<Endpoint>,
@@ -100,6 +103,7 @@
             snapshot,
             own_upstream,
             report: DistributionReport::default(),
+            suspects: Arc::default(),
             members: table.members().to_vec(),
             endpoints,
             by_service,
@@ -111,6 +115,11 @@
         Self { report, ..self }
     }
 
+    /// Returns the topology with these suspect requests.
+    pub fn with_suspects(self, suspects: Arc<View>) -> Self {
+        Self { suspects, ..self }
+    }
+
     /// The member with this id, even if it is dead.
     pub fn member(&self, id: NodeId) -> Option<&Member> {
         let position = self.members.binary_search_by_key(&id, |it| it.id);
--- a/components/daemon/src/executor.rs
+++ b/components/daemon/src/executor.rs
@@ -40,6 +40,7 @@
 use store::encode_contacts;
 use store::encode_record;
 use telemetry::Metrics;
+use transport::Datagram;
 use transport::Sender;
 use transport::calls;
 
@@ -98,7 +99,10 @@
 impl EffectExecutor<Effect> for ControlExecutor {
     fn execute(&mut self, effect: Effect) {
         match effect {
-            Effect::Send { to, message } => self.sender.send(to, &message),
+            Effect::Send { to, message } => self.sender.send(to, &Datagram::Membership(message)),
+            Effect::SendCrashReports { to, reports } => {
+                self.sender.send(to, &Datagram::CrashReports(reports));
+            }
             Effect::Pull { from, have } => {
                 self.spawn_call(async move {
                     let response = pull_config(from, have).await;
--- a/components/daemon/src/run.rs
+++ b/components/daemon/src/run.rs
@@ -51,6 +51,7 @@
 use settings::Settings;
 use telemetry::Metrics;
 use traffic::owner::UpstreamEnd;
+use transport::Datagram;
 use transport::Sender;
 use transport::Transport;
 use transport::calls;
@@ -254,15 +255,18 @@
 ) -> Result<Arc<dyn Sender>, Error> {
     let datagram_inputs = inputs.clone();
     let drop_metrics = Arc::clone(metrics);
-    let on_message = Box::new(move |from, message| {
-        let input = Input::Datagram { from, message };
+    let on_datagram = Box::new(move |from, datagram| {
+        let input = match datagram {
+            Datagram::Membership(message) => Input::Datagram { from, message },
+            Datagram::CrashReports(reports) => Input::CrashReports { from, reports },
+        };
         if datagram_inputs.try_send(input).is_err() {
             drop_metrics.count_drop(Reason::QueueOverflow);
         }
     });
     let address = settings.listen.peer;
     transport
-        .open(address, on_message, Arc::clone(metrics))
+        .open(address, on_datagram, Arc::clone(metrics))
         .await
         .map_err(listen_error("peer", address))
 }
--- a/components/errors/src/reason.rs
+++ b/components/errors/src/reason.rs
@@ -52,6 +52,7 @@
     ConnectionBroken "connection-broken" "The connection broke before the answer was complete."
     ConnectionSilent "connection-silent" "Nothing arrived on the connection within the bound."
     UpstreamCrashed "upstream-crashed" "The upstream crashed while the request ran."
+    Quarantined "quarantined" "The request is suspect of crashing upstreams and does not run for a while."
     UpstreamRefused "upstream-refused" "The upstream answered with a status that means not run."
     BudgetSpent "budget-spent" "The retry budget of the service is spent."
     NotRepeatable "not-repeatable" "The route is not idempotent and the request may have run."
--- a/components/front/src/driver.rs
+++ b/components/front/src/driver.rs
@@ -19,6 +19,7 @@
 use crate::upstream_log;
 use control::Topology;
 use errors::Reason;
+use ids::Fingerprint;
 use ids::NodeId;
 use ids::RequestId;
 use kernel::Clock;
@@ -201,6 +202,11 @@
         }
     }
 
+    /// Reports that a suspect request has completed at the upstream.
+    pub fn report_completion(&self, fingerprint: Fingerprint) {
+        self.report_to_control(control::Input::RequestCompleted { fingerprint });
+    }
+
     /// Passes a fact to the control thread without waiting. If its queue is full, the fact is dropped and
     /// counted.
     fn report_to_control(&self, input: control::Input) {
@@ -415,7 +421,13 @@
                     }
                 }
                 owner::Effect::RateLimitReported(report) => upstream_log::log_rate_limit(report),
-                owner::Effect::RequestCrashed(crashed) => upstream_log::log_crashed(crashed),
+                owner::Effect::RequestCrashed(crashed) => {
+                    upstream_log::log_crashed(crashed);
+                    self.report_to_control(control::Input::RequestCrashed {
+                        fingerprint: crashed.fingerprint,
+                        crash: crashed.crash,
+                    });
+                }
                 owner::Effect::Drained => self.drained.cancel(),
             }
         }
--- a/components/http1/src/attempt.rs
+++ b/components/http1/src/attempt.rs
@@ -268,6 +268,7 @@
         idempotent: profile.idempotent,
         rate_limit: attempt.rate_limit,
         fingerprint: Some(outgoing.fingerprint),
+        seen_crashes: attempt.seen_crashes,
     };
     let upstream_request = UpstreamRequest {
         incoming,
@@ -332,11 +333,13 @@
     let spillable = attempt
         .spillable
         .then(|| (header::SPILLABLE, "1".to_owned()));
+    let seen_crashes = (attempt.seen_crashes > 0)
+        .then(|| (header::SEEN_CRASHES, attempt.seen_crashes.to_string()));
     let rate_limit = attempt
         .rate_limit
         .map(|it| (header::RATE_LIMIT, it.per_second().to_string()));
     let optional = objective.into_iter().chain(work_end).chain(spillable);
-    let optional = optional.chain(rate_limit);
+    let optional = optional.chain(rate_limit).chain(seen_crashes);
     for (name, value) in values.into_iter().chain(optional) {
         if let Ok(value) = HeaderValue::from_str(&value) {
             request.headers_mut().insert(name, value);
--- a/components/http1/src/caller.rs
+++ b/components/http1/src/caller.rs
@@ -183,8 +183,10 @@
         pipelined,
         failed_attempts: String::new(),
     };
+    let fingerprint = fingerprint(shared, &parts, &body);
     let head = RequestHead {
         id,
+        fingerprint: Some(fingerprint),
         host: read_host(&parts.headers),
         method: parts.method.as_str().to_owned(),
         path: parts.uri.path().to_owned(),
@@ -195,7 +197,7 @@
     };
     let mut outgoing = OutgoingRequest {
         id: head.id,
-        fingerprint: fingerprint(shared, &parts, &body),
+        fingerprint,
         parts,
         body,
         sent: false,
--- a/components/http1/src/dispatch.rs
+++ b/components/http1/src/dispatch.rs
@@ -85,7 +85,10 @@
     shared: &Arc<SharedState>,
     upstream_request: UpstreamRequest,
 ) -> Result<UpstreamResponse, Refusal> {
-    let admitted = shared.driver.admit(upstream_request.incoming).await;
+    let admitted = match check_quarantine(shared, &upstream_request.incoming) {
+        Ok(()) => shared.driver.admit(upstream_request.incoming).await,
+        Err(refusal) => Err(refusal),
+    };
     let permit = admitted.inspect_err(|refusal| {
         let trace_id = request_trace_id(
             shared,
@@ -104,6 +107,25 @@
         .unwrap_or_else(|_| Err(may_have_run(Reason::OutcomeUnknown)))
 }
 
+/// Refuses a request that is suspect of crashing upstreams.
+fn check_quarantine(shared: &SharedState, incoming: &IncomingRequest) -> Result<(), Refusal> {
+    let (now, topology) = (shared.driver.now(), shared.driver.topology());
+    let suspects = &topology.suspects;
+    let hold = incoming
+        .fingerprint
+        .and_then(|it| suspects.hold(now, it, incoming.seen_crashes));
+    let Some(retry_after) = hold else {
+        return Ok(());
+    };
+    let reason = Reason::Quarantined;
+    shared.driver.metrics().count_refusal("owner", reason);
+    Err(Refusal {
+        reason,
+        verdict: Verdict::NotRun,
+        retry_after,
+    })
+}
+
 /// Relays the response to an idempotent request while it arrives; it is never stored.
 async fn run_idempotent(
     shared: &Arc<SharedState>,
@@ -207,6 +229,10 @@
     if upstream_request.service.is_some() && upstream_request.service != own_service_id {
         return Err(finish_failed(permit, (Verdict::NotRun, Reason::NoEndpoint)));
     }
+    if let Err(refusal) = check_quarantine(shared, &incoming) {
+        permit.finish(Verdict::NotRun, false, false);
+        return Err(refusal);
+    }
     let mut request = upstream_request.request;
     let trace_header = shared.dialect.trace_id(request.headers()).cloned();
     let dispatch = DispatchContext {
@@ -286,6 +312,10 @@
             shared.driver.report_leaving(run_id);
         }
     }
+    let completed = incoming.fingerprint.filter(|_| !shed);
+    if let Some(fingerprint) = completed.filter(|it| topology.suspects.contains(*it)) {
+        shared.driver.report_completion(fingerprint);
+    }
     let elapsed = shared.driver.now().since(now);
     let refused = shed.then_some((Verdict::NotRun, Reason::UpstreamRefused));
     events::log_finished(&trace_id, status, elapsed, refused);
--- a/components/http1/src/node.rs
+++ b/components/http1/src/node.rs
@@ -147,6 +147,7 @@
         spillable: headers.contains_key(header::SPILLABLE),
         rate_limit: parse_header(headers, header::RATE_LIMIT),
         fingerprint: parse_header(headers, header::FINGERPRINT),
+        seen_crashes: parse_header(headers, header::SEEN_CRASHES).unwrap_or(0),
         // A route that this node's configuration does not contain yet gets the least urgent rank.
         rank: route_config.map_or(Rank(u8::MAX), |route| route.rank),
         weight: route_config.map_or(1, |route| route.weight),
--- a/components/http1/tests/support/mod.rs
+++ b/components/http1/tests/support/mod.rs
@@ -47,6 +47,7 @@
 use policy::BALANCE_PLUGINS;
 use policy::HEALTH_PLUGINS;
 use policy::RETRY_PLUGINS;
+use quarantine::View;
 
 use retry as _;
 use telemetry::Metrics;
@@ -214,6 +215,13 @@
         self.topology.store(Arc::new(topology));
     }
 
+    /// Publishes the topology with these suspect requests.
+    pub(crate) fn publish_suspects(&self, suspects: View) {
+        let topology = Topology::clone(&self.topology.load());
+        let topology = topology.with_suspects(Arc::new(suspects));
+        self.topology.store(Arc::new(topology));
+    }
+
     /// Returns the node as a member that owns a ready upstream.
     pub(crate) fn member(&self, slots: u32, max_connections: u32) -> Member {
         member(self.id, self.requests, self.peer, slots, max_connections)
--- a/components/http1/tests/support/upstream.rs
+++ b/components/http1/tests/support/upstream.rs
@@ -12,6 +12,7 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
+use tokio_util::sync::CancellationToken;
 
 use super::raw::Message;
 use super::raw::exchange;
@@ -62,6 +63,8 @@
 /// - `/large`: a body of 1 MB;
 /// - `/trailer`: a trailer after the body;
 /// - `/shed`: status 503, by which the upstream states that it did not run the request;
+/// - `/break`: the connection is closed without a response;
+/// - `/crash`: the upstream closes all connections without a response and listens no longer;
 /// - `/leaving`: states that the upstream is leaving;
 /// - `/limited/<rate>`: names a limit of this many requests a second;
 /// - `/status/304`: a length without a body;
@@ -72,8 +75,10 @@
     let listener = TcpListener::bind(address).await.unwrap();
     let upstream_record = Arc::new(UpstreamRecord::default());
     let listener_record = Arc::clone(&upstream_record);
+    let crashed = CancellationToken::new();
     tokio::spawn(async move {
-        while let Ok((stream, _)) = listener.accept().await {
+        while let Some(Ok((stream, _))) = crashed.run_until_cancelled(listener.accept()).await {
+            let crashed = crashed.clone();
             stream.set_nodelay(true).unwrap();
             let upstream_record = Arc::clone(&listener_record);
             upstream_record
@@ -87,7 +92,8 @@
                 .max_open_connections
                 .fetch_max(open, Ordering::SeqCst);
             tokio::spawn(async move {
-                serve(stream, &upstream_record).await;
+                let serving = serve(stream, &upstream_record, &crashed);
+                crashed.run_until_cancelled(serving).await;
                 upstream_record
                     .open_connections
                     .fetch_sub(1, Ordering::SeqCst);
@@ -97,7 +103,11 @@
     (address, upstream_record)
 }
 
-async fn serve(mut stream: TcpStream, upstream_record: &UpstreamRecord) {
+async fn serve(
+    mut stream: TcpStream,
+    upstream_record: &UpstreamRecord,
+    crashed: &CancellationToken,
+) {
     let mut buffer = Vec::new();
     while let Some(message) = read_message(&mut stream, &mut buffer).await {
         upstream_record
@@ -106,6 +116,12 @@
             .unwrap()
             .push(message.head.clone());
         let path = message.path();
+        if path == "/break" {
+            return;
+        }
+        if path.starts_with("/crash") {
+            return crashed.cancel();
+        }
         if let Some(delay) = response_delay(&message) {
             let mut next_byte = [0; 1];
             tokio::select! {
--- a/components/member/src/machine.rs
+++ b/components/member/src/machine.rs
@@ -205,6 +205,20 @@
         }
     }
 
+    /// Peer addresses of `count` random live members other than this node, or of all if there are fewer.
+    pub fn random_live_members(&self, count: usize, random: &mut dyn Random) -> Vec<SocketAddr> {
+        let mut chosen = Vec::new();
+        let mut addresses = Vec::new();
+        while addresses.len() < count {
+            let Some((address, id)) = self.random_live_member(random, &chosen) else {
+                break;
+            };
+            chosen.push(id);
+            addresses.push(address);
+        }
+        addresses
+    }
+
     pub(crate) fn suspicion_deadline(&self, suspicion: &Suspicion) -> Time {
         suspicion.deadline(
             self.parameters.suspicion_timeout,
--- a/components/simulate/src/entry_call.rs
+++ b/components/simulate/src/entry_call.rs
@@ -80,6 +80,7 @@
         }
         let (method, path) = ROUTES[route];
         let head = RequestHead {
+            fingerprint: None,
             id,
             host: None,
             method: method.to_owned(),
@@ -203,6 +204,7 @@
             idempotent: profile.idempotent,
             rate_limit: attempt.rate_limit,
             fingerprint: None,
+            seen_crashes: attempt.seen_crashes,
         };
         let to = attempt.request_address;
         self.send_after(
--- a/components/traffic/src/entry.rs
+++ b/components/traffic/src/entry.rs
@@ -56,6 +56,18 @@
 /// Maximum number of fetches of an attempt's stored answer.
 const MAX_FETCHES: u32 = 2;
 
+/// Number of upstreams that may crash during the attempts at one request. The second one makes the request
+/// rather the cause than one that merely ran there.
+const MAX_SEEN_CRASHES: u32 = 2;
+/// Shortest delay of a retry after the upstream crashed, in which the other nodes hear of the crash and of
+/// others that the request may have caused meanwhile.
+const MIN_CRASH_RETRY_DELAY: Duration = Duration::from_millis(50);
+/// Length of the span after the shortest delay in which the requests that ran at the upstream are retried at
+/// random, so that the one that crashed it does not take the others down once more.
+const CRASH_RETRY_SPREAD: Duration = Duration::from_millis(200);
+/// Part of the time left that each of the two takes at most: one in this number.
+const CRASH_RETRY_TIME_SHARE: u32 = 4;
+
 /// Key of a call in the entry's state machine.
 pub type CallKey = Key<Call>;
 
@@ -121,6 +133,9 @@
         {
             return refuse(context, not_run_refusal(Reason::Draining));
         }
+        if let Some(retry_after) = call.quarantine(context.now, context.topology) {
+            return refuse(context, quarantine_refusal(Verdict::NotRun, retry_after));
+        }
         if let Some(objective) = call.profile.objective {
             let route = call.profile.route;
             let time_left = head.time_left;
@@ -166,6 +181,7 @@
             objective: call.objective,
             spillable,
             rate_limit,
+            seen_crashes: call.seen_crashes,
             delay,
         };
         call.start_attempt(attempt);
@@ -240,9 +256,14 @@
         };
         call.verdict = call.verdict.max(report.verdict);
         call.count_upstream(reason, report.verdict);
+        call.seen_crashes += u32::from(reason == Reason::UpstreamCrashed);
         call.spills += u32::from(reason == Reason::ObjectiveTooShort && attempt.spillable);
         call.limit_deadline(self.work_end);
         let (verdict, refusal_reason) = (call.verdict, call.refusal_reason(reason));
+        let seen_crashes = call.seen_crashes;
+        // The owner can hear of a crash before this node does.
+        let owner_refusal = (reason == Reason::Quarantined).then_some(report.retry_after);
+        let quarantine = owner_refusal.or(call.quarantine(context.now, context.topology));
         let failed_attempt =
             call.failed_attempt(context.now, reason, &report, has_untried_endpoint);
         self.release_in_flight(key);
@@ -260,13 +281,25 @@
             };
             return refuse(context, refusal);
         }
-        match self
-            .retry
-            .allow(context.now, failed_attempt, context.random)
-        {
+        if let Some(retry_after) = quarantine {
+            self.calls.remove(key);
+            return refuse(context, quarantine_refusal(verdict, retry_after));
+        }
+        let allowed = if seen_crashes < MAX_SEEN_CRASHES {
+            self.retry
+                .allow(context.now, failed_attempt, context.random)
+        } else {
+            Err(Reason::AttemptsSpent)
+        };
+        match allowed {
             Ok(delay) => {
                 context.effects.push(Effect::Retrying { reason });
-                self.forward(context, key, delay);
+                let crash_delay = if reason == Reason::UpstreamCrashed {
+                    crash_retry_delay(failed_attempt.time_left, context.random)
+                } else {
+                    Duration::ZERO
+                };
+                self.forward(context, key, delay + crash_delay);
             }
             Err(denial_reason) => {
                 self.calls.remove(key);
@@ -489,6 +522,22 @@
     }
 }
 
+fn quarantine_refusal(verdict: Verdict, retry_after: Duration) -> Refusal {
+    Refusal {
+        reason: Reason::Quarantined,
+        verdict,
+        retry_after: retry_after.max(MIN_RETRY_AFTER),
+    }
+}
+
+/// Delay of the retry of a request that ran at an upstream when that crashed.
+fn crash_retry_delay(time_left: Duration, random: &mut dyn Random) -> Duration {
+    let max_part = time_left / CRASH_RETRY_TIME_SHARE;
+    let spread = CRASH_RETRY_SPREAD.min(max_part).as_micros();
+    let micros = random.below(usize::try_from(spread).unwrap_or(usize::MAX).max(1));
+    MIN_CRASH_RETRY_DELAY.min(max_part) + Duration::from_micros(micros as u64)
+}
+
 fn silence_report(verdict: Verdict) -> AttemptReport {
     AttemptReport {
         verdict,
--- a/components/traffic/src/entry/call.rs
+++ b/components/traffic/src/entry/call.rs
@@ -12,6 +12,7 @@
 use control::Topology;
 use errors::Reason;
 use errors::Verdict;
+use ids::Fingerprint;
 use ids::NodeId;
 use kernel::Random;
 use kernel::Time;
@@ -29,6 +30,9 @@
 #[derive(Debug)]
 pub struct Call {
     pub(crate) profile: RouteProfile,
+    fingerprint: Option<Fingerprint>,
+    /// Number of upstreams that have crashed while they ran the request.
+    pub(crate) seen_crashes: u32,
     /// Time at which the caller no longer waits for the answer.
     caller_deadline: Time,
     /// Time by which an upstream has to be done; earlier than `caller_deadline` if this node ends before that.
@@ -98,6 +102,8 @@
                 idempotent: route.idempotent,
                 objective: route.objective,
             },
+            fingerprint: head.fingerprint,
+            seen_crashes: 0,
             max_upstreams: route.max_upstreams,
             upstreams_tried: 0,
             service_name: Arc::clone(&service.name),
@@ -123,6 +129,13 @@
         topology.snapshot.as_ref()?.find_service(&self.service_name)
     }
 
+    /// Time for which the request must not run, because it is suspect of crashing upstreams; `None` if it may
+    /// run.
+    pub(crate) fn quarantine(&self, now: Time, topology: &Topology) -> Option<Duration> {
+        let fingerprint = self.fingerprint?;
+        topology.suspects.hold(now, fingerprint, self.seen_crashes)
+    }
+
     /// Ends the time for upstreams at `work_end`, if the node ends before the caller's deadline.
     pub(crate) fn limit_deadline(&mut self, work_end: Option<Time>) {
         self.deadline = work_end.map_or(self.deadline, |it| it.min(self.deadline));
--- a/components/traffic/src/entry/message.rs
+++ b/components/traffic/src/entry/message.rs
@@ -10,6 +10,7 @@
 use control::Topology;
 use errors::Reason;
 use errors::Verdict;
+use ids::Fingerprint;
 use ids::NodeId;
 use ids::Rank;
 use ids::RequestId;
@@ -25,6 +26,8 @@
 pub struct RequestHead {
     /// Identifier of the request.
     pub id: RequestId,
+    /// Fingerprint of the request.
+    pub fingerprint: Option<Fingerprint>,
     /// Host name that the caller requested.
     pub host: Option<String>,
     /// HTTP method in upper case.
@@ -65,6 +68,8 @@
     pub spillable: bool,
     /// Rate limit that the upstream has named in a recent response.
     pub rate_limit: Option<RequestRate>,
+    /// Number of upstreams that have crashed during earlier attempts.
+    pub seen_crashes: u32,
     /// Delay before the request is sent.
     pub delay: Duration,
 }
--- a/components/traffic/src/owner.rs
+++ b/components/traffic/src/owner.rs
@@ -278,6 +278,9 @@
             self.open_requests.remove(index);
             let latency = now.since(request.state().dispatched_at);
             let ended = request.finish(verdict);
+            if let Some(fingerprint) = ended.fingerprint().filter(|_| verdict == Verdict::Ran) {
+                self.crashes.record_completion(fingerprint);
+            }
             let done = RecordState::Done {
                 verdict: ended.state().verdict,
                 stored,
@@ -299,8 +302,10 @@
         if let Ok(index) = self.position(tag)
             && let Phase::Dispatched(request) = &self.open_requests[index].1
         {
-            let ran_for = now.since(request.state().dispatched_at);
-            let crashed = self.crashes.record_crash(request.fingerprint(), ran_for);
+            let dispatched_at = request.state().dispatched_at;
+            let crashed = self
+                .crashes
+                .record_crash(now, request.fingerprint(), dispatched_at);
             effects.extend(crashed.map(Effect::RequestCrashed));
         }
         self.handle_finish(now, tag, (Verdict::MayHaveRun, false, false), effects);
--- a/components/traffic/src/owner/message.rs
+++ b/components/traffic/src/owner/message.rs
@@ -46,6 +46,8 @@
     pub rate_limit: Option<RequestRate>,
     /// Fingerprint of the request; `None` if the sender does not state it.
     pub fingerprint: Option<Fingerprint>,
+    /// Number of upstreams that have crashed while they ran the request for its sender.
+    pub seen_crashes: u32,
 }
 
 /// A query for the outcome of one attempt.
--- a/components/traffic/tests/entry.rs
+++ b/components/traffic/tests/entry.rs
@@ -15,6 +15,7 @@
 use errors::Verdict;
 use health::OutlierDetection;
 use ids::Domain;
+use ids::Fingerprint;
 use ids::Incarnation;
 use ids::NodeId;
 use ids::Rank;
@@ -33,6 +34,8 @@
 use member::Upstream;
 use policy::Load;
 use policy::RequestRate;
+use quarantine::Crash;
+use quarantine::Table;
 use retry::RetryBudget;
 use traffic::Refusal;
 use traffic::entry::Attempt;
@@ -54,6 +57,8 @@
   - {host: h, prefix: /timed/, rank: 0, deadline_ms: 2000, idempotent: false, objective_ms: 500, targets: [{service: stock}]}
 ";
 const SECOND_US: u64 = 1_000_000;
+/// Fingerprint of all requests.
+const FINGERPRINT: Fingerprint = Fingerprint(7);
 
 /// An entry with its configuration and the topology that it is given.
 struct Harness {
@@ -126,6 +131,20 @@
         ));
     }
 
+    /// Publishes that the request was suspect in this number of crashes at time 0.
+    fn set_crashes(&mut self, crashes: u32) {
+        let mut table = Table::new(NodeId(1));
+        for node in 1..=crashes {
+            let crash = Crash {
+                node: NodeId(node.into()),
+                number: 1,
+            };
+            table.record_crash(Time(0), FINGERPRINT, crash);
+        }
+        let topology = Topology::clone(&self.topology);
+        self.topology = Arc::new(topology.with_suspects(Arc::new(table.view())));
+    }
+
     fn step(&mut self, now: u64, input: Input) -> Vec<Effect> {
         let mut effects = Vec::new();
         self.machine
@@ -135,6 +154,7 @@
 
     fn arrive(&mut self, now: u64, method: &str, path: &str) -> Vec<Effect> {
         let head = RequestHead {
+            fingerprint: Some(FINGERPRINT),
             id: RequestId(1),
             host: Some("h".to_owned()),
             method: method.to_owned(),
@@ -682,3 +702,86 @@
     let (_, attempt) = find_forwarded(&harness.arrive(later_us, "GET", "/calm"));
     assert_eq!(attempt.rate_limit.map(RequestRate::per_second), expected);
 }
+
+/// Guards against a request that waits for an upstream, or crashes one more, though the node knows that it has
+/// crashed several; and against one that is held for ever.
+#[rstest]
+#[case::unknown(0, 0, false)]
+#[case::once(1, SECOND_US / 4, true)]
+#[case::once_passed(1, SECOND_US * 3 / 5, false)]
+#[case::three_times(3, 100 * SECOND_US, true)]
+#[case::three_times_passed(3, 1_300 * SECOND_US, false)]
+fn arrive_quarantined(#[case] crashes: u32, #[case] now: u64, #[case] expected: bool) {
+    let mut harness = Harness::new(99, [1, 2, 3]);
+    harness.set_crashes(crashes);
+    let refusal = find_refusal(&harness.arrive(now, "GET", "/calm"));
+    let reason = refusal.map(|it| (it.reason, it.verdict));
+    let quarantined = expected.then_some((Reason::Quarantined, Verdict::NotRun));
+    assert_eq!(reason, quarantined);
+}
+
+/// Guards against retries that crash one upstream after the other, and against an innocent request that is lost
+/// because another one crashed the upstream at which it ran: the first crash allows one retry, though the
+/// other nodes hold copies of the request by then, and the second one none.
+#[rstest]
+fn report_attempt_crashed() {
+    let mut harness = Harness::new(99, [1, 2, 3, 4]);
+    let (call, first) = find_forwarded(&harness.arrive(0, "GET", "/calm"));
+    assert_eq!(first.seen_crashes, 0);
+    harness.set_crashes(1);
+    let crashed = failure_report(Verdict::MayHaveRun, Reason::UpstreamCrashed);
+    let (call, second) = find_forwarded(&harness.report_attempt(1_000, call, crashed));
+    assert_eq!(second.seen_crashes, 1);
+    assert_ne!(second.node, first.node);
+    let delays = Duration::from_millis(50)..Duration::from_millis(300);
+    assert!(delays.contains(&second.delay), "{:?}", second.delay);
+    let refusal = find_refusal(&harness.report_attempt(60_000, call, crashed));
+    let refusal = refusal.expect("the request is not sent again");
+    assert_eq!(refusal.reason, Reason::UpstreamCrashed);
+    assert_eq!(refusal.verdict, Verdict::MayHaveRun);
+}
+
+/// Guards against an entry that has not heard of the crashes and sends a request to all owners in turn, each of
+/// which refuses it; and against "not run" about a request that has run in an earlier attempt.
+#[rstest]
+#[case::first_attempt(false, Verdict::NotRun)]
+#[case::after_crash(true, Verdict::MayHaveRun)]
+fn report_attempt_quarantined(#[case] crashed: bool, #[case] verdict: Verdict) {
+    let mut harness = Harness::new(99, [1, 2, 3, 4]);
+    let (mut call, _) = find_forwarded(&harness.arrive(0, "GET", "/calm"));
+    if crashed {
+        let report = failure_report(Verdict::MayHaveRun, Reason::UpstreamCrashed);
+        (call, _) = find_forwarded(&harness.report_attempt(1_000, call, report));
+    }
+    let held = AttemptReport {
+        retry_after: Duration::from_secs(600),
+        ..failure_report(Verdict::NotRun, Reason::Quarantined)
+    };
+    let refusal = find_refusal(&harness.report_attempt(2_000, call, held));
+    let refusal = refusal.expect("the request is not sent again");
+    assert_eq!(
+        (refusal.reason, refusal.verdict),
+        (Reason::Quarantined, verdict)
+    );
+    assert!(refusal.retry_after >= Duration::from_secs(300));
+}
+
+/// Guards against the requests of one crash that are all retried at the same moment, so that the cause takes the
+/// others down once more.
+#[rstest]
+fn report_attempt_crashed_spread() {
+    let mut delays = Vec::new();
+    for seed in 0..20 {
+        let mut harness = Harness::new(99, [1, 2, 3, 4]);
+        harness.random = SeededRandom::new(seed);
+        let (call, _) = find_forwarded(&harness.arrive(0, "GET", "/calm"));
+        let crashed = failure_report(Verdict::MayHaveRun, Reason::UpstreamCrashed);
+        let effects = harness.report_attempt(1_000, call, crashed);
+        if let Some(Effect::Forward { attempt, .. }) = effects.last() {
+            delays.push(attempt.delay.as_millis());
+        }
+    }
+    let early = delays.iter().filter(|it| **it < 110).count();
+    let late = delays.iter().filter(|it| **it > 170).count();
+    assert!(early >= 2 && late >= 2, "{delays:?}");
+}
--- a/components/traffic/tests/owner.rs
+++ b/components/traffic/tests/owner.rs
@@ -7,6 +7,7 @@
 use admit::RankedAdmission;
 use errors::Reason;
 use errors::Verdict;
+use ids::Fingerprint;
 use ids::NodeId;
 use ids::Rank;
 use ids::RequestId;
@@ -73,6 +74,7 @@
         idempotent,
         rate_limit: None,
         fingerprint: None,
+        seen_crashes: 0,
     }
 }
 
@@ -494,3 +496,44 @@
     let late = starts.iter().filter(|it| **it >= 4_000_000).count();
     assert!(late as f64 >= limit * 8.0 * 0.9 - 1.0, "{late} in 8 s");
 }
+
+/// Guards against crashes that are attributed to the wrong requests or counted several times: the requests that
+/// ran are suspect of one crash, but none that the upstream has completed before or that was sent after it.
+#[rstest]
+fn crash_suspects() {
+    let mut owner = new_owner(8);
+    step(&mut owner, 0, Input::UpstreamWarmed { warm: true });
+    let request = |tag: u64, fingerprint: u128| IncomingRequest {
+        fingerprint: Some(Fingerprint(fingerprint)),
+        ..other_request(tag)
+    };
+    let crash_of = |effects: &[Effect]| {
+        effects.iter().find_map(|effect| match effect {
+            Effect::RequestCrashed(crashed) => Some((crashed.fingerprint.0, crashed.crash)),
+            _ => None,
+        })
+    };
+    step(&mut owner, 1, Input::Arrived(request(1, 100)));
+    step(&mut owner, 2, finish_input(1, Verdict::Ran));
+    for (tag, fingerprint) in [(2, 200), (3, 100), (4, 300)] {
+        step(&mut owner, 3, Input::Arrived(request(tag, fingerprint)));
+    }
+    let crash = |owner: &mut Machine, now: u64, tag: u64| {
+        crash_of(&step(owner, now, Input::UpstreamCrashed { tag }))
+    };
+    assert_eq!(crash(&mut owner, 10, 2), Some((200, 1)));
+    assert_eq!(crash(&mut owner, 11, 3), None);
+    step(&mut owner, 12, Input::Arrived(request(5, 500)));
+    assert_eq!(crash(&mut owner, 13, 4), Some((300, 1)));
+    assert_eq!(crash(&mut owner, 14, 5), None);
+    // The upstream is back and crashes again.
+    step(
+        &mut owner,
+        20,
+        Input::UpstreamResponded { rate_limit: None },
+    );
+    step(&mut owner, 21, Input::Arrived(request(6, 200)));
+    assert_eq!(crash(&mut owner, 22, 6), Some((200, 2)));
+    // A copy of a request that ended otherwise is no second crash.
+    assert_eq!(crash(&mut owner, 23, 6), None);
+}
--- a/components/traffic/tests/weighted_targets.rs
+++ b/components/traffic/tests/weighted_targets.rs
@@ -113,6 +113,7 @@
 
     fn arrive(&mut self) -> Vec<Effect> {
         let head = RequestHead {
+            fingerprint: None,
             id: RequestId(1),
             host: Some("h".to_owned()),
             method: "GET".to_owned(),
--- a/components/transport/src/lib.rs
+++ b/components/transport/src/lib.rs
@@ -19,6 +19,7 @@
 use kernel::plugin::EXTENSION_POINTS;
 use kernel::plugin::ExtensionPoint;
 use member::Message;
+use quarantine::Report;
 use telemetry::Metrics;
 
 /// Registered transport plug-ins.
@@ -31,26 +32,35 @@
     names: || plugin::list_names(&TRANSPORT_PLUGINS),
 };
 
-/// Callback for received messages, called with the address of the sender; must not block.
-pub type MessageHandler = Box<dyn Fn(SocketAddr, Message) + Send + Sync>;
+/// Content of one datagram.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Datagram {
+    /// Message of the membership protocol.
+    Membership(Message),
+    /// Reports on requests that crash upstreams.
+    CrashReports(Vec<Report>),
+}
+
+/// Callback for received datagrams, called with the address of the sender; must not block.
+pub type DatagramHandler = Box<dyn Fn(SocketAddr, Datagram) + Send + Sync>;
 
 /// Future that opens a transport and resolves to its sending side.
 pub type OpenFuture<'a> = Pin<Box<dyn Future<Output = io::Result<Arc<dyn Sender>>> + Send + 'a>>;
 
-/// Transport of gossip messages; messages may be lost, duplicated or reordered.
+/// Transport of gossip; datagrams may be lost, duplicated or reordered.
 pub trait Transport: Send + Sync {
-    /// Listens on `address` and passes received messages to `handler` until the returned sender is
+    /// Listens on `address` and passes received datagrams to `handler` until the returned sender is
     /// dropped.
     fn open(
         &self,
         address: SocketAddr,
-        handler: MessageHandler,
+        handler: DatagramHandler,
         metrics: Arc<Metrics>,
     ) -> OpenFuture<'_>;
 }
 
 /// Sending side of an open transport.
 pub trait Sender: Send + Sync {
-    /// Sends a message without waiting; a message that cannot be sent at once is dropped and counted.
-    fn send(&self, to: SocketAddr, message: &Message);
+    /// Sends a datagram without waiting; one that cannot be sent at once is dropped and counted.
+    fn send(&self, to: SocketAddr, datagram: &Datagram);
 }
--- a/components/transport/src/udp.rs
+++ b/components/transport/src/udp.rs
@@ -7,15 +7,16 @@
 use tokio::net::UdpSocket;
 use tokio::task::JoinHandle;
 
-use crate::MessageHandler;
+use crate::Datagram;
+use crate::DatagramHandler;
 use crate::OpenFuture;
 use crate::Sender;
 use crate::TRANSPORT_PLUGINS;
 use crate::Transport;
 use errors::Reason;
 use kernel::Plugin;
-use member::Message;
 use telemetry::Metrics;
+use wire::crash_reports;
 use wire::datagram;
 
 /// Length of the IPv4 and UDP headers in bytes; they are included in the count of control bytes.
@@ -44,7 +45,7 @@
     fn open(
         &self,
         address: SocketAddr,
-        handler: MessageHandler,
+        handler: DatagramHandler,
         metrics: Arc<Metrics>,
     ) -> OpenFuture<'_> {
         Box::pin(async move {
@@ -60,8 +61,8 @@
     }
 }
 
-/// Passes each received message to `handler`; never returns.
-async fn receive(socket: Arc<UdpSocket>, handler: MessageHandler, metrics: Arc<Metrics>) {
+/// Passes each received datagram to `handler`; never returns.
+async fn receive(socket: Arc<UdpSocket>, handler: DatagramHandler, metrics: Arc<Metrics>) {
     // One byte more than the maximum, so that a longer datagram is not cut to a valid one.
     let mut buffer = vec![0; datagram::MAX_BYTES + 1];
     loop {
@@ -70,16 +71,27 @@
             continue;
         };
         metrics.count_control_message("received", bytes + HEADER_BYTES);
-        match datagram::decode(&buffer[..bytes]) {
-            Ok(message) => handler(from, message),
-            Err(_) => metrics.count_drop(Reason::Malformed),
+        match decode(&buffer[..bytes]) {
+            Some(datagram) => handler(from, datagram),
+            None => metrics.count_drop(Reason::Malformed),
         }
     }
 }
 
+fn decode(bytes: &[u8]) -> Option<Datagram> {
+    if bytes.first() == Some(&crash_reports::FORMAT) {
+        crash_reports::decode(bytes).map(Datagram::CrashReports)
+    } else {
+        datagram::decode(bytes).ok().map(Datagram::Membership)
+    }
+}
+
 impl Sender for UdpSender {
-    fn send(&self, to: SocketAddr, message: &Message) {
-        let bytes = datagram::encode(message);
+    fn send(&self, to: SocketAddr, datagram: &Datagram) {
+        let bytes = match datagram {
+            Datagram::Membership(message) => datagram::encode(message),
+            Datagram::CrashReports(reports) => crash_reports::encode(reports),
+        };
         match self.socket.try_send_to(&bytes, to) {
             Ok(sent) => self
                 .metrics
--- a/components/wire/src/header.rs
+++ b/components/wire/src/header.rs
@@ -26,6 +26,8 @@
 pub const SPILLABLE: &str = "medlar-spillable";
 /// Fingerprint of the request, 32 hexadecimal digits: the same for each repetition by any caller's node.
 pub const FINGERPRINT: &str = "medlar-fingerprint";
+/// Number of upstreams that have crashed while they ran the request for its present sender.
+pub const SEEN_CRASHES: &str = "medlar-seen-crashes";
 /// Number of the attempt at the request; the first attempt is 1.
 pub const ATTEMPT: &str = "medlar-attempt";
 /// `1` if the sender of the request, or a service in front of it, retries it; the receiver then must
--- a/components/wire/src/lib.rs
+++ b/components/wire/src/lib.rs
@@ -5,6 +5,7 @@
 //! `transport` crate and the front ends send and receive the bytes.
 
 pub mod control;
+pub mod crash_reports;
 pub mod datagram;
 pub mod header;
 pub mod sync;
