Close the connection of a request that the upstream refused

What callers would have seen: a booking that ran twice, or "not run" for one that ran. A faulty upstream can write an earlier refusal once more on a kept connection. The identifier in the platform's responses shows that of another request, but a request that is tried again at the same upstream has the same identifier, and the product's own dialect has none.

Cause: the connection of a refused request went back to the pool, and the next response on it was taken for that to the next request. Class: a response is matched to a request by its place on the connection. Responses with bytes behind them, mismatched and abandoned ones already closed their connections.

Evidence: release_after_refusal failed in all four cases (POST and PUT, with and without an entry between; a POST ran twice), and passes now.

--- a/components/http1/src/dispatch.rs
+++ b/components/http1/src/dispatch.rs
@@ -205,7 +205,7 @@
             &bytes,
         );
     permit.finish(verdict_of(shed), shed, stored);
-    shared.upstream.release(connection, shared.driver.now());
+    release_connection(shared, connection, shed);
     Ok(UpstreamResponse {
         response: Response::from_parts(parts, full(bytes)),
         stored,
@@ -343,7 +343,7 @@
         RelayEnd::Complete(connection) => {
             permit.finish(verdict_of(shed), shed, false);
             if let Some(connection) = connection {
-                shared.upstream.release(connection, shared.driver.now());
+                release_connection(&shared, connection, shed);
             }
         }
         RelayEnd::Failed(_) | RelayEnd::Dropped => permit.finish(Verdict::MayHaveRun, shed, false),
@@ -351,6 +351,14 @@
     Payload::Relayed(Box::new(RelayedResponse::new(source, deadline, on_end)))
 }
 
+/// Returns the connection of a complete response to the pool, unless the upstream refused the request. A faulty
+/// upstream can write its refusal once more, which would then be taken for the response to the next request.
+fn release_connection(shared: &SharedState, connection: ClientConnection, shed: bool) {
+    if !shed {
+        shared.upstream.release(connection, shared.driver.now());
+    }
+}
+
 /// Reads a body until its end or past [`stored_responses::MAX_BODY_BYTES`]. The flag states whether
 /// the end was reached; `None` if the connection failed.
 async fn read_up_to_limit(
--- a/components/http1/tests/connections.rs
+++ b/components/http1/tests/connections.rs
@@ -276,3 +276,38 @@
     }
     assert_eq!(upstream_record.request_count(), runs);
 }
+
+/// Guards against a refusal that a faulty upstream writes once more on a kept connection, where it is taken for
+/// the response to the next request: the caller is told that a request did not run although it did, or the
+/// request runs again elsewhere.
+#[rstest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn release_after_refusal(
+    #[values(false, true)] forwarded: bool,
+    #[values("POST", "PUT")] method: &str,
+) {
+    let (address, upstream_record) = upstream::start().await;
+    let owner = Node::start(address, 10, 10).await;
+    let entry = Node::start(free_address(), 1, 1).await;
+    entry.publish_nodes(&[(&owner, 10, 10)], NodeStage::Serving);
+    let callers = if forwarded {
+        entry.callers
+    } else {
+        owner.callers
+    };
+    // The node retries a refused request by itself; a second request shows that of another caller.
+    for _ in 0..2 {
+        let before = upstream_record.run_requests.load(SeqCst);
+        let request = request_with_body(method, "/refuse-once", 7);
+        let response = exchange(callers, request).await.unwrap();
+        let runs = upstream_record.run_requests.load(SeqCst) - before;
+        assert_eq!(
+            response.status() == 200,
+            runs == 1,
+            "{runs} {}",
+            response.head
+        );
+        assert!(runs <= 1, "{runs} {}", response.head);
+    }
+    assert_eq!(upstream_record.refused_requests.load(SeqCst), 1);
+}
--- a/components/http1/tests/support/upstream.rs
+++ b/components/http1/tests/support/upstream.rs
@@ -32,6 +32,9 @@
     pub(crate) accepted_connections: AtomicUsize,
     /// Requests to `/wait/` whose connection was closed before the response was sent.
     pub(crate) cancelled_requests: AtomicUsize,
+    /// Requests to `/refuse-once` that were refused, and those that ran.
+    pub(crate) refused_requests: AtomicUsize,
+    pub(crate) run_requests: AtomicUsize,
 }
 
 impl UpstreamRecord {
@@ -65,6 +68,8 @@
 /// - `/shed`: status 503, by which the upstream states that it did not run the request;
 /// - `/break`: the connection is closed without a response;
 /// - `/crash`: the upstream closes all connections without a response and listens no longer;
+/// - `/refuse-once`: the first request to the upstream is refused with status 503. The refusal is written once
+///   more when the next request arrives on the connection, before the response to that one;
 /// - `/leaving`: states that the upstream is leaving;
 /// - `/limited/<rate>`: names a limit of this many requests a second;
 /// - `/status/304`: a length without a body;
@@ -109,6 +114,7 @@
     crashed: &CancellationToken,
 ) {
     let mut buffer = Vec::new();
+    let mut has_refused = false;
     while let Some(message) = read_message(&mut stream, &mut buffer).await {
         upstream_record
             .request_heads
@@ -122,6 +128,23 @@
         if path.starts_with("/crash") {
             return crashed.cancel();
         }
+        if path == "/refuse-once" {
+            let refusal = b"HTTP/1.1 503 Busy\r\ncontent-length: 0\r\n\r\n";
+            if upstream_record.refused_requests.load(Ordering::SeqCst) == 0 {
+                upstream_record
+                    .refused_requests
+                    .fetch_add(1, Ordering::SeqCst);
+                has_refused = true;
+                if stream.write_all(refusal).await.is_err() {
+                    return;
+                }
+                continue;
+            }
+            upstream_record.run_requests.fetch_add(1, Ordering::SeqCst);
+            if has_refused && stream.write_all(refusal).await.is_err() {
+                return;
+            }
+        }
         if let Some(delay) = response_delay(&message) {
             let mut next_byte = [0; 1];
             tokio::select! {
