--- a/components/http1/tests/support/mod.rs
+++ b/components/http1/tests/support/mod.rs
@@ -125,7 +125,18 @@
         upstream: SocketAddr,
         slots: u32,
         max_connections: u32,
+        plugins: (&str, &str),
+    ) -> Self {
+        let front = Params::default();
+        Self::start_with_front(upstream, (slots, max_connections), plugins, &front).await
+    }
+
+    /// Starts a node with these plug-ins for admission and health, and these params of its front end.
+    pub(crate) async fn start_with_front(
+        upstream: SocketAddr,
+        (slots, max_connections): (u32, u32),
         (admission, health): (&str, &str),
+        front: &Params,
     ) -> Self {
         let id = NodeId(rand::random());
         let clock = MonotonicClock::new();
@@ -159,7 +170,7 @@
         }));
         let (callers, requests, peer) = (free_address(), free_address(), free_address());
         let front_end_stop = CancellationToken::new();
-        let front_end = build("front", &FRONT_END_PLUGINS, "http1", &no_params).unwrap();
+        let front_end = build("front", &FRONT_END_PLUGINS, "http1", front).unwrap();
         let addresses = FrontEndAddresses {
             callers,
             requests,
