Bear absurd rate limits of an upstream

A limit of more than a billion requests a second made the interval between two requests zero. When the upstream then named another limit, the node divided zero by zero and ended: one malformed figure took a process down. A limit that fell from a thousand a second to one in five seconds turned the tolerance of a tenth of a second into minutes without a request.

An interval lasts a microsecond at least, and requests that were started under an earlier limit delay the next one by a second at most, or by one interval. Without either set_rate_limit_extreme fails. A response that names the same limit as the one before no longer starts a dispatch.

--- a/components/admit/src/fifo.rs
+++ b/components/admit/src/fifo.rs
@@ -105,8 +105,9 @@
         rate: Option<RequestRate>,
         decisions: &mut Vec<Decision>,
     ) {
-        self.rate_limit.set(now, rate, self.running as usize);
-        self.dispatch(now, decisions);
+        if self.rate_limit.set(now, rate, self.running as usize) {
+            self.dispatch(now, decisions);
+        }
     }
 
     fn offer(&mut self, now: Time, job: Job, decisions: &mut Vec<Decision>) {
--- a/components/admit/src/ranked.rs
+++ b/components/admit/src/ranked.rs
@@ -347,8 +347,9 @@
         rate: Option<RequestRate>,
         decisions: &mut Vec<Decision>,
     ) {
-        self.rate_limit.set(now, rate, self.running.len());
-        self.dispatch(now, decisions);
+        if self.rate_limit.set(now, rate, self.running.len()) {
+            self.dispatch(now, decisions);
+        }
     }
 
     fn offer(&mut self, now: Time, job: Job, decisions: &mut Vec<Decision>) {
--- a/components/admit/src/rate_limit.rs
+++ b/components/admit/src/rate_limit.rs
@@ -15,7 +15,8 @@
 /// Longest interval between two requests, however low the limit is. Only a response tells that the limit
 /// has ended, so some requests have to be sent.
 const MAX_INTERVAL: Duration = Duration::from_secs(5);
-/// Longest time for which the requests that already run when the limit is named delay the next one.
+/// Longest time for which requests that were started before the limit was named or changed delay the next
+/// one, unless the interval is longer.
 const MAX_INITIAL_DELAY: Duration = Duration::from_secs(1);
 
 /// Rate limit on the requests that an upstream gets.
@@ -29,11 +30,11 @@
 
 impl RateLimit {
     /// Sets or ends the limit. Requests that were started under another limit keep their part of the rate,
-    /// and so do the `running` ones if there was none.
-    pub(crate) fn set(&mut self, now: Time, rate: Option<RequestRate>, running: usize) {
+    /// and so do the `running` ones if there was none. Returns whether the limit has changed.
+    pub(crate) fn set(&mut self, now: Time, rate: Option<RequestRate>, running: usize) -> bool {
         let interval = rate.map(|it| it.interval().unwrap_or(MAX_INTERVAL).min(MAX_INTERVAL));
         if interval == self.interval {
-            return;
+            return false;
         }
         if let Some(interval) = interval {
             let delay = match self.interval {
@@ -43,12 +44,13 @@
                 }
                 None => {
                     let running = u32::try_from(running).unwrap_or(u32::MAX);
-                    interval.saturating_mul(running).min(MAX_INITIAL_DELAY)
+                    interval.saturating_mul(running)
                 }
             };
-            self.next_due = now + delay;
+            self.next_due = now + delay.min(MAX_INITIAL_DELAY.max(interval));
         }
         self.interval = interval;
+        true
     }
 
     /// When the next request may start; `None` if it may start now.
--- a/components/admit/tests/rate_limit.rs
+++ b/components/admit/tests/rate_limit.rs
@@ -297,3 +297,23 @@
     upstream.set_limit(None);
     assert_eq!(upstream.admission.load().limit, SLOTS);
 }
+
+/// Guards against a process that ends because its upstream names an absurd limit, and against an upstream that
+/// gets no request for minutes after its limit has fallen.
+#[rstest]
+fn set_rate_limit_extreme(
+    #[values("ranked", "fifo")] name: &str,
+    #[values(1e18, f64::MAX, 1_000.0, 0.2, 1e-18, 0.0)] before: f64,
+    #[values(1e18, f64::MAX, 0.2, 1e-18, 0.0)] after: f64,
+) {
+    let mut upstream = Upstream::new(name);
+    upstream.load_until(SECOND, 200, 0, SECOND);
+    for limit in [before, after, before, after] {
+        upstream.set_limit(Some(limit));
+        upstream.load_until(upstream.now + 100 * MS, 500, 0, SECOND);
+    }
+    let changed_at = upstream.now;
+    upstream.load_until(changed_at + 6 * SECOND, 20, 0, SECOND);
+    let started = upstream.starts_between(changed_at, upstream.now);
+    assert!(started >= 1, "no request in 6 s");
+}
--- a/components/policy/src/request_rate.rs
+++ b/components/policy/src/request_rate.rs
@@ -26,10 +26,10 @@
         self.thousandths as f64 / THOUSANDTHS
     }
 
-    /// Time between two requests at this rate; `None` if the rate is zero.
+    /// Time between two requests at this rate, at least a microsecond; `None` if the rate is zero.
     pub fn interval(self) -> Option<Duration> {
         let micros = 1_000_000_000_u64.checked_div(self.thousandths)?;
-        Some(Duration::from_micros(micros))
+        Some(Duration::from_micros(micros.max(1)))
     }
 }
 
