Count the age of a crash from before the start of the process

A record held the time of the last crash on the clock of the process, which begins at zero. A node that started after a crash set it to its own start, and reported it as that young to the others, which prolonged the backoff at all nodes with each node that started: an innocent request could be held as long as nodes come and go.

The time is signed now and lies before the start where it has to. Without that merge_before_start fails.

--- a/components/quarantine/src/table.rs
+++ b/components/quarantine/src/table.rs
@@ -51,8 +51,10 @@
     clearances: u32,
     /// Sorted.
     crashes: Vec<Crash>,
-    /// Time of the latest crash, or of the clearance if there is none.
-    changed_at: Time,
+    /// Time of the latest crash, or of the clearance if there is none, in microseconds on the clock of the
+    /// process. Negative if that was before the process started: a later time would prolong the backoff at
+    /// each node that starts.
+    changed_at: i64,
 }
 
 /// Suspect requests, with the crashes at which they ran.
@@ -97,17 +99,16 @@
         }
         record.clearances = record.clearances.saturating_add(1);
         record.crashes.clear();
-        record.changed_at = now;
+        record.changed_at = to_micros(now);
         true
     }
 
     /// Merges the report of another node.
     pub fn merge(&mut self, now: Time, report: Report) -> Merge {
-        let micros = u64::try_from(report.age.as_micros()).unwrap_or(u64::MAX);
-        let changed_at = Time(now.0.saturating_sub(micros));
-        if now.since(changed_at) >= RETENTION {
+        if report.age >= RETENTION {
             return Merge::Known;
         }
+        let changed_at = to_micros(now).saturating_sub(duration_micros(report.age));
         let Ok(index) = self.position(report.fingerprint) else {
             let is_kept = self.insert(Record {
                 fingerprint: report.fingerprint,
@@ -132,7 +133,7 @@
         crashes.extend(report.crashes);
         record.crashes = limit_crashes(crashes);
         // Crashes beyond the maximum are not kept, so that only the age tells of a new one.
-        let is_later = changed_at > record.changed_at + MIN_AGE_DIFFERENCE;
+        let is_later = changed_at > record.changed_at + duration_micros(MIN_AGE_DIFFERENCE);
         if record.crashes.len() > known || is_later {
             record.changed_at = record.changed_at.max(changed_at);
             return Merge::News;
@@ -161,8 +162,7 @@
 
     /// Removes the records that are too old.
     pub fn expire(&mut self, now: Time) {
-        self.records
-            .retain(|it| now.since(it.changed_at) < RETENTION);
+        self.records.retain(|it| it.age(now) < RETENTION);
     }
 
     /// The suspect requests, for the traffic threads.
@@ -174,10 +174,11 @@
     fn entry(&self, record: &Record) -> Entry {
         let last = BACKOFFS.len() - 1;
         let backoff = BACKOFFS[record.crashes.len().saturating_sub(1).min(last)];
+        let held_until = record.changed_at + duration_micros(backoff.mul_f64(self.stretch));
         Entry {
             fingerprint: record.fingerprint,
             crashes: record.crashes.len(),
-            held_until: record.changed_at + backoff.mul_f64(self.stretch),
+            held_until: Time(u64::try_from(held_until).unwrap_or(0)),
         }
     }
 
@@ -216,9 +217,23 @@
             fingerprint: self.fingerprint,
             clearances: self.clearances,
             crashes: self.crashes.clone(),
-            age: now.since(self.changed_at),
+            age: self.age(now),
         }
     }
+
+    /// Time since the latest crash, or since the clearance.
+    fn age(&self, now: Time) -> Duration {
+        let micros = to_micros(now).saturating_sub(self.changed_at);
+        Duration::from_micros(u64::try_from(micros).unwrap_or(0))
+    }
+}
+
+fn to_micros(time: Time) -> i64 {
+    i64::try_from(time.0).unwrap_or(i64::MAX)
+}
+
+fn duration_micros(duration: Duration) -> i64 {
+    i64::try_from(duration.as_micros()).unwrap_or(i64::MAX)
 }
 
 /// Sorts the crashes, and drops repeated ones and those beyond the maximum.
--- a/components/quarantine/tests/table.rs
+++ b/components/quarantine/tests/table.rs
@@ -137,3 +137,17 @@
     });
     assert!((5..=15).contains(&held.count()));
 }
+
+/// Guards against a backoff that starts anew with each node that starts: a process whose clock has run for less
+/// time than has passed since the crashes would report them as younger than they are.
+#[rstest]
+fn merge_before_start() {
+    let mut table = Table::new(NodeId(1_000));
+    let crashes = [crash(1, 1), crash(2, 1), crash(3, 1)];
+    let reported = report(0, &crashes, Duration::from_secs(500));
+    assert_eq!(table.merge(Time(5 * SECOND), reported), Merge::News);
+    assert!(is_held(&table, 100 * SECOND, 0));
+    assert!(!is_held(&table, 106 * SECOND, 0));
+    let reported = table.report(Time(6 * SECOND), DEADLY).expect("known");
+    assert_eq!(reported.age, Duration::from_secs(501));
+}
