Clear a suspect request only by a response that is no failure

A request counts as served, at its owner and for the fleet, if the upstream has answered it with another status than 5xx. With any response counted, run_request_completed fails in the case of the 504.

--- a/components/http1/src/dispatch.rs
+++ b/components/http1/src/dispatch.rs
@@ -298,6 +298,8 @@
                 ));
             }
         };
+    let is_served = !shed && !parts.status.is_server_error();
+    let served = incoming.fingerprint.filter(|_| is_served);
     let notice = shared.dialect.read_notice(&parts);
     if let Some(UpstreamNotice {
         rate_limit,
@@ -306,14 +308,13 @@
     {
         shared
             .driver
-            .step_owner(Input::UpstreamResponded { rate_limit });
+            .step_owner(Input::UpstreamResponded { rate_limit, served });
         if leaving {
             let run_id = upstream.and_then(|it| it.run_id.clone());
             shared.driver.report_leaving(run_id);
         }
     }
-    let completed = incoming.fingerprint.filter(|_| !shed);
-    if let Some(fingerprint) = completed.filter(|it| topology.suspects.contains(*it)) {
+    if let Some(fingerprint) = served.filter(|it| topology.suspects.contains(*it)) {
         shared.driver.report_completion(fingerprint);
     }
     let elapsed = shared.driver.now().since(now);
--- a/components/http1/tests/crashes.rs
+++ b/components/http1/tests/crashes.rs
@@ -158,15 +158,19 @@
     assert_eq!(innocent.unwrap().status(), 200);
 }
 
-/// Guards against an innocent request that stays suspect though it has completed: its node does not tell the
-/// others.
+/// Guards against an innocent request that stays suspect though it has been served, because its node does not
+/// tell the others; and against a suspect request that is cleared by a response that reports a failure, such as
+/// one at the deadline, before which it did no harm.
 #[rstest]
+#[case::served("/wait/300", 200, true)]
+#[case::failed("/until-deadline", 504, false)]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn run_request_completed() {
+async fn run_request_completed(#[case] path: &str, #[case] status: u16, #[case] expected: bool) {
+    let request = request_with_body("PUT", path, 1);
     let (address, _) = upstream::start().await;
     let (entry, owner) = start_entry_and_owner(address, 10, 10).await;
-    let callers = entry.callers;
-    let running = tokio::spawn(async move { exchange(callers, get_request("/wait/300")).await });
+    let (callers, running) = (entry.callers, request.clone());
+    let running = tokio::spawn(async move { exchange(callers, running).await });
     tokio::time::sleep(Duration::from_millis(100)).await;
     exchange(entry.callers, get_request("/crash"))
         .await
@@ -181,12 +185,10 @@
     let owner = Node::start(address, 10, 10).await;
     owner.publish_suspects(table.view());
     // The backoff after the first crash.
-    tokio::time::sleep(Duration::from_millis(1_100)).await;
-    let response = exchange(owner.callers, get_request("/wait/300")).await;
-    assert_eq!(response.unwrap().status(), 200);
+    tokio::time::sleep(Duration::from_millis(400)).await;
+    let response = exchange(owner.callers, request).await;
+    assert_eq!(response.unwrap().status(), status);
     let reported = owner.control_inputs.lock().unwrap().try_recv();
-    assert!(
-        matches!(reported, Ok(Input::RequestCompleted { .. })),
-        "{reported:?}"
-    );
+    let is_completion = matches!(reported, Ok(Input::RequestCompleted { .. }));
+    assert_eq!(is_completion, expected, "{reported:?}");
 }
--- a/components/http1/tests/support/upstream.rs
+++ b/components/http1/tests/support/upstream.rs
@@ -80,10 +80,10 @@
     let listener = TcpListener::bind(address).await.unwrap();
     let upstream_record = Arc::new(UpstreamRecord::default());
     let listener_record = Arc::clone(&upstream_record);
-    let crashed = CancellationToken::new();
+    let (crashed, stopped) = (CancellationToken::new(), CancellationToken::new());
     tokio::spawn(async move {
         while let Some(Ok((stream, _))) = crashed.run_until_cancelled(listener.accept()).await {
-            let crashed = crashed.clone();
+            let (crashed, stopped) = (crashed.clone(), stopped.clone());
             stream.set_nodelay(true).unwrap();
             let upstream_record = Arc::clone(&listener_record);
             upstream_record
@@ -98,12 +98,14 @@
                 .fetch_max(open, Ordering::SeqCst);
             tokio::spawn(async move {
                 let serving = serve(stream, &upstream_record, &crashed);
-                crashed.run_until_cancelled(serving).await;
+                stopped.run_until_cancelled(serving).await;
                 upstream_record
                     .open_connections
                     .fetch_sub(1, Ordering::SeqCst);
             });
         }
+        drop(listener);
+        stopped.cancel();
     });
     (address, upstream_record)
 }
@@ -126,7 +128,9 @@
             return;
         }
         if path.starts_with("/crash") {
-            return crashed.cancel();
+            // A process that ends closes its listener with its connections.
+            crashed.cancel();
+            std::future::pending::<()>().await;
         }
         if path == "/refuse-once" {
             let refusal = b"HTTP/1.1 503 Busy\r\ncontent-length: 0\r\n\r\n";
--- a/components/traffic/src/owner.rs
+++ b/components/traffic/src/owner.rs
@@ -278,9 +278,6 @@
             self.open_requests.remove(index);
             let latency = now.since(request.state().dispatched_at);
             let ended = request.finish(verdict);
-            if let Some(fingerprint) = ended.fingerprint().filter(|_| verdict == Verdict::Ran) {
-                self.crashes.record_completion(fingerprint);
-            }
             let done = RecordState::Done {
                 verdict: ended.state().verdict,
                 stored,
@@ -517,8 +514,11 @@
             }
             Input::UpstreamAnnounced { stage, slots } => self.set_stage(now, stage, slots, effects),
             Input::UpstreamWarmed { warm } => self.set_warm(now, warm, effects),
-            Input::UpstreamResponded { rate_limit } => {
+            Input::UpstreamResponded { rate_limit, served } => {
                 self.handle_response(now, rate_limit, effects);
+                if let Some(fingerprint) = served {
+                    self.crashes.record_completion(fingerprint);
+                }
             }
             Input::EndScheduled { work_end } => self.work_end = Some(work_end),
             Input::Shutdown => self.refuse_all_queued(now, effects),
--- a/components/traffic/src/owner/crashes.rs
+++ b/components/traffic/src/owner/crashes.rs
@@ -25,14 +25,14 @@
         self.noticed_at = None;
     }
 
-    /// Records that the upstream has completed the request.
+    /// Records that the upstream has served the request.
     pub(crate) fn record_completion(&mut self, fingerprint: Fingerprint) {
         self.completions.resize(MAX_COMPLETIONS, None);
         self.completions[position(fingerprint)] = Some(fingerprint);
     }
 
     /// Records that a request that was sent to the upstream at `dispatched_at` ran when the upstream crashed.
-    /// Returns the request if it is suspect. One that the upstream has completed before, or that was sent
+    /// Returns the request if it is suspect. One that the upstream has served before, or that was sent
     /// when the upstream was down already, is not the cause of the crash.
     pub(crate) fn record_crash(
         &mut self,
--- a/components/traffic/src/owner/message.rs
+++ b/components/traffic/src/owner/message.rs
@@ -95,9 +95,14 @@
     /// The upstream is warm, so that it can run as many requests as it has slots, or it still warms up.
     /// Without this input, the upstream counts as warming up when it gets slots.
     UpstreamWarmed { warm: bool },
-    /// The upstream has begun a response; `rate_limit` is the rate of requests that it accepts according to
-    /// that response.
-    UpstreamResponded { rate_limit: Option<RequestRate> },
+    /// The upstream has begun a response.
+    UpstreamResponded {
+        /// Rate of requests that the upstream accepts according to the response.
+        rate_limit: Option<RequestRate>,
+        /// Fingerprint of the request, if the upstream has served it. A response that reports a failure of the
+        /// upstream does not show that the request is harmless: it can end at its deadline before it does harm.
+        served: Option<Fingerprint>,
+    },
     /// The node is leaving and accepts requests for a while; none may run beyond `work_end`.
     EndScheduled { work_end: Time },
     /// The node is leaving: it finishes accepted requests and refuses new ones.
--- a/components/traffic/tests/deadly_request.rs
+++ b/components/traffic/tests/deadly_request.rs
@@ -385,7 +385,15 @@
 
     fn end(&mut self, node: usize, tag: u64) {
         self.nodes[node].running.retain(|other| *other != tag);
-        let responded = owner::Input::UpstreamResponded { rate_limit: None };
+        let sent = self.nodes[node].pending.iter();
+        let fingerprint = sent
+            .clone()
+            .find(|it| it.0 == tag)
+            .map(|it| it.1.fingerprint);
+        let responded = owner::Input::UpstreamResponded {
+            rate_limit: None,
+            served: fingerprint,
+        };
         self.step_owner(node, responded);
         let input = owner::Input::Finished {
             tag,
@@ -394,11 +402,6 @@
             stored: false,
         };
         self.step_owner(node, input);
-        let sent = self.nodes[node].pending.iter();
-        let fingerprint = sent
-            .clone()
-            .find(|it| it.0 == tag)
-            .map(|it| it.1.fingerprint);
         let suspects = &self.nodes[node].topology.suspects;
         if let Some(fingerprint) = fingerprint.filter(|it| suspects.contains(*it)) {
             let input = control::Input::RequestCompleted { fingerprint };
--- a/components/traffic/tests/owner.rs
+++ b/components/traffic/tests/owner.rs
@@ -418,7 +418,7 @@
 /// would outlive the need of the upstream.
 #[rstest]
 #[case::before_response(None, 1)]
-#[case::after_response(Some(Input::UpstreamResponded { rate_limit: None }), 12)]
+#[case::after_response(Some(Input::UpstreamResponded { rate_limit: None, served: None }), 12)]
 fn arrive_known_rate_limit(#[case] response: Option<Input>, #[case] expected: usize) {
     let mut owner = new_owner(12);
     step(&mut owner, 0, Input::UpstreamWarmed { warm: true });
@@ -444,11 +444,19 @@
 fn arrive_rate_limit(#[values(0.5, 9.5, 42.3)] limit: f64, #[values(false, true)] restarted: bool) {
     let response = Input::UpstreamResponded {
         rate_limit: RequestRate::from_per_second(limit),
+        served: None,
     };
     let mut owner = new_owner(13);
     step(&mut owner, 0, Input::UpstreamWarmed { warm: true });
     if !restarted {
-        step(&mut owner, 0, Input::UpstreamResponded { rate_limit: None });
+        step(
+            &mut owner,
+            0,
+            Input::UpstreamResponded {
+                rate_limit: None,
+                served: None,
+            },
+        );
     }
     let (mut now, mut tag) = (0, 0);
     let mut starts = Vec::new();
@@ -514,7 +522,23 @@
         })
     };
     step(&mut owner, 1, Input::Arrived(request(1, 100)));
+    let response = Input::UpstreamResponded {
+        rate_limit: None,
+        served: Some(Fingerprint(100)),
+    };
+    step(&mut owner, 2, response);
     step(&mut owner, 2, finish_input(1, Verdict::Ran));
+    // A response that reports a failure, such as one at the deadline, proves nothing.
+    step(&mut owner, 2, Input::Arrived(request(7, 200)));
+    step(
+        &mut owner,
+        2,
+        Input::UpstreamResponded {
+            rate_limit: None,
+            served: None,
+        },
+    );
+    step(&mut owner, 2, finish_input(7, Verdict::Ran));
     for (tag, fingerprint) in [(2, 200), (3, 100), (4, 300)] {
         step(&mut owner, 3, Input::Arrived(request(tag, fingerprint)));
     }
@@ -530,7 +554,10 @@
     step(
         &mut owner,
         20,
-        Input::UpstreamResponded { rate_limit: None },
+        Input::UpstreamResponded {
+            rate_limit: None,
+            served: None,
+        },
     );
     step(&mut owner, 21, Input::Arrived(request(6, 200)));
     assert_eq!(crash(&mut owner, 22, 6), Some((200, 2)));
