--- a/components/http1/tests/crashes.rs
+++ b/components/http1/tests/crashes.rs
@@ -163,7 +163,7 @@
 /// one at the deadline, before which it did no harm.
 #[rstest]
 #[case::served("/wait/300", 200, true)]
-#[case::failed("/until-deadline", 504, false)]
+#[case::failed("/fail/300", 500, false)]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn run_request_completed(#[case] path: &str, #[case] status: u16, #[case] expected: bool) {
     let request = request_with_body("PUT", path, 1);
--- a/components/http1/tests/support/upstream.rs
+++ b/components/http1/tests/support/upstream.rs
@@ -70,6 +70,7 @@
 /// - `/crash`: the upstream closes all connections without a response and listens no longer;
 /// - `/refuse-once`: the first request to the upstream is refused with status 503. The refusal is written once
 ///   more when the next request arrives on the connection, before the response to that one;
+/// - `/fail/<ms>`: status 500, sent after this many milliseconds;
 /// - `/leaving`: states that the upstream is leaving;
 /// - `/limited/<rate>`: names a limit of this many requests a second;
 /// - `/status/304`: a length without a body;
@@ -197,7 +198,9 @@
     match path.as_str() {
         "/never" => Some(Duration::MAX),
         _ => {
-            let millis = path.strip_prefix("/wait/")?;
+            let millis = path
+                .strip_prefix("/wait/")
+                .or(path.strip_prefix("/fail/"))?;
             Some(Duration::from_millis(millis.parse().unwrap()))
         }
     }
@@ -239,6 +242,9 @@
             format!("{head}medlar-rate-limit: {rate}\r\ncontent-length: 0\r\n\r\n").into_bytes()
         }
         "/leaving" => format!("{head}medlar-leaving: 1\r\ncontent-length: 0\r\n\r\n").into_bytes(),
+        path if path.starts_with("/fail/") => {
+            b"HTTP/1.1 500 Failed\r\ncontent-length: 0\r\n\r\n".to_vec()
+        }
         "/shed" => b"HTTP/1.1 503 Busy\r\ncontent-length: 0\r\n\r\n".to_vec(),
         "/status/304" => b"HTTP/1.1 304 Not Modified\r\ncontent-length: 70\r\n\r\n".to_vec(),
         _ if message.head.starts_with("HEAD ") => {
