Read what else a response states beside an unreadable rate limit

A response whose limit could not be read was taken for one that states nothing at all: that its upstream is leaving was lost, and so was the proof that the upstream is up. The statement on the limit has three values now: none, a rate, and unreadable, which alone leaves the limit in force as it is.

--- a/components/http1/src/dialect.rs
+++ b/components/http1/src/dialect.rs
@@ -24,7 +24,7 @@
 use kernel::plugin;
 use kernel::plugin::EXTENSION_POINTS;
 use kernel::plugin::ExtensionPoint;
-use policy::RequestRate;
+use policy::LimitNotice;
 use traffic::Refusal;
 use wire::header;
 
@@ -79,11 +79,21 @@
     Mismatched,
 }
 
+/// Reads the value of the header in which an upstream names its rate limit, in requests a second.
+pub fn read_rate_limit(value: Option<&HeaderValue>) -> LimitNotice {
+    let rate = value.map(|value| value.to_str().ok()?.parse().ok());
+    match rate {
+        None => LimitNotice::Unlimited,
+        Some(Some(rate)) => LimitNotice::Limited(rate),
+        Some(None) => LimitNotice::Unreadable,
+    }
+}
+
 /// What an upstream states about itself in the head of a response.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct UpstreamNotice {
-    /// Rate of requests from all nodes together that the upstream accepts; `None` if it names no limit.
-    pub rate_limit: Option<RequestRate>,
+    /// What the response says of a limit on the rate of requests from all nodes together.
+    pub rate_limit: LimitNotice,
     /// Whether the upstream is leaving.
     pub leaving: bool,
 }
@@ -125,8 +135,8 @@
         status_means_not_run: bool,
     ) -> ResponseClass;
 
-    /// Reads what the upstream states about itself in a response to the request that it was sent; `None` if
-    /// the response is not from the run that the request was intended for, or its statement is malformed.
+    /// Reads what the upstream states about itself in a response; `None` if the response is not from the run
+    /// that the request was intended for.
     fn read_notice(&self, response: &Parts) -> Option<UpstreamNotice>;
 
     /// Whether a response without a declared length is complete when the upstream closes the
@@ -193,13 +203,9 @@
     }
 
     fn read_notice(&self, response: &Parts) -> Option<UpstreamNotice> {
-        let rate_limit = match response.headers.get(header::RATE_LIMIT) {
-            Some(value) => Some(value.to_str().ok()?.parse().ok()?),
-            None => None,
-        };
         let leaving = response.headers.get(header::LEAVING);
         Some(UpstreamNotice {
-            rate_limit,
+            rate_limit: read_rate_limit(response.headers.get(header::RATE_LIMIT)),
             leaving: leaving.is_some_and(|value| value.as_bytes() == b"1"),
         })
     }
--- a/components/http1/src/dispatch.rs
+++ b/components/http1/src/dispatch.rs
@@ -429,7 +429,8 @@
         let reason = HeaderValue::from_static(Reason::UpstreamRefused.name());
         headers.insert(header::REASON, reason);
     }
-    let rate_limit = notice.rate_limit.map(|it| it.per_second().to_string());
+    let rate_limit = notice.rate_limit.rate();
+    let rate_limit = rate_limit.map(|it| it.per_second().to_string());
     if let Some(Ok(value)) = rate_limit.map(|it| HeaderValue::from_str(&it)) {
         headers.insert(header::RATE_LIMIT, value);
     }
--- a/components/http1/src/lib.rs
+++ b/components/http1/src/lib.rs
@@ -48,6 +48,7 @@
 pub use dialect::RequestDirectives;
 pub use dialect::ResponseClass;
 pub use dialect::UpstreamNotice;
+pub use dialect::read_rate_limit;
 pub use dialect::refusal_status;
 
 #[distributed_slice(FRONT_END_PLUGINS)]
--- a/components/policy/src/lib.rs
+++ b/components/policy/src/lib.rs
@@ -23,6 +23,7 @@
 pub use health::HEALTH_PLUGINS;
 pub use health::Health;
 pub use health::HealthChange;
+pub use request_rate::LimitNotice;
 pub use request_rate::RequestRate;
 pub use retry::FailedAttempt;
 pub use retry::RETRY_PLUGINS;
--- a/components/policy/src/request_rate.rs
+++ b/components/policy/src/request_rate.rs
@@ -12,6 +12,28 @@
     thousandths: u64,
 }
 
+/// What a response of an upstream says of a limit on the rate of its requests.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum LimitNotice {
+    /// The upstream has no limit.
+    #[default]
+    Unlimited,
+    /// The upstream accepts this rate.
+    Limited(RequestRate),
+    /// The statement cannot be read, so that the limit stays as it is.
+    Unreadable,
+}
+
+impl LimitNotice {
+    /// The rate, if there is one that can be read.
+    pub fn rate(self) -> Option<RequestRate> {
+        match self {
+            Self::Limited(rate) => Some(rate),
+            Self::Unlimited | Self::Unreadable => None,
+        }
+    }
+}
+
 impl RequestRate {
     /// Converts requests a second; `None` if the number is negative, infinite or not a number.
     pub fn from_per_second(requests: f64) -> Option<Self> {
--- a/components/traffic/src/owner.rs
+++ b/components/traffic/src/owner.rs
@@ -26,6 +26,7 @@
 use policy::Completion;
 use policy::Decision;
 use policy::Job;
+use policy::LimitNotice;
 use policy::Load;
 use policy::RequestRate;
 use policy::Ticket;
@@ -416,12 +417,12 @@
     }
 
     /// Applies the rate limit that a response of the upstream names, or its end.
-    fn handle_response(
-        &mut self,
-        now: Time,
-        rate_limit: Option<RequestRate>,
-        effects: &mut Vec<Effect>,
-    ) {
+    fn handle_response(&mut self, now: Time, notice: LimitNotice, effects: &mut Vec<Effect>) {
+        self.crashes.record_response();
+        if notice == LimitNotice::Unreadable {
+            return;
+        }
+        let rate_limit = notice.rate();
         let report = self.upstream_limit.set(now, rate_limit);
         effects.extend(report.map(Effect::RateLimitReported));
         let mut decisions = Vec::new();
@@ -429,7 +430,6 @@
             .set_rate_limit(now, rate_limit, &mut decisions);
         self.apply_decisions(now, decisions, effects);
         self.upstream_responded = true;
-        self.crashes.record_response();
     }
 
     /// Applies the rate limit that the sender of a request knows from an earlier response of the upstream.
--- a/components/traffic/src/owner/message.rs
+++ b/components/traffic/src/owner/message.rs
@@ -12,6 +12,7 @@
 use ids::RouteId;
 use kernel::Time;
 use member::Stage;
+use policy::LimitNotice;
 use policy::RequestRate;
 
 /// A request as it arrives at the owner.
@@ -97,8 +98,8 @@
     UpstreamWarmed { warm: bool },
     /// The upstream has begun a response.
     UpstreamResponded {
-        /// Rate of requests that the upstream accepts according to the response.
-        rate_limit: Option<RequestRate>,
+        /// What the response says of a rate limit.
+        rate_limit: LimitNotice,
         /// Fingerprint of the request, if the upstream has served it. A response that reports a failure of the
         /// upstream does not show that the request is harmless: it can end at its deadline before it does harm.
         served: Option<Fingerprint>,
--- a/components/traffic/tests/deadly_request.rs
+++ b/components/traffic/tests/deadly_request.rs
@@ -37,6 +37,7 @@
 use member::Stage;
 use member::Status;
 use member::Upstream;
+use policy::LimitNotice;
 use retry::RetryBudget;
 use traffic::entry;
 use traffic::entry::AttemptReport;
@@ -391,7 +392,7 @@
             .find(|it| it.0 == tag)
             .map(|it| it.1.fingerprint);
         let responded = owner::Input::UpstreamResponded {
-            rate_limit: None,
+            rate_limit: LimitNotice::Unlimited,
             served: fingerprint,
         };
         self.step_owner(node, responded);
--- a/components/traffic/tests/owner.rs
+++ b/components/traffic/tests/owner.rs
@@ -18,6 +18,7 @@
 use kernel::plugin::Params;
 use kernel::random::SeededRandom;
 use member::Stage;
+use policy::LimitNotice;
 use policy::RequestRate;
 use traffic::ledger::Outcome;
 use traffic::owner::Effect;
@@ -418,7 +419,7 @@
 /// would outlive the need of the upstream.
 #[rstest]
 #[case::before_response(None, 1)]
-#[case::after_response(Some(Input::UpstreamResponded { rate_limit: None, served: None }), 12)]
+#[case::after_response(Some(Input::UpstreamResponded { rate_limit: LimitNotice::Unlimited, served: None }), 12)]
 fn arrive_known_rate_limit(#[case] response: Option<Input>, #[case] expected: usize) {
     let mut owner = new_owner(12);
     step(&mut owner, 0, Input::UpstreamWarmed { warm: true });
@@ -442,8 +443,9 @@
 /// together, whichever nodes the requests come from and whether or not a new process owns the upstream.
 #[rstest]
 fn arrive_rate_limit(#[values(0.5, 9.5, 42.3)] limit: f64, #[values(false, true)] restarted: bool) {
+    let rate = RequestRate::from_per_second(limit);
     let response = Input::UpstreamResponded {
-        rate_limit: RequestRate::from_per_second(limit),
+        rate_limit: rate.map_or(LimitNotice::Unreadable, LimitNotice::Limited),
         served: None,
     };
     let mut owner = new_owner(13);
@@ -453,7 +455,7 @@
             &mut owner,
             0,
             Input::UpstreamResponded {
-                rate_limit: None,
+                rate_limit: LimitNotice::Unlimited,
                 served: None,
             },
         );
@@ -523,7 +525,7 @@
     };
     step(&mut owner, 1, Input::Arrived(request(1, 100)));
     let response = Input::UpstreamResponded {
-        rate_limit: None,
+        rate_limit: LimitNotice::Unlimited,
         served: Some(Fingerprint(100)),
     };
     step(&mut owner, 2, response);
@@ -534,7 +536,7 @@
         &mut owner,
         2,
         Input::UpstreamResponded {
-            rate_limit: None,
+            rate_limit: LimitNotice::Unlimited,
             served: None,
         },
     );
@@ -555,7 +557,7 @@
         &mut owner,
         20,
         Input::UpstreamResponded {
-            rate_limit: None,
+            rate_limit: LimitNotice::Unlimited,
             served: None,
         },
     );
@@ -564,3 +566,26 @@
     // A copy of a request that ended otherwise is no second crash.
     assert_eq!(crash(&mut owner, 23, 6), None);
 }
+
+/// Guards against a malformed figure in one response that ends the limit of an upstream in need.
+#[rstest]
+#[case::unreadable(LimitNotice::Unreadable, 1)]
+#[case::ended(LimitNotice::Unlimited, 12)]
+fn respond_rate_limit_unreadable(#[case] notice: LimitNotice, #[case] expected: usize) {
+    let mut owner = new_owner(12);
+    step(&mut owner, 0, Input::UpstreamWarmed { warm: true });
+    let rate = RequestRate::from_per_second(2.0).expect("a valid rate");
+    for rate_limit in [LimitNotice::Limited(rate), notice] {
+        let served = None;
+        step(
+            &mut owner,
+            0,
+            Input::UpstreamResponded { rate_limit, served },
+        );
+    }
+    let arrivals = (1..=12).flat_map(|tag| step(&mut owner, 1, Input::Arrived(other_request(tag))));
+    let effects: Vec<Effect> = arrivals.collect();
+    let started = effects.iter();
+    let started = started.filter(|it| matches!(it, Effect::Start { .. }));
+    assert_eq!(started.count(), expected);
+}
