Repeat only reports on requests that are suspect in more than one crash

While one request was suspect in two crashes, each node also repeated the reports on all that merely ran in one of them: up to 15 reports four times a second for half an hour, which is near the 3 KB/s that a node may spend on control. What chance explains is pushed once and not repeated now. The limit on the reports of a message is stated in one place.

--- a/components/control/src/suspects.rs
+++ b/components/control/src/suspects.rs
@@ -22,8 +22,6 @@
 const REPEAT_INTERVAL: Duration = Duration::from_millis(500);
 /// Number of members to which the reports are repeated each time. On average each node hears from as many.
 const REPEAT_FANOUT: usize = 2;
-/// Maximum number of reports in one datagram.
-const MAX_REPORTS: usize = 15;
 
 /// Reports to send, and to how many members.
 pub(crate) struct Push {
@@ -119,23 +117,20 @@
                 .filter_map(|it| self.table.report(now, *it))
                 .collect();
             self.push_due = None;
-            pushes.extend(reports.chunks(MAX_REPORTS).map(|chunk| Push {
+            pushes.extend(reports.chunks(Report::MAX_PER_MESSAGE).map(|chunk| Push {
                 reports: chunk.to_vec(),
                 fanout: PUSH_FANOUT,
             }));
         }
         if self.repeat_due.is_some_and(|due| due <= now) {
             self.table.expire(now);
-            let is_needed = self.table.has_repeated_suspect();
-            self.repeat_due = is_needed.then_some(now + REPEAT_INTERVAL);
-            if is_needed {
-                let mut reports = self.table.reports(now);
-                reports.truncate(MAX_REPORTS);
-                pushes.push(Push {
-                    reports,
-                    fanout: REPEAT_FANOUT,
-                });
-            }
+            let mut reports = self.table.repeated_suspects(now);
+            reports.truncate(Report::MAX_PER_MESSAGE);
+            self.repeat_due = (!reports.is_empty()).then_some(now + REPEAT_INTERVAL);
+            pushes.extend(self.repeat_due.map(|_| Push {
+                reports,
+                fanout: REPEAT_FANOUT,
+            }));
         }
         pushes
     }
--- a/components/quarantine/src/lib.rs
+++ b/components/quarantine/src/lib.rs
@@ -3,7 +3,7 @@
 //! A crash of an upstream makes all requests that ran at it suspect. The owner of the upstream reports them,
 //! gossip brings the reports to all nodes, and each node counts in how many crashes a request was suspect
 //! since it last completed. Until a backoff that grows with the number of crashes has passed, no node runs
-//! the request again. A request that completes is cleared.
+//! the request again. A request that an upstream serves is cleared.
 //!
 //! The control thread owns the [`Table`]. Traffic threads read a [`View`] of it.
 
--- a/components/quarantine/src/report.rs
+++ b/components/quarantine/src/report.rs
@@ -30,4 +30,6 @@
 impl Report {
     /// Maximum number of crashes in a report. From this number on the backoff is the longest one.
     pub const MAX_CRASHES: usize = 3;
+    /// Maximum number of reports in one message.
+    pub const MAX_PER_MESSAGE: usize = 15;
 }
--- a/components/quarantine/src/table.rs
+++ b/components/quarantine/src/table.rs
@@ -141,10 +141,11 @@
         Merge::Known
     }
 
-    /// Reports on all suspect and cleared requests, those with the most crashes first and of these the
-    /// latest first.
-    pub fn reports(&self, now: Time) -> Vec<Report> {
-        let mut records: Vec<&Record> = self.records.iter().collect();
+    /// Reports on the requests that are suspect in two crashes or more, so that chance hardly explains it:
+    /// those with the most crashes first, and of these the latest first.
+    pub fn repeated_suspects(&self, now: Time) -> Vec<Report> {
+        let records = self.records.iter();
+        let mut records: Vec<&Record> = records.filter(|it| it.crashes.len() > 1).collect();
         records.sort_by_key(|it| std::cmp::Reverse((it.crashes.len(), it.changed_at)));
         let reports = records.into_iter().map(|it| it.report(now));
         reports.collect()
@@ -155,9 +156,14 @@
         Some(self.get(fingerprint)?.report(now))
     }
 
-    /// Whether a request has run in two crashes or more, so that chance hardly explains it.
-    pub fn has_repeated_suspect(&self) -> bool {
-        self.records.iter().any(|it| it.crashes.len() > 1)
+    /// Number of suspect and cleared requests.
+    pub fn len(&self) -> usize {
+        self.records.len()
+    }
+
+    /// Whether there is no suspect or cleared request.
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
     }
 
     /// Removes the records that are too old.
--- a/components/quarantine/tests/table.rs
+++ b/components/quarantine/tests/table.rs
@@ -119,10 +119,12 @@
     for other in 100..5_000 {
         table.record_crash(Time(SECOND), Fingerprint(other), crash(4, 1));
     }
-    assert_eq!(table.reports(Time(SECOND)).len(), 1_024);
+    assert_eq!(table.len(), 1_024);
     assert!(is_held(&table, 2 * SECOND, 0));
+    // Only what is known for more than one crash is repeated to other nodes.
+    assert_eq!(table.repeated_suspects(Time(SECOND)).len(), 1);
     table.expire(Time(3_000 * SECOND));
-    assert_eq!(table.reports(Time(3_000 * SECOND)).len(), 0);
+    assert_eq!(table.len(), 0);
 }
 
 /// Guards against nodes that all run a request again at the same moment once its backoff has passed.
--- a/components/wire/src/crash_reports.rs
+++ b/components/wire/src/crash_reports.rs
@@ -10,16 +10,13 @@
 
 /// Number of the format, the first byte of each datagram.
 pub const FORMAT: u8 = 2;
-/// Maximum number of reports in one datagram. A report has at most 75 bytes, and a datagram
-/// [`crate::datagram::MAX_BYTES`].
-pub const MAX_REPORTS: usize = 15;
-
 /// Encoded form of [`Report`]: fingerprint, clearances, crashes as node and number, and age in milliseconds.
 type Fields = (u128, u32, Vec<(u64, u32)>, u32);
 
-/// Encodes the first [`MAX_REPORTS`] of the reports.
+/// Encodes the first [`Report::MAX_PER_MESSAGE`] of the reports. Each takes at most 75 bytes, so that they fit into
+/// [`crate::datagram::MAX_BYTES`].
 pub fn encode(reports: &[Report]) -> Vec<u8> {
-    let reports = reports.iter().take(MAX_REPORTS).map(|report| {
+    let reports = reports.iter().take(Report::MAX_PER_MESSAGE).map(|report| {
         let crashes = report.crashes.iter().take(Report::MAX_CRASHES);
         let crashes = crashes.map(|it| (it.node.0, it.number)).collect();
         let age = u32::try_from(report.age.as_millis()).unwrap_or(u32::MAX);
@@ -33,7 +30,7 @@
 pub fn decode(bytes: &[u8]) -> Option<Vec<Report>> {
     let (format, body) = bytes.split_first()?;
     let (fields, rest) = postcard::take_from_bytes::<Vec<Fields>>(body).ok()?;
-    let is_valid = *format == FORMAT && rest.is_empty() && fields.len() <= MAX_REPORTS;
+    let is_valid = *format == FORMAT && rest.is_empty() && fields.len() <= Report::MAX_PER_MESSAGE;
     let reports = fields.into_iter().filter(|_| is_valid);
     let reports: Vec<Report> = reports
         .map(|(fingerprint, clearances, crashes, age)| Report {
