Take the start of a leaving run from its own announcements only

An announcement of another run filled in the unknown start of a run that had stated that it is leaving. No wrong stage followed from that, since an older announcement is refused by its order.

--- a/components/control/src/own_upstream.rs
+++ b/components/control/src/own_upstream.rs
@@ -208,15 +208,15 @@
         upstream: &Upstream,
         order: Option<AnnouncementOrder>,
     ) -> bool {
-        let run_started_ms = order.map(|order| order.run_started_ms);
-        let Some(leaving_run) = &mut self.leaving_run else {
+        let leaving_run = self.leaving_run.as_mut();
+        let Some(leaving_run) = leaving_run.filter(|it| it.run_id == upstream.run_id) else {
             return false;
         };
+        let run_started_ms = order.map(|order| order.run_started_ms);
         let known_start = *leaving_run
             .run_started_ms
             .get_or_insert(run_started_ms.unwrap_or(u64::MAX));
-        leaving_run.run_id == upstream.run_id
-            && leaving_run.remembered_until > now
+        leaving_run.remembered_until > now
             && run_started_ms.is_none_or(|run_started_ms| run_started_ms <= known_start)
     }
 
