--- a/components/admit/src/rate_limit.rs
+++ b/components/admit/src/rate_limit.rs
@@ -72,6 +72,6 @@
     /// before a length is known.
     pub(crate) fn concurrency(&self, mean_length: Duration) -> Option<f64> {
         let interval = self.interval.filter(|_| !mean_length.is_zero())?;
-        Some(mean_length.as_secs_f64() / interval.as_secs_f64().max(f64::MIN_POSITIVE))
+        Some(mean_length.as_secs_f64() / interval.as_secs_f64())
     }
 }
--- a/components/control/src/message.rs
+++ b/components/control/src/message.rs
@@ -69,7 +69,7 @@
         fingerprint: Fingerprint,
         crash: u32,
     },
-    /// A suspect request has completed at the upstream of this node.
+    /// The upstream of this node has served a suspect request.
     RequestCompleted { fingerprint: Fingerprint },
     /// Another node reports requests that crash upstreams.
     CrashReports {
--- a/components/front/src/driver.rs
+++ b/components/front/src/driver.rs
@@ -202,7 +202,7 @@
         }
     }
 
-    /// Reports that a suspect request has completed at the upstream.
+    /// Reports that the upstream has served a suspect request.
     pub fn report_completion(&self, fingerprint: Fingerprint) {
         self.report_to_control(control::Input::RequestCompleted { fingerprint });
     }
--- a/components/front/src/upstream_log.rs
+++ b/components/front/src/upstream_log.rs
@@ -1,4 +1,4 @@
-//! Log lines on what the upstream states about itself in its responses.
+//! Log lines on the upstream: what it states about itself in its responses, and its crashes.
 
 use std::time::Duration;
 
--- a/components/http1/src/request_body.rs
+++ b/components/http1/src/request_body.rs
@@ -56,7 +56,7 @@
         }
         let remaining_bytes = max_bytes.saturating_sub(bytes.len() as u64);
         let abort_reason = AbortReason::default();
-        // The first bytes that arrive differ in number from time to time.
+        // More than this may have arrived, and how much differs between repetitions of a request.
         let start = Fingerprint::of(&[&bytes[..MAX_BUFFERED_BODY_BYTES.min(bytes.len())]]);
         let stream = StreamedBody::new(bytes, body, remaining_bytes, Arc::clone(&abort_reason));
         Ok(Self::Streamed {
--- a/components/traffic/src/owner/crashes.rs
+++ b/components/traffic/src/owner/crashes.rs
@@ -4,8 +4,8 @@
 use ids::Fingerprint;
 use kernel::Time;
 
-/// Number of completed requests that are remembered. The fingerprint of a request determines its place, where
-/// a later one replaces it.
+/// Number of served requests that are remembered. The fingerprint of a request determines its place, where a
+/// later one replaces it.
 const MAX_COMPLETIONS: usize = 1_024;
 
 /// Counts the crashes of the upstream. All requests that ran when the upstream crashed fail one after the
@@ -15,7 +15,7 @@
     count: u32,
     /// When the latest crash was noticed; `None` if the upstream has responded since.
     noticed_at: Option<Time>,
-    /// Fingerprints of requests that the upstream has completed; empty before the first one.
+    /// Fingerprints of requests that the upstream has served; empty before the first one.
     completions: Vec<Option<Fingerprint>>,
 }
 
--- a/components/wire/src/header.rs
+++ b/components/wire/src/header.rs
@@ -26,7 +26,7 @@
 pub const SPILLABLE: &str = "medlar-spillable";
 /// Fingerprint of the request, 32 hexadecimal digits: the same for each repetition by any caller's node.
 pub const FINGERPRINT: &str = "medlar-fingerprint";
-/// Number of upstreams that have crashed while they ran the request for its present sender.
+/// Number of upstreams that crashed while they ran earlier attempts of the sender at the request.
 pub const SEEN_CRASHES: &str = "medlar-seen-crashes";
 /// Number of the attempt at the request; the first attempt is 1.
 pub const ATTEMPT: &str = "medlar-attempt";
