--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -104,6 +104,27 @@
     """The case cannot run here."""
 
 
+class Link:
+    """A machine's own link: what it receives arrives at the link's rate, one message after the other."""
+
+    # Time that one piece takes, in seconds.
+    PIECE_S = 0.01
+
+    def __init__(self, mbps):
+        self.piece_bytes = int(mbps * 1e6 / 8 * self.PIECE_S)
+        self.free_at = 0.0
+
+    async def send(self, writer, data):
+        for start in range(0, len(data), self.piece_bytes):
+            piece = data[start:start + self.piece_bytes]
+            now = time.monotonic()
+            self.free_at = max(self.free_at, now) + self.PIECE_S * len(piece) / self.piece_bytes
+            if self.free_at - now > 0.001:
+                await asyncio.sleep(self.free_at - now)
+            writer.write(piece)
+            await writer.drain()
+
+
 class Machine:
     """A machine: its addresses, its node process and the settings that the platform writes for it."""
 
@@ -115,6 +136,7 @@
         self.starts = 0
         self.started_at = None
         self.endpoint = None
+        self.link = Link(fleet.link_mbps)
 
     def port(self, name):
         return self.fleet.base + PORT_NAMES.index(name)
@@ -130,7 +152,8 @@
             "node": self.name, "role": "node", "instanceClass": "sidecar", "serves": ["sidecar"],
             "ip": self.ip, "zone": self.zone, "region": "lagos", "faultCounted": False,
             "bootstrap": True, "appAddress": self.address("app"), "service": self.service,
-            "limits": {"cpuShare": 0.2, "cores": 1, "memoryMb": 110, "maxFds": 4100, "linkMbps": 1000.0,
+            "limits": {"cpuShare": 0.2, "cores": 1, "memoryMb": 110, "maxFds": 4100,
+                       "linkMbps": fleet.link_mbps,
                        "diskMb": 0},
             "portRange": [first, first + 1], "seeds": [], "listen": listen,
             "zones": {zone: "lagos" for zone in fleet.zones},
@@ -175,9 +198,10 @@
 class Fleet:
     """All machines of a deployment, the store, and the record of what was seen."""
 
-    def __init__(self, folder, zones, bounds=None):
+    def __init__(self, folder, zones, bounds=None, link_mbps=1000.0):
         self.started = time.monotonic()
         self.zones = zones
+        self.link_mbps = link_mbps
         # The bounds of the Ogbonna deployment.
         self.bounds = {
             "seedLagS": 3, "reuseAfterS": 2, "stableWindowS": 3, "ackS": 4, "catchUpS": 4, "drainS": 2,
@@ -374,8 +398,11 @@
     def refuse(self, machines):
         """Turns these machines away from now on; their waiting watches are cut."""
         self.refused = {it.name for it in machines}
-        for name in self.refused:
-            for writer in list(self.open_watches.get(name, ())):
+        self.cut_watches(machines)
+
+    def cut_watches(self, machines):
+        for machine in machines:
+            for writer in list(self.open_watches.get(machine.name, ())):
                 writer.transport.abort()
 
     async def serve(self, machine, reader, writer):
@@ -388,7 +415,7 @@
                     status, body = await self.answer(machine, request, writer)
                     body = json.dumps(body).encode()
                     headers = {"Content-Type": "application/json"}
-                    writer.write(encode(f"HTTP/1.1 {status} Answer", headers, body))
+                    await machine.link.send(writer, encode(f"HTTP/1.1 {status} Answer", headers, body))
                 await writer.drain()
         except (ConnectionError, asyncio.IncompleteReadError):
             pass
@@ -615,10 +642,14 @@
     trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def run():
-        return await asyncio.wait_for(case(folder, trouble), 110)
+        # A case that is stopped still ends the processes that it started.
+        task = asyncio.ensure_future(case(folder, trouble))
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
+        return await asyncio.wait_for(task, 110)
 
     try:
         return asyncio.run(run())
-    except (Unavailable, OSError, asyncio.TimeoutError) as error:
+    except (Unavailable, OSError, asyncio.TimeoutError, asyncio.CancelledError) as error:
         print(f"the case could not run: {type(error).__name__} {error}")
         return 2
