--- a/review/2/case.py
+++ b/review/2/case.py
@@ -2,6 +2,7 @@
 import asyncio
 import json
 import pathlib
+import signal
 import sys
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent))
@@ -19,6 +20,8 @@
 # Time from the last growth to the cut of the waiting watches, and from there to the operator's next change.
 CUT_AFTER_S, CHANGE_AFTER_S = 8.0, 6.0
 CHECKED_S = 15.0
+# The final fault: all processes are killed, and start again after this time; then, the time to recover.
+DOWN_S, RECOVER_S = 1.0, 15.0
 
 
 def value(version, booking, idle):
@@ -86,7 +89,20 @@
           f"{last:.1f} s after the acknowledgement; {CONFIG_APPLY_S:g} s are allowed")
     if served < len(checked) / 2:
         raise lab.Unavailable("too few requests were served")
-    return 1 if stale else 0
+
+    await asyncio.gather(*(it.end(signal.SIGKILL) for it in fleet.machines))
+    await asyncio.sleep(DOWN_S)
+    for machine in fleet.machines:
+        await machine.start()
+    await asyncio.sleep(RECOVER_S + 0.2)
+    after = []
+    for _ in range(6):
+        after += await asyncio.gather(*(lab.request(it, "POST", "/pufi791/3") for it in fleet.machines))
+        await asyncio.sleep(0.5)
+    served_after = sum(it["status"] == 200 for it in after)
+    fleet.record("result-after-the-final-fault", sent=len(after), served=served_after)
+    print(f"over {RECOVER_S:g} s after all processes had been killed and started: {served_after} of {len(after)} bookings served")
+    return 1 if stale or served_after < len(after) / 4 else 0
 
 
 sys.exit(lab.main(case, __file__))
