Log and count each store call that fails, with its cause

Cause: the only line about a failing store was the first one of an outage.

Change: a line per failed call (at most 5 a second) and a counter, with the call, the key, the cause (unreachable, refused, broken, timed-out), the time that it took, and the bytes that had arrived of the body. Time limits are an error of their own. Only the configuration's calls show that the store is regained: the small lists of contacts can be read where the configuration cannot.

--- a/components/daemon/src/event_log.rs
+++ b/components/daemon/src/event_log.rs
@@ -1,6 +1,7 @@
 //! Log lines about other nodes of the fleet and about the store.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -11,6 +12,7 @@
 use control::Topology;
 use member::Member;
 use telemetry::LogLimiter;
+use telemetry::Metrics;
 use transport::calls;
 
 /// Rate limit of lines about members. A fleet that starts all at once would otherwise write one line for
@@ -21,8 +23,13 @@
 /// nodes fail at the same time.
 const MAX_CALL_LINES_PER_SECOND: u32 = 10;
 
+/// Rate limit of lines about failed calls to the store. A node makes few calls, whatever happens.
+const MAX_STORE_CALL_LINES_PER_SECOND: u32 = 5;
+
 static CALL_LIMITER: LogLimiter =
     LogLimiter::with_lines(MAX_CALL_LINES_PER_SECOND, Duration::from_secs(1));
+static STORE_CALL_LIMITER: LogLimiter =
+    LogLimiter::with_lines(MAX_STORE_CALL_LINES_PER_SECOND, Duration::from_secs(1));
 static MEMBER_LIMITER: LogLimiter =
     LogLimiter::with_lines(MAX_MEMBER_LINES_PER_SECOND, Duration::from_secs(1));
 
@@ -77,13 +84,40 @@
     );
 }
 
-/// Tracks whether calls to the store succeed, and logs each change.
-#[derive(Debug, Default)]
+/// Kind of a call to the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum StoreCall {
+    Read,
+    Watch,
+    Write,
+}
+
+impl StoreCall {
+    /// Name of the call, for counters and log lines.
+    pub(crate) fn name(self) -> &'static str {
+        match self {
+            Self::Read => "read",
+            Self::Watch => "watch",
+            Self::Write => "write",
+        }
+    }
+}
+
+/// Tracks whether calls to the store succeed; counts failed calls and logs them, and each change.
+#[derive(Debug)]
 pub(crate) struct StoreHealth {
     failing: AtomicBool,
+    metrics: Arc<Metrics>,
 }
 
 impl StoreHealth {
+    pub(crate) fn new(metrics: Arc<Metrics>) -> Self {
+        Self {
+            failing: AtomicBool::default(),
+            metrics,
+        }
+    }
+
     /// Records a call to which the store responded.
     pub(crate) fn record_success(&self) {
         if self.failing.swap(false, Ordering::Relaxed) {
@@ -91,15 +125,32 @@
         }
     }
 
-    /// Records a call that failed.
-    pub(crate) fn record_failure(&self, error: &store::Error) {
+    /// Records a call for `key` that failed `elapsed` after it was made.
+    pub(crate) fn record_failure(
+        &self,
+        call: StoreCall,
+        key: &str,
+        elapsed: Duration,
+        error: &store::Error,
+    ) {
+        let cause = error.cause();
+        self.metrics.count_store_failure(call.name(), cause);
+        let message = error.to_string();
         if !self.failing.swap(true, Ordering::Relaxed) {
             warn!(
-                event = "dependency", name = "store", state = "lost",
-                error = error.to_string().as_str();
+                event = "dependency", name = "store", state = "lost", error = message.as_str();
                 "store call failed; the node keeps its current data and retries"
             );
         }
+        let Some(suppressed) = STORE_CALL_LIMITER.admit() else {
+            return;
+        };
+        warn!(
+            event = "store-call-failed", call = call.name(), key, cause,
+            after_ms = u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX),
+            error = message.as_str(), held = suppressed;
+            "store call failed; it is repeated after a backoff"
+        );
     }
 }
 
--- a/components/daemon/src/executor.rs
+++ b/components/daemon/src/executor.rs
@@ -11,7 +11,9 @@
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 use tokio::task::JoinHandle;
+use tokio::time::Instant;
 
+use crate::event_log::StoreCall;
 use crate::event_log::StoreHealth;
 use crate::event_log::log_failed_call;
 use crate::event_log::log_member_changes;
@@ -181,82 +183,101 @@
         self.cancel_config_call();
         let store = Arc::clone(&self.store);
         let is_writable = store.is_writable(CONFIG_KEY);
-        self.metrics.count_store_call(if watch_after.is_some() {
-            "watch"
-        } else {
-            "read"
-        });
-        let health = Arc::clone(&self.store_health);
-        self.config_call = Some(self.spawn_call(async move {
-            let result = match watch_after {
+        let call = match watch_after {
+            Some(_) => StoreCall::Watch,
+            None => StoreCall::Read,
+        };
+        let observed = self.observe_store_call(call, CONFIG_KEY, async move {
+            match watch_after {
                 Some(after) => store.watch(CONFIG_KEY, after).await,
                 None => store.read(CONFIG_KEY).await.map(WatchOutcome::Changed),
-            };
-            Input::Store(match result {
+            }
+        });
+        self.config_call = Some(self.spawn_call(async move {
+            Input::Store(match observed.await {
                 Ok(WatchOutcome::Unchanged(store_revision)) => {
-                    health.record_success();
                     StoreEvent::Unchanged { store_revision }
                 }
-                Ok(WatchOutcome::Changed(entry)) => {
-                    health.record_success();
-                    decode_store_event(&entry, is_writable)
-                }
-                Err(error) => {
-                    health.record_failure(&error);
-                    StoreEvent::Failed
-                }
+                Ok(WatchOutcome::Changed(entry)) => decode_store_event(&entry, is_writable),
+                Err(_) => StoreEvent::Failed,
             })
         }));
     }
 
+    /// Counts a call to the store, and records how it ends.
+    fn observe_store_call<T, F>(
+        &self,
+        call: StoreCall,
+        key: &str,
+        response: F,
+    ) -> impl Future<Output = F::Output> + use<T, F>
+    where
+        F: Future<Output = Result<T, store::Error>>,
+    {
+        self.metrics.count_store_call(call.name());
+        let health = Arc::clone(&self.store_health);
+        let key = key.to_owned();
+        async move {
+            let started = Instant::now();
+            let result = response.await;
+            match &result {
+                // A small value that arrives does not show that the configuration can be read.
+                Ok(_) if key == CONFIG_KEY => health.record_success(),
+                Ok(_) => {}
+                Err(error) => health.record_failure(call, &key, started.elapsed(), error),
+            }
+            result
+        }
+    }
+
     fn write_config(&mut self, expected: Revision, record: &Record) {
         self.cancel_config_call();
         let store = Arc::clone(&self.store);
-        let health = Arc::clone(&self.store_health);
         let value = encode_record(record);
-        self.metrics.count_store_call("write");
+        let observed = self.observe_store_call(StoreCall::Write, CONFIG_KEY, async move {
+            store.compare_and_swap(CONFIG_KEY, expected, value).await
+        });
         self.config_call = Some(self.spawn_call(async move {
-            Input::Store(
-                match store.compare_and_swap(CONFIG_KEY, expected, value).await {
-                    Ok(outcome) => StoreEvent::Written { era: outcome.era() },
-                    Err(error) => {
-                        health.record_failure(&error);
-                        StoreEvent::Failed
-                    }
-                },
-            )
+            Input::Store(match observed.await {
+                Ok(outcome) => StoreEvent::Written { era: outcome.era() },
+                Err(_) => StoreEvent::Failed,
+            })
         }));
     }
 
-    fn read_contacts(&self, domain: &Domain) {
+    /// Reads the contacts of a failure domain.
+    fn call_for_contacts(
+        &self,
+        domain: &Domain,
+    ) -> impl Future<Output = Result<Entry, store::Error>> + use<> {
         let store = Arc::clone(&self.store);
-        let health = Arc::clone(&self.store_health);
         let key = contacts_key(domain);
-        self.metrics.count_store_call("read");
+        let read_key = key.clone();
+        self.observe_store_call(
+            StoreCall::Read,
+            &key,
+            async move { store.read(&read_key).await },
+        )
+    }
+
+    fn read_contacts(&self, domain: &Domain) {
+        let observed = self.call_for_contacts(domain);
         self.spawn_call(async move {
-            Input::Contacts(match store.read(&key).await {
+            Input::Contacts(match observed.await {
                 Ok(entry) => ContactsEvent::Value {
                     revision: entry.revision,
                     addresses: decode_addresses(&entry),
                 },
-                Err(error) => {
-                    health.record_failure(&error);
-                    ContactsEvent::Failed
-                }
+                Err(_) => ContactsEvent::Failed,
             })
         });
     }
 
     /// Reads the contacts of a failure domain other than the node's own.
     fn read_other_contacts(&self, domain: &Domain) {
-        let store = Arc::clone(&self.store);
-        let health = Arc::clone(&self.store_health);
-        let key = contacts_key(domain);
-        self.metrics.count_store_call("read");
+        let observed = self.call_for_contacts(domain);
         self.spawn_call(async move {
-            let entry = store.read(&key).await;
-            let entry = entry.inspect_err(|error| health.record_failure(error));
-            let addresses = entry.map(|it| decode_addresses(&it));
+            let addresses = observed.await.map(|it| decode_addresses(&it));
             Input::Contacts(ContactsEvent::OtherDomain {
                 addresses: addresses.unwrap_or_default(),
             })
@@ -265,17 +286,16 @@
 
     fn write_contacts(&self, domain: &Domain, expected: Revision, addresses: &[SocketAddr]) {
         let store = Arc::clone(&self.store);
-        let health = Arc::clone(&self.store_health);
         let key = contacts_key(domain);
+        let written_key = key.clone();
         let value = encode_contacts(addresses);
-        self.metrics.count_store_call("write");
+        let observed = self.observe_store_call(StoreCall::Write, &key, async move {
+            store.compare_and_swap(&written_key, expected, value).await
+        });
         self.spawn_call(async move {
-            Input::Contacts(match store.compare_and_swap(&key, expected, value).await {
+            Input::Contacts(match observed.await {
                 Ok(outcome) => ContactsEvent::Written { era: outcome.era() },
-                Err(error) => {
-                    health.record_failure(&error);
-                    ContactsEvent::Failed
-                }
+                Err(_) => ContactsEvent::Failed,
             })
         });
     }
--- a/components/daemon/src/run.rs
+++ b/components/daemon/src/run.rs
@@ -21,6 +21,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::Error;
+use crate::event_log::StoreHealth;
 use crate::executor::ControlExecutor;
 use crate::executor::PendingCalls;
 use crate::peer::PeerHandler;
@@ -186,9 +187,9 @@
         pending_calls,
         topology,
         driver: Arc::clone(&driver),
+        store_health: Arc::new(StoreHealth::new(Arc::clone(&metrics))),
         metrics,
         config_call: None,
-        store_health: Arc::default(),
     };
     let contacts = settings.contacts.clone();
     let mut machine = Machine::new(own_member, contacts, Parameters::default(), clock.now())
--- a/components/store/src/etcd.rs
+++ b/components/store/src/etcd.rs
@@ -22,6 +22,7 @@
 use crate::WatchOutcome;
 use crate::http::MAX_RESPONSE_BYTES;
 use crate::http::outcome_unknown;
+use crate::http::timed_out;
 use kernel::Plugin;
 use kernel::plugin;
 use kernel::plugin::Params;
@@ -161,11 +162,7 @@
             // A timeout is an error, not `Unchanged`: a silent connection may as well be dead.
             watch_result
                 .map(|response| response.map(WatchOutcome::Changed))
-                .unwrap_or_else(|_| {
-                    Err(outcome_unknown(format!(
-                        "no change within {WATCH_TIMEOUT:?}"
-                    )))
-                })
+                .unwrap_or_else(|_| Err(timed_out(format!("no change within {WATCH_TIMEOUT:?}"))))
         })
     }
 }
--- a/components/store/src/http.rs
+++ b/components/store/src/http.rs
@@ -13,10 +13,10 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use http_body_util::Full;
-use http_body_util::Limited;
 use hyper::Method;
 use hyper::Request;
 use hyper::Response;
+use hyper::body::Body;
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
@@ -24,7 +24,9 @@
 use socket2::SockRef;
 use socket2::TcpKeepalive;
 use tokio::net::TcpStream;
+use tokio::time::Instant;
 use tokio::time::timeout;
+use tokio::time::timeout_at;
 
 use crate::Error;
 use kernel::plugin;
@@ -103,24 +105,47 @@
         extra_time: Duration,
     ) -> Result<Response<Value>, Error> {
         let time_limit = self.timeout + extra_time;
-        let exchange = async {
-            let response = self.send(method, path, body).await?;
-            let (head, body) = response.into_parts();
-            let body = Limited::new(body, MAX_RESPONSE_BYTES);
-            let bytes = body.collect().await.map_err(outcome_unknown)?.to_bytes();
-            let body = match serde_json::from_slice(&bytes) {
-                Ok(body) => body,
-                Err(error) if head.status.is_success() => return Err(outcome_unknown(error)),
-                // The status of an error response is enough, so its body need not be JSON.
-                Err(_) => Value::default(),
-            };
-            Ok(Response::from_parts(head, body))
+        let deadline = Instant::now() + time_limit;
+        let response = match timeout_at(deadline, self.send(method, path, body)).await {
+            Ok(response) => response?,
+            Err(_) => return Err(timed_out(format!("no response within {time_limit:?}"))),
         };
-        timeout(time_limit, exchange).await.unwrap_or_else(|_| {
-            Err(outcome_unknown(format!(
-                "no response within {time_limit:?}"
-            )))
-        })
+        let (head, body) = response.into_parts();
+        let bytes = read_body(body, deadline).await?;
+        let body = match serde_json::from_slice(&bytes) {
+            Ok(body) => body,
+            Err(error) if head.status.is_success() => return Err(outcome_unknown(error)),
+            // The status of an error response is enough, so its body need not be JSON.
+            Err(_) => Value::default(),
+        };
+        Ok(Response::from_parts(head, body))
+    }
+}
+
+/// Reads the body of a response up to its end.
+async fn read_body(mut body: Incoming, deadline: Instant) -> Result<Vec<u8>, Error> {
+    let started = Instant::now();
+    let expected = body.size_hint().exact();
+    let mut bytes = Vec::new();
+    let describe = |received: usize, cause: &str| {
+        let expected = expected.map_or("an unknown number".to_owned(), |it| it.to_string());
+        let elapsed = started.elapsed();
+        format!("{cause} after {received} of {expected} bytes of the body in {elapsed:?}")
+    };
+    loop {
+        let frame = match timeout_at(deadline, body.frame()).await {
+            Ok(Some(Ok(frame))) => frame,
+            Ok(Some(Err(error))) => {
+                let cause = error.to_string();
+                return Err(outcome_unknown(describe(bytes.len(), &cause)));
+            }
+            Ok(None) => return Ok(bytes),
+            Err(_) => return Err(timed_out(describe(bytes.len(), "timed out"))),
+        };
+        bytes.extend_from_slice(frame.data_ref().map_or(&[][..], |it| it));
+        if bytes.len() > MAX_RESPONSE_BYTES {
+            return Err(outcome_unknown(describe(bytes.len(), "too large")));
+        }
     }
 }
 
@@ -159,3 +184,8 @@
         message: error.to_string(),
     }
 }
+
+/// Wraps a response that did not arrive in time, after which the request may have taken effect.
+pub(crate) fn timed_out(message: String) -> Error {
+    Error::TimedOut { message }
+}
--- a/components/store/src/lib.rs
+++ b/components/store/src/lib.rs
@@ -55,6 +55,22 @@
         OutcomeUnknown { message: String } {
             display("no usable response from the store: {message}")
         }
+        /// The response, or the rest of it, did not arrive in time; a write may have taken effect.
+        TimedOut { message: String } {
+            display("the store did not respond in time: {message}")
+        }
+    }
+}
+
+impl Error {
+    /// Name of the cause, for counters and log lines.
+    pub fn cause(&self) -> &'static str {
+        match self {
+            Self::Unreachable { .. } => "unreachable",
+            Self::Refused { .. } => "refused",
+            Self::OutcomeUnknown { .. } => "broken",
+            Self::TimedOut { .. } => "timed-out",
+        }
     }
 }
 
--- a/components/store/tests/etcd.rs
+++ b/components/store/tests/etcd.rs
@@ -67,7 +67,7 @@
     match error {
         Error::Unreachable { .. } => "unreachable",
         Error::Refused { .. } => "refused",
-        Error::OutcomeUnknown { .. } => "unknown",
+        Error::OutcomeUnknown { .. } | Error::TimedOut { .. } => "unknown",
     }
 }
 
--- a/components/telemetry/src/metrics.rs
+++ b/components/telemetry/src/metrics.rs
@@ -55,6 +55,7 @@
     control_bytes: Counter<u64>,
     control_messages: Counter<u64>,
     store_calls: Counter<u64>,
+    store_failures: Counter<u64>,
     latency: Histogram<f64>,
     config_version: Gauge<u64>,
     meter: Meter,
@@ -97,6 +98,7 @@
             control_bytes: meter.u64_counter("medlar_control_bytes").build(),
             control_messages: meter.u64_counter("medlar_control_messages").build(),
             store_calls: meter.u64_counter("medlar_store_calls").build(),
+            store_failures: meter.u64_counter("medlar_store_failures").build(),
             latency: meter
                 .f64_histogram("medlar_latency_seconds")
                 .with_boundaries(LATENCY_BUCKET_BOUNDS.to_vec())
@@ -184,6 +186,13 @@
         self.store_calls.add(1, &[KeyValue::new("call", call)]);
     }
 
+    /// Counts a call to the store that failed. `call` is `read`, `watch` or `write`, and `cause` the
+    /// name of the error's cause.
+    pub fn count_store_failure(&self, call: &'static str, cause: &'static str) {
+        let labels = [KeyValue::new("call", call), KeyValue::new("cause", cause)];
+        self.store_failures.add(1, &labels);
+    }
+
     /// Sets the version of the configuration in force.
     pub fn set_config_version(&self, version: u64) {
         self.config_version.record(version, &[]);
