Limit store calls by their progress instead of their whole time

Cause: the limit of a call, 1 s as deployed, covers the transfer of the answer. 985,823 bytes take 1.13 s at 7 Mbit/s. Each read is broken off after 640 to 820 KB, as the lines store-call-failed show, and begun anew. The class: an inner step has a limit below what an outer step has accepted. A value of 1,048,576 bytes, which the store takes, needs 1.6 s.

Change: the timeout bounds the head of the response, and then each window in which at least 64 KB a second must arrive. A silent store is noticed as soon as before, a body that stalls or trickles within two windows, and a call for the largest response ends after 25 s at the latest. A request gets the time to be sent in the same way (medlarctl apply of a large text). The state machine's limit on such a call was 5 s and would have broken off a slow transfer in its turn; it is now above whatever the client allows, and a test compares the two.

--- a/components/spread/src/lib.rs
+++ b/components/spread/src/lib.rs
@@ -24,5 +24,6 @@
 pub use report::Refusal;
 pub use revision::Era;
 pub use revision::Revision;
+pub use store_call::CONFIG_CALL_TIMEOUT;
 pub use store_watch::StoreEvent;
 pub use watcher::is_watcher;
--- a/components/spread/src/store_call.rs
+++ b/components/spread/src/store_call.rs
@@ -10,9 +10,13 @@
 /// Bounds the load that a node puts on the store, whatever happens.
 const MAX_CALL_BURST: u32 = 4;
 const CALL_REFILL_INTERVAL: Duration = Duration::from_secs(1);
-/// Times after which the answer to a call, or to a watch, counts as lost.
-const CALL_TIMEOUT: Duration = Duration::from_secs(5);
-const WATCH_TIMEOUT: Duration = Duration::from_secs(30);
+/// Time after which the answer to a call for the configuration counts as lost. The client of the
+/// store ends each call by itself, by its progress; a limit that is reached sooner would break off a
+/// long transfer.
+pub const CONFIG_CALL_TIMEOUT: Duration = Duration::from_secs(200);
+/// Time after which another call for contacts is made. These are small, and an answer that arrives
+/// later is still used.
+const CONTACTS_CALL_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Exponential backoff with full jitter: each delay is random below a bound that doubles.
 #[derive(Debug)]
@@ -101,7 +105,7 @@
     /// The next call is to be made at this time.
     Due(Time),
     /// A call was made; its answer counts as lost at `deadline`.
-    InFlight { deadline: Time, is_watch: bool },
+    InFlight { deadline: Time },
 }
 
 impl CallState {
@@ -114,17 +118,20 @@
         delayed_call: &mut Option<Output>,
         out: &mut Vec<Output>,
     ) -> Self {
-        let is_watch = matches!(call, Output::WatchConfig { .. });
-        let timeout = if is_watch {
-            WATCH_TIMEOUT
+        let is_contacts = matches!(
+            call,
+            Output::ReadContacts { .. } | Output::WriteContacts { .. }
+        );
+        let timeout = if is_contacts {
+            CONTACTS_CALL_TIMEOUT
         } else {
-            CALL_TIMEOUT
+            CONFIG_CALL_TIMEOUT
         };
         match budget.try_spend(now) {
             Ok(()) => {
                 out.push(call);
                 let deadline = now + timeout;
-                Self::InFlight { deadline, is_watch }
+                Self::InFlight { deadline }
             }
             // The call itself is kept. If a read were due instead, each read would spend the budget
             // that the delayed call waits for, so that it would never be made.
@@ -139,12 +146,12 @@
         match self {
             Self::Disabled => None,
             Self::Due(due) => Some(due),
-            Self::InFlight { deadline, .. } => Some(deadline),
+            Self::InFlight { deadline } => Some(deadline),
         }
     }
 
     /// Whether the answer to the call is overdue.
     pub(crate) fn has_timed_out(self, now: Time) -> bool {
-        matches!(self, Self::InFlight { deadline, .. } if deadline <= now)
+        matches!(self, Self::InFlight { deadline } if deadline <= now)
     }
 }
--- a/components/store/src/etcd.rs
+++ b/components/store/src/etcd.rs
@@ -4,6 +4,7 @@
 
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
+use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::Method;
 use hyper::StatusCode;
@@ -62,7 +63,8 @@
     /// Reads a watch stream up to the first message with events. Returns the entry of its last event,
     /// which has no value if that event deleted the key.
     async fn read_watch_event(&self, body: Value, after: Revision) -> Result<Entry, Error> {
-        let response = self.client.send(Method::POST, "/v3/watch", Some(&body));
+        let body = Bytes::from(body.to_string());
+        let response = self.client.send(Method::POST, "/v3/watch", body);
         let response = response.await?;
         check_status(response.status())?;
         let mut body = response.into_body();
--- a/components/store/src/http.rs
+++ b/components/store/src/http.rs
@@ -29,6 +29,8 @@
 use tokio::time::timeout_at;
 
 use crate::Error;
+use crate::transfer;
+use crate::transfer::Progress;
 use kernel::plugin;
 use kernel::plugin::Params;
 
@@ -43,6 +45,15 @@
 const DEFAULT_TIMEOUT_MS: u64 = 2_000;
 const MAX_TIMEOUT_MS: u64 = 60_000;
 
+/// Longest time that a call for a value of the largest size can take until the client ends it, with
+/// the largest timeout. `watch_time` is the time for which the store may hold the call.
+pub fn longest_call(watch_time: Duration) -> Duration {
+    let timeout = Duration::from_millis(MAX_TIMEOUT_MS);
+    let transfer = transfer::longest_time(MAX_RESPONSE_BYTES);
+    // The request and the response are of the same size; the last window of the response may be lost.
+    timeout + watch_time + transfer + transfer + timeout
+}
+
 /// HTTP client for the store at one address.
 #[derive(Clone, Debug)]
 pub struct HttpClient {
@@ -73,7 +84,7 @@
         &self,
         method: Method,
         path: &str,
-        body: Option<&Value>,
+        body: Bytes,
     ) -> Result<Response<Incoming>, Error> {
         // Without a connection nothing is sent, so a write cannot have taken effect.
         let stream = match timeout(self.timeout / 2, TcpStream::connect(self.address)).await {
@@ -85,18 +96,21 @@
             .await
             .map_err(unreachable)?;
         tokio::spawn(connection);
-        let bytes = body.map_or(Bytes::new(), |body| Bytes::from(body.to_string()));
         let request = Request::builder()
             .method(method)
             .uri(path)
             .header("host", self.address.to_string())
             .header("content-type", "application/json")
-            .body(Full::new(bytes))
+            .body(Full::new(body))
             .map_err(unreachable)?;
         sender.send_request(request).await.map_err(outcome_unknown)
     }
 
-    /// Sends one request and reads the response, within the timeout of the client plus `extra_time`.
+    /// Sends one request and reads the response.
+    ///
+    /// The head of the response has to arrive within the timeout of the client, plus `extra_time` and
+    /// the time that the slowest accepted transfer of the request takes. Its body may take as long as
+    /// it makes progress in each further timeout.
     pub async fn call(
         &self,
         method: Method,
@@ -104,14 +118,15 @@
         body: Option<&Value>,
         extra_time: Duration,
     ) -> Result<Response<Value>, Error> {
-        let time_limit = self.timeout + extra_time;
-        let deadline = Instant::now() + time_limit;
-        let response = match timeout_at(deadline, self.send(method, path, body)).await {
+        let request_body = body.map_or(Bytes::new(), |body| Bytes::from(body.to_string()));
+        let sending_time = transfer::longest_time(request_body.len());
+        let time_limit = self.timeout + extra_time + sending_time;
+        let response = match timeout(time_limit, self.send(method, path, request_body)).await {
             Ok(response) => response?,
             Err(_) => return Err(timed_out(format!("no response within {time_limit:?}"))),
         };
         let (head, body) = response.into_parts();
-        let bytes = read_body(body, deadline).await?;
+        let bytes = read_body(body, Progress::start(self.timeout)).await?;
         let body = match serde_json::from_slice(&bytes) {
             Ok(body) => body,
             Err(error) if head.status.is_success() => return Err(outcome_unknown(error)),
@@ -123,7 +138,7 @@
 }
 
 /// Reads the body of a response up to its end.
-async fn read_body(mut body: Incoming, deadline: Instant) -> Result<Vec<u8>, Error> {
+async fn read_body(mut body: Incoming, mut progress: Progress) -> Result<Vec<u8>, Error> {
     let started = Instant::now();
     let expected = body.size_hint().exact();
     let mut bytes = Vec::new();
@@ -133,16 +148,18 @@
         format!("{cause} after {received} of {expected} bytes of the body in {elapsed:?}")
     };
     loop {
-        let frame = match timeout_at(deadline, body.frame()).await {
+        let frame = match timeout_at(progress.deadline(), body.frame()).await {
             Ok(Some(Ok(frame))) => frame,
             Ok(Some(Err(error))) => {
                 let cause = error.to_string();
                 return Err(outcome_unknown(describe(bytes.len(), &cause)));
             }
             Ok(None) => return Ok(bytes),
-            Err(_) => return Err(timed_out(describe(bytes.len(), "timed out"))),
+            Err(_) => return Err(timed_out(describe(bytes.len(), "stalled"))),
         };
-        bytes.extend_from_slice(frame.data_ref().map_or(&[][..], |it| it));
+        let data = frame.data_ref().map_or(&[][..], |it| it);
+        progress.record(data.len());
+        bytes.extend_from_slice(data);
         if bytes.len() > MAX_RESPONSE_BYTES {
             return Err(outcome_unknown(describe(bytes.len(), "too large")));
         }
--- a/components/store/src/lib.rs
+++ b/components/store/src/lib.rs
@@ -8,6 +8,7 @@
 mod etcd;
 mod http;
 mod record;
+mod transfer;
 
 use std::pin::Pin;
 
@@ -25,6 +26,7 @@
 pub use contacts::decode_contacts;
 pub use contacts::encode_contacts;
 pub use http::HttpClient;
+pub use http::longest_call;
 pub use record::CONFIG_KEY;
 pub use record::decode_record;
 pub use record::encode_record;
--- a/components/store/tests/etcd.rs
+++ b/components/store/tests/etcd.rs
@@ -207,3 +207,12 @@
 fn from_params_validity(#[case] address: &str, #[case] timeout_ms: &str, #[case] valid: bool) {
     assert_eq!(build_store(address, timeout_ms).is_ok(), valid);
 }
+
+/// Checks that the client ends a call before the state machine that made it counts the call as lost. With the limits
+/// the other way round, a long transfer that makes progress is broken off and begun anew without end.
+#[rstest]
+fn longest_call_within_decision() {
+    // The store of the etcd plug-in holds a watch for longer than any other call or plug-in.
+    let longest_watch = Duration::from_secs(20);
+    assert!(store::longest_call(longest_watch) < spread::CONFIG_CALL_TIMEOUT);
+}
