Read only what a failed watch has missed

What callers saw: nothing yet on their own; with links of 7 Mbit/s each cut watch cost a node over a second in which a change that came then was not seen, since the whole value was read again though it had not changed.

Cause: every failure of a watch was followed by a read of the key. The same megabyte crosses the link after each cut, each refusal and each answer that was lost. A full value takes 1.6 s at 7 Mbit/s, and a change that is accepted meanwhile another 1.6 s: more than the 2.5 s in which it has to be in force.

Change: after a failed watch the node asks for what has changed since the revision of the watch, without a wait, so that a store that is silent is noticed as soon as by a read. It reads the key if that fails too, if the history is gone (410), or if several large values have been missed, whose answer is now refused by its length before it is transferred.

Measurement: the machine test fail_watch_then, which does not compile before; there each case was a ReadConfig. In watch_fault a compacted history is now told apart from a refusal ("history" in place of "refused"): equally strict, since a read has to follow only the former.

--- a/components/control/src/machine.rs
+++ b/components/control/src/machine.rs
@@ -157,6 +157,9 @@
         match output {
             SpreadOutput::ReadConfig => effects.push(Effect::ReadConfig),
             SpreadOutput::WatchConfig { after } => effects.push(Effect::WatchConfig { after }),
+            SpreadOutput::ReadConfigChanges { after } => {
+                effects.push(Effect::ReadConfigChanges { after });
+            }
             SpreadOutput::CancelConfigCall => effects.push(Effect::CancelConfigCall),
             SpreadOutput::WriteBack { expected, record } => {
                 effects.push(Effect::WriteConfig { expected, record });
--- a/components/control/src/message.rs
+++ b/components/control/src/message.rs
@@ -113,6 +113,8 @@
     ReadConfig,
     /// Wait for the first change of the configuration key after a revision.
     WatchConfig { after: Revision },
+    /// Read what has changed of the configuration in the store after the revision.
+    ReadConfigChanges { after: Revision },
     /// Cancel the running store call for the configuration key.
     CancelConfigCall,
     /// Write the configuration key if it still has the expected revision.
--- a/components/control/tests/fleet/driver/store.rs
+++ b/components/control/tests/fleet/driver/store.rs
@@ -166,9 +166,14 @@
     fn execute(&mut self, index: usize, call: Effect) -> Deliveries {
         let event = match call {
             Effect::ReadConfig => Input::Store(self.read_value()),
-            Effect::WatchConfig { after } if after.number < self.data.record_revision => {
+            Effect::WatchConfig { after } | Effect::ReadConfigChanges { after }
+                if after.number < self.data.record_revision =>
+            {
                 Input::Store(self.read_value())
             }
+            Effect::ReadConfigChanges { .. } => Input::Store(StoreEvent::Unchanged {
+                store_revision: self.revision(self.data.revision),
+            }),
             Effect::WatchConfig { after } if after.number > self.data.revision => {
                 Input::Store(StoreEvent::Failed)
             }
--- a/components/daemon/src/event_log.rs
+++ b/components/daemon/src/event_log.rs
@@ -88,6 +88,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum StoreCall {
     Read,
+    ReadChanges,
     Watch,
     Write,
 }
@@ -97,6 +98,7 @@
     pub(crate) fn name(self) -> &'static str {
         match self {
             Self::Read => "read",
+            Self::ReadChanges => "read-changes",
             Self::Watch => "watch",
             Self::Write => "write",
         }
--- a/components/daemon/src/executor.rs
+++ b/components/daemon/src/executor.rs
@@ -56,6 +56,14 @@
     Sync(member::SyncResponse),
 }
 
+/// Call for the configuration key that may wait for a change after a revision.
+#[derive(Clone, Copy, Debug)]
+enum ConfigCall {
+    Read,
+    ReadChanges(Revision),
+    Watch(Revision),
+}
+
 /// Control calls from other nodes that wait for their result from the control thread.
 #[derive(Debug, Default)]
 pub(crate) struct PendingCalls {
@@ -128,8 +136,11 @@
             Effect::RespondToSync { call_id, response } => {
                 self.complete_call(call_id, CallResult::Sync(response))
             }
-            Effect::ReadConfig => self.start_config_call(None),
-            Effect::WatchConfig { after } => self.start_config_call(Some(after)),
+            Effect::ReadConfig => self.start_config_call(ConfigCall::Read),
+            Effect::WatchConfig { after } => self.start_config_call(ConfigCall::Watch(after)),
+            Effect::ReadConfigChanges { after } => {
+                self.start_config_call(ConfigCall::ReadChanges(after));
+            }
             Effect::CancelConfigCall => self.cancel_config_call(),
             Effect::WriteConfig { expected, record } => self.write_config(expected, &record),
             Effect::ReadContacts { domain, other } => {
@@ -178,19 +189,21 @@
         }
     }
 
-    /// Reads the configuration, or waits for a revision newer than `watch_after`.
-    fn start_config_call(&mut self, watch_after: Option<Revision>) {
+    /// Reads or watches the configuration.
+    fn start_config_call(&mut self, config_call: ConfigCall) {
         self.cancel_config_call();
         let store = Arc::clone(&self.store);
         let is_writable = store.is_writable(CONFIG_KEY);
-        let call = match watch_after {
-            Some(_) => StoreCall::Watch,
-            None => StoreCall::Read,
+        let call = match config_call {
+            ConfigCall::Read => StoreCall::Read,
+            ConfigCall::ReadChanges(_) => StoreCall::ReadChanges,
+            ConfigCall::Watch(_) => StoreCall::Watch,
         };
         let observed = self.observe_store_call(call, CONFIG_KEY, async move {
-            match watch_after {
-                Some(after) => store.watch(CONFIG_KEY, after).await,
-                None => store.read(CONFIG_KEY).await.map(WatchOutcome::Changed),
+            match config_call {
+                ConfigCall::Read => store.read(CONFIG_KEY).await.map(WatchOutcome::Changed),
+                ConfigCall::ReadChanges(after) => store.read_changes(CONFIG_KEY, after).await,
+                ConfigCall::Watch(after) => store.watch(CONFIG_KEY, after).await,
             }
         });
         self.config_call = Some(self.spawn_call(async move {
@@ -199,6 +212,10 @@
                     StoreEvent::Unchanged { store_revision }
                 }
                 Ok(WatchOutcome::Changed(entry)) => decode_store_event(&entry, is_writable),
+                // A watch that has missed several large values gets all of them at once.
+                Err(store::Error::HistoryUnavailable { .. } | store::Error::TooLarge { .. }) => {
+                    StoreEvent::HistoryUnavailable
+                }
                 Err(_) => StoreEvent::Failed,
             })
         }));
--- a/components/spread/src/machine.rs
+++ b/components/spread/src/machine.rs
@@ -36,6 +36,9 @@
     /// Watch the configuration key, then report its first change after the revision as a
     /// [`StoreEvent`].
     WatchConfig { after: Revision },
+    /// Read what has changed of the configuration key after the revision, without waiting, then report
+    /// a [`StoreEvent`].
+    ReadConfigChanges { after: Revision },
     /// Cancel the running call for the configuration key, of whatever kind.
     CancelConfigCall,
     /// Write the record to the configuration key if it still has the expected revision, then report
@@ -171,11 +174,14 @@
                 self.report.corrupt += 1;
                 out.push(Output::ReportChanged);
             }
-            StoreEvent::Unchanged { .. } | StoreEvent::Written { .. } | StoreEvent::Failed => {}
+            StoreEvent::Unchanged { .. }
+            | StoreEvent::Written { .. }
+            | StoreEvent::Failed
+            | StoreEvent::HistoryUnavailable => {}
         }
         // An answer from before the restore gives no revision from which to continue.
         let (event, newer_record) = match is_outdated {
-            true => (StoreEvent::Failed, None),
+            true => (StoreEvent::HistoryUnavailable, None),
             false => (event, newer_record),
         };
         let budget_and_random = (&mut self.budget, random);
--- a/components/spread/src/store_watch.rs
+++ b/components/spread/src/store_watch.rs
@@ -30,6 +30,8 @@
     Written { era: Era },
     /// The call or the watch failed.
     Failed,
+    /// The store cannot continue the watch from its revision.
+    HistoryUnavailable,
 }
 
 impl StoreEvent {
@@ -41,7 +43,7 @@
             | Self::Unreadable { store_revision }
             | Self::Unchanged { store_revision } => Some(*store_revision),
             Self::Written { era } => Some(Revision::new(*era, 0)),
-            Self::Failed => None,
+            Self::Failed | Self::HistoryUnavailable => None,
         }
     }
 }
@@ -55,6 +57,18 @@
     backoff: Backoff,
     /// Revision after which the last watch waits for a change.
     watched_revision: Revision,
+    /// How the next failure of the running call is handled.
+    recovery: Recovery,
+}
+
+/// Call that follows a failed one.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum Recovery {
+    /// Read the key, whose value may be large.
+    #[default]
+    Read,
+    /// Read what has changed since the revision of the watch, which is mostly nothing.
+    ReadChanges,
 }
 
 impl Default for StoreWatch {
@@ -64,6 +78,7 @@
             delayed_call: None,
             backoff: Backoff::for_store_calls(),
             watched_revision: Revision::default(),
+            recovery: Recovery::default(),
         }
     }
 }
@@ -97,7 +112,10 @@
             self.call = CallState::Due(now + self.backoff.next_delay(random));
         }
         if matches!(self.call, CallState::Due(due) if due <= now) {
-            let call = self.delayed_call.take().unwrap_or(Output::ReadConfig);
+            let call = self.delayed_call.take().unwrap_or_else(|| {
+                self.recovery = Recovery::Read;
+                Output::ReadConfig
+            });
             self.start_call(now, budget, call, out);
         }
     }
@@ -150,34 +168,42 @@
                 return;
             }
             StoreEvent::Unchanged { store_revision } => {
-                self.watched_revision = *store_revision;
-                let call = Output::WatchConfig {
-                    after: *store_revision,
-                };
+                self.backoff.reset();
+                let call = self.watch_after(*store_revision);
                 return self.start_call(now, budget, call, out);
             }
             StoreEvent::Written { .. } => {
                 self.call = CallState::Due(now);
                 return;
             }
-            StoreEvent::Failed => {
+            StoreEvent::Failed | StoreEvent::HistoryUnavailable => {
+                let recovery = std::mem::take(&mut self.recovery);
+                if recovery == Recovery::ReadChanges && matches!(event, StoreEvent::Failed) {
+                    let after = self.watched_revision;
+                    self.delayed_call = Some(Output::ReadConfigChanges { after });
+                }
                 self.call = CallState::Due(now + self.backoff.next_delay(random));
                 return;
             }
         };
         self.backoff.reset();
         let call = match newer_record {
-            Some(record) => Output::WriteBack {
-                expected: revision,
-                record,
-            },
-            None => {
-                self.watched_revision = store_revision;
-                Output::WatchConfig {
-                    after: store_revision,
+            Some(record) => {
+                self.recovery = Recovery::Read;
+                Output::WriteBack {
+                    expected: revision,
+                    record,
                 }
             }
+            None => self.watch_after(store_revision),
         };
         self.start_call(now, budget, call, out);
     }
+
+    /// The watch that follows an answer which was complete up to `revision`.
+    fn watch_after(&mut self, revision: Revision) -> Output {
+        self.watched_revision = revision;
+        self.recovery = Recovery::ReadChanges;
+        Output::WatchConfig { after: revision }
+    }
 }
--- a/components/spread/tests/machine.rs
+++ b/components/spread/tests/machine.rs
@@ -484,7 +484,13 @@
     for _ in 0..6_000 {
         for output in std::mem::take(&mut out) {
             let event = match output {
-                Output::ReadConfig | Output::WatchConfig { .. } if fails => StoreEvent::Failed,
+                Output::ReadConfig
+                | Output::ReadConfigChanges { .. }
+                | Output::WatchConfig { .. }
+                    if fails =>
+                {
+                    StoreEvent::Failed
+                }
                 Output::ReadConfig | Output::WatchConfig { .. } => StoreEvent::Value {
                     record: Some(record(5, &config_text(5))),
                     revision: Revision::from(1),
@@ -676,3 +682,77 @@
         .any(|it| matches!(it, Output::WriteContacts { .. }));
     assert_eq!(writes, is_written);
 }
+
+/// Answer of the store to the call that follows a failed watch.
+#[derive(Clone, Copy, Debug)]
+enum Resumption {
+    Unchanged(Revision),
+    Changed(Revision),
+    Failed,
+    HistoryUnavailable,
+}
+
+/// Checks that after a failed watch only what it has missed is read, and the whole value only where the store
+/// cannot say that. A value of a megabyte was read again after each cut watch, so that a node with a slow link was
+/// over a second behind when the next version was accepted.
+#[rstest]
+#[case::unchanged(Resumption::Unchanged(Revision::new(Era(1), 12)), 0, Some(12))]
+#[case::changed(Resumption::Changed(Revision::new(Era(1), 12)), 0, Some(12))]
+#[case::restored(Resumption::Unchanged(Revision::new(Era(2), 12)), 1, None)]
+#[case::fails_again(Resumption::Failed, 1, None)]
+#[case::compacted(Resumption::HistoryUnavailable, 1, None)]
+fn fail_watch_then(
+    #[case] resumption: Resumption,
+    #[case] expected_reads: usize,
+    #[case] expected_watch: Option<u64>,
+) {
+    let base = Revision::new(Era(1), 10);
+    let mut node = Node::new();
+    node.start_watching();
+    assert_eq!(
+        watched(&node.handle_store_event(stored(5, base))),
+        Some(base)
+    );
+    node.handle_store_event(StoreEvent::Failed);
+    let out = node.wake(Duration::from_millis(500));
+    let resumed_after = out.iter().find_map(|it| match it {
+        Output::ReadConfigChanges { after } => Some(*after),
+        _ => None,
+    });
+    assert_eq!((resumed_after, config_reads(&out)), (Some(base), 0));
+    let mut out = node.handle_store_event(match resumption {
+        Resumption::Unchanged(store_revision) => StoreEvent::Unchanged { store_revision },
+        Resumption::Changed(revision) => stored(6, revision),
+        Resumption::Failed => StoreEvent::Failed,
+        Resumption::HistoryUnavailable => StoreEvent::HistoryUnavailable,
+    });
+    out.extend(node.wake(Duration::from_secs(1)));
+    assert_eq!(config_reads(&out), expected_reads);
+    assert_eq!(watched(&out).map(|it| it.number), expected_watch);
+}
+
+/// Checks that a watch whose history is gone, or whose answer is too large, is followed by a read.
+#[rstest]
+fn fail_watch_history_unavailable() {
+    let mut node = Node::new();
+    node.start_watching();
+    node.handle_store_event(stored(5, Revision::from(10)));
+    let mut out = node.handle_store_event(StoreEvent::HistoryUnavailable);
+    out.extend(node.wake(Duration::from_millis(500)));
+    assert_eq!(config_reads(&out), 1);
+}
+
+/// Checks that a failed read is followed by a read, also where a watch was made before: its revision may be of a
+/// history that the store no longer has.
+#[rstest]
+fn fail_read_after_watch() {
+    let mut node = Node::new();
+    node.start_watching();
+    node.handle_store_event(stored(5, Revision::new(Era(1), 10)));
+    let store_revision = Revision::new(Era(2), 10);
+    node.handle_store_event(StoreEvent::Unchanged { store_revision });
+    assert_eq!(config_reads(&node.wake(Duration::ZERO)), 1);
+    node.handle_store_event(StoreEvent::Failed);
+    // The budget of calls is spent by now.
+    assert_eq!(config_reads(&node.wake(Duration::from_secs(2))), 1);
+}
--- a/components/store/src/http.rs
+++ b/components/store/src/http.rs
@@ -147,6 +147,10 @@
         let elapsed = started.elapsed();
         format!("{cause} after {received} of {expected} bytes of the body in {elapsed:?}")
     };
+    let too_large = |message| Error::TooLarge { message };
+    if expected.is_some_and(|it| it > MAX_RESPONSE_BYTES as u64) {
+        return Err(too_large(describe(0, "not read")));
+    }
     loop {
         let frame = match timeout_at(progress.deadline(), body.frame()).await {
             Ok(Some(Ok(frame))) => frame,
@@ -161,7 +165,7 @@
         progress.record(data.len());
         bytes.extend_from_slice(data);
         if bytes.len() > MAX_RESPONSE_BYTES {
-            return Err(outcome_unknown(describe(bytes.len(), "too large")));
+            return Err(too_large(describe(bytes.len(), "ended")));
         }
     }
 }
--- a/components/store/src/lib.rs
+++ b/components/store/src/lib.rs
@@ -61,6 +61,14 @@
         TimedOut { message: String } {
             display("the store did not respond in time: {message}")
         }
+        /// The response is larger than any that is needed; a write may have taken effect.
+        TooLarge { message: String } {
+            display("the store's response is too large: {message}")
+        }
+        /// The store cannot continue a watch from its revision.
+        HistoryUnavailable { message: String } {
+            display("the store cannot continue the watch: {message}")
+        }
     }
 }
 
@@ -72,6 +80,8 @@
             Self::Refused { .. } => "refused",
             Self::OutcomeUnknown { .. } => "broken",
             Self::TimedOut { .. } => "timed-out",
+            Self::TooLarge { .. } => "too-large",
+            Self::HistoryUnavailable { .. } => "history",
         }
     }
 }
@@ -140,4 +150,10 @@
 
     /// Waits until a key changes after the revision `after`, or until the watch times out.
     fn watch<'a>(&'a self, key: &'a str, after: Revision) -> StoreFuture<'a, WatchOutcome>;
+
+    /// Reads a key if it has changed after the revision `after`. Where the store cannot say that without
+    /// waiting, the key is read.
+    fn read_changes<'a>(&'a self, key: &'a str, _after: Revision) -> StoreFuture<'a, WatchOutcome> {
+        Box::pin(async move { self.read(key).await.map(WatchOutcome::Changed) })
+    }
 }
--- a/components/store/tests/etcd.rs
+++ b/components/store/tests/etcd.rs
@@ -67,7 +67,8 @@
     match error {
         Error::Unreachable { .. } => "unreachable",
         Error::Refused { .. } => "refused",
-        Error::OutcomeUnknown { .. } | Error::TimedOut { .. } => "unknown",
+        Error::HistoryUnavailable { .. } => "history",
+        Error::OutcomeUnknown { .. } | Error::TimedOut { .. } | Error::TooLarge { .. } => "unknown",
     }
 }
 
--- a/components/telemetry/src/metrics.rs
+++ b/components/telemetry/src/metrics.rs
@@ -181,12 +181,12 @@
         self.control_bytes.add(bytes as u64, &labels);
     }
 
-    /// Counts a call to the store. `call` is `read`, `watch` or `write`.
+    /// Counts a call to the store. `call` is `read`, `read-changes`, `watch` or `write`.
     pub fn count_store_call(&self, call: &'static str) {
         self.store_calls.add(1, &[KeyValue::new("call", call)]);
     }
 
-    /// Counts a call to the store that failed. `call` is `read`, `watch` or `write`, and `cause` the
+    /// Counts a call to the store that failed. `call` is `read`, `read-changes`, `watch` or `write`, and `cause` the
     /// name of the error's cause.
     pub fn count_store_failure(&self, call: &'static str, cause: &'static str) {
         let labels = [KeyValue::new("call", call), KeyValue::new("cause", cause)];
--- a/src/store_client.rs
+++ b/src/store_client.rs
@@ -65,9 +65,10 @@
     match error {
         store::Error::Unreachable { .. } => StoreError::Unreachable { message },
         store::Error::Refused { .. } => StoreError::Refused { message },
-        store::Error::OutcomeUnknown { .. } | store::Error::TimedOut { .. } => {
-            StoreError::OutcomeUnknown { message }
-        }
+        store::Error::OutcomeUnknown { .. }
+        | store::Error::TimedOut { .. }
+        | store::Error::TooLarge { .. }
+        | store::Error::HistoryUnavailable { .. } => StoreError::OutcomeUnknown { message },
     }
 }
 
