Log the heads that a listener refuses before any decision

Cause: a head that hyper refuses (431 or 400) reaches no handler. The counter medlar_refusals{side="listener"} did not say at which listener, and no line named the peer.

Change: a line head-refused with listener (callers or requests of other nodes), peer and reason, within the limit on lines of failures.

--- a/components/http1/src/events.rs
+++ b/components/http1/src/events.rs
@@ -236,3 +236,16 @@
         "connection has not ended since the listener was stopped"
     );
 }
+
+/// Logs that hyper has refused the head of a request, for which no handler was called.
+pub(crate) fn log_head_refused(listener: &str, peer: Option<SocketAddr>, reason: Reason) {
+    let Some(suppressed) = ENTRY_FAILURE_LIMITER.admit() else {
+        return;
+    };
+    let peer = peer.map_or_else(|| "unknown".to_owned(), |peer| peer.to_string());
+    warn!(
+        event = "head-refused", listener, peer = peer.as_str(), reason = reason.name(),
+        held = suppressed;
+        "request head refused; the request has not run"
+    );
+}
--- a/components/http1/src/lib.rs
+++ b/components/http1/src/lib.rs
@@ -153,6 +153,7 @@
             let share = |tenths: usize| (self.descriptors / 10 * tenths).max(1);
             let callers = bind("callers", addresses.callers).await?;
             let callers = listen::Listener {
+                name: "callers",
                 listener: callers,
                 max_connections: share(CALLER_DESCRIPTOR_TENTHS),
                 max_requests: self.max_pipeline,
@@ -160,6 +161,7 @@
             let requests = bind("requests", addresses.requests).await?;
             // Other nodes send one request at a time.
             let requests = listen::Listener {
+                name: "requests",
                 listener: requests,
                 max_connections: share(NODE_DESCRIPTOR_TENTHS),
                 max_requests: 1,
--- a/components/http1/src/listen.rs
+++ b/components/http1/src/listen.rs
@@ -158,6 +158,8 @@
 
 /// A bound listener with its limits.
 pub(crate) struct Listener {
+    /// Name of the listener in log lines.
+    pub(crate) name: &'static str,
     pub(crate) listener: TcpListener,
     /// Maximum number of open connections.
     pub(crate) max_connections: usize,
@@ -168,6 +170,7 @@
 /// Serves connections until `stop` is cancelled, then lets each finish its requests.
 pub(crate) async fn serve<H, F>(
     Listener {
+        name,
         listener,
         max_connections,
         max_requests,
@@ -198,7 +201,7 @@
         let stop = stop.clone();
         tracker.spawn(async move {
             let _slot = slot;
-            serve_connection((stream, max_requests), shared, stop, handle).await;
+            serve_connection(name, (stream, max_requests), shared, stop, handle).await;
         });
     }
     // A caller that connects from now on is refused at once; otherwise it would wait unread for the last of
@@ -209,6 +212,7 @@
 }
 
 async fn serve_connection<H, F>(
+    listener: &'static str,
     (stream, max_requests): (TcpStream, usize),
     shared: Arc<SharedState>,
     stop: CancellationToken,
@@ -298,6 +302,7 @@
             .driver
             .metrics()
             .count_refusal("listener", reason);
+        events::log_head_refused(listener, peer, reason);
     }
 }
 
