Work out the limits on heads from hop to hop

Cause: each hop had a limit of its own. The listener for nodes had the limit on callers, though the entry adds up to 13 headers and hyper a space in each line, and both listeners had hyper's default of 100 headers, which no configuration states. The 431 came from hyper in front of the owner's handler, so it bore neither verdict nor reason, and the entry took it for the upstream's. The class: an inner step has a limit below what an outer step has accepted.

Change: HeadLimits starts with the configured limit on callers; the limit on headers follows from its bytes (2,048 for 16 KB), and that between nodes from both, with room for what a node adds. The same goes the other way: the entry accepts any response head that the owner has accepted from its upstream, now 256 headers in place of 100. Connections that were opened under a lower limit end when the configuration raises it, as they are also answered with 431. A response of another node without its load is none of its handler's: the request has not run, and gets the reason limits-differ, as does a refusal by size or form of an owner whose configuration is older. It is retried at another owner, and ends with 503.

Of the new cases nine fail without the change of the sources (forward_head_at_limit 5, forward_head_owner_limit 2, relay_head_at_limit 2), and raise_head_limit_open_connection without the end of the connections. forward_head_upstream_refuses guards the opposite fault, an upstream's own 431.

read_request_oversize_head asked for 431 with 200 headers of 3.4 KB in all. It now has 1,200 headers and 3,000 very short ones, each beyond 16 KB, which have to be refused as before; forward_head_at_limit asks that 150 and 2,000 headers arrive.

--- a/components/errors/src/reason.rs
+++ b/components/errors/src/reason.rs
@@ -59,6 +59,7 @@
     AttemptsSpent "attempts-spent" "The request has been tried as often as allowed."
     OuterRetries "outer-retries" "A level further out retries this request."
     TooLarge "too-large" "The request or answer exceeds a size bound."
+    LimitsDiffer "limits-differ" "The owner's limits do not admit the request, those of the entry do."
     Malformed "malformed" "The message breaks its protocol."
     QueueOverflow "queue-overflow" "A bounded channel inside the node was full."
     OutcomeUnknown "outcome-unknown" "The owner could not say whether the request ran."
--- a/components/http1/src/attempt.rs
+++ b/components/http1/src/attempt.rs
@@ -350,6 +350,11 @@
         peer_clock,
     } = node_connection;
     match connection.send(request).await {
+        // The owner states its load in each response of its handler. Without that, its HTTP server has
+        // refused the head by itself, and no handler was called.
+        Ok(response) if !response.headers().contains_key(header::LOAD) => {
+            failed_attempt(Verdict::NotRun, Reason::LimitsDiffer)
+        }
         Ok(response) => {
             let (parts, body) = response.into_parts();
             let source = RelaySource::Connection {
@@ -374,7 +379,10 @@
             };
             let payload =
                 Payload::Relayed(Box::new(RelayedResponse::new(source, deadline, on_end)));
-            read_attempt_response(Response::from_parts(parts, payload))
+            let mut attempt_response = read_attempt_response(Response::from_parts(parts, payload));
+            let report = &mut attempt_response.report;
+            report.reason = report.reason.map(|it| entry_reason(it, report.verdict));
+            attempt_response
         }
         Err(mut error) => {
             let reason = outgoing
@@ -393,6 +401,15 @@
     Some(Request::from_parts(outgoing.parts.clone(), payload))
 }
 
+/// Reason of an owner's refusal as the entry sees it. This entry has accepted the request by its own
+/// limits, so an owner with another configuration, and not the caller, is the cause of such a refusal.
+fn entry_reason(reason: Reason, verdict: Verdict) -> Reason {
+    match (reason, verdict) {
+        (Reason::TooLarge | Reason::Malformed, Verdict::NotRun) => Reason::LimitsDiffer,
+        _ => reason,
+    }
+}
+
 /// Reads verdict, reason, load, rate limit and retry delay from the headers of an owner's response.
 fn read_attempt_response(response: Response<Payload>) -> AttemptResponse {
     let upstream_failed = response.status().is_server_error();
--- a/components/http1/src/connection.rs
+++ b/components/http1/src/connection.rs
@@ -29,9 +29,7 @@
 use tokio::sync::Notify;
 
 use crate::body::Payload;
-
-/// Longest head of a response, in bytes.
-const MAX_RESPONSE_HEAD_BYTES: usize = 64 * 1024;
+use crate::head_limits::HeadLimits;
 
 /// Counts open connections that share one limit.
 #[derive(Debug, Default)]
@@ -79,15 +77,18 @@
 }
 
 impl ClientConnection {
-    /// Connects to `address`; `None` if that fails.
+    /// Connects to `address`, whose responses have heads within `response_limits`; `None` if that
+    /// fails.
     pub(crate) async fn connect(
         address: SocketAddr,
+        response_limits: HeadLimits,
         slots: (ConnectionSlot, Option<ConnectionSlot>),
     ) -> Option<Self> {
         let stream = TcpStream::connect(address).await.ok()?;
         stream.set_nodelay(true).ok()?;
         let (sender, connection) = http1::Builder::new()
-            .max_buf_size(MAX_RESPONSE_HEAD_BYTES)
+            .max_buf_size(response_limits.bytes)
+            .max_headers(response_limits.headers)
             .handshake(TokioIo::new(stream))
             .await
             .ok()?;
--- a/components/http1/src/lib.rs
+++ b/components/http1/src/lib.rs
@@ -10,6 +10,7 @@
 mod dialect;
 mod dispatch;
 mod events;
+mod head_limits;
 mod headers;
 mod listen;
 mod node;
@@ -29,8 +30,10 @@
 use linkme::distributed_slice;
 use tokio::net::TcpListener;
 use tokio::sync::Semaphore;
+use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
+use crate::head_limits::HeadLimits;
 use config::CallerLimits;
 use front::FRONT_END_PLUGINS;
 use front::FrontEnd;
@@ -113,6 +116,8 @@
 /// State that all connections of the front end share.
 struct SharedState {
     driver: Arc<TrafficDriver>,
+    /// Limits on the heads of callers, renewed by [`SharedState::sweep_periodically`].
+    head_limits: watch::Sender<HeadLimits>,
     dialect: Arc<dyn Dialect>,
     node_pool: Arc<node_pool::NodeConnectionPool>,
     upstream: upstream::UpstreamClient,
@@ -129,12 +134,20 @@
         snapshot.map_or_else(CallerLimits::default, |it| *it.limits())
     }
 
-    /// Closes expired connections and removes expired stored responses periodically, until the
-    /// future is dropped.
+    /// Limits on the heads of callers by the configuration in force.
+    fn caller_head_limits(&self) -> HeadLimits {
+        HeadLimits::for_callers(self.limits().max_head_bytes)
+    }
+
+    /// Closes expired connections, removes expired stored responses and renews the limits on heads
+    /// periodically, until the future is dropped.
     async fn sweep_periodically(&self) {
         loop {
             tokio::time::sleep(node_pool::SWEEP_PERIOD).await;
             let now = self.driver.now();
+            let head_limits = self.caller_head_limits();
+            self.head_limits
+                .send_if_modified(|it| std::mem::replace(it, head_limits) != head_limits);
             self.node_pool.sweep(self.driver.clock());
             self.upstream.close_idle(now);
             self.stored_responses.remove_expired(now);
@@ -153,7 +166,7 @@
             let share = |tenths: usize| (self.descriptors / 10 * tenths).max(1);
             let callers = bind("callers", addresses.callers).await?;
             let callers = listen::Listener {
-                name: "callers",
+                kind: listen::Kind::Callers,
                 listener: callers,
                 max_connections: share(CALLER_DESCRIPTOR_TENTHS),
                 max_requests: self.max_pipeline,
@@ -161,13 +174,14 @@
             let requests = bind("requests", addresses.requests).await?;
             // Other nodes send one request at a time.
             let requests = listen::Listener {
-                name: "requests",
+                kind: listen::Kind::Nodes,
                 listener: requests,
                 max_connections: share(NODE_DESCRIPTOR_TENTHS),
                 max_requests: 1,
             };
             let shared = Arc::new(SharedState {
                 driver,
+                head_limits: watch::Sender::new(HeadLimits::for_callers(0)),
                 dialect: Arc::clone(&self.dialect),
                 node_pool: Arc::default(),
                 upstream: upstream::UpstreamClient::new(addresses.upstream),
--- a/components/http1/src/listen.rs
+++ b/components/http1/src/listen.rs
@@ -33,6 +33,7 @@
 use crate::body::Payload;
 use crate::caller;
 use crate::events;
+use crate::head_limits::HeadLimits;
 use crate::pipeline::ReadAheadStream;
 use crate::pipeline::StartedQueue;
 use crate::write_timeout::WriteTimeoutStream;
@@ -43,8 +44,6 @@
 /// Time beyond the callers' idle limit before a connection is closed, so that a request sent within
 /// the limit does not meet a closed connection.
 const IDLE_MARGIN: Duration = Duration::from_secs(1);
-/// Smallest value that hyper accepts as the limit on a request head, in bytes.
-const MIN_HEAD_BYTES: usize = 8 * 1024;
 /// hyper's timeout for a request head. The idle limit of callers is enforced by [`wait_idle`]
 /// instead, because a new configuration can raise that limit while a connection is open.
 const MAX_HEAD_TIMEOUT: Duration = Duration::from_secs(600);
@@ -156,10 +155,34 @@
     }
 }
 
+/// Who connects to a listener.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Kind {
+    Callers,
+    Nodes,
+}
+
+impl Kind {
+    /// Name of the listener in log lines and settings.
+    fn name(self) -> &'static str {
+        match self {
+            Self::Callers => "callers",
+            Self::Nodes => "requests",
+        }
+    }
+
+    /// Limits on request heads, given those on callers.
+    fn head_limits(self, callers: HeadLimits) -> HeadLimits {
+        match self {
+            Self::Callers => callers,
+            Self::Nodes => callers.between_nodes(),
+        }
+    }
+}
+
 /// A bound listener with its limits.
 pub(crate) struct Listener {
-    /// Name of the listener in log lines.
-    pub(crate) name: &'static str,
+    pub(crate) kind: Kind,
     pub(crate) listener: TcpListener,
     /// Maximum number of open connections.
     pub(crate) max_connections: usize,
@@ -170,7 +193,7 @@
 /// Serves connections until `stop` is cancelled, then lets each finish its requests.
 pub(crate) async fn serve<H, F>(
     Listener {
-        name,
+        kind,
         listener,
         max_connections,
         max_requests,
@@ -201,7 +224,7 @@
         let stop = stop.clone();
         tracker.spawn(async move {
             let _slot = slot;
-            serve_connection(name, (stream, max_requests), shared, stop, handle).await;
+            serve_connection(kind, (stream, max_requests), shared, stop, handle).await;
         });
     }
     // A caller that connects from now on is refused at once; otherwise it would wait unread for the last of
@@ -212,7 +235,7 @@
 }
 
 async fn serve_connection<H, F>(
-    listener: &'static str,
+    kind: Kind,
     (stream, max_requests): (TcpStream, usize),
     shared: Arc<SharedState>,
     stop: CancellationToken,
@@ -252,31 +275,44 @@
     let start_shared = Arc::clone(&shared_state);
     let start_request =
         move |request, pipelined| caller::start_early(&start_shared, request, pipelined);
-    let head_bytes = shared_state.limits().max_head_bytes.max(MIN_HEAD_BYTES);
+    let caller_limits = shared_state.caller_head_limits();
+    let head_limits = kind.head_limits(caller_limits);
     let stream = ReadAheadStream::new(
         WriteTimeoutStream::new(stream),
         Arc::clone(&watched_state.started_requests),
         max_requests,
-        head_bytes,
+        head_limits.bytes,
         Box::new(start_request),
     );
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(MAX_HEAD_TIMEOUT)
-        .max_buf_size(head_bytes)
+        .max_buf_size(head_limits.bytes)
+        .max_headers(head_limits.headers)
         .serve_connection(stream, service);
     tokio::pin!(connection);
+    // hyper cannot change the limits of an open connection, so a connection with lower ones than are in
+    // force ends with the request in progress.
+    let mut newest_limits = shared_state.head_limits.subscribe();
+    let limits_raised = newest_limits.wait_for(|it| it.bytes > caller_limits.bytes);
     let stopped = async {
-        stop.cancelled().await;
+        tokio::select! {
+            () = stop.cancelled() => {}
+            _ = limits_raised => {}
+        }
         watched_state.started_requests.wait_until_empty().await;
     };
     let ended = tokio::select! {
         ended = connection.as_mut() => ended,
         () = stopped => {
             connection.as_mut().graceful_shutdown();
+            let late = async {
+                stop.cancelled().await;
+                tokio::time::sleep(LATE_END_LOG_DELAY).await;
+            };
             tokio::select! {
                 ended = connection.as_mut() => ended,
-                () = tokio::time::sleep(LATE_END_LOG_DELAY) => {
+                () = late => {
                     let Activity { is_busy, since } = watched_state.activity();
                     let unchanged_for = shared_state.driver.now().since(since);
                     events::log_connection_open(peer, is_busy, unchanged_for);
@@ -302,7 +338,7 @@
             .driver
             .metrics()
             .count_refusal("listener", reason);
-        events::log_head_refused(listener, peer, reason);
+        events::log_head_refused(kind.name(), peer, reason);
     }
 }
 
--- a/components/http1/src/node_pool.rs
+++ b/components/http1/src/node_pool.rs
@@ -19,6 +19,7 @@
 use crate::body::full;
 use crate::connection::ClientConnection;
 use crate::connection::ConnectionLimit;
+use crate::head_limits::HeadLimits;
 use crate::peer_clock::PeerClock;
 use crate::responses::parse_header;
 use crate::stored_responses;
@@ -30,6 +31,8 @@
 use kernel::clock::MonotonicClock;
 use wire::header;
 
+/// Limits on the heads of responses of other nodes.
+const RESPONSE_LIMITS: HeadLimits = HeadLimits::UPSTREAM_RESPONSE.between_nodes();
 /// Timeout for opening a connection, including the hello on it.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Timeout for fetching a stored response.
@@ -179,7 +182,8 @@
             .ok_or(Reason::QueueFull)?;
         let opening = async {
             let mut connection =
-                ClientConnection::connect(address, (slots.0, Some(slots.1))).await?;
+                ClientConnection::connect(address, RESPONSE_LIMITS, (slots.0, Some(slots.1)))
+                    .await?;
             let peer_clock = exchange_hello(&mut connection, clock).await?;
             Some(NodeConnection {
                 connection,
--- a/components/http1/src/pipeline/splitter.rs
+++ b/components/http1/src/pipeline/splitter.rs
@@ -22,7 +22,7 @@
 
 use crate::headers::validate_request_head;
 
-/// Number of headers that hyper accepts; a head with more is left to hyper to refuse.
+/// Number of headers of a request that can be read ahead; a head with more ends the splitting.
 const MAX_HEADERS: usize = 100;
 
 /// Where the bytes after the released ones belong.
--- a/components/http1/tests/heads.rs
+++ b/components/http1/tests/heads.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use rstest::rstest;
+use support::CONFIG_TEXT;
 use support::Node;
 use support::raw::CallerConnection;
 use support::raw::exchange;
@@ -13,6 +14,9 @@
 use support::start_entry_and_owner;
 use support::upstream;
 
+use control::NodeStage;
+use member::MemberTable;
+
 /// Checks that a request that two parsers could frame differently is refused with status 400 before
 /// anything reaches the upstream, and that its connection is closed. Otherwise the node and the
 /// upstream could disagree where the next request starts (request smuggling).
@@ -98,11 +102,12 @@
     assert!(!head.contains("transfer-encoding"), "{head}");
 }
 
-/// Checks that a head that is too long or has too many headers is refused with status 431 and not
-/// forwarded.
+/// Checks that a head that is longer than the limit is refused with status 431 and not forwarded, whether
+/// it has few headers or so many that their number exceeds its own limit.
 #[rstest]
 #[case::long_header("x-a", 20_000, 1)]
-#[case::many_headers("x-a", 10, 200)]
+#[case::many_headers("x-a", 10, 1_200)]
+#[case::short_headers("a", 0, 3_000)]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn read_request_oversize_head(
     #[case] name: &str,
@@ -111,13 +116,144 @@
 ) {
     let (address, upstream_record) = upstream::start().await;
     let node = Node::start(address, 10, 10).await;
-    let line = format!("{name}: {}\r\n", "v".repeat(length)).repeat(count);
+    let line = format!("{name}:{}\r\n", "v".repeat(length)).repeat(count);
     let request = format!("GET /x HTTP/1.1\r\nhost: h\r\n{line}\r\n");
     let response = exchange(node.callers, request).await.unwrap();
     assert_eq!(response.status(), 431, "{}", response.head);
     assert_eq!(upstream_record.request_count(), 0);
 }
 
+/// Default limit on the head of a caller's request, in bytes.
+const HEAD_BYTES: usize = 16 * 1024;
+
+/// A request whose head has `bytes` bytes and `count` headers `x:` beside `host`.
+fn request_of(bytes: usize, count: usize) -> String {
+    let start = "GET /x HTTP/1.1\r\nhost: h\r\n";
+    let missing = bytes - start.len() - "\r\n".len();
+    let length = missing / count - "x:\r\n".len();
+    let rest = missing % count;
+    let line = |at| format!("x:{}\r\n", "v".repeat(length + usize::from(at < rest)));
+    let lines: String = (0..count).map(line).collect();
+    format!("{start}{lines}\r\n")
+}
+
+/// Checks that a head up to the limit on callers reaches the upstream whole, also by way of another node, whose HTTP
+/// server refused it with 431: the entry adds headers, and hyper a space in each line.
+#[rstest]
+#[case::longest(HEAD_BYTES, 1)]
+#[case::more_than_hyper_accepts(2_000, 150)]
+#[case::longest_of_short_headers(HEAD_BYTES, 2_000)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn forward_head_at_limit(
+    #[case] bytes: usize,
+    #[case] count: usize,
+    #[values(false, true)] remote: bool,
+) {
+    let (address, upstream_record) = upstream::start().await;
+    let (entry, owner) = start_entry_and_owner(address, 10, 10).await;
+    let receiver = if remote { &entry } else { &owner };
+    let request = request_of(bytes, count);
+    assert_eq!(request.len(), bytes);
+    let response = exchange(receiver.callers, request).await.unwrap();
+    assert_eq!(response.status(), 200, "{}", response.head);
+    let head = upstream_record.last_head();
+    let received = head.lines().filter(|line| line.starts_with("x: "));
+    assert_eq!(received.count(), count);
+}
+
+/// Checks that a response head which the owner accepts from its upstream reaches the caller, also by way of another
+/// node. Its owner adds headers, so that the entry's HTTP client broke the response off.
+#[rstest]
+#[case::many_headers(250, 0)]
+#[case::long_headers(4, 16_000)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn relay_head_at_limit(
+    #[case] count: usize,
+    #[case] length: usize,
+    #[values(false, true)] remote: bool,
+) {
+    let (address, _upstream) = upstream::start().await;
+    let (entry, owner) = start_entry_and_owner(address, 10, 10).await;
+    let receiver = if remote { &entry } else { &owner };
+    let path = format!("/headers/{count}/{length}");
+    let response = exchange(receiver.callers, get_request(&path))
+        .await
+        .unwrap();
+    assert_eq!(response.status(), 200);
+    let received = response.head.lines().filter(|it| it.starts_with("x: "));
+    assert_eq!(received.count(), count);
+}
+
+/// Checks that the refusal of an owner's HTTP server, whose configuration has lower limits than that of the entry, is
+/// neither delivered as the upstream's response nor blamed on the caller: the request has not run, so another owner
+/// gets it, or the caller is told to come back.
+#[rstest]
+#[case::another_owner(true, 200)]
+#[case::no_other(false, 503)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn forward_head_owner_limit(#[case] has_another: bool, #[case] expected: u16) {
+    let (address, upstream_record) = upstream::start().await;
+    let (entry, owner) = start_entry_and_owner(address, 10, 10).await;
+    let other = Node::start(address, 10, 10).await;
+    let raised = format!("limits: {{head_bytes: 65536}}{CONFIG_TEXT}");
+    let mut table = MemberTable::default();
+    table.merge(owner.member(10, 10));
+    if has_another {
+        // Both owners get requests; only one of them has the new limits yet.
+        table.merge(other.member(10, 10));
+    }
+    other.publish_config(&raised, &table, NodeStage::Serving);
+    entry.publish_config(&raised, &table, NodeStage::Serving);
+    for _ in 0..8 {
+        let response = exchange(entry.callers, request_of(40_000, 1))
+            .await
+            .unwrap();
+        assert_eq!(response.status(), expected, "{}", response.head);
+    }
+    let ran = upstream_record.request_count();
+    assert_eq!(ran, if has_another { 8 } else { 0 });
+    let refused = "medlar_refusals_total{reason=\"too-large\",side=\"listener\"";
+    assert!(owner.counter_value(refused) > 0);
+}
+
+/// Checks that an upstream's own refusal of a head is delivered, and not taken for one of the owner's HTTP server.
+#[rstest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn forward_head_upstream_refuses(#[values(false, true)] remote: bool) {
+    let (address, upstream_record) = upstream::start().await;
+    let (entry, owner) = start_entry_and_owner(address, 10, 10).await;
+    let receiver = if remote { &entry } else { &owner };
+    let response = exchange(receiver.callers, get_request("/status/431"))
+        .await
+        .unwrap();
+    assert_eq!(
+        (response.status(), &response.body[..]),
+        (431, &b"upstream"[..])
+    );
+    assert_eq!(upstream_record.request_count(), 1);
+}
+
+/// Checks that an open connection ends once the limit on heads is raised. It kept the limit that held when it was
+/// opened, so that a head that the configuration allows was refused with 431.
+#[rstest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn raise_head_limit_open_connection() {
+    let (address, _upstream) = upstream::start().await;
+    let node = Node::start(address, 10, 10).await;
+    let mut caller = CallerConnection::connect(node.callers).await;
+    let response = caller.exchange(get_request("/x")).await.unwrap();
+    assert_eq!(response.status(), 200);
+    let raised = format!("limits: {{head_bytes: 65536}}{CONFIG_TEXT}");
+    let mut table = MemberTable::default();
+    table.merge(node.member(10, 10));
+    node.publish_config(&raised, &table, NodeStage::Serving);
+    // Well before the connection ends because it is idle.
+    let closed = tokio::time::timeout(Duration::from_secs(3), caller.is_closed());
+    assert_eq!(closed.await, Ok(true));
+    let response = exchange(node.callers, request_of(40_000, 1)).await.unwrap();
+    assert_eq!(response.status(), 200, "{}", response.head);
+}
+
 /// Checks that hop-by-hop headers and internal headers of a caller do not reach the upstream, and that
 /// a caller can't remove the headers set by the node by listing them in `Connection`.
 #[rstest]
--- a/components/http1/tests/support/upstream.rs
+++ b/components/http1/tests/support/upstream.rs
@@ -74,6 +74,8 @@
 /// - `/leaving`: states that the upstream is leaving;
 /// - `/limited/<rate>`: names a limit of this many requests a second;
 /// - `/status/304`: a length without a body;
+/// - `/status/431`: the upstream refuses the head of the request;
+/// - `/headers/<count>/<length>`: this many headers, with values of this many bytes;
 /// - `/onward`: the status that a request to the address in `x-via` received;
 /// - any other path: the length of the request's body, in decimal.
 pub(crate) async fn start() -> (SocketAddr, Arc<UpstreamRecord>) {
@@ -247,6 +249,16 @@
         }
         "/shed" => b"HTTP/1.1 503 Busy\r\ncontent-length: 0\r\n\r\n".to_vec(),
         "/status/304" => b"HTTP/1.1 304 Not Modified\r\ncontent-length: 70\r\n\r\n".to_vec(),
+        "/status/431" => {
+            b"HTTP/1.1 431 Too Large\r\ncontent-length: 8\r\n\r\nupstream".to_vec()
+        }
+        path if path.starts_with("/headers/") => {
+            let mut parts = path.trim_start_matches("/headers/").split('/');
+            let mut next = || parts.next().unwrap().parse().unwrap();
+            let (count, length): (usize, usize) = (next(), next());
+            let line = format!("x:{}\r\n", "v".repeat(length));
+            format!("{head}{}content-length: 0\r\n\r\n", line.repeat(count)).into_bytes()
+        }
         _ if message.head.starts_with("HEAD ") => {
             format!("{head}content-length: 70\r\n\r\n").into_bytes()
         }
--- a/components/retry/src/budget.rs
+++ b/components/retry/src/budget.rs
@@ -202,13 +202,17 @@
 
 /// Whether a retry takes a token, since it adds load: it repeats work that an upstream may have
 /// received, or goes to a service whose owners are full. An attempt that failed because its owner
-/// was unavailable put no load on that owner.
+/// was unavailable, or has other limits than the entry, put no load on that owner.
 fn takes_token(failure: &FailedAttempt) -> bool {
-    let is_unavailable = matches!(
+    let has_put_no_load = matches!(
         failure.reason,
-        Reason::ConnectFailed | Reason::Draining | Reason::NoEndpoint | Reason::Warming
+        Reason::ConnectFailed
+            | Reason::Draining
+            | Reason::LimitsDiffer
+            | Reason::NoEndpoint
+            | Reason::Warming
     );
-    failure.upstreams_tried > 0 || !is_unavailable
+    failure.upstreams_tried > 0 || !has_put_no_load
 }
 
 impl Retry for RetryBudget {
