Let an odd entry of the contacts cost that entry alone

What happens: another writer leaves an entry in the contacts of a failure domain that is no address, such as one with port 70000, a number or a nested list. All nodes that read the list take it for empty, without a log line; one that starts while gossip reaches nobody finds no other node.

Cause: the list was decoded as a whole, and a failure became an empty list.

What cannot be used is counted (medlar_drops, malformed) and logged (contacts-malformed, bounded).

--- a/components/daemon/src/event_log.rs
+++ b/components/daemon/src/event_log.rs
@@ -10,6 +10,7 @@
 use log::warn;
 
 use control::Topology;
+use ids::Domain;
 use member::Member;
 use telemetry::LogLimiter;
 use telemetry::Metrics;
@@ -156,6 +157,18 @@
     }
 }
 
+/// Logs entries of a failure domain's contacts that cannot be used.
+pub(crate) fn log_malformed_contacts(domain: &Domain, malformed: usize, usable: usize) {
+    let Some(suppressed) = STORE_CALL_LIMITER.admit() else {
+        return;
+    };
+    warn!(
+        event = "contacts-malformed", of_domain = domain.as_str(), malformed, usable,
+        held = suppressed;
+        "entries in the store are no addresses with a port; the others are used"
+    );
+}
+
 /// Logs a failed control call to another node; the control state machine then calls a different node.
 pub(crate) fn log_failed_call(call: &str, to: SocketAddr, error: &calls::Error) {
     let Some(suppressed) = CALL_LIMITER.admit() else {
--- a/components/daemon/src/executor.rs
+++ b/components/daemon/src/executor.rs
@@ -16,6 +16,7 @@
 use crate::event_log::StoreCall;
 use crate::event_log::StoreHealth;
 use crate::event_log::log_failed_call;
+use crate::event_log::log_malformed_contacts;
 use crate::event_log::log_member_changes;
 use crate::event_log::log_store_changes;
 use crate::state_metrics;
@@ -25,6 +26,7 @@
 use control::Input;
 use control::NodeStage;
 use control::Topology;
+use errors::Reason;
 use front::TrafficDriver;
 use ids::Domain;
 use kernel::control_loop::EffectExecutor;
@@ -279,11 +281,12 @@
 
     fn read_contacts(&self, domain: &Domain) {
         let observed = self.call_for_contacts(domain);
+        let (domain, metrics) = (domain.clone(), Arc::clone(&self.metrics));
         self.spawn_call(async move {
             Input::Contacts(match observed.await {
                 Ok(entry) => ContactsEvent::Value {
                     revision: entry.revision,
-                    addresses: decode_addresses(&entry),
+                    addresses: decode_addresses(&entry, &domain, &metrics),
                 },
                 Err(_) => ContactsEvent::Failed,
             })
@@ -293,8 +296,10 @@
     /// Reads the contacts of a failure domain other than the node's own.
     fn read_other_contacts(&self, domain: &Domain) {
         let observed = self.call_for_contacts(domain);
+        let (domain, metrics) = (domain.clone(), Arc::clone(&self.metrics));
         self.spawn_call(async move {
-            let addresses = observed.await.map(|it| decode_addresses(&it));
+            let addresses = observed.await;
+            let addresses = addresses.map(|it| decode_addresses(&it, &domain, &metrics));
             Input::Contacts(ContactsEvent::OtherDomain {
                 addresses: addresses.unwrap_or_default(),
             })
@@ -362,9 +367,15 @@
     }
 }
 
-fn decode_addresses(entry: &Entry) -> Vec<SocketAddr> {
-    let addresses = entry.value.as_deref().and_then(decode_contacts);
-    addresses.unwrap_or_default()
+/// Addresses in the contacts of a failure domain; counts and logs entries that cannot be used.
+fn decode_addresses(entry: &Entry, domain: &Domain, metrics: &Metrics) -> Vec<SocketAddr> {
+    let contacts = entry.value.as_deref().map(decode_contacts);
+    let contacts = contacts.unwrap_or_default();
+    if contacts.malformed > 0 {
+        metrics.count_drop(Reason::Malformed);
+        log_malformed_contacts(domain, contacts.malformed, contacts.addresses.len());
+    }
+    contacts.addresses
 }
 
 async fn pull_config(
