Let an odd member in gossip or a comparison cost that member alone

What happens: a node holds or sends one member with a port of 0, a name of over 100 bytes, an unknown stage, or an incarnation that no refutation can exceed. Each datagram and each comparison of tables that contains it is dropped whole: probes, acknowledgements and the news about all other members with it, for as long as the member is passed on. An incarnation of 2^64 - 1 made a node dead to all others for good.

Cause: lists of members were decoded as a whole.

Change: members that are out of range are left out, counted (medlar_drops, malformed) and logged (entries-malformed, bounded). What cannot be framed is still dropped whole, since the rest of its bytes has no beginning. Ports of 0 and incarnations in the upper half of their range are out of range from now on.

--- a/components/control/tests/fleet/driver/network.rs
+++ b/components/control/tests/fleet/driver/network.rs
@@ -27,7 +27,10 @@
                 self.counters.datagrams += 1;
                 self.counters.datagram_bytes += bytes.len() as u64 + 28;
                 let message = if self.recording {
-                    wire::datagram::decode(&bytes).expect("a message survives its encoding")
+                    let decoded = wire::datagram::decode(&bytes);
+                    let decoded = decoded.expect("a message survives its encoding");
+                    assert_eq!(decoded.malformed, 0);
+                    decoded.message
                 } else {
                     message
                 };
--- a/components/daemon/src/executor.rs
+++ b/components/daemon/src/executor.rs
@@ -47,6 +47,7 @@
 use transport::Datagram;
 use transport::Sender;
 use transport::calls;
+use transport::log_malformed_entries;
 
 /// Timeout of connecting to another node, and of the control call that follows.
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
@@ -125,8 +126,9 @@
                 });
             }
             Effect::Sync { to, request } => {
+                let metrics = Arc::clone(&self.metrics);
                 self.spawn_call(async move {
-                    let response = sync_members(to, &request).await;
+                    let response = sync_members(to, &request, &metrics).await;
                     let response = response.inspect_err(|error| log_failed_call("sync", to, error));
                     let response = response.ok().flatten();
                     Input::SyncCompleted { from: to, response }
@@ -391,9 +393,16 @@
 async fn sync_members(
     to: SocketAddr,
     request: &member::SyncRequest,
+    metrics: &Metrics,
 ) -> Result<Option<member::SyncResponse>, calls::Error> {
     let client = calls::connect(to, CALL_TIMEOUT).await?;
     let context = calls::context_with_timeout(CALL_TIMEOUT);
     let response = client.sync(context, request.into()).await?;
-    Ok(response.and_then(wire::sync::SyncResponse::into_response))
+    let decoded = response.and_then(wire::sync::SyncResponse::into_response);
+    let malformed = decoded.as_ref().map_or(0, |it| it.malformed);
+    if malformed > 0 {
+        metrics.count_drop(Reason::Malformed);
+        log_malformed_entries("sync", to, malformed);
+    }
+    Ok(decoded.map(|it| it.message))
 }
--- a/components/daemon/src/peer.rs
+++ b/components/daemon/src/peer.rs
@@ -11,6 +11,7 @@
 use crate::executor::PendingCalls;
 use control::CallId;
 use control::Input;
+use errors::Reason;
 use front::TrafficDriver;
 use ids::Digest;
 use ids::Version;
@@ -60,7 +61,11 @@
     }
 
     async fn sync(self, _: Context, request: sync::SyncRequest) -> Option<sync::SyncResponse> {
-        let request = request.into_request()?;
+        let decoded = request.into_request()?;
+        if decoded.malformed > 0 {
+            self.driver.metrics().count_drop(Reason::Malformed);
+        }
+        let request = decoded.message;
         match self
             .call_control_thread(|call_id| Input::SyncRequested { call_id, request })
             .await
--- a/components/transport/src/lib.rs
+++ b/components/transport/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod calls;
 
+mod entry_log;
 mod udp;
 
 use std::io;
@@ -22,6 +23,8 @@
 use quarantine::Report;
 use telemetry::Metrics;
 
+pub use entry_log::log_malformed_entries;
+
 /// Registered transport plug-ins.
 #[distributed_slice]
 pub static TRANSPORT_PLUGINS: [Plugin<dyn Transport>];
--- a/components/transport/src/udp.rs
+++ b/components/transport/src/udp.rs
@@ -13,9 +13,11 @@
 use crate::Sender;
 use crate::TRANSPORT_PLUGINS;
 use crate::Transport;
+use crate::log_malformed_entries;
 use errors::Reason;
 use kernel::Plugin;
 use telemetry::Metrics;
+use wire::Decoded;
 use wire::crash_reports;
 use wire::datagram;
 
@@ -72,18 +74,27 @@
         };
         metrics.count_control_message("received", bytes + HEADER_BYTES);
         match decode(&buffer[..bytes]) {
-            Some(datagram) => handler(from, datagram),
+            Some(Decoded { message, malformed }) => {
+                if malformed > 0 {
+                    metrics.count_drop(Reason::Malformed);
+                    log_malformed_entries("gossip", from, malformed);
+                }
+                handler(from, message);
+            }
             None => metrics.count_drop(Reason::Malformed),
         }
     }
 }
 
-fn decode(bytes: &[u8]) -> Option<Datagram> {
+fn decode(bytes: &[u8]) -> Option<Decoded<Datagram>> {
     if bytes.first() == Some(&crash_reports::FORMAT) {
-        crash_reports::decode(bytes).map(Datagram::CrashReports)
-    } else {
-        datagram::decode(bytes).ok().map(Datagram::Membership)
+        let message = Datagram::CrashReports(crash_reports::decode(bytes)?);
+        let malformed = 0;
+        return Some(Decoded { message, malformed });
     }
+    let Decoded { message, malformed } = datagram::decode(bytes).ok()?;
+    let message = Datagram::Membership(message);
+    Some(Decoded { message, malformed })
 }
 
 impl Sender for UdpSender {
--- a/components/wire/src/datagram.rs
+++ b/components/wire/src/datagram.rs
@@ -8,6 +8,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::Decoded;
 use crate::MemberEntry;
 use ids::Digest;
 use ids::NodeId;
@@ -101,8 +102,8 @@
     }
 }
 
-/// Decodes a received datagram.
-pub fn decode(bytes: &[u8]) -> Result<Message, Error> {
+/// Decodes a received datagram. Updates that are out of range are left out.
+pub fn decode(bytes: &[u8]) -> Result<Decoded<Message>, Error> {
     let (format, body) = bytes.split_first().ok_or(Error::Malformed)?;
     if *format != FORMAT {
         return Err(Error::UnsupportedFormat(*format));
@@ -114,28 +115,31 @@
     let sequence = frame.sequence;
     let from = NodeId(frame.from);
     let updates = frame.updates.into_iter().map(|it| it.into_update(from));
+    let Decoded {
+        message: updates,
+        malformed,
+    } = Decoded::collect(updates);
     let gossip = Gossip {
         from,
         config_id: ConfigId {
             version: Version(frame.version),
             digest: Digest(frame.digest),
         },
-        updates: updates
-            .collect::<Option<Vec<_>>>()
-            .ok_or(Error::Malformed)?,
+        updates,
     };
-    match (frame.kind, frame.target) {
-        (PING, None) => Ok(Message::Ping { sequence, gossip }),
-        (ACK, None) => Ok(Message::Ack { sequence, gossip }),
-        (NACK, None) => Ok(Message::Nack { sequence, gossip }),
-        (PING_REQUEST, Some((target, address))) => Ok(Message::PingRequest {
+    let message = match (frame.kind, frame.target) {
+        (PING, None) => Message::Ping { sequence, gossip },
+        (ACK, None) => Message::Ack { sequence, gossip },
+        (NACK, None) => Message::Nack { sequence, gossip },
+        (PING_REQUEST, Some((target, address))) => Message::PingRequest {
             sequence,
             target: NodeId(target),
             address,
             gossip,
-        }),
-        _ => Err(Error::Malformed),
-    }
+        },
+        _ => return Err(Error::Malformed),
+    };
+    Ok(Decoded { message, malformed })
 }
 
 impl From<&member::Update> for Update {
--- a/components/wire/src/lib.rs
+++ b/components/wire/src/lib.rs
@@ -4,6 +4,10 @@
 //! serializable type for each of them and validates what is received. It performs no I/O: the
 //! `transport` crate and the front ends send and receive the bytes.
 
+//!
+//! A list of members is decoded entry by entry: one that is out of range is left out and counted, and the
+//! others hold.
+
 pub mod control;
 pub mod crash_reports;
 pub mod datagram;
@@ -11,7 +15,9 @@
 pub mod sync;
 
 mod compressed_text;
+mod decoded;
 mod member_entry;
 
 pub use compressed_text::CompressedText;
+pub use decoded::Decoded;
 pub use member_entry::MemberEntry;
--- a/components/wire/src/member_entry.rs
+++ b/components/wire/src/member_entry.rs
@@ -18,6 +18,10 @@
 /// Maximum length of the name of a service or failure domain and of a run id, in bytes.
 const MAX_NAME_BYTES: usize = 100;
 
+/// Largest incarnation of a member. It rises by one with each refutation of its node, so that a larger one
+/// is an error, and the largest number of all could never be refuted.
+const MAX_INCARNATION: u64 = u64::MAX / 2;
+
 /// Encoded form of [`Member`].
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -66,7 +70,11 @@
 impl MemberEntry {
     /// Converts the entry; returns `None` if a field is out of range.
     pub fn into_member(self) -> Option<Member> {
-        if self.domain.len() > MAX_NAME_BYTES {
+        if self.domain.len() > MAX_NAME_BYTES || self.incarnation > MAX_INCARNATION {
+            return None;
+        }
+        let mut addresses = [self.peer, self.requests, self.admin].into_iter();
+        if addresses.any(|address| address.port() == 0) {
             return None;
         }
         let upstream = match self.upstream {
--- a/components/wire/src/sync.rs
+++ b/components/wire/src/sync.rs
@@ -5,6 +5,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::Decoded;
 use crate::MemberEntry;
 use ids::Digest;
 use ids::NodeId;
@@ -63,17 +64,18 @@
 }
 
 impl SyncRequest {
-    /// Converts the request; returns `None` if it is malformed.
-    pub fn into_request(self) -> Option<member::SyncRequest> {
+    /// Converts the request without the members that are out of range; returns `None` if it is
+    /// malformed.
+    pub fn into_request(self) -> Option<Decoded<member::SyncRequest>> {
         match self {
             Self::Hashes(hashes) if hashes.len() == BUCKET_COUNT => {
-                Some(member::SyncRequest::Hashes { hashes })
+                Some(Decoded::complete(member::SyncRequest::Hashes { hashes }))
             }
             Self::Hashes(_) => None,
-            Self::Members { buckets, members } => Some(member::SyncRequest::Members {
-                buckets,
-                members: decode_members(members)?,
-            }),
+            Self::Members { buckets, members } => {
+                let members = decode_members(members)?;
+                Some(members.map(|members| member::SyncRequest::Members { buckets, members }))
+            }
         }
     }
 }
@@ -95,22 +97,25 @@
 }
 
 impl SyncResponse {
-    /// Converts the response; returns `None` if it is malformed.
-    pub fn into_response(self) -> Option<member::SyncResponse> {
+    /// Converts the response without the members that are out of range; returns `None` if it is
+    /// malformed.
+    pub fn into_response(self) -> Option<Decoded<member::SyncResponse>> {
         let body = match self.body {
-            SyncResponseBody::Differ(buckets) => member::SyncResponseBody::Differ(buckets),
+            SyncResponseBody::Differ(buckets) => {
+                Decoded::complete(member::SyncResponseBody::Differ(buckets))
+            }
             SyncResponseBody::Members(members) => {
-                member::SyncResponseBody::Members(decode_members(members)?)
+                decode_members(members)?.map(member::SyncResponseBody::Members)
             }
         };
-        Some(member::SyncResponse {
+        Some(body.map(|body| member::SyncResponse {
             from: NodeId(self.from),
             config_id: ConfigId {
                 version: Version(self.version),
                 digest: Digest(self.digest),
             },
             body,
-        })
+        }))
     }
 }
 
@@ -122,12 +127,11 @@
         .collect()
 }
 
-/// Decodes the members of one message; returns `None` if there are more than [`MAX_MEMBERS`] or one of
-/// them is malformed.
-fn decode_members(entries: Vec<MemberEntry>) -> Option<Vec<Arc<Member>>> {
+/// Decodes the members of one message; returns `None` if there are more than [`MAX_MEMBERS`].
+fn decode_members(entries: Vec<MemberEntry>) -> Option<Decoded<Vec<Arc<Member>>>> {
     if entries.len() > MAX_MEMBERS {
         return None;
     }
     let members = entries.into_iter().map(MemberEntry::into_member);
-    members.map(|member| member.map(Arc::new)).collect()
+    Some(Decoded::collect(members.map(|member| member.map(Arc::new))))
 }
--- a/components/wire/tests/datagram.rs
+++ b/components/wire/tests/datagram.rs
@@ -67,7 +67,8 @@
 /// Checks that a decoded message equals the encoded one, field by field.
 #[rstest]
 fn decode_round_trip() {
-    assert_eq!(decode(&encode(&ping(3))), Ok(ping(3)));
+    let decoded = decode(&encode(&ping(3))).map(|it| (it.message, it.malformed));
+    assert_eq!(decoded, Ok((ping(3), 0)));
 }
 
 /// Checks that a message with too many updates is encoded without the excess ones. A datagram longer
@@ -76,7 +77,7 @@
 fn encode_many_updates() {
     let bytes = encode(&ping(200));
     assert!(bytes.len() <= MAX_BYTES);
-    let encoded_updates = decode(&bytes).map(|message| message.gossip().updates.len());
+    let encoded_updates = decode(&bytes).map(|it| it.message.gossip().updates.len());
     assert!(encoded_updates.is_ok_and(|count| count > 10));
 }
 
@@ -90,6 +91,35 @@
     assert_eq!(decode(&bytes), Err(error));
 }
 
+/// Message with an update of this member between two others.
+fn ping_with(change: impl FnOnce(&mut Member)) -> Message {
+    let Message::Ping {
+        sequence,
+        mut gossip,
+    } = ping(3)
+    else {
+        unreachable!("a ping is a ping");
+    };
+    change(Arc::make_mut(&mut gossip.updates[1].member));
+    Message::Ping { sequence, gossip }
+}
+
+/// Checks that an update which is out of range costs that update alone. It made the whole datagram malformed, and
+/// since it is repeated in other datagrams, news of members and probes were lost with it.
+#[rstest]
+#[case::long_domain(ping_with(|it| it.domain = Domain::new(&"d".repeat(101))))]
+#[case::long_service(ping_with(|it| if let Some(upstream) = &mut it.upstream {
+    upstream.service = Arc::from("s".repeat(101));
+}))]
+#[case::no_port(ping_with(|it| it.addresses.requests.set_port(0)))]
+#[case::incarnation_beyond_refutation(ping_with(|it| it.incarnation = Incarnation(u64::MAX)))]
+fn decode_odd_update(#[case] message: Message) {
+    let decoded = decode(&encode(&message)).expect("the datagram is valid");
+    let updates = &decoded.message.gossip().updates;
+    let ids: Vec<u64> = updates.iter().map(|it| it.member.id.0).collect();
+    assert_eq!((ids, decoded.malformed), (vec![0, 2], 1));
+}
+
 proptest! {
     /// Checks that arbitrary bytes do not make the decoder panic.
     #[test]
