--- a/components/config/src/rules.rs
+++ b/components/config/src/rules.rs
@@ -32,21 +32,21 @@
 /// Weight of a route or of a target for which the configuration gives none.
 const DEFAULT_WEIGHT: u32 = 1;
 /// Largest weight of one target of a route.
-const MAX_TARGET_WEIGHT: u64 = 1_000_000;
+pub const MAX_TARGET_WEIGHT: u64 = 1_000_000;
 /// Largest limit on the upstreams that one request may be sent to.
-const MAX_UPSTREAMS: u64 = 100;
+pub const MAX_UPSTREAMS: u64 = 100;
 /// Largest limit on the connections of an upstream.
-const MAX_CONNECTIONS: u64 = 100_000;
+pub const MAX_CONNECTIONS: u64 = 100_000;
 /// Longest host with an optional port, in bytes; RFC 1035 limits a name to 255.
 const MAX_HOST_BYTES: usize = 260;
 /// Longest path prefix, in bytes.
 const MAX_PREFIX_BYTES: usize = 1_024;
 /// Largest limit on a request head, in bytes.
-const MAX_HEAD_BYTES: u64 = 1024 * 1024;
+pub const MAX_HEAD_BYTES: u64 = 1024 * 1024;
 /// Largest limit on a request body, in bytes.
-const MAX_BODY_BYTES: u64 = 16 * 1024 * 1024 * 1024;
+pub const MAX_BODY_BYTES: u64 = 16 * 1024 * 1024 * 1024;
 /// Largest timeout for request heads and idle connections of callers, in milliseconds.
-const MAX_CALLER_TIMEOUT_MS: u64 = 3_600_000;
+pub const MAX_CALLER_TIMEOUT_MS: u64 = 3_600_000;
 /// Methods that a route can have. CONNECT and TRACE are meant for the proxy itself.
 const METHODS: [&str; 7] = ["DELETE", "GET", "HEAD", "OPTIONS", "PATCH", "POST", "PUT"];
 /// Methods whose routes are idempotent by default: those that are safe by RFC 9110. PUT and DELETE
