--- a/components/spread/tests/machine.rs
+++ b/components/spread/tests/machine.rs
@@ -756,3 +756,47 @@
     // The budget of calls is spent by now.
     assert_eq!(config_reads(&node.wake(Duration::from_secs(2))), 1);
 }
+
+/// Checks that a node whose pulls take long, because its link is slow, runs few of them at a time. Each overdue pull
+/// was followed by another one over the same link, and all were broken off at their time limit of 2 s.
+#[rstest]
+fn pull_slow_link() {
+    let mut node = Node::new();
+    let newer = config_id(&record(6, &config_text(6)));
+    let mut running = Vec::new();
+    for step in 0..180 {
+        // Each node announces the version again and again.
+        let mut out = node.handle_config_id(10 + (step % 8) as u8, newer);
+        out.extend(node.wake(Duration::from_millis(100)));
+        running.extend(pull_requests(&out).into_iter().map(|(from, _)| from));
+    }
+    let mut asked = running.clone();
+    asked.sort_unstable();
+    asked.dedup();
+    assert_eq!((running.len(), asked.len()), (3, 3), "{running:?}");
+    // The end of a call makes room for another one.
+    let first = running[0];
+    let mut out = Vec::new();
+    let (now, random) = (node.now, &mut node.random);
+    node.machine
+        .handle_pull_response(now, first, None, random, &mut out);
+    out.extend(node.wake(Duration::from_secs(2)));
+    assert_eq!(pull_requests(&out).len(), 1);
+    // A response that arrives late is used.
+    node.receive_response(99, PullResponse::Full(record(6, &config_text(6))));
+    assert_eq!(node.version(), 6);
+}
+
+/// Checks that pulls whose calls never end do not keep a node from others for good.
+#[rstest]
+fn pull_silent_sources() {
+    let mut node = Node::new();
+    let newer = config_id(&record(6, &config_text(6)));
+    let mut pulls = 0;
+    for step in 0..600 {
+        let mut out = node.handle_config_id(10 + (step % 8) as u8, newer);
+        out.extend(node.wake(Duration::from_millis(100)));
+        pulls += pull_requests(&out).len();
+    }
+    assert!(pulls >= 8, "{pulls} pulls in 60 s");
+}
