Take only a refused head of another node for not run

Cause: each response of another node without its load counted as a refusal of its HTTP server, with the verdict not-run. That is true of the statuses with which hyper refuses a head (400, 414, 431). Anything else at that address that answers may have run the request.

Change: other responses without a load count as malformed, and the request as one that may have run.

Measurement: send_remote_without_load, four cases; 200 and 413 end with 502, where they ended with 503 and "not run".

--- a/components/http1/src/attempt.rs
+++ b/components/http1/src/attempt.rs
@@ -8,6 +8,7 @@
 use hyper::Method;
 use hyper::Request;
 use hyper::Response;
+use hyper::StatusCode;
 use hyper::header::HeaderValue;
 use hyper::http::request::Parts;
 use tokio::task::coop::unconstrained;
@@ -50,6 +51,13 @@
 /// milliseconds for them.
 const SHUTDOWN_QUERY_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Statuses with which hyper refuses a head by itself, before it calls a handler.
+const HEAD_REFUSALS: [StatusCode; 3] = [
+    StatusCode::BAD_REQUEST,
+    StatusCode::URI_TOO_LONG,
+    StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
+];
+
 /// A request of a caller, from which the HTTP request of each attempt is built.
 pub(crate) struct OutgoingRequest {
     pub(crate) id: RequestId,
@@ -350,10 +358,13 @@
         peer_clock,
     } = node_connection;
     match connection.send(request).await {
-        // The owner states its load in each response of its handler. Without that, its HTTP server has
-        // refused the head by itself, and no handler was called.
+        // The owner states its load in each response of its handler.
         Ok(response) if !response.headers().contains_key(header::LOAD) => {
-            failed_attempt(Verdict::NotRun, Reason::LimitsDiffer)
+            if HEAD_REFUSALS.contains(&response.status()) {
+                failed_attempt(Verdict::NotRun, Reason::LimitsDiffer)
+            } else {
+                failed_attempt(Verdict::MayHaveRun, Reason::Malformed)
+            }
         }
         Ok(response) => {
             let (parts, body) = response.into_parts();
--- a/components/http1/tests/heads.rs
+++ b/components/http1/tests/heads.rs
@@ -3,6 +3,7 @@
 
 mod support;
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use rstest::rstest;
@@ -10,11 +11,16 @@
 use support::Node;
 use support::raw::CallerConnection;
 use support::raw::exchange;
+use support::raw::free_address;
 use support::raw::get_request;
+use support::raw::read_message;
 use support::start_entry_and_owner;
 use support::upstream;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
 
 use control::NodeStage;
+use ids::NodeId;
 use member::MemberTable;
 
 /// Checks that a request that two parsers could frame differently is refused with status 400 before
@@ -353,3 +359,51 @@
     assert!(started.elapsed() < Duration::from_secs(timeout_s + 5));
     assert_eq!(upstream_record.request_count(), 0);
 }
+
+/// Starts an owner `id` that answers checks of its connections, and each request with `status` and without its load.
+async fn start_owner_without_load(id: NodeId, status: &'static str) -> SocketAddr {
+    let address = free_address();
+    let listener = TcpListener::bind(address).await.unwrap();
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            tokio::spawn(async move {
+                let mut buffer = Vec::new();
+                while let Some(message) = read_message(&mut stream, &mut buffer).await {
+                    let (status, headers) = match message.path().as_str() {
+                        "/medlar/hello" => {
+                            let headers = format!("medlar-owner: {id}\r\nmedlar-clock-us: 1\r\n");
+                            ("200 OK", headers)
+                        }
+                        _ => (status, String::new()),
+                    };
+                    let response =
+                        format!("HTTP/1.1 {status}\r\n{headers}content-length: 0\r\n\r\n");
+                    if stream.write_all(response.as_bytes()).await.is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    address
+}
+
+/// Checks that a response of a node that lacks its load is not delivered, and counts as not run only if it is one with
+/// which the HTTP server of a node refuses a head. Whatever else answers at its address may have run the request.
+#[rstest]
+#[case::head_too_long("431 Too Large", 503)]
+#[case::malformed("400 Bad Request", 503)]
+#[case::success("200 OK", 502)]
+#[case::other_refusal("413 Too Large", 502)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn send_remote_without_load(#[case] status: &'static str, #[case] expected: u16) {
+    let entry = Node::start(free_address(), 1, 1).await;
+    let id = NodeId(7);
+    let owner = start_owner_without_load(id, status).await;
+    let mut table = MemberTable::default();
+    table.merge(support::member(id, owner, owner, 10, 10));
+    entry.publish(&table, NodeStage::Serving);
+    let request = "POST /x HTTP/1.1\r\nhost: h\r\ncontent-length: 0\r\n\r\n".to_owned();
+    let response = exchange(entry.callers, request).await.unwrap();
+    assert_eq!(response.status(), expected, "{}", response.head);
+}
