--- a/components/wire/tests/datagram.rs
+++ b/components/wire/tests/datagram.rs
@@ -1,12 +1,14 @@
 //! Encoding and decoding of gossip datagrams, which any host can send.
 
-use std::net::SocketAddr;
+mod support;
+
 use std::sync::Arc;
 
 use proptest::collection::vec;
 use proptest::prelude::any;
 use proptest::proptest;
 use rstest::rstest;
+use support::member;
 
 use ids::Digest;
 use ids::Domain;
@@ -15,13 +17,9 @@
 use ids::Version;
 use member::ConfigId;
 use member::Gossip;
-use member::ListenAddresses;
 use member::Member;
 use member::Message;
-use member::Stage;
-use member::Status;
 use member::Update;
-use member::Upstream;
 use wire::datagram::Error;
 use wire::datagram::MAX_BYTES;
 use wire::datagram::decode;
@@ -29,26 +27,8 @@
 
 /// A ping with this number of updates.
 fn ping(update_count: u64) -> Message {
-    let address = SocketAddr::from(([127, 0, 0, 1], 1));
     let update = |id| Update {
-        member: Arc::new(Member {
-            id: NodeId(id),
-            addresses: ListenAddresses {
-                peer: address,
-                requests: address,
-                admin: address,
-            },
-            domain: Domain::new("huesca"),
-            incarnation: Incarnation(id),
-            status: Status::Alive,
-            stage: Stage::Ready,
-            upstream: Some(Upstream {
-                service: Arc::from("reservas"),
-                run_id: None,
-                slots: 10,
-                max_connections: 100,
-            }),
-        }),
+        member: Arc::new(member(id, 1)),
         source: NodeId(7),
     };
     Message::Ping {
--- a/components/wire/tests/sync.rs
+++ b/components/wire/tests/sync.rs
@@ -1,42 +1,22 @@
 //! Decoding of the messages by which nodes compare their member tables.
 
-use std::net::SocketAddr;
+mod support;
+
 use std::sync::Arc;
 
 use rstest::rstest;
+use support::member;
 
-use ids::Domain;
-use ids::Incarnation;
 use ids::NodeId;
 use member::ConfigId;
-use member::ListenAddresses;
-use member::Member;
-use member::Stage;
-use member::Status;
 use wire::sync;
 
-fn member(id: u64, port: u16) -> Arc<Member> {
-    let address = SocketAddr::from(([10, 1, 0, 9], port));
-    Arc::new(Member {
-        id: NodeId(id),
-        addresses: ListenAddresses {
-            peer: address,
-            requests: address,
-            admin: address,
-        },
-        domain: Domain::new("huesca"),
-        incarnation: Incarnation(1),
-        status: Status::Alive,
-        stage: Stage::Warming,
-        upstream: None,
-    })
-}
-
 /// Checks that a member which is out of range costs that member alone. It made each comparison with the node that
 /// holds it fail, so that the tables never became equal.
 #[rstest]
 fn into_message_odd_member() {
-    let members = vec![member(1, 7_660), member(2, 0), member(3, 7_660)];
+    let members = [member(1, 7_660), member(2, 0), member(3, 7_660)];
+    let members: Vec<_> = members.into_iter().map(Arc::new).collect();
     let request = member::SyncRequest::Members {
         buckets: 7,
         members: members.clone(),
