--- a/components/http1/src/connection.rs
+++ b/components/http1/src/connection.rs
@@ -29,7 +29,7 @@
 use tokio::sync::Notify;
 
 use crate::body::Payload;
-use crate::head_limits::HeadLimits;
+use crate::head;
 
 /// Counts open connections that share one limit.
 #[derive(Debug, Default)]
@@ -81,7 +81,7 @@
     /// fails.
     pub(crate) async fn connect(
         address: SocketAddr,
-        response_limits: HeadLimits,
+        response_limits: head::Limits,
         slots: (ConnectionSlot, Option<ConnectionSlot>),
     ) -> Option<Self> {
         let stream = TcpStream::connect(address).await.ok()?;
--- a/components/http1/src/head.rs
+++ b/components/http1/src/head.rs
@@ -19,14 +19,14 @@
 
 /// Limits on a head.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) struct HeadLimits {
+pub(crate) struct Limits {
     /// Longest head, in bytes.
     pub(crate) bytes: usize,
     /// Maximum number of headers.
     pub(crate) headers: usize,
 }
 
-impl HeadLimits {
+impl Limits {
     /// Limits on the response of an upstream.
     pub(crate) const UPSTREAM_RESPONSE: Self = Self {
         bytes: 64 * 1024,
--- a/components/http1/src/lib.rs
+++ b/components/http1/src/lib.rs
@@ -10,7 +10,7 @@
 mod dialect;
 mod dispatch;
 mod events;
-mod head_limits;
+mod head;
 mod headers;
 mod listen;
 mod node;
@@ -33,7 +33,6 @@
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
-use crate::head_limits::HeadLimits;
 use config::CallerLimits;
 use front::FRONT_END_PLUGINS;
 use front::FrontEnd;
@@ -117,7 +116,7 @@
 struct SharedState {
     driver: Arc<TrafficDriver>,
     /// Limits on the heads of callers, renewed by [`SharedState::sweep_periodically`].
-    head_limits: watch::Sender<HeadLimits>,
+    head_limits: watch::Sender<head::Limits>,
     dialect: Arc<dyn Dialect>,
     node_pool: Arc<node_pool::NodeConnectionPool>,
     upstream: upstream::UpstreamClient,
@@ -135,8 +134,8 @@
     }
 
     /// Limits on the heads of callers by the configuration in force.
-    fn caller_head_limits(&self) -> HeadLimits {
-        HeadLimits::for_callers(self.limits().max_head_bytes)
+    fn caller_head_limits(&self) -> head::Limits {
+        head::Limits::for_callers(self.limits().max_head_bytes)
     }
 
     /// Closes expired connections, removes expired stored responses and renews the limits on heads
@@ -181,7 +180,7 @@
             };
             let shared = Arc::new(SharedState {
                 driver,
-                head_limits: watch::Sender::new(HeadLimits::for_callers(0)),
+                head_limits: watch::Sender::new(head::Limits::for_callers(0)),
                 dialect: Arc::clone(&self.dialect),
                 node_pool: Arc::default(),
                 upstream: upstream::UpstreamClient::new(addresses.upstream),
--- a/components/http1/src/listen.rs
+++ b/components/http1/src/listen.rs
@@ -33,7 +33,7 @@
 use crate::body::Payload;
 use crate::caller;
 use crate::events;
-use crate::head_limits::HeadLimits;
+use crate::head;
 use crate::pipeline::ReadAheadStream;
 use crate::pipeline::StartedQueue;
 use crate::write_timeout::WriteTimeoutStream;
@@ -172,7 +172,7 @@
     }
 
     /// Limits on request heads, given those on callers.
-    fn head_limits(self, callers: HeadLimits) -> HeadLimits {
+    fn head_limits(self, callers: head::Limits) -> head::Limits {
         match self {
             Self::Callers => callers,
             Self::Nodes => callers.between_nodes(),
--- a/components/http1/src/node_pool.rs
+++ b/components/http1/src/node_pool.rs
@@ -19,7 +19,7 @@
 use crate::body::full;
 use crate::connection::ClientConnection;
 use crate::connection::ConnectionLimit;
-use crate::head_limits::HeadLimits;
+use crate::head;
 use crate::peer_clock::PeerClock;
 use crate::responses::parse_header;
 use crate::stored_responses;
@@ -32,7 +32,7 @@
 use wire::header;
 
 /// Limits on the heads of responses of other nodes.
-const RESPONSE_LIMITS: HeadLimits = HeadLimits::UPSTREAM_RESPONSE.between_nodes();
+const RESPONSE_LIMITS: head::Limits = head::Limits::UPSTREAM_RESPONSE.between_nodes();
 /// Timeout for opening a connection, including the hello on it.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Timeout for fetching a stored response.
--- a/components/http1/src/upstream.rs
+++ b/components/http1/src/upstream.rs
@@ -18,7 +18,7 @@
 use crate::body::Payload;
 use crate::connection::ClientConnection;
 use crate::connection::ConnectionLimit;
-use crate::head_limits::HeadLimits;
+use crate::head;
 use errors::Reason;
 use errors::Verdict;
 use kernel::Time;
@@ -102,7 +102,7 @@
             return false;
         };
         let opening =
-            ClientConnection::connect(self.address, HeadLimits::UPSTREAM_RESPONSE, (slot, None));
+            ClientConnection::connect(self.address, head::Limits::UPSTREAM_RESPONSE, (slot, None));
         match timeout(CRASH_CHECK_TIMEOUT, opening).await {
             Ok(Some(connection)) => {
                 self.release(connection, now);
@@ -160,7 +160,7 @@
         }
         let slot = self.connection_limit.try_acquire(limit)?;
         let opening =
-            ClientConnection::connect(self.address, HeadLimits::UPSTREAM_RESPONSE, (slot, None));
+            ClientConnection::connect(self.address, head::Limits::UPSTREAM_RESPONSE, (slot, None));
         Some(match timeout(CONNECT_TIMEOUT, opening).await {
             Ok(Some(connection)) => Ok(connection),
             _ => Err((Verdict::NotRun, Reason::ConnectFailed)),
--- a/components/store/src/contacts.rs
+++ b/components/store/src/contacts.rs
@@ -31,7 +31,7 @@
 
 /// Addresses that were decoded from the value of a contacts key.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct DecodedContacts {
+pub struct Contacts {
     /// At most 64 addresses to which a node can connect.
     pub addresses: Vec<SocketAddr>,
     /// Number of entries that are no such address. A value that is not a list of contacts counts as
@@ -51,11 +51,11 @@
 }
 
 /// Decodes the value of a contacts key.
-pub fn decode_contacts(value: &[u8]) -> DecodedContacts {
+pub fn decode_contacts(value: &[u8]) -> Contacts {
     // Bytes that are not UTF-8 then spoil only the entry in which they stand.
     let text = String::from_utf8_lossy(value);
-    let Ok(RawEntries(entries)) = serde_json::from_str(&text) else {
-        return DecodedContacts {
+    let Ok(Entries(entries)) = serde_json::from_str(&text) else {
+        return Contacts {
             addresses: Vec::new(),
             malformed: 1,
         };
@@ -63,7 +63,7 @@
     let decoded = entries.iter().filter_map(|entry| decode_address(entry));
     let addresses: Vec<SocketAddr> = decoded.collect();
     let malformed = entries.len() - addresses.len();
-    DecodedContacts {
+    Contacts {
         addresses: addresses.into_iter().take(MAX_ADDRESSES).collect(),
         malformed,
     }
@@ -77,25 +77,25 @@
 
 /// Undecoded entries of a value. A raw value is skipped without recursion, so that a deeply nested entry
 /// does not end the reading of the list.
-struct RawEntries(Vec<Box<RawValue>>);
+struct Entries(Vec<Box<RawValue>>);
 
-impl<'de> Deserialize<'de> for RawEntries {
+impl<'de> Deserialize<'de> for Entries {
     fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
-        deserializer.deserialize_map(RawEntriesVisitor)
+        deserializer.deserialize_map(EntriesVisitor)
     }
 }
 
-struct RawEntriesVisitor;
+struct EntriesVisitor;
 
-impl<'de> Visitor<'de> for RawEntriesVisitor {
-    type Value = RawEntries;
+impl<'de> Visitor<'de> for EntriesVisitor {
+    type Value = Entries;
 
     fn expecting(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         formatter.write_str("a list of contacts")
     }
 
     /// Reads the list; if its key appears twice, the entries of both lists count.
-    fn visit_map<A: MapAccess<'de>>(self, mut map: A) -> Result<RawEntries, A::Error> {
+    fn visit_map<A: MapAccess<'de>>(self, mut map: A) -> Result<Entries, A::Error> {
         let mut entries: Option<Vec<Box<RawValue>>> = None;
         while let Some(key) = map.next_key::<String>()? {
             if key == ADDRESSES_KEY {
@@ -106,6 +106,6 @@
             }
         }
         let missing = || serde::de::Error::missing_field(ADDRESSES_KEY);
-        entries.map(RawEntries).ok_or_else(missing)
+        entries.map(Entries).ok_or_else(missing)
     }
 }
--- a/components/store/src/lib.rs
+++ b/components/store/src/lib.rs
@@ -22,7 +22,7 @@
 use spread::Era;
 use spread::Revision;
 
-pub use contacts::DecodedContacts;
+pub use contacts::Contacts;
 pub use contacts::contacts_key;
 pub use contacts::decode_contacts;
 pub use contacts::encode_contacts;
