Add organisations with keys to configuration, entry and upstream requests

Change: the native text lists organisations with digests of their keys; the entry identifies the organisation, refuses an unknown key with 401 and passes the organisation on; the owner names it to the upstream. Settings, reasons and empty crates for the parts that follow are added with it.

--- a/components/config/src/compile.rs
+++ b/components/config/src/compile.rs
@@ -6,17 +6,21 @@
 
 use crate::CallerLimits;
 use crate::ConfigError;
+use crate::OrganisationKey;
 use crate::Service;
 use crate::ServiceKey;
 use crate::Snapshot;
 use crate::Target;
 use crate::cycle::find_cycle;
+use crate::organisation::OrganisationTable;
 use crate::parse::parse;
 use crate::parse::parse_json;
 use crate::prefix_table::PrefixTable;
 use crate::route_tree::RouteTree;
 use crate::rules;
 use crate::rules::MAX_DEPENDENCIES;
+use crate::rules::MAX_KEYS;
+use crate::rules::MAX_ORGANISATIONS;
 use crate::rules::MAX_ROUTES;
 use crate::rules::MAX_SERVICES;
 use crate::source;
@@ -56,6 +60,7 @@
     builder.add_dependencies(source);
     builder.add_routes(source);
     builder.add_host_routes(source);
+    builder.add_organisations(source);
     builder.finish()
 }
 
@@ -84,6 +89,7 @@
             route_tree: RouteTree::default(),
             prefix_table: PrefixTable::default(),
             limits: CallerLimits::default(),
+            organisations: OrganisationTable::new(generation),
         };
         Self {
             snapshot,
@@ -251,6 +257,50 @@
         }
     }
 
+    fn add_organisations(&mut self, source: &source::Text) {
+        let line_of = |it: &source::Organisation| it.name.referenced.line();
+        let list = &source.organisations;
+        let limit_error =
+            rules::check_list_length(list, MAX_ORGANISATIONS, "organisations", line_of);
+        self.errors.extend(limit_error);
+        for source_organisation in list.iter().take(MAX_ORGANISATIONS) {
+            let name = &source_organisation.name;
+            let Some(organisation) =
+                rules::compile_organisation(source_organisation, &mut self.errors)
+            else {
+                continue;
+            };
+            let Some(holder) = self.snapshot.organisations.insert(organisation) else {
+                let message = format!("organisation {:?} is listed twice", name.value);
+                let hint = "merge the two or rename one";
+                self.errors.push(ConfigError::at(name, message, hint));
+                continue;
+            };
+            self.add_keys(holder, source_organisation);
+        }
+    }
+
+    fn add_keys(&mut self, holder: OrganisationKey, source: &source::Organisation) {
+        let line_of = |digest: &Spanned<String>| digest.referenced.line();
+        let limit_error = rules::check_list_length(&source.keys, MAX_KEYS, "keys", line_of);
+        self.errors.extend(limit_error);
+        for source_digest in source.keys.iter().take(MAX_KEYS) {
+            // The text may be a key that was written in place of its digest, so no error repeats it.
+            let Ok(digest) = source_digest.value.parse() else {
+                let message = "the key is not given as a SHA-256 digest";
+                let hint = "write the 64 hexadecimal digits that `sha256sum` prints for the key";
+                self.errors
+                    .push(ConfigError::at(source_digest, message, hint));
+                continue;
+            };
+            if !self.snapshot.organisations.insert_key(digest, holder) {
+                let message = "the key is listed twice";
+                self.errors
+                    .push(ConfigError::at(source_digest, message, "remove one"));
+            }
+        }
+    }
+
     fn resolve_targets(&mut self, source_route: &source::HostRoute) -> Vec<Target> {
         let mut targets = Vec::with_capacity(source_route.targets.len());
         for target in source_route.targets.iter().take(MAX_DEPENDENCIES) {
--- a/components/config/src/rules.rs
+++ b/components/config/src/rules.rs
@@ -1,17 +1,21 @@
 //! Rules, limits and defaults for the values of a configuration text.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use serde_saphyr::Spanned;
 
 use crate::CallerLimits;
 use crate::ConfigError;
+use crate::Organisation;
 use crate::PathPattern;
+use crate::RequestLimit;
 use crate::Route;
 use crate::ServiceKey;
 use crate::Target;
 use crate::source;
 use crate::suggest_name;
+use ids::OrganisationId;
 use ids::Rank;
 use ids::RouteId;
 
@@ -54,6 +58,15 @@
 /// cancellation.
 const SAFE_METHODS: [&str; 3] = ["GET", "HEAD", "OPTIONS"];
 
+/// Maximum number of organisations in a configuration.
+pub const MAX_ORGANISATIONS: usize = 2_000;
+/// Maximum number of keys of an organisation.
+pub const MAX_KEYS: usize = 1_000;
+/// Longest name of an organisation, in bytes.
+pub const MAX_ORGANISATION_NAME_BYTES: usize = 100;
+/// Largest rate, in requests a second, and burst of an organisation's limit.
+pub const MAX_REQUEST_LIMIT: f64 = 1_000_000_000.0;
+
 /// Reports a list with more than `max` entries, at the line of the first excess entry.
 pub(crate) fn check_list_length<T>(
     list: &[T],
@@ -169,6 +182,8 @@
         max_upstreams: None,
         idempotent: route.idempotent.unwrap_or(is_safe),
         weight: weight.map_or(Some(DEFAULT_WEIGHT), |it| u32::try_from(it).ok())?,
+        public: false,
+        large_responses: false,
     })
 }
 
@@ -242,6 +257,8 @@
         max_upstreams: route.attempts.as_ref().and_then(to_u32),
         idempotent: route.idempotent,
         weight: route.weight.as_ref().map_or(Some(DEFAULT_WEIGHT), to_u32)?,
+        public: route.public,
+        large_responses: route.large_responses,
     })
 }
 
@@ -268,6 +285,55 @@
     u32::try_from(connections.value).ok()
 }
 
+/// Compiles an organisation without its keys; `None` if it is invalid. Appends to `errors`.
+pub(crate) fn compile_organisation(
+    source: &source::Organisation,
+    errors: &mut Vec<ConfigError>,
+) -> Option<Organisation> {
+    let errors_before = errors.len();
+    let name = &source.name;
+    // The name is sent to upstreams as the value of a header.
+    let is_valid_name = (1..=MAX_ORGANISATION_NAME_BYTES).contains(&name.value.len())
+        && name.value.bytes().all(|byte| byte.is_ascii_graphic());
+    if !is_valid_name {
+        let message = format!(
+            "{:?} is not a valid organisation name",
+            truncate(&name.value)
+        );
+        let hint = "use 1 to 100 ASCII characters without spaces";
+        errors.push(ConfigError::at(name, message, hint));
+    }
+    if let Some(rank) = &source.rank {
+        errors.extend(check_range(rank, 0, Rank::COUNT as u64 - 1, "rank"));
+    }
+    let values = [
+        ("per_second", source.per_second.as_ref()),
+        ("burst", source.burst.as_ref()),
+    ];
+    for (key, value) in values {
+        errors.extend(value.and_then(|value| check_request_limit(value, key)));
+    }
+    if errors.len() > errors_before {
+        return None;
+    }
+    let rank = source.rank.as_ref().map(|rank| rank.value);
+    let per_second = source.per_second.as_ref().map_or(0.0, |it| it.value);
+    let burst = source.burst.as_ref().map_or(0.0, |it| it.value);
+    Some(Organisation {
+        id: OrganisationId::from_name(&name.value),
+        name: Arc::from(name.value.as_str()),
+        rank: rank.and_then(|rank| u8::try_from(rank).ok()).map(Rank),
+        limit: (per_second > 0.0).then_some(RequestLimit { per_second, burst }),
+    })
+}
+
+fn check_request_limit(value: &Spanned<f64>, key: &str) -> Option<ConfigError> {
+    (!(0.0..=MAX_REQUEST_LIMIT).contains(&value.value)).then(|| {
+        let message = format!("{key} {} is out of range", value.value);
+        ConfigError::at(value, message, "use 0 to 1000000000; 0 means no limit")
+    })
+}
+
 /// Checks the limits on callers and returns them, with the default for each that is not set;
 /// appends to `errors`.
 pub(crate) fn check_limits(
--- a/components/config/src/snapshot.rs
+++ b/components/config/src/snapshot.rs
@@ -4,10 +4,15 @@
 use std::time::Duration;
 
 use crate::CallerLimits;
+use crate::Organisation;
+use crate::OrganisationKey;
 use crate::PathPattern;
+use crate::organisation::OrganisationTable;
 use crate::prefix_table::PrefixTable;
 use crate::route_tree::RouteTree;
 use ids::Digest;
+use ids::KeyDigest;
+use ids::OrganisationId;
 use ids::Rank;
 use ids::RouteId;
 use ids::ServiceId;
@@ -73,6 +78,10 @@
     pub idempotent: bool,
     /// Share of the route among the routes of its rank.
     pub weight: u32,
+    /// Whether requests need no key of an organisation.
+    pub public: bool,
+    /// Whether responses are mostly so large that they occupy the link of an instance for some time.
+    pub large_responses: bool,
 }
 
 impl Route {
@@ -113,6 +122,7 @@
     /// Routes by host and path prefix.
     pub(crate) prefix_table: PrefixTable,
     pub(crate) limits: CallerLimits,
+    pub(crate) organisations: OrganisationTable,
 }
 
 impl Snapshot {
@@ -152,6 +162,31 @@
         self.routes.iter()
     }
 
+    /// Whether the configuration lists organisations, so that requests need keys.
+    pub fn has_organisations(&self) -> bool {
+        !self.organisations.by_id.is_empty()
+    }
+
+    /// The organisation with this key; `None` if the key is of another snapshot.
+    pub fn organisation(&self, key: OrganisationKey) -> Option<&Organisation> {
+        self.organisations.organisations.get(key)
+    }
+
+    /// All organisations, in the order of the configuration.
+    pub fn organisations(&self) -> impl Iterator<Item = (OrganisationKey, &Organisation)> {
+        self.organisations.organisations.iter()
+    }
+
+    /// Finds an organisation by its identifier.
+    pub fn find_organisation(&self, id: OrganisationId) -> Option<OrganisationKey> {
+        self.organisations.find(id)
+    }
+
+    /// Finds the organisation that holds an API key.
+    pub fn find_key_holder(&self, digest: &KeyDigest) -> Option<OrganisationKey> {
+        self.organisations.find_key_holder(digest)
+    }
+
     /// Finds a route by its identifier.
     pub fn find_route_by_id(&self, id: RouteId) -> Option<RouteKey> {
         let index = self
--- a/components/config/src/source.rs
+++ b/components/config/src/source.rs
@@ -18,6 +18,24 @@
     pub(crate) services: Vec<Service>,
     #[serde(default)]
     pub(crate) routes: Vec<HostRoute>,
+    #[serde(default)]
+    pub(crate) organisations: Vec<Organisation>,
+}
+
+/// An organisation with the digests of its keys.
+#[derive(Debug)]
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct Organisation {
+    pub(crate) name: Spanned<String>,
+    #[serde(default)]
+    pub(crate) keys: Vec<Spanned<String>>,
+    #[serde(default)]
+    pub(crate) rank: Option<Spanned<u64>>,
+    #[serde(default)]
+    pub(crate) per_second: Option<Spanned<f64>>,
+    #[serde(default)]
+    pub(crate) burst: Option<Spanned<f64>>,
 }
 
 /// Limits on requests and connections of callers.
@@ -78,6 +96,10 @@
     pub(crate) attempts: Option<Spanned<u64>>,
     #[serde(default)]
     pub(crate) weight: Option<Spanned<u64>>,
+    #[serde(default)]
+    pub(crate) public: bool,
+    #[serde(default)]
+    pub(crate) large_responses: bool,
     pub(crate) targets: Vec<Target>,
 }
 
--- a/components/errors/src/reason.rs
+++ b/components/errors/src/reason.rs
@@ -36,6 +36,11 @@
 reasons! {
     NoConfiguration "no-configuration" "The node holds no configuration yet."
     NoRoute "no-route" "No route matches the method and path."
+    UnknownKey "unknown-key" "The request has no key that the configuration lists."
+    KeysUnverified "keys-unverified" "The node cannot verify at present that keys have not been withdrawn."
+    LimitReached "limit-reached" "The organisation has used up its rate limit."
+    LimitUnknown "limit-unknown" "The node cannot find out at present whether the organisation's rate limit allows the request."
+    LinkBusy "link-busy" "The link of the instance cannot carry the response in time."
     NoEndpoint "no-endpoint" "No endpoint of the service can take requests."
     QueueFull "queue-full" "The queue of the rank is full."
     Displaced "displaced" "A more urgent request took the place in the queue."
--- a/components/http1/src/attempt.rs
+++ b/components/http1/src/attempt.rs
@@ -272,6 +272,7 @@
         spillable: attempt.spillable,
         route: profile.route,
         rank: profile.rank,
+        organisation: profile.organisation,
         weight,
         idempotent: profile.idempotent,
         rate_limit: attempt.rate_limit,
@@ -346,8 +347,14 @@
     let rate_limit = attempt
         .rate_limit
         .map(|it| (header::RATE_LIMIT, it.per_second().to_string()));
+    let organisation = profile
+        .organisation
+        .map(|it| (header::ORGANISATION, it.to_string()));
     let optional = objective.into_iter().chain(work_end).chain(spillable);
-    let optional = optional.chain(rate_limit).chain(seen_crashes);
+    let optional = optional
+        .chain(rate_limit)
+        .chain(seen_crashes)
+        .chain(organisation);
     for (name, value) in values.into_iter().chain(optional) {
         if let Ok(value) = HeaderValue::from_str(&value) {
             request.headers_mut().insert(name, value);
--- a/components/http1/src/caller.rs
+++ b/components/http1/src/caller.rs
@@ -43,6 +43,7 @@
 use traffic::Refusal;
 use traffic::entry::Attempt;
 use traffic::entry::CallKey;
+use traffic::entry::Credential;
 use traffic::entry::Effect;
 use traffic::entry::Input;
 use traffic::entry::RequestHead;
@@ -91,7 +92,7 @@
             };
             responses::refusal_to_caller(&*shared.dialect, refusal)
         }),
-        None => respond(shared, request.map(Some), 0).await,
+        None => respond(shared, request.map(Some), 0, connection_state.is_local).await,
     }
 }
 
@@ -102,6 +103,7 @@
     shared: &Arc<SharedState>,
     request: Request<()>,
     pipelined: usize,
+    is_local: bool,
 ) -> Option<StartedRequest> {
     let (host, method) = (read_host(request.headers()), request.method().as_str());
     let topology = shared.driver.topology();
@@ -118,7 +120,7 @@
     let shared = Arc::clone(shared);
     let own_request = request.clone().map(|()| None);
     let task = tokio::spawn(async move {
-        let response = respond(shared, own_request, pipelined).await;
+        let response = respond(shared, own_request, pipelined, is_local).await;
         let (parts, body) = response.into_parts();
         let body = read_into_memory(body, MAX_EARLY_BODY_BYTES).await;
         Response::from_parts(parts, body)
@@ -134,9 +136,10 @@
     shared: Arc<SharedState>,
     request: Request<Option<Incoming>>,
     pipelined: usize,
+    is_local: bool,
 ) -> Response<Payload> {
     let has_transfer_encoding = request.headers().contains_key(TRANSFER_ENCODING);
-    let (mut response, close) = match serve(&shared, request, pipelined).await {
+    let (mut response, close) = match serve(&shared, request, pipelined, is_local).await {
         // After a request with both Transfer-Encoding and Content-Length the connection must be
         // closed (RFC 9112, 6.1). hyper does not show whether there was a Content-Length, so each
         // request with a Transfer-Encoding closes it.
@@ -162,6 +165,7 @@
     shared: &Arc<SharedState>,
     mut request: Request<Option<Incoming>>,
     pipelined: usize,
+    is_local: bool,
 ) -> Result<Response<Payload>, Refusal> {
     let arrived = shared.driver.now();
     validate_request_head(&mut request).map_err(not_run_refusal)?;
@@ -190,6 +194,11 @@
         host: read_host(&parts.headers),
         method: parts.method.as_str().to_owned(),
         path: parts.uri.path().to_owned(),
+        credential: match directives.key {
+            Some(digest) => Credential::Key(digest),
+            None if is_local => Credential::Onward,
+            None => Credential::None,
+        },
         time_left: directives.time_left,
         outer_retries: directives.outer_retries,
         replayable: body.is_buffered(),
--- a/components/http1/src/dialect.rs
+++ b/components/http1/src/dialect.rs
@@ -19,6 +19,7 @@
 use crate::responses::parse_header;
 use errors::Reason;
 use errors::Verdict;
+use ids::KeyDigest;
 use ids::RequestId;
 use kernel::Plugin;
 use kernel::plugin;
@@ -55,6 +56,8 @@
     pub parent: Option<RequestId>,
     /// Whether a leaving node still accepts the request.
     pub allowed_while_leaving: bool,
+    /// Digest of the key that the request carries.
+    pub key: Option<KeyDigest>,
 }
 
 /// What a dialect needs to know of a request that is sent to the upstream.
@@ -66,6 +69,8 @@
     pub time_left: Duration,
     /// Identifier of the upstream's current run, if it has announced one.
     pub run_id: Option<&'a str>,
+    /// Name of the caller's organisation, if the request belongs to one.
+    pub organisation: Option<&'a str>,
 }
 
 /// What the head of a response proves about the execution of the request.
@@ -89,6 +94,13 @@
     }
 }
 
+/// Removes the header `name` of a caller's request and returns the digest of the key that it contains. The key
+/// itself is kept nowhere.
+pub fn take_key(headers: &mut HeaderMap, name: &str) -> Option<KeyDigest> {
+    let value = headers.remove(name)?;
+    Some(KeyDigest::of(value.as_bytes()))
+}
+
 /// What an upstream states about itself in the head of a response.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct UpstreamNotice {
@@ -169,6 +181,7 @@
                 .is_some_and(|value| value.as_bytes() == RETRY_OWNER_VALUE),
             parent: parse_header(headers, header::REQUEST_ID),
             allowed_while_leaving: false,
+            key: take_key(headers, header::KEY),
         }
     }
 
@@ -187,6 +200,9 @@
             }
         }
         headers.insert(header::RETRY_OWNER, HeaderValue::from_static("1"));
+        if let Some(Ok(name)) = dispatch.organisation.map(HeaderValue::from_str) {
+            headers.insert(header::ORGANISATION_NAME, name);
+        }
     }
 
     fn classify_response(
@@ -242,6 +258,8 @@
 pub fn refusal_status(refusal: Refusal) -> StatusCode {
     match (refusal.reason, refusal.verdict) {
         (Reason::NoRoute, _) => StatusCode::NOT_FOUND,
+        (Reason::UnknownKey, Verdict::NotRun) => StatusCode::UNAUTHORIZED,
+        (Reason::LimitReached, Verdict::NotRun) => StatusCode::TOO_MANY_REQUESTS,
         (Reason::TooLarge, _) => StatusCode::PAYLOAD_TOO_LARGE,
         (Reason::Malformed, Verdict::NotRun) => StatusCode::BAD_REQUEST,
         (Reason::DeadlinePassed | Reason::ConnectionSilent, Verdict::MayHaveRun) => {
--- a/components/http1/src/dispatch.rs
+++ b/components/http1/src/dispatch.rs
@@ -235,10 +235,19 @@
     }
     let mut request = upstream_request.request;
     let trace_header = shared.dialect.trace_id(request.headers()).cloned();
+    let snapshot = topology.snapshot.as_ref();
+    let organisation = incoming.organisation;
+    let organisation =
+        snapshot.and_then(|it| it.organisation(it.find_organisation(organisation?)?));
+    if organisation.is_none() && incoming.organisation.is_some() {
+        // The configuration of this node does not list the organisation yet, or no longer.
+        return Err(finish_failed(permit, (Verdict::NotRun, Reason::UnknownKey)));
+    }
     let dispatch = DispatchContext {
         id: incoming.id,
         time_left: now.until(permit.deadline()),
         run_id: upstream.and_then(|it| it.run_id.as_deref()),
+        organisation: organisation.map(|it| &*it.name),
     };
     shared
         .dialect
--- a/components/http1/src/lib.rs
+++ b/components/http1/src/lib.rs
@@ -52,6 +52,7 @@
 pub use dialect::UpstreamNotice;
 pub use dialect::read_rate_limit;
 pub use dialect::refusal_status;
+pub use dialect::take_key;
 
 #[distributed_slice(FRONT_END_PLUGINS)]
 static PLUGIN: Plugin<dyn FrontEnd> = Plugin {
--- a/components/http1/src/listen.rs
+++ b/components/http1/src/listen.rs
@@ -56,6 +56,8 @@
 /// State of a server connection across its requests.
 #[derive(Default)]
 pub(crate) struct ConnectionState {
+    /// Whether the peer is on this node's own instance, as its upstream is.
+    pub(crate) is_local: bool,
     stored_request: Mutex<Option<RequestId>>,
     activity: Mutex<Activity>,
     /// Requests that were started before hyper has read them.
@@ -249,7 +251,10 @@
     F: Future<Output = Response<Payload>> + Send + 'static,
 {
     let peer = stream.peer_addr().ok();
-    let connection_state = Arc::new(ConnectionState::default());
+    let connection_state = Arc::new(ConnectionState {
+        is_local: is_local(&stream),
+        ..ConnectionState::default()
+    });
     connection_state.record_activity(false, shared.driver.now());
     let shared_state = Arc::clone(&shared);
     let watched_state = Arc::clone(&connection_state);
@@ -273,8 +278,9 @@
         })
     });
     let start_shared = Arc::clone(&shared_state);
+    let is_local = watched_state.is_local;
     let start_request =
-        move |request, pipelined| caller::start_early(&start_shared, request, pipelined);
+        move |request, pipelined| caller::start_early(&start_shared, request, pipelined, is_local);
     let caller_limits = shared_state.caller_head_limits();
     let head_limits = kind.head_limits(caller_limits);
     let stream = ReadAheadStream::new(
@@ -342,6 +348,11 @@
     }
 }
 
+fn is_local(stream: &TcpStream) -> bool {
+    let addresses = stream.peer_addr().ok().zip(stream.local_addr().ok());
+    addresses.is_some_and(|(peer, own)| peer.ip() == own.ip())
+}
+
 /// Waits until the connection has been idle for longer than the idle limit of callers.
 async fn wait_idle(shared: &SharedState, connection_state: &ConnectionState) {
     loop {
--- a/components/http1/src/node.rs
+++ b/components/http1/src/node.rs
@@ -27,6 +27,7 @@
 use crate::responses::parse_header;
 use errors::Reason;
 use ids::NodeId;
+use ids::OrganisationId;
 use ids::Rank;
 use ids::RequestId;
 use ids::RouteId;
@@ -135,6 +136,7 @@
     let topology = shared.driver.topology();
     let snapshot = topology.snapshot.as_ref();
     let route_config = snapshot.and_then(|it| it.route(it.find_route_by_id(route)?));
+    let organisation = parse_header::<OrganisationId>(headers, header::ORGANISATION);
     Some(IncomingRequest {
         tag: 0,
         id: parse_header::<RequestId>(headers, header::REQUEST_ID)?,
@@ -150,6 +152,7 @@
         seen_crashes: parse_header(headers, header::SEEN_CRASHES).unwrap_or(0),
         // A route that this node's configuration does not contain yet gets the least urgent rank.
         rank: route_config.map_or(Rank(u8::MAX), |route| route.rank),
+        organisation,
         weight: route_config.map_or(1, |route| route.weight),
         // A route that this node's configuration does not contain yet is not treated as idempotent.
         idempotent: route_config.is_some_and(|route| route.idempotent),
--- a/components/ids/src/lib.rs
+++ b/components/ids/src/lib.rs
@@ -174,6 +174,72 @@
     }
 }
 
+/// Identifier of an organisation, the same in each configuration version that lists the organisation.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct OrganisationId(pub u64);
+
+impl OrganisationId {
+    /// Returns the identifier of the organisation called `name`.
+    pub fn from_name(name: &str) -> Self {
+        Self(xxh3_64(name.as_bytes()))
+    }
+}
+
+impl fmt::Display for OrganisationId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
+impl FromStr for OrganisationId {
+    type Err = ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        u64::from_str_radix(text, 16).map(Self)
+    }
+}
+
+/// SHA-256 of an API key. Nodes keep and pass on only digests, from which a key cannot be found; comparing
+/// digests reveals nothing of the keys by its duration.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct KeyDigest([u8; 32]);
+
+impl KeyDigest {
+    /// Returns the digest of a key.
+    pub fn of(key: &[u8]) -> Self {
+        Self(Sha256::digest(key).into())
+    }
+}
+
+impl fmt::Debug for KeyDigest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("KeyDigest(..)")
+    }
+}
+
+impl fmt::Display for KeyDigest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.iter().try_for_each(|byte| write!(f, "{byte:02x}"))
+    }
+}
+
+impl FromStr for KeyDigest {
+    type Err = ();
+
+    /// Parses 64 hexadecimal digits.
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        if text.len() != 64 || !text.bytes().all(|byte| byte.is_ascii_hexdigit()) {
+            return Err(());
+        }
+        let mut bytes = [0; 32];
+        for (index, byte) in bytes.iter_mut().enumerate() {
+            let digits = text.get(2 * index..2 * index + 2).ok_or(())?;
+            *byte = u8::from_str_radix(digits, 16).map_err(|_| ())?;
+        }
+        Ok(Self(bytes))
+    }
+}
+
 /// Urgency rank of a route; 0 is the most urgent.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Rank(pub u8);
--- /dev/null
+++ b/components/link/src/lib.rs
@@ -0,0 +1,1 @@
+//! Scheduling of the link of an instance.
--- /dev/null
+++ b/components/quota/src/lib.rs
@@ -0,0 +1,1 @@
+//! Rate limits of organisations, which all nodes keep together.
--- /dev/null
+++ b/components/rollout/src/lib.rs
@@ -0,0 +1,1 @@
+//! Rollouts of new versions of a service.
--- a/components/settings/src/check.rs
+++ b/components/settings/src/check.rs
@@ -22,6 +22,16 @@
 const MAX_DRAIN_MS: u64 = 600_000;
 /// Accepted values of `stop_grace_s`, in seconds.
 const STOP_GRACE_SECONDS: RangeInclusive<f64> = 1.0..=600.0;
+/// Accepted values of `link_mbps`, in megabits a second.
+const LINK_MBPS: RangeInclusive<f64> = 0.1..=1_000_000.0;
+/// Accepted values of `key_freshness_s`, in seconds.
+const KEY_FRESHNESS_SECONDS: RangeInclusive<f64> = 1.0..=3_600.0;
+/// Accepted values of `rollout_share`.
+const ROLLOUT_SHARE: RangeInclusive<f64> = 0.0..=1.0;
+/// Accepted values of `rollout_slack`, in requests.
+const ROLLOUT_SLACK: RangeInclusive<f64> = 0.0..=1_000_000.0;
+/// Accepted values of `rollout_stop_s`, in seconds.
+const ROLLOUT_STOP_SECONDS: RangeInclusive<f64> = 0.1..=3_600.0;
 /// Maximum number of contacts; a node joins the fleet through any one that responds.
 const MAX_CONTACTS: usize = 64;
 
@@ -90,6 +100,17 @@
         let domains = raw.domains.iter();
         let domains = domains.filter_map(|domain| self.check_name("domains", domain));
         let domains: Vec<_> = domains.collect();
+        let link_mbps = self.check_quantity("link_mbps", raw.link_mbps.as_ref(), LINK_MBPS);
+        let key_freshness_s = raw.key_freshness_s.as_ref();
+        let key_freshness_s =
+            self.check_quantity("key_freshness_s", key_freshness_s, KEY_FRESHNESS_SECONDS);
+        let rollout_share = raw.rollout_share.as_ref();
+        let rollout_share = self.check_quantity("rollout_share", rollout_share, ROLLOUT_SHARE);
+        let rollout_slack = raw.rollout_slack.as_ref();
+        let rollout_slack = self.check_quantity("rollout_slack", rollout_slack, ROLLOUT_SLACK);
+        let rollout_stop_s = raw.rollout_stop_s.as_ref();
+        let rollout_stop_s =
+            self.check_quantity("rollout_stop_s", rollout_stop_s, ROLLOUT_STOP_SECONDS);
         let plugin_or_default = |plugin: Option<_>, default| {
             plugin.unwrap_or_else(|| settings::plugin_without_params(default))
         };
@@ -111,6 +132,11 @@
             drain_linger_ms: drain_linger_ms?,
             drain_notice_ms: drain_notice_ms?,
             upstream_end: raw.upstream_end,
+            link_mbps,
+            key_freshness_s,
+            rollout_share,
+            rollout_slack,
+            rollout_stop_s,
             store: raw.store,
             agent: plugin_or_default(raw.agent, settings::DEFAULT_AGENT),
             front: plugin_or_default(raw.front, settings::DEFAULT_FRONT_END),
@@ -216,6 +242,22 @@
     }
 
     /// Returns the drain limit in milliseconds, from whichever of its two keys is set.
+    /// Returns an optional quantity; `None` if the value is empty or a truth value.
+    fn check_quantity(
+        &mut self,
+        key: &str,
+        raw: Option<&Spanned<String>>,
+        range: RangeInclusive<f64>,
+    ) -> Option<f64> {
+        let raw = raw?;
+        let parsed = quantity::parse(&raw.value, range);
+        parsed.unwrap_or_else(|error| {
+            let message = format!("{:?} is not usable", raw.value);
+            self.add_problem(key, raw, message, &error.to_string());
+            None
+        })
+    }
+
     fn check_drain_limit(&mut self, raw: &RawSettings) -> Option<u64> {
         // An environment that knows no grace time leaves the value empty or switches it off.
         let grace = raw.stop_grace_s.as_ref();
--- a/components/settings/src/raw.rs
+++ b/components/settings/src/raw.rs
@@ -27,6 +27,11 @@
     pub(crate) drain_notice_ms: Option<Spanned<String>>,
     #[serde(default)]
     pub(crate) upstream_end: UpstreamEnd,
+    pub(crate) link_mbps: Option<Spanned<String>>,
+    pub(crate) key_freshness_s: Option<Spanned<String>>,
+    pub(crate) rollout_share: Option<Spanned<String>>,
+    pub(crate) rollout_slack: Option<Spanned<String>>,
+    pub(crate) rollout_stop_s: Option<Spanned<String>>,
     pub(crate) store: PluginConfig,
     pub(crate) agent: Option<PluginConfig>,
     pub(crate) front: Option<PluginConfig>,
--- a/components/settings/src/settings.rs
+++ b/components/settings/src/settings.rs
@@ -27,7 +27,7 @@
 pub(crate) const DEFAULT_HEALTH: &str = "outcomes";
 
 /// Settings of one node. Each field has the name of its key in the settings file.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 #[derive(Serialize)]
 pub struct Settings {
     /// Name of the instance, shown in logs and tables.
@@ -56,6 +56,18 @@
     pub drain_notice_ms: u64,
     /// What the node does when its upstream has left.
     pub upstream_end: UpstreamEnd,
+    /// Rate of the instance's link, in megabits a second. Without it, large responses are not paced.
+    pub link_mbps: Option<f64>,
+    /// Time after the acknowledgement of a configuration from which keys that it withdraws must not be accepted, in
+    /// seconds. Without it, keys are accepted by whatever configuration is in force.
+    pub key_freshness_s: Option<f64>,
+    /// Largest share of a service's requests that a new version of its upstreams gets during a rollout. Without it,
+    /// versions are ignored and no rollouts are run.
+    pub rollout_share: Option<f64>,
+    /// Requests beyond `rollout_share` that a new version may get.
+    pub rollout_slack: Option<f64>,
+    /// Time within which a bad version gets no more requests, in seconds.
+    pub rollout_stop_s: Option<f64>,
     /// Store plug-in.
     pub store: PluginConfig,
     /// Agent plug-in.
--- a/components/simulate/src/entry_call.rs
+++ b/components/simulate/src/entry_call.rs
@@ -80,6 +80,7 @@
         }
         let (method, path) = ROUTES[route];
         let head = RequestHead {
+            credential: traffic::entry::Credential::None,
             fingerprint: None,
             id,
             host: None,
@@ -190,6 +191,7 @@
         node: NodeId,
     ) {
         let incoming = IncomingRequest {
+            organisation: None,
             tag: 0,
             id: self.entry_calls[call_index].id,
             attempt: attempt.number,
--- a/components/traffic/src/entry.rs
+++ b/components/traffic/src/entry.rs
@@ -2,6 +2,7 @@
 //! shedding, endpoint selection, retries and outcome queries.
 
 mod call;
+mod identity;
 mod message;
 mod node_state;
 mod request_age;
@@ -31,8 +32,10 @@
 use policy::Retry;
 
 pub use call::Call;
+pub use identity::identify;
 pub use message::Attempt;
 pub use message::AttemptReport;
+pub use message::Credential;
 pub use message::Effect;
 pub use message::Input;
 pub use message::RequestHead;
--- a/components/traffic/src/entry/call.rs
+++ b/components/traffic/src/entry/call.rs
@@ -7,6 +7,7 @@
 use crate::entry::AttemptReport;
 use crate::entry::RequestHead;
 use crate::entry::RouteProfile;
+use crate::entry::identify;
 use config::ServiceKey;
 use control::NodeStage;
 use control::Topology;
@@ -85,6 +86,7 @@
             .find_route(head.host.as_deref(), &head.method, &head.path)
             .ok_or(Reason::NoRoute)?;
         let route = snapshot.route(key).ok_or(Reason::NoRoute)?;
+        let organisation = identify(snapshot, route, head.credential)?;
         let target = route.target_at(random.below(route.total_weight()));
         let service = target.and_then(|target| snapshot.service(target));
         let service = service.ok_or(Reason::NoRoute)?;
@@ -101,6 +103,7 @@
                 rank: route.rank,
                 idempotent: route.idempotent,
                 objective: route.objective,
+                organisation: organisation.map(|it| it.id),
             },
             fingerprint: head.fingerprint,
             seen_crashes: 0,
--- a/components/traffic/src/entry/message.rs
+++ b/components/traffic/src/entry/message.rs
@@ -11,7 +11,9 @@
 use errors::Reason;
 use errors::Verdict;
 use ids::Fingerprint;
+use ids::KeyDigest;
 use ids::NodeId;
+use ids::OrganisationId;
 use ids::Rank;
 use ids::RequestId;
 use ids::RouteId;
@@ -21,6 +23,18 @@
 use policy::Load;
 use policy::RequestRate;
 
+/// How a request shows which organisation it belongs to.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Credential {
+    /// The request carries no key.
+    #[default]
+    None,
+    /// The request carries the key with this digest.
+    Key(KeyDigest),
+    /// The upstream of this node makes the request as part of a run, for which it needs no key.
+    Onward,
+}
+
 /// The parts of a request's head that the entry uses.
 #[derive(Clone, Debug)]
 pub struct RequestHead {
@@ -34,6 +48,8 @@
     pub method: String,
     /// Path without the query string.
     pub path: String,
+    /// Key of an organisation, if the request carries one.
+    pub credential: Credential,
     /// Time left until the deadline that the caller set; `None` if it set no deadline.
     pub time_left: Option<Duration>,
     /// Whether a service further up the call chain retries.
@@ -185,4 +201,6 @@
     pub idempotent: bool,
     /// Latency objective of the route, if the operator has set one.
     pub objective: Option<Duration>,
+    /// Organisation of the caller; `None` for a public route or a call of an upstream.
+    pub organisation: Option<OrganisationId>,
 }
--- a/components/traffic/src/owner/message.rs
+++ b/components/traffic/src/owner/message.rs
@@ -7,6 +7,7 @@
 use errors::Verdict;
 use ids::Fingerprint;
 use ids::NodeId;
+use ids::OrganisationId;
 use ids::Rank;
 use ids::RequestId;
 use ids::RouteId;
@@ -39,6 +40,8 @@
     pub route: RouteId,
     /// Priority rank of the route.
     pub rank: Rank,
+    /// Organisation of the caller, if the request belongs to one.
+    pub organisation: Option<OrganisationId>,
     /// Weight of the route among the routes of the same rank.
     pub weight: u32,
     /// Whether the request may run more than once.
--- a/components/traffic/tests/deadly_request.rs
+++ b/components/traffic/tests/deadly_request.rs
@@ -226,6 +226,7 @@
 
     fn arrive(&mut self, node: usize, fingerprint: Fingerprint) {
         let head = RequestHead {
+            credential: traffic::entry::Credential::None,
             fingerprint: Some(fingerprint),
             id: RequestId(u128::from(self.last_tag) + 1),
             host: None,
@@ -308,6 +309,7 @@
         let tag = self.last_tag;
         self.nodes[node].pending.push((tag, sent));
         let incoming = IncomingRequest {
+            organisation: None,
             tag,
             id: RequestId(u128::from(tag) << 64),
             attempt: sent.attempt,
--- a/components/traffic/tests/entry.rs
+++ b/components/traffic/tests/entry.rs
@@ -154,6 +154,7 @@
 
     fn arrive(&mut self, now: u64, method: &str, path: &str) -> Vec<Effect> {
         let head = RequestHead {
+            credential: traffic::entry::Credential::None,
             fingerprint: Some(FINGERPRINT),
             id: RequestId(1),
             host: Some("h".to_owned()),
--- a/components/traffic/tests/owner.rs
+++ b/components/traffic/tests/owner.rs
@@ -61,6 +61,7 @@
 
 fn incoming(tag: u64, attempt: u32, idempotent: bool) -> IncomingRequest {
     IncomingRequest {
+        organisation: None,
         tag,
         id: ID,
         attempt,
@@ -82,6 +83,7 @@
 fn other_request(tag: u64) -> IncomingRequest {
     let id = RequestId(u128::from(tag));
     IncomingRequest {
+        organisation: None,
         id,
         ..incoming(tag, 1, true)
     }
@@ -408,6 +410,7 @@
     let mut owner = new_owner(1);
     let deadline = Time(EXPIRES.0 / 2);
     let request = IncomingRequest {
+        organisation: None,
         deadline,
         ..incoming(1, 1, true)
     };
@@ -428,6 +431,7 @@
     }
     let arrivals = (1..=12).flat_map(|tag| {
         let request = IncomingRequest {
+            organisation: None,
             rate_limit: RequestRate::from_per_second(2.0),
             ..other_request(tag)
         };
@@ -471,6 +475,7 @@
         if now % 5_000 == 0 {
             tag += 1;
             let request = IncomingRequest {
+                organisation: None,
                 expires: Time(now + 500_000),
                 deadline: Time(now + 500_000),
                 rate_limit: RequestRate::from_per_second(limit).filter(|_| restarted),
@@ -514,6 +519,7 @@
     let mut owner = new_owner(8);
     step(&mut owner, 0, Input::UpstreamWarmed { warm: true });
     let request = |tag: u64, fingerprint: u128| IncomingRequest {
+        organisation: None,
         fingerprint: Some(Fingerprint(fingerprint)),
         ..other_request(tag)
     };
--- a/components/traffic/tests/weighted_targets.rs
+++ b/components/traffic/tests/weighted_targets.rs
@@ -113,6 +113,7 @@
 
     fn arrive(&mut self) -> Vec<Effect> {
         let head = RequestHead {
+            credential: traffic::entry::Credential::None,
             fingerprint: None,
             id: RequestId(1),
             host: Some("h".to_owned()),
--- a/components/wire/src/header.rs
+++ b/components/wire/src/header.rs
@@ -9,6 +9,12 @@
 pub const ROUTE: &str = "medlar-route";
 /// Identifier of the service that serves the request, 16 hexadecimal digits.
 pub const SERVICE: &str = "medlar-service";
+/// Identifier of the caller's organisation, 16 hexadecimal digits; absent if the request belongs to none.
+pub const ORGANISATION: &str = "medlar-organisation";
+/// API key of a caller; never passed on.
+pub const KEY: &str = "medlar-key";
+/// Name of the caller's organisation, in requests to upstreams.
+pub const ORGANISATION_NAME: &str = "medlar-organisation-name";
 /// Time left until the deadline of the request, in microseconds.
 pub const DEADLINE: &str = "medlar-deadline-us";
 /// Identifier of the owner, 16 hexadecimal digits: in a request the node that it is intended for, in a
