Refuse responses of upstreams whose status is out of range

Cause: an upstream in trouble can send a status line that is no response in the protocol. 000, 099 and 20 were refused by the HTTP library already; 600 to 999 were relayed to the caller as the upstream's response, and 101 as well where a dialect accepts responses without a length. Change: the owner takes a final status outside 200 to 599 for a malformed response, so the caller gets 502.

--- a/components/http1/src/dispatch.rs
+++ b/components/http1/src/dispatch.rs
@@ -1,5 +1,6 @@
 //! Admission of requests and their dispatch to this node's own upstream.
 
+use std::ops::Range;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -51,6 +52,9 @@
 /// Retry delay that is sent to the requester after the upstream failed.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
+/// Statuses that a final response can have (RFC 9110, 15). The library accepts every number from 100 to 999.
+const FINAL_STATUSES: Range<u16> = 200..600;
+
 /// A request for this node's upstream.
 pub(crate) struct UpstreamRequest {
     pub(crate) incoming: IncomingRequest,
@@ -282,9 +286,9 @@
     };
     let (mut parts, body) = response.into_parts();
     let status = parts.status.as_u16();
-    if !shared.dialect.accepts_close_delimited()
-        && !has_explicit_framing(&parts, upstream_request.head_only)
-    {
+    let is_framed = shared.dialect.accepts_close_delimited()
+        || has_explicit_framing(&parts, upstream_request.head_only);
+    if !is_framed || !FINAL_STATUSES.contains(&status) {
         return Err(fail(
             permit,
             status,
