Report findings and differences with medlarctl check

Cause: check only told whether a text is valid; entries that no request can match, contradicting limits and what a text changes showed in the fleet. Keys are shown by the first digits of their digests only.

--- a/components/config/src/lib.rs
+++ b/components/config/src/lib.rs
@@ -7,12 +7,14 @@
 //! nodes.
 
 mod caller_limits;
+mod changes;
 mod compile;
 mod cycle;
 mod delta;
 mod edit_script;
 mod error;
 mod life_cycle;
+mod lint;
 mod organisation;
 mod parse;
 mod pattern;
@@ -25,6 +27,9 @@
 mod suggest;
 
 pub use caller_limits::CallerLimits;
+pub use changes::Change;
+pub use changes::ChangeKind;
+pub use changes::list_changes;
 pub use compile::MAX_RECORD_BYTES;
 pub use compile::MAX_TEXT_BYTES;
 pub use compile::compile;
@@ -36,6 +41,8 @@
 pub use life_cycle::AcceptedConfig;
 pub use life_cycle::CheckedConfig;
 pub use life_cycle::DraftConfig;
+pub use lint::Finding;
+pub use lint::lint;
 pub use organisation::Organisation;
 pub use organisation::OrganisationKey;
 pub use organisation::RequestLimit;
--- a/components/config/src/snapshot.rs
+++ b/components/config/src/snapshot.rs
@@ -187,6 +187,13 @@
         self.organisations.find_key_holder(digest)
     }
 
+    /// Digests of the keys of an organisation, sorted.
+    pub fn key_digests(&self, holder: OrganisationKey) -> impl Iterator<Item = KeyDigest> {
+        let keys = self.organisations.by_key.iter();
+        keys.filter(move |(_, it)| *it == holder)
+            .map(|(digest, _)| *digest)
+    }
+
     /// Finds a route by its identifier.
     pub fn find_route_by_id(&self, id: RouteId) -> Option<RouteKey> {
         let index = self
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -117,7 +117,7 @@
     let exit_status = runtime.block_on(async {
         match cli.verb {
             Verb::Apply(args) => cmd::apply::run(&options, args).await,
-            Verb::Check(args) => cmd::check::run(&options, &args),
+            Verb::Check(args) => cmd::check::run(&options, &args).await,
             Verb::Drain(args) => cmd::drain::run(&options, &args).await,
             Verb::Explain(args) => cmd::explain::run(&options, &args).await,
             Verb::Get(args) => cmd::get::run(&options, &args).await,
--- a/tests/ctl.rs
+++ b/tests/ctl.rs
@@ -211,6 +211,45 @@
     );
 }
 
+// Checks that a script can see by the exit code whether a text has findings, but is not stopped by them unless it asks
+// for that, and that differences are listed against a file.
+#[rstest]
+#[case::lenient(&[], 0)]
+#[case::strict(&["--strict"], 1)]
+fn check_findings(#[case] options: &[&str], #[case] expected_code: i32) {
+    let unused = "  - name: unused\n";
+    let new = write_temp_file(
+        &format!("check_findings_{expected_code}.yaml"),
+        &(config_text(1) + unused),
+    );
+    let old = write_temp_file(&format!("check_old_{expected_code}.yaml"), &config_text(0));
+    let args = ["check", &new, "--against", &old, "--output", "json"];
+    let finished = run_medlarctl(&FakeStore::start(), &[&args, options].concat());
+    assert_eq!(finished.exit_code, expected_code, "{}", finished.stderr);
+    let value: Value = serde_json::from_str(&finished.stdout).expect("JSON");
+    assert_eq!(value["findings"][0]["line"], 5, "{value}");
+    let changes = [
+        json!({"kind": "changed", "entry": "route GET /x", "values": ["rank 0 -> 1"]}),
+        json!({"kind": "added", "entry": "service unused", "values": []}),
+    ];
+    assert_eq!(value["changes"], json!(changes));
+}
+
+// Checks that differences from the accepted configuration are not shown as none if the store has none.
+#[test]
+fn check_accepted_missing() {
+    let file = write_temp_file("check_accepted.yaml", &config_text(1));
+    let finished = run_medlarctl(&FakeStore::start(), &["check", &file, "--accepted"]);
+    assert_eq!(finished.exit_code, 1);
+    assert!(
+        finished
+            .stderr
+            .contains("no configuration has been accepted"),
+        "{}",
+        finished.stderr
+    );
+}
+
 // Checks the message and the exit code of `apply` for each fault of the store. An edit sends
 // a read, a write and, if the response to the write is lost, a read that checks its outcome.
 #[rstest]
