Pace large responses on the link of the instance

With link_mbps, responses to other instances of more than two pieces are sent as the scheduler grants them, from one place in the listeners. Written bytes of connections with callers and other nodes count against the link. An owner reads a large response into memory (16 MB for the process), so that the slot and the connection of its upstream are free before the link has carried it. TrafficDriver::link_backlog() states what waits. Without link_mbps nothing changes.

--- a/components/daemon/src/run.rs
+++ b/components/daemon/src/run.rs
@@ -144,7 +144,7 @@
         0,
     )));
     let (inputs, receiver) = mpsc::channel(INPUT_QUEUE_CAPACITY);
-    let driver = Arc::new(TrafficDriver::new(TrafficDriverParts {
+    let driver = TrafficDriver::new(TrafficDriverParts {
         node_id,
         clock,
         topology: Arc::clone(&topology),
@@ -152,7 +152,9 @@
         owner: traffic::owner::Machine::new(node_id, plugins.admission, upstream_end(settings)),
         metrics: Arc::clone(&metrics),
         control_inputs: inputs.clone(),
-    }));
+    });
+    let link_rate = settings.link_mbps.map(link::Rate::from_mbps);
+    let driver = Arc::new(driver.with_link_rate(link_rate));
     // The driver owns the metrics; a strong reference from them to the driver would be a cycle.
     let weak_driver = Arc::downgrade(&driver);
     metrics.register_gauges(move || {
--- a/components/front/src/driver.rs
+++ b/components/front/src/driver.rs
@@ -13,6 +13,7 @@
 use tokio::sync::oneshot;
 use tokio_util::sync::CancellationToken;
 
+use crate::LinkPacer;
 use crate::Permit;
 use crate::health_log;
 use crate::permit::Admitted;
@@ -101,6 +102,8 @@
     calls_ended: Notify,
     metrics: Arc<Metrics>,
     control_inputs: mpsc::Sender<control::Input>,
+    /// `None` if the rate of the instance's link is not known.
+    link: Option<Arc<LinkPacer>>,
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -136,9 +139,29 @@
             calls_ended: Notify::new(),
             metrics: parts.metrics,
             control_inputs: parts.control_inputs,
+            link: None,
         }
     }
 
+    /// Paces large responses on the instance's link, if its rate is known.
+    pub fn with_link_rate(mut self, rate: Option<link::Rate>) -> Self {
+        self.link = rate.map(|rate| Arc::new(LinkPacer::new(self.clock, rate)));
+        if let Some(pacer) = self.link.clone() {
+            self.metrics.register_link_gauges(move || pacer.gauges());
+        }
+        self
+    }
+
+    /// Pacer of the instance's link; `None` if its rate is not known.
+    pub fn link(&self) -> Option<&Arc<LinkPacer>> {
+        self.link.as_ref()
+    }
+
+    /// Bytes that wait to be sent to other instances; 0 if the rate of the link is not known.
+    pub fn link_backlog(&self) -> u64 {
+        self.link.as_ref().map_or(0, |link| link.backlog())
+    }
+
     /// Identifier of this node.
     pub fn node_id(&self) -> NodeId {
         self.node_id
--- a/components/front/src/lib.rs
+++ b/components/front/src/lib.rs
@@ -7,6 +7,7 @@
 mod agent;
 mod driver;
 mod health_log;
+mod link_pacer;
 mod permit;
 mod query;
 mod upstream_log;
@@ -28,6 +29,8 @@
 pub use agent::Agent;
 pub use driver::TrafficDriver;
 pub use driver::TrafficDriverParts;
+pub use link_pacer::LinkPacer;
+pub use link_pacer::LinkSlot;
 pub use permit::Permit;
 pub use query::query_outcome;
 
--- a/components/http1/src/body.rs
+++ b/components/http1/src/body.rs
@@ -26,6 +26,8 @@
 use tokio::time::Sleep;
 
 use crate::connection::ClientConnection;
+use crate::paced_body::PacedBody;
+use crate::read_ahead::ReadAheadBody;
 use errors::Reason;
 
 /// Longest pause between two chunks of a request body, and longest wait for a body that is
@@ -56,6 +58,10 @@
     Streamed(Box<StreamedBody>),
     /// A response that is relayed while it arrives.
     Relayed(Box<RelayedResponse>),
+    /// A body that is read into memory while it is sent.
+    ReadAhead(Box<ReadAheadBody>),
+    /// A body that is sent as the link of the instance allows.
+    Paced(Box<PacedBody>),
     /// Bytes that were read from the rest of the body before it is sent.
     Continued(Option<Bytes>, Box<Payload>),
     /// A body whose source has failed; `None` once the error was returned.
@@ -73,6 +79,8 @@
             Self::Buffered(bytes) => Poll::Ready(bytes.take().map(|it| Ok(Frame::data(it)))),
             Self::Streamed(stream) => stream.poll_next_frame(context),
             Self::Relayed(relay) => relay.poll_next_frame(context),
+            Self::ReadAhead(body) => body.poll_next_frame(context),
+            Self::Paced(body) => body.poll_next_frame(context),
             Self::Continued(prefix, rest) => match prefix.take() {
                 Some(bytes) => Poll::Ready(Some(Ok(Frame::data(bytes)))),
                 None => Pin::new(rest.as_mut()).poll_frame(context),
@@ -86,6 +94,8 @@
             Self::Buffered(bytes) => bytes.is_none(),
             Self::Streamed(stream) => stream.prefix.is_none() && stream.rest.is_end_stream(),
             Self::Relayed(relay) => relay.source.as_ref().is_none_or(RelaySource::is_end_stream),
+            Self::ReadAhead(body) => body.is_end_stream(),
+            Self::Paced(body) => body.is_end_stream(),
             Self::Continued(prefix, rest) => prefix.is_none() && rest.is_end_stream(),
             Self::Failed(error) => error.is_none(),
         }
@@ -99,14 +109,31 @@
                 .source
                 .as_ref()
                 .map_or_else(|| SizeHint::with_exact(0), RelaySource::size_hint),
+            Self::ReadAhead(body) => body.size_hint(),
+            Self::Paced(body) => body.size_hint(),
             Self::Continued(prefix, rest) => add_prefix(prefix.as_ref(), &rest.size_hint()),
             Self::Failed(_) => SizeHint::new(),
         }
     }
 }
 
+impl Payload {
+    /// Ends the relay of a response whose rest is not sent.
+    pub(crate) fn abort(&mut self, reason: Reason) {
+        match self {
+            Self::Relayed(relay) => relay.end(Some(reason)),
+            Self::Continued(_, rest) => rest.abort(reason),
+            Self::Buffered(_)
+            | Self::Streamed(_)
+            | Self::ReadAhead(_)
+            | Self::Paced(_)
+            | Self::Failed(_) => {}
+        }
+    }
+}
+
 /// Size of a body that continues with `rest` after `prefix`.
-fn add_prefix(prefix: Option<&Bytes>, rest: &SizeHint) -> SizeHint {
+pub(crate) fn add_prefix(prefix: Option<&Bytes>, rest: &SizeHint) -> SizeHint {
     let prefix = prefix.map_or(0, byte_len);
     rest.exact()
         .map_or_else(SizeHint::new, |rest| SizeHint::with_exact(prefix + rest))
--- a/components/http1/src/caller.rs
+++ b/components/http1/src/caller.rs
@@ -32,6 +32,7 @@
 use crate::headers::strip_request_headers;
 use crate::headers::validate_request_head;
 use crate::listen::ConnectionState;
+use crate::paced_body::SendPriority;
 use crate::pipeline::StartedRequest;
 use crate::request_body::RequestBody;
 use crate::responses;
@@ -332,6 +333,11 @@
         call_guard.finish();
     };
     let relayed = RelayedResponse::new(RelaySource::Payload(body), deadline, on_end);
+    parts.extensions.insert(SendPriority {
+        rank: profile.rank,
+        objective: attempt.objective,
+        deadline: attempt.give_up_at,
+    });
     Response::from_parts(parts, Payload::Relayed(Box::new(relayed)))
 }
 
--- a/components/http1/src/connection.rs
+++ b/components/http1/src/connection.rs
@@ -24,12 +24,14 @@
 use hyper::client::conn::TrySendError;
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
-use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 
 use crate::body::Payload;
 use crate::head;
+use crate::metered_stream::LinkMeter;
+use crate::metered_stream::MeteredStream;
+use front::LinkPacer;
 
 /// Counts open connections that share one limit.
 #[derive(Debug, Default)]
@@ -70,7 +72,7 @@
 /// An open connection to a server.
 pub(crate) struct ClientConnection {
     sender: SendRequest<Payload>,
-    connection: Pin<Box<http1::Connection<TokioIo<TcpStream>, Payload>>>,
+    connection: Pin<Box<http1::Connection<MeteredStream, Payload>>>,
     closed: bool,
     // Fields are dropped in order, so the slots are released after the socket is closed.
     _slots: (ConnectionSlot, Option<ConnectionSlot>),
@@ -78,18 +80,20 @@
 
 impl ClientConnection {
     /// Connects to `address`, whose responses have heads within `response_limits`; `None` if that
-    /// fails.
+    /// fails. What is written to another instance is reported to `pacer`.
     pub(crate) async fn connect(
         address: SocketAddr,
         response_limits: head::Limits,
         slots: (ConnectionSlot, Option<ConnectionSlot>),
+        pacer: Option<&Arc<LinkPacer>>,
     ) -> Option<Self> {
         let stream = TcpStream::connect(address).await.ok()?;
         stream.set_nodelay(true).ok()?;
+        let meter = LinkMeter::for_stream(pacer, &stream);
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(response_limits.bytes)
             .max_headers(response_limits.headers)
-            .handshake(TokioIo::new(stream))
+            .handshake(MeteredStream::new(stream, meter))
             .await
             .ok()?;
         Some(Self {
--- a/components/http1/src/dispatch.rs
+++ b/components/http1/src/dispatch.rs
@@ -32,6 +32,7 @@
 use crate::events;
 use crate::headers::remove_hop_by_hop_headers;
 use crate::headers::remove_internal_headers;
+use crate::read_ahead::read_ahead;
 use crate::stored_responses;
 use crate::upstream::UpstreamFailure;
 use config::Service;
@@ -340,7 +341,8 @@
     Ok((started, permit))
 }
 
-/// Relays a response from its connection; the end of the relay finishes the permit.
+/// Relays a response from its connection; the end of the relay finishes the permit. If the link is paced, a long
+/// response is read into memory while it is sent.
 fn relay_response(
     shared: &Arc<SharedState>,
     permit: Permit,
@@ -348,17 +350,21 @@
     shed: bool,
     deadline: Instant,
 ) -> Payload {
-    let shared = Arc::clone(shared);
+    let owner = Arc::clone(shared);
     let on_end = move |end| match end {
         RelayEnd::Complete(connection) => {
             permit.finish(verdict_of(shed), shed, false);
             if let Some(connection) = connection {
-                release_connection(&shared, connection, shed);
+                release_connection(&owner, connection, shed);
             }
         }
         RelayEnd::Failed(_) | RelayEnd::Dropped => permit.finish(Verdict::MayHaveRun, shed, false),
     };
-    Payload::Relayed(Box::new(RelayedResponse::new(source, deadline, on_end)))
+    let relayed = Payload::Relayed(Box::new(RelayedResponse::new(source, deadline, on_end)));
+    match shared.driver.link() {
+        Some(link) => read_ahead(relayed, link.paced_above(), &shared.read_ahead),
+        None => relayed,
+    }
 }
 
 /// Returns the connection of a complete response to the pool, unless the upstream refused the request. A faulty
--- a/components/http1/src/events.rs
+++ b/components/http1/src/events.rs
@@ -27,11 +27,14 @@
 /// Limit on lines of failures per second, for the entry and the owner side each; both sides
 /// together use 0.5 % of a core.
 const MAX_FAILURE_LINES: u32 = 120;
+/// Limit on lines of paced responses per second.
+const MAX_PACED_LINES: u32 = 5;
 const LIMITER_PERIOD: Duration = Duration::from_secs(1);
 
 static ENTRY_LIMITER: LogLimiter = LogLimiter::with_lines(MAX_NORMAL_LINES, LIMITER_PERIOD);
 static ENTRY_FAILURE_LIMITER: LogLimiter =
     LogLimiter::with_lines(MAX_FAILURE_LINES, LIMITER_PERIOD);
+static PACED_LIMITER: LogLimiter = LogLimiter::with_lines(MAX_PACED_LINES, LIMITER_PERIOD);
 static OWNER_LIMITER: LogLimiter = LogLimiter::with_lines(MAX_NORMAL_LINES, LIMITER_PERIOD);
 static OWNER_FAILURE_LIMITER: LogLimiter =
     LogLimiter::with_lines(MAX_FAILURE_LINES, LIMITER_PERIOD);
@@ -219,6 +222,24 @@
     );
 }
 
+/// Logs the end of a response that was paced. `end` is `complete`, `deadline` or `cut`.
+pub(crate) fn log_paced(
+    shared: &SharedState,
+    rank: Rank,
+    bytes: u64,
+    elapsed: Duration,
+    end: &'static str,
+) {
+    let Some(suppressed) = PACED_LIMITER.admit() else {
+        return;
+    };
+    info!(
+        event = "paced", rank = rank.0, bytes, took_ms = millis(elapsed), end,
+        backlog_bytes = shared.driver.link_backlog(), held = suppressed;
+        "long response sent or ended"
+    );
+}
+
 /// Logs that a connection is still open some time after its listener was stopped, which delays the end of
 /// the process.
 pub(crate) fn log_connection_open(
--- a/components/http1/src/lib.rs
+++ b/components/http1/src/lib.rs
@@ -13,10 +13,13 @@
 mod head;
 mod headers;
 mod listen;
+mod metered_stream;
 mod node;
 mod node_pool;
+mod paced_body;
 mod peer_clock;
 mod pipeline;
+mod read_ahead;
 mod request_body;
 mod responses;
 mod stored_responses;
@@ -32,6 +35,7 @@
 use tokio::sync::Semaphore;
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
+use tokio_util::task::AbortOnDropHandle;
 
 use config::CallerLimits;
 use front::FRONT_END_PLUGINS;
@@ -122,6 +126,8 @@
     node_pool: Arc<node_pool::NodeConnectionPool>,
     upstream: upstream::UpstreamClient,
     stored_responses: stored_responses::StoredResponses,
+    /// Bytes of responses that were read before they are sent.
+    read_ahead: Arc<read_ahead::Budget>,
     /// Requests that may be started before it is their turn on their connection.
     started_requests: Arc<Semaphore>,
 }
@@ -179,16 +185,21 @@
                 max_connections: share(NODE_DESCRIPTOR_TENTHS),
                 max_requests: 1,
             };
+            let pacer = driver.link().cloned();
             let shared = Arc::new(SharedState {
                 driver,
                 head_limits: watch::Sender::new(head::Limits::for_callers(0)),
                 dialect: Arc::clone(&self.dialect),
-                node_pool: Arc::default(),
+                node_pool: Arc::new(node_pool::NodeConnectionPool::new(pacer.clone())),
                 upstream: upstream::UpstreamClient::new(addresses.upstream),
                 stored_responses: stored_responses::StoredResponses::default(),
+                read_ahead: Arc::default(),
                 started_requests: Arc::new(Semaphore::new(MAX_STARTED_REQUESTS)),
             });
             let serving: ServeFuture = Box::pin(async move {
+                // A task of its own, because a piece would otherwise wake the listeners too.
+                let pacing = pacer.map(|pacer| tokio::spawn(async move { pacer.run().await }));
+                let _pacing = pacing.map(AbortOnDropHandle::new);
                 let listening = async {
                     tokio::join!(
                         listen::serve(callers, Arc::clone(&shared), stop.clone(), caller::handle),
--- a/components/http1/src/listen.rs
+++ b/components/http1/src/listen.rs
@@ -34,6 +34,11 @@
 use crate::caller;
 use crate::events;
 use crate::head;
+use crate::metered_stream::LinkMeter;
+use crate::metered_stream::MeteredStream;
+use crate::metered_stream::is_local;
+use crate::paced_body;
+use crate::paced_body::SendPriority;
 use crate::pipeline::ReadAheadStream;
 use crate::pipeline::StartedQueue;
 use crate::write_timeout::WriteTimeoutStream;
@@ -58,6 +63,8 @@
 pub(crate) struct ConnectionState {
     /// Whether the peer is on this node's own instance, as its upstream is.
     pub(crate) is_local: bool,
+    /// Counts what is written to another instance, if the rate of the link is known.
+    meter: Option<Arc<LinkMeter>>,
     stored_request: Mutex<Option<RequestId>>,
     activity: Mutex<Activity>,
     /// Requests that were started before hyper has read them.
@@ -253,6 +260,7 @@
     let peer = stream.peer_addr().ok();
     let connection_state = Arc::new(ConnectionState {
         is_local: is_local(&stream),
+        meter: LinkMeter::for_stream(shared.driver.link(), &stream),
         ..ConnectionState::default()
     });
     connection_state.record_activity(false, shared.driver.now());
@@ -274,6 +282,12 @@
                 headers.insert(CONNECTION, HeaderValue::from_static("close"));
             }
             connection_state.started_requests.record_response();
+            let body_shared = Arc::clone(&shared);
+            let priority = response.extensions_mut().remove::<SendPriority>();
+            let response = response.map(|body| match &connection_state.meter {
+                Some(meter) => paced_body::pace(&body_shared, meter, priority, body),
+                None => body,
+            });
             Ok::<_, Infallible>(response.map(|body| exchange.guard_body(body)))
         })
     });
@@ -284,7 +298,7 @@
     let caller_limits = shared_state.caller_head_limits();
     let head_limits = kind.head_limits(caller_limits);
     let stream = ReadAheadStream::new(
-        WriteTimeoutStream::new(stream),
+        WriteTimeoutStream::new(MeteredStream::new(stream, watched_state.meter.clone())),
         Arc::clone(&watched_state.started_requests),
         max_requests,
         head_limits.bytes,
@@ -348,11 +362,6 @@
     }
 }
 
-fn is_local(stream: &TcpStream) -> bool {
-    let addresses = stream.peer_addr().ok().zip(stream.local_addr().ok());
-    addresses.is_some_and(|(peer, own)| peer.ip() == own.ip())
-}
-
 /// Waits until the connection has been idle for longer than the idle limit of callers.
 async fn wait_idle(shared: &SharedState, connection_state: &ConnectionState) {
     loop {
--- a/components/http1/src/node.rs
+++ b/components/http1/src/node.rs
@@ -21,6 +21,7 @@
 use crate::node_pool::CLOCK_HEADER;
 use crate::node_pool::HELLO_PATH;
 use crate::node_pool::STORED_RESPONSE_PATH;
+use crate::paced_body::SendPriority;
 use crate::request_body::RequestBody;
 use crate::responses;
 use crate::responses::not_run_refusal;
@@ -89,10 +90,16 @@
         head_only: parts.method == Method::HEAD,
         request: Request::from_parts(parts, payload.unwrap_or_else(|| full(""))),
     };
-    let upstream_response = run_request(shared, upstream_request).await?;
+    let mut upstream_response = run_request(shared, upstream_request).await?;
     if upstream_response.stored {
         connection_state.set_stored(incoming.id);
     }
+    let extensions = upstream_response.response.extensions_mut();
+    extensions.insert(SendPriority {
+        rank: incoming.rank,
+        objective: incoming.objective,
+        deadline: incoming.expires,
+    });
     Ok(upstream_response.response)
 }
 
--- a/components/http1/src/node_pool.rs
+++ b/components/http1/src/node_pool.rs
@@ -24,6 +24,7 @@
 use crate::responses::parse_header;
 use crate::stored_responses;
 use errors::Reason;
+use front::LinkPacer;
 use ids::NodeId;
 use ids::RequestId;
 use kernel::Clock;
@@ -86,9 +87,19 @@
 pub(crate) struct NodeConnectionPool {
     state: Mutex<PoolState>,
     total_limit: Arc<ConnectionLimit>,
+    /// Pacer of the instance's link, if its rate is known.
+    pacer: Option<Arc<LinkPacer>>,
 }
 
 impl NodeConnectionPool {
+    /// Creates an empty pool whose connections report what they write to `pacer`.
+    pub(crate) fn new(pacer: Option<Arc<LinkPacer>>) -> Self {
+        Self {
+            pacer,
+            ..Self::default()
+        }
+    }
+
     /// Takes an idle connection to `node` or opens a new one.
     pub(crate) async fn acquire(
         &self,
@@ -181,9 +192,13 @@
             .zip(self.total_limit.try_acquire(MAX_CONNECTIONS))
             .ok_or(Reason::QueueFull)?;
         let opening = async {
-            let mut connection =
-                ClientConnection::connect(address, RESPONSE_LIMITS, (slots.0, Some(slots.1)))
-                    .await?;
+            let mut connection = ClientConnection::connect(
+                address,
+                RESPONSE_LIMITS,
+                (slots.0, Some(slots.1)),
+                self.pacer.as_ref(),
+            )
+            .await?;
             let peer_clock = exchange_hello(&mut connection, clock).await?;
             Some(NodeConnection {
                 connection,
--- /dev/null
+++ b/components/http1/src/read_ahead.rs
@@ -0,0 +1,213 @@
+//! Reading of response bodies into memory before the link has carried them.
+//!
+//! A task reads the body as fast as its source sends it, so that the upstream is free again as soon as it has sent
+//! the last byte, however slowly the response is sent on.
+
+use std::collections::VecDeque;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::task::Context;
+use std::task::Poll;
+use std::task::Waker;
+use std::task::ready;
+
+use bytes::Bytes;
+use hyper::body::Body;
+use hyper::body::Frame;
+use hyper::body::SizeHint;
+use tokio_util::task::AbortOnDropHandle;
+
+use crate::body::BodyError;
+use crate::body::Payload;
+
+/// Limit on the bytes that all bodies of the process together hold. Beyond it a body is read on only when all
+/// of it that was read has been passed on.
+const MAX_TOTAL_BYTES: usize = 16 * 1024 * 1024;
+/// Bytes by which a chunk counts in addition to its length, for its bookkeeping.
+const CHUNK_OVERHEAD_BYTES: usize = 64;
+
+/// Counts the bytes that all bodies of the process hold.
+#[derive(Debug, Default)]
+pub(crate) struct Budget {
+    used: AtomicUsize,
+}
+
+impl Budget {
+    fn has_room(&self) -> bool {
+        self.used.load(Ordering::Relaxed) < MAX_TOTAL_BYTES
+    }
+}
+
+/// What was read of a body and not passed on yet.
+struct Buffer {
+    budget: Arc<Budget>,
+    chunks: VecDeque<Bytes>,
+    /// Set once the source has ended, with its error if it failed.
+    end: Option<Option<BodyError>>,
+    /// Task that reads, while it waits for room.
+    reader: Option<Waker>,
+    /// Task that passes the body on, while it waits for bytes.
+    receiver: Option<Waker>,
+}
+
+fn cost(chunk: &Bytes) -> usize {
+    chunk.len() + CHUNK_OVERHEAD_BYTES
+}
+
+impl Buffer {
+    fn push(&mut self, chunk: Bytes) {
+        self.budget.used.fetch_add(cost(&chunk), Ordering::Relaxed);
+        self.chunks.push_back(chunk);
+    }
+
+    fn pop(&mut self) -> Option<Bytes> {
+        let chunk = self.chunks.pop_front()?;
+        self.budget.used.fetch_sub(cost(&chunk), Ordering::Relaxed);
+        Some(chunk)
+    }
+}
+
+impl Drop for Buffer {
+    fn drop(&mut self) {
+        while self.pop().is_some() {}
+    }
+}
+
+type SharedBuffer = Arc<Mutex<Buffer>>;
+
+fn lock(buffer: &SharedBuffer) -> MutexGuard<'_, Buffer> {
+    buffer.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Task that reads a body into its buffer.
+struct Reader {
+    source: Payload,
+    buffer: SharedBuffer,
+}
+
+impl Future for Reader {
+    type Output = ();
+
+    fn poll(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<()> {
+        loop {
+            if !self.has_room(context) {
+                return Poll::Pending;
+            }
+            match ready!(Pin::new(&mut self.source).poll_frame(context)) {
+                None => return self.end(None),
+                Some(Err(error)) => return self.end(Some(error)),
+                Some(Ok(frame)) => self.push(frame),
+            }
+            // Read before the buffer is locked, because the end of the source runs other code.
+            if self.source.is_end_stream() {
+                return self.end(None);
+            }
+        }
+    }
+}
+
+impl Reader {
+    /// Whether another chunk may be read; if not, registers the task to be woken.
+    fn has_room(&self, context: &Context<'_>) -> bool {
+        let mut buffer = lock(&self.buffer);
+        let has_room = buffer.chunks.is_empty() || buffer.budget.has_room();
+        buffer.reader = (!has_room).then(|| context.waker().clone());
+        has_room
+    }
+
+    fn push(&self, frame: Frame<Bytes>) {
+        let chunk = frame.into_data().unwrap_or_default();
+        if !chunk.is_empty() {
+            let mut buffer = lock(&self.buffer);
+            buffer.push(chunk);
+            wake(buffer.receiver.take());
+        }
+    }
+
+    fn end(&self, error: Option<BodyError>) -> Poll<()> {
+        let mut buffer = lock(&self.buffer);
+        buffer.end = Some(error);
+        wake(buffer.receiver.take());
+        Poll::Ready(())
+    }
+}
+
+fn wake(waker: Option<Waker>) {
+    if let Some(waker) = waker {
+        waker.wake();
+    }
+}
+
+/// A body that is read into memory. Dropping it ends the reading.
+pub(crate) struct ReadAheadBody {
+    buffer: SharedBuffer,
+    /// Bytes that were not passed on yet; `None` if the length is unknown.
+    remaining: Option<u64>,
+    _reader: AbortOnDropHandle<()>,
+}
+
+/// Starts to read `source` into memory, unless it is known to have at most `short_bytes`.
+pub(crate) fn read_ahead(source: Payload, short_bytes: u64, budget: &Arc<Budget>) -> Payload {
+    let remaining = source.size_hint().exact();
+    if source.is_end_stream() || remaining.is_some_and(|it| it <= short_bytes) {
+        return source;
+    }
+    let buffer = Arc::new(Mutex::new(Buffer {
+        budget: Arc::clone(budget),
+        chunks: VecDeque::new(),
+        end: None,
+        reader: None,
+        receiver: None,
+    }));
+    let reader = Reader {
+        source,
+        buffer: Arc::clone(&buffer),
+    };
+    Payload::ReadAhead(Box::new(ReadAheadBody {
+        buffer,
+        remaining,
+        _reader: AbortOnDropHandle::new(tokio::spawn(reader)),
+    }))
+}
+
+impl ReadAheadBody {
+    pub(crate) fn poll_next_frame(
+        &mut self,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        let mut buffer = lock(&self.buffer);
+        if let Some(chunk) = buffer.pop() {
+            wake(buffer.reader.take());
+            self.remaining = self
+                .remaining
+                .map(|it| it.saturating_sub(chunk.len() as u64));
+            return Poll::Ready(Some(Ok(Frame::data(chunk))));
+        }
+        match &mut buffer.end {
+            Some(error) => Poll::Ready(error.take().map(Err)),
+            None => {
+                buffer.receiver = Some(context.waker().clone());
+                Poll::Pending
+            }
+        }
+    }
+
+    pub(crate) fn is_end_stream(&self) -> bool {
+        // The reader can still be about to report the end after the last byte of a known length.
+        if self.remaining == Some(0) {
+            return true;
+        }
+        let buffer = lock(&self.buffer);
+        buffer.chunks.is_empty() && matches!(buffer.end, Some(None)) && self.remaining.is_none()
+    }
+
+    pub(crate) fn size_hint(&self) -> SizeHint {
+        self.remaining
+            .map_or_else(SizeHint::new, SizeHint::with_exact)
+    }
+}
--- a/components/http1/src/upstream.rs
+++ b/components/http1/src/upstream.rs
@@ -18,6 +18,7 @@
 use crate::body::Payload;
 use crate::connection::ClientConnection;
 use crate::connection::ConnectionLimit;
+use crate::connection::ConnectionSlot;
 use crate::head;
 use errors::Reason;
 use errors::Verdict;
@@ -101,8 +102,7 @@
         let Some(slot) = self.connection_limit.try_acquire(limit) else {
             return false;
         };
-        let opening =
-            ClientConnection::connect(self.address, head::Limits::UPSTREAM_RESPONSE, (slot, None));
+        let opening = self.open_connection(slot);
         match timeout(CRASH_CHECK_TIMEOUT, opening).await {
             Ok(Some(connection)) => {
                 self.release(connection, now);
@@ -118,6 +118,13 @@
         }
     }
 
+    /// Opens a connection; `None` if that fails. The upstream is on the same instance, so its bytes do not count
+    /// against the link.
+    async fn open_connection(&self, slot: ConnectionSlot) -> Option<ClientConnection> {
+        let limits = head::Limits::UPSTREAM_RESPONSE;
+        ClientConnection::connect(self.address, limits, (slot, None), None).await
+    }
+
     /// Returns a connection whose response was read to its end.
     pub(crate) fn release(&self, connection: ClientConnection, now: Time) {
         self.lock().push((connection, now));
@@ -159,8 +166,7 @@
             }
         }
         let slot = self.connection_limit.try_acquire(limit)?;
-        let opening =
-            ClientConnection::connect(self.address, head::Limits::UPSTREAM_RESPONSE, (slot, None));
+        let opening = self.open_connection(slot);
         Some(match timeout(CONNECT_TIMEOUT, opening).await {
             Ok(Some(connection)) => Ok(connection),
             _ => Err((Verdict::NotRun, Reason::ConnectFailed)),
--- a/components/http1/src/write_timeout.rs
+++ b/components/http1/src/write_timeout.rs
@@ -9,23 +9,23 @@
 use hyper::rt::Read;
 use hyper::rt::ReadBufCursor;
 use hyper::rt::Write;
-use hyper_util::rt::TokioIo;
-use tokio::net::TcpStream;
 use tokio::time::Sleep;
 
+use crate::metered_stream::MeteredStream;
+
 /// Maximum time that a write may make no progress.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// TCP stream whose writes fail if they make no progress for [`WRITE_TIMEOUT`].
 pub(crate) struct WriteTimeoutStream {
-    stream: TokioIo<TcpStream>,
+    stream: MeteredStream,
     timer: Option<Pin<Box<Sleep>>>,
 }
 
 impl WriteTimeoutStream {
-    pub(crate) fn new(stream: TcpStream) -> Self {
+    pub(crate) fn new(stream: MeteredStream) -> Self {
         Self {
-            stream: TokioIo::new(stream),
+            stream,
             timer: None,
         }
     }
--- a/components/http1/tests/support/mod.rs
+++ b/components/http1/tests/support/mod.rs
@@ -7,6 +7,7 @@
 
 pub(crate) mod proxy;
 pub(crate) mod raw;
+pub(crate) mod slow_link;
 pub(crate) mod upstream;
 
 use std::net::SocketAddr;
@@ -131,12 +132,36 @@
         Self::start_with_front(upstream, (slots, max_connections), plugins, &front).await
     }
 
+    /// Starts a node like [`Node::start`] whose instance has a link of this rate.
+    pub(crate) async fn start_with_link(upstream: SocketAddr, slots: u32, link_mbps: f64) -> Self {
+        let plugins = ("fifo", "none");
+        let link_rate = Some(link::Rate::from_mbps(link_mbps));
+        Self::start_node(
+            upstream,
+            (slots, 10),
+            plugins,
+            &Params::default(),
+            link_rate,
+        )
+        .await
+    }
+
     /// Starts a node with these plug-ins for admission and health, and these params of its front end.
     pub(crate) async fn start_with_front(
+        upstream: SocketAddr,
+        limits: (u32, u32),
+        plugins: (&str, &str),
+        front: &Params,
+    ) -> Self {
+        Self::start_node(upstream, limits, plugins, front, None).await
+    }
+
+    async fn start_node(
         upstream: SocketAddr,
         (slots, max_connections): (u32, u32),
         (admission, health): (&str, &str),
         front: &Params,
+        link_rate: Option<link::Rate>,
     ) -> Self {
         let id = NodeId(rand::random());
         let clock = MonotonicClock::new();
@@ -159,7 +184,7 @@
             build("health", &HEALTH_PLUGINS, health, &no_params).unwrap(),
         );
         let (control_inputs, control_receiver) = mpsc::channel(CONTROL_QUEUE_CAPACITY);
-        let driver = Arc::new(TrafficDriver::new(TrafficDriverParts {
+        let driver = TrafficDriver::new(TrafficDriverParts {
             node_id: id,
             clock,
             topology: Arc::clone(&topology),
@@ -167,7 +192,8 @@
             owner: traffic::owner::Machine::new(id, admission, UpstreamEnd::Leave),
             metrics,
             control_inputs,
-        }));
+        });
+        let driver = Arc::new(driver.with_link_rate(link_rate));
         let (callers, requests, peer) = (free_address(), free_address(), free_address());
         let front_end_stop = CancellationToken::new();
         let front_end = build("front", &FRONT_END_PLUGINS, "http1", front).unwrap();
--- a/components/http1/tests/support/raw.rs
+++ b/components/http1/tests/support/raw.rs
@@ -133,10 +133,15 @@
     /// Connects. `None` if that fails, as when nothing listens at `address`.
     pub(crate) async fn try_connect(address: SocketAddr) -> Option<Self> {
         let stream = TcpStream::connect(address).await.ok()?;
-        Some(Self {
+        Some(Self::from_stream(stream))
+    }
+
+    /// Uses an open connection.
+    pub(crate) fn from_stream(stream: TcpStream) -> Self {
+        Self {
             stream,
             buffer: Vec::new(),
-        })
+        }
     }
 
     /// Sends `bytes` as they are.
--- a/components/http1/tests/support/upstream.rs
+++ b/components/http1/tests/support/upstream.rs
@@ -61,6 +61,7 @@
 ///   many milliseconds later;
 /// - `/never`: no response;
 /// - `/cut` and `/cut-chunked`: the connection is closed before the end of the body;
+/// - `/cut-large`: the connection is closed after half of a body of 200 KB;
 /// - `/until-close`: neither length nor transfer coding, ended by closing the connection;
 /// - `/slow-body/<ms>`: a body of 8 bytes whose second half is sent after this many milliseconds;
 /// - `/large`: a body of 1 MB;
@@ -231,6 +232,11 @@
             "{head}transfer-encoding: chunked\r\ntrailer: x-sum\r\n\r\n5\r\nwhole\r\n0\r\nx-sum: 1\r\n\r\n"
         )
         .into_bytes(),
+        "/cut-large" => {
+            let mut bytes = format!("{head}content-length: 200000\r\n\r\n").into_bytes();
+            bytes.resize(bytes.len() + 100_000, b'x');
+            bytes
+        }
         "/large" => {
             let mut bytes = format!("{head}content-length: 1000000\r\n\r\n").into_bytes();
             bytes.resize(bytes.len() + 1_000_000, b'x');
--- a/components/telemetry/src/lib.rs
+++ b/components/telemetry/src/lib.rs
@@ -11,6 +11,7 @@
 pub use log_limiter::LogLimiter;
 pub use logs::init_logs;
 pub use metrics::Error;
+pub use metrics::LinkGauges;
 pub use metrics::Metrics;
 pub use metrics::TrafficGauges;
 pub use writer::dropped_line_count;
--- a/components/telemetry/src/metrics.rs
+++ b/components/telemetry/src/metrics.rs
@@ -40,6 +40,9 @@
 /// Selects the value of one gauge.
 type GaugeSelector = fn(TrafficGauges) -> u64;
 
+/// Selects one value of the link.
+type LinkGaugeSelector = fn(LinkGauges) -> u64;
+
 /// All metrics of a node.
 #[derive(Debug)]
 pub struct Metrics {
@@ -52,6 +55,7 @@
     state_changes: Counter<u64>,
     requests: Counter<u64>,
     pipelined: Counter<u64>,
+    paced_bodies: Counter<u64>,
     control_bytes: Counter<u64>,
     control_messages: Counter<u64>,
     store_calls: Counter<u64>,
@@ -74,6 +78,19 @@
     pub open_calls: u64,
 }
 
+/// Current values and totals of the instance's link.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct LinkGauges {
+    /// Bytes that wait to be sent.
+    pub backlog_bytes: u64,
+    /// Number of long responses that are being sent.
+    pub open_bodies: u64,
+    /// Bytes that were written to other instances.
+    pub written_bytes: u64,
+    /// Bytes of these that belonged to long responses.
+    pub paced_bytes: u64,
+}
+
 impl Metrics {
     /// Creates metrics with all counters at zero.
     pub fn new() -> Result<Self, Error> {
@@ -95,6 +112,7 @@
             state_changes: meter.u64_counter("medlar_state_changes").build(),
             requests: meter.u64_counter("medlar_requests").build(),
             pipelined: meter.u64_counter("medlar_pipelined_requests").build(),
+            paced_bodies: meter.u64_counter("medlar_paced_bodies").build(),
             control_bytes: meter.u64_counter("medlar_control_bytes").build(),
             control_messages: meter.u64_counter("medlar_control_messages").build(),
             store_calls: meter.u64_counter("medlar_store_calls").build(),
@@ -126,6 +144,11 @@
         self.pipelined.add(1, &[]);
     }
 
+    /// Counts a long response that was paced. `end` is `complete`, `deadline` or `cut`.
+    pub fn count_paced_body(&self, end: &'static str) {
+        self.paced_bodies.add(1, &[KeyValue::new("end", end)]);
+    }
+
     /// Counts a message or a call that was dropped.
     pub fn count_drop(&self, reason: Reason) {
         self.drops.add(1, &[reason_label(reason)]);
@@ -166,6 +189,36 @@
         }
     }
 
+    /// Registers the gauges and counters of the instance's link, which call `read_gauges` at each export.
+    pub fn register_link_gauges(
+        &self,
+        read_gauges: impl Fn() -> LinkGauges + Clone + Send + Sync + 'static,
+    ) {
+        let gauges: [(&str, LinkGaugeSelector); 2] = [
+            ("medlar_link_backlog_bytes", |it| it.backlog_bytes),
+            ("medlar_link_bodies", |it| it.open_bodies),
+        ];
+        let counters: [(&str, LinkGaugeSelector); 2] = [
+            ("medlar_link_written_bytes", |it| it.written_bytes),
+            ("medlar_link_paced_bytes", |it| it.paced_bytes),
+        ];
+        // The meter keeps the callbacks, so the returned handles are not needed.
+        for (name, select) in gauges {
+            let read_gauges = read_gauges.clone();
+            let gauge = self.meter.u64_observable_gauge(name);
+            let _ = gauge
+                .with_callback(move |gauge| gauge.observe(select(read_gauges()), &[]))
+                .build();
+        }
+        for (name, select) in counters {
+            let read_gauges = read_gauges.clone();
+            let counter = self.meter.u64_observable_counter(name);
+            let _ = counter
+                .with_callback(move |counter| counter.observe(select(read_gauges()), &[]))
+                .build();
+        }
+    }
+
     /// Counts a completed request and records its latency: `seconds` from its arrival to the end of
     /// the response.
     pub fn count_request(&self, rank: Rank, seconds: f64) {
