--- a/components/traffic/tests/identity.rs
+++ b/components/traffic/tests/identity.rs
@@ -16,7 +16,7 @@
          idempotent: true, public: true, targets: [{{ service: slots }}] }}\n  - {{ host: a, prefix: /, rank: 0, \
          deadline_ms: 100, idempotent: true, targets: [{{ service: slots }}] }}\n{organisations}"
     );
-    compile(&text, Version(1)).unwrap()
+    compile(&text, Version(1)).expect("the text is valid")
 }
 
 fn listed(key: &[u8]) -> String {
