Let calls of upstreams go before new requests of their rank

Cause: a call that an upstream makes as part of a run competes with new work on equal terms. If it is refused or late, the whole run is lost after it has waited for its slot and done half of its work. Change: the entry marks such a call (medlar-onward) where the settings have a link rate or the configuration has organisations. In the ranked admission, calls have flows of their own in the queue of their rank. They run first, are not moved behind requests that can still meet their objective, and give up their place only to a more urgent rank.

--- a/components/admit/src/ranked.rs
+++ b/components/admit/src/ranked.rs
@@ -210,14 +210,15 @@
 
     /// Estimated wait in the queue of a request that arrives now.
     fn estimate_wait(&self, now: Time, level: usize, job: &Job, cost: f64) -> Duration {
+        let requests = &self.queues[level].requests;
         let has_waiting = |queue: &LevelQueue| !queue.is_empty();
-        let is_next = !self.queues[..=level].iter().any(has_waiting);
+        let is_next =
+            !self.queues[..level].iter().any(has_waiting) && !requests.has_waiting_before(job);
         let may_start = self.has_free_slot() && self.rate_limit.opens_at(now).is_none();
         if may_start && (is_next || self.worst_case_cost(job) < self.cost_bound(now, level)) {
             return Duration::ZERO;
         }
-        let requests = &self.queues[level].requests;
-        let work_before = requests.work_before(job.route, job.weight, cost);
+        let work_before = requests.work_before(job, cost);
         // Until a slot becomes free, the request waits on average for the mean service time divided
         // by the number of slots.
         self.estimate_wait_behind(level, work_before + self.service_times.mean())
@@ -252,7 +253,7 @@
                 let level = rank + Rank::COUNT;
                 let requests = &self.queues[level].requests;
                 let (job, cost) = (waiting.job, waiting.cost);
-                let work_before = requests.work_before(job.route, job.weight, cost);
+                let work_before = requests.work_before(&job, cost);
                 let wait = self.estimate_wait_behind(level, work_before);
                 if now + wait > waiting.latest_start || requests.len() >= self.max_queued_per_level
                 {
@@ -285,8 +286,7 @@
         if self.queues[level].requests.len() >= self.max_queued_per_level {
             let max_queued_per_level = self.max_queued_per_level;
             let requests = &mut self.queues[level].requests;
-            let Some(evicted) = requests.evict_for(job.route, job.weight, max_queued_per_level)
-            else {
+            let Some(evicted) = requests.evict_for(job, max_queued_per_level) else {
                 self.refuse(job, Reason::QueueFull, decisions);
                 return false;
             };
@@ -312,7 +312,7 @@
         }
         // No request of a lower level can be evicted, so the queue of this level must not grow. The
         // request replaces another one if its route has less than its share of the queue.
-        let Some(evicted) = requests.evict_for(job.route, job.weight, queued) else {
+        let Some(evicted) = requests.evict_for(job, queued) else {
             self.refuse(job, Reason::QueueFull, decisions);
             return false;
         };
@@ -355,7 +355,8 @@
     fn offer(&mut self, now: Time, job: Job, decisions: &mut Vec<Decision>) {
         let cost = self.service_times.cost(job.route);
         let latest_objective_start = self.latest_objective_start(now, &job);
-        let misses_objective = latest_objective_start.is_some_and(|it| it <= now);
+        // A call of an upstream keeps its place, because a late response to it still saves the run.
+        let misses_objective = !job.onward && latest_objective_start.is_some_and(|it| it <= now);
         let level = job.rank.index() + if misses_objective { Rank::COUNT } else { 0 };
         let wait = self.estimate_wait(now, level, &job, cost);
         if job.spillable && latest_objective_start.is_some_and(|it| it < now + wait) {
@@ -368,6 +369,7 @@
         }
         let due = job.objective.unwrap_or(job.expires);
         self.queues[job.rank.index()].record_offer(now, cost, due);
+        let latest_objective_start = latest_objective_start.filter(|_| !job.onward);
         let mut latest_start = self.latest_start(now, &job);
         if now + wait > latest_start {
             let starts_now = wait.is_zero() && job.expires > now;
--- a/components/admit/tests/limit.rs
+++ b/components/admit/tests/limit.rs
@@ -74,6 +74,7 @@
                 expires: Time(ticket * 1_000_000 / rate) + DEADLINE,
                 objective: None,
                 spillable: false,
+                onward: false,
             };
             admission.offer(Time(now), job, &mut decisions);
         } else {
@@ -218,6 +219,7 @@
                 expires: Time(now) + 10 * DEADLINE,
                 objective: None,
                 spillable: false,
+                onward: false,
             };
             ranked.offer(Time(now), job, &mut decisions);
         }
@@ -300,6 +302,7 @@
             expires: Time(5 * OBJECTIVE),
             objective: Some(Time(OBJECTIVE)),
             spillable: false,
+            onward: false,
         };
         ranked.offer(Time(0), job, &mut decisions);
     }
--- a/components/admit/tests/mixed_lengths.rs
+++ b/components/admit/tests/mixed_lengths.rs
@@ -98,6 +98,7 @@
                     expires: Time(now + kind.deadline),
                     objective: Some(Time(now + kind.objective)),
                     spillable: false,
+                    onward: false,
                 };
                 ranked.offer(Time(now), job, &mut decisions);
             }
--- /dev/null
+++ b/components/admit/tests/precedence.rs
@@ -0,0 +1,164 @@
+//! Load patterns: requests of one rank that differ in what depends on them or in who sends them, above the
+//! capacity of their upstream.
+
+use std::time::Duration;
+
+use rstest::rstest;
+
+use admit::RankedAdmission;
+use ids::Rank;
+use ids::RouteId;
+use kernel::Random;
+use kernel::Time;
+use kernel::plugin::Params;
+use kernel::random::SeededRandom;
+use policy::Admission;
+use policy::Completion;
+use policy::Decision;
+use policy::Job;
+use policy::Ticket;
+
+const SLOTS: u32 = 4;
+/// Duration of the load, and of its beginning that is not counted, in microseconds.
+const END: u64 = 60_000_000;
+const WARM_UP: u64 = 5_000_000;
+
+/// One kind of request with Poisson arrivals; times in microseconds.
+#[derive(Clone, Copy)]
+struct Kind {
+    rank: u8,
+    onward: bool,
+    service_time: u64,
+    objective: u64,
+    deadline: u64,
+    per_second: f64,
+}
+
+/// Requests of one kind: those that arrived and those that were done before their deadline.
+#[derive(Clone, Copy, Debug, Default)]
+struct Outcome {
+    arrivals: u32,
+    served: u32,
+}
+
+impl Outcome {
+    fn share(self) -> f64 {
+        f64::from(self.served) / f64::from(self.arrivals.max(1))
+    }
+}
+
+/// Events in the order of their time: arrivals of a kind and ends of a ticket.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    Arrival(usize),
+    End(u64),
+}
+
+/// Microseconds until the next arrival.
+fn next_gap(random: &mut dyn Random, per_second: f64) -> u64 {
+    let uniform = (random.below(1_000_000) as f64 + 1.0) / 1_000_001.0;
+    (-uniform.ln() / per_second * 1e6) as u64
+}
+
+fn job(kinds: &[Kind], index: usize, ticket: u64, now: u64) -> Job {
+    let kind = kinds[index];
+    Job {
+        ticket: Ticket(ticket),
+        route: RouteId(index as u64),
+        rank: Rank(kind.rank),
+        weight: 1,
+        expires: Time(now + kind.deadline),
+        objective: Some(Time(now + kind.objective)),
+        spillable: false,
+        onward: kind.onward,
+    }
+}
+
+/// Offers the requests of all kinds to one upstream and returns the outcome of each kind.
+fn simulate(kinds: &[Kind], seed: u64) -> Vec<Outcome> {
+    let mut ranked = RankedAdmission::from_params(&Params::default()).expect("valid params");
+    ranked.set_slots(Time(0), SLOTS, &mut Vec::new());
+    let mut random = SeededRandom::new(seed);
+    let mut outcomes = vec![Outcome::default(); kinds.len()];
+    // Kind, arrival and start of each request, by ticket.
+    let mut requests: Vec<(usize, u64, u64)> = Vec::new();
+    let first_arrival = |(index, kind): (usize, &Kind)| {
+        let gap = next_gap(&mut SeededRandom::new(index as u64), kind.per_second);
+        (gap, Event::Arrival(index))
+    };
+    let mut events: Vec<(u64, Event)> = kinds.iter().enumerate().map(first_arrival).collect();
+    while let Some(position) = (0..events.len()).min_by_key(|it| events[*it]) {
+        let (now, event) = events.swap_remove(position);
+        if now > END {
+            break;
+        }
+        let mut decisions = Vec::new();
+        ranked.wake(Time(now), &mut decisions);
+        match event {
+            Event::Arrival(index) => {
+                let gap = next_gap(&mut random, kinds[index].per_second);
+                events.push((now + gap, Event::Arrival(index)));
+                let ticket = requests.len() as u64;
+                requests.push((index, now, 0));
+                outcomes[index].arrivals += u32::from(now >= WARM_UP);
+                ranked.offer(Time(now), job(kinds, index, ticket, now), &mut decisions);
+            }
+            Event::End(ticket) => {
+                let (index, arrived, started) = requests[ticket as usize];
+                let in_time = now - arrived <= kinds[index].deadline;
+                outcomes[index].served += u32::from(arrived >= WARM_UP && in_time);
+                let completion = Completion {
+                    latency: Duration::from_micros(now - started),
+                    shed: false,
+                };
+                ranked.finish(Time(now), Ticket(ticket), completion, &mut decisions);
+            }
+        }
+        for decision in decisions {
+            if let Decision::Start(Ticket(ticket)) = decision {
+                let request = &mut requests[ticket as usize];
+                request.2 = now;
+                let service_time = kinds[request.0].service_time;
+                // Service times vary by half either way.
+                let varied = service_time / 2 + random.below(service_time as usize) as u64;
+                events.push((now + varied, Event::End(ticket)));
+            }
+        }
+    }
+    outcomes
+}
+
+/// Load: upstream calls beside new work of their rank at overload. Guards against runs that are lost because
+/// their call waits behind new work, and against new work that gets nothing from calls without end.
+#[rstest]
+#[case::some_calls(40.0, 50.0, 0.97, 0.5)]
+#[case::calls_beyond_capacity(300.0, 50.0, 0.0, 0.02)]
+fn simulate_onward_overload(
+    #[case] calls_per_second: f64,
+    #[case] new_per_second: f64,
+    #[case] min_calls: f64,
+    #[case] min_new: f64,
+) {
+    let calls = Kind {
+        rank: 1,
+        onward: true,
+        service_time: 19_000,
+        objective: 80_000,
+        deadline: 250_000,
+        per_second: calls_per_second,
+    };
+    let new = Kind {
+        onward: false,
+        service_time: 100_000,
+        objective: 400_000,
+        deadline: 1_000_000,
+        per_second: new_per_second,
+        ..calls
+    };
+    for seed in 1..=3 {
+        let outcomes = simulate(&[calls, new], seed);
+        let shares = (outcomes[0].share(), outcomes[1].share());
+        assert!(shares.0 >= min_calls, "seed {seed}: {shares:?}");
+        assert!(shares.1 >= min_new, "seed {seed}: {shares:?}");
+    }
+}
--- a/components/admit/tests/ranked.rs
+++ b/components/admit/tests/ranked.rs
@@ -41,6 +41,7 @@
         expires,
         objective: None,
         spillable: false,
+        onward: false,
     }
 }
 
--- a/components/admit/tests/rate_limit.rs
+++ b/components/admit/tests/rate_limit.rs
@@ -100,6 +100,7 @@
             expires: Time(self.now + time_left),
             objective: None,
             spillable: false,
+            onward: false,
         };
         let mut decisions = Vec::new();
         self.admission.offer(Time(self.now), job, &mut decisions);
--- a/components/admit/tests/spillover.rs
+++ b/components/admit/tests/spillover.rs
@@ -86,6 +86,7 @@
             expires: Time(request.arrived + DEADLINE),
             objective: Some(Time(request.arrived + OBJECTIVE)),
             spillable: request.spills < self.max_spills,
+            onward: false,
         };
         let mut decisions = Vec::new();
         self.endpoints[endpoint].offer(Time(now), job, &mut decisions);
--- a/components/daemon/src/run.rs
+++ b/components/daemon/src/run.rs
@@ -144,11 +144,15 @@
         0,
     )));
     let (inputs, receiver) = mpsc::channel(INPUT_QUEUE_CAPACITY);
+    let mut entry = traffic::entry::Machine::new(plugins.balance, plugins.retry, plugins.health);
+    if settings.link_mbps.is_some() {
+        entry.prefer_onward_calls();
+    }
     let driver = Arc::new(TrafficDriver::new(TrafficDriverParts {
         node_id,
         clock,
         topology: Arc::clone(&topology),
-        entry: traffic::entry::Machine::new(plugins.balance, plugins.retry, plugins.health),
+        entry,
         owner: traffic::owner::Machine::new(node_id, plugins.admission, upstream_end(settings)),
         metrics: Arc::clone(&metrics),
         control_inputs: inputs.clone(),
--- a/components/http1/src/attempt.rs
+++ b/components/http1/src/attempt.rs
@@ -273,6 +273,7 @@
         route: profile.route,
         rank: profile.rank,
         organisation: profile.organisation,
+        onward: profile.onward,
         weight,
         idempotent: profile.idempotent,
         rate_limit: attempt.rate_limit,
@@ -350,11 +351,13 @@
     let organisation = profile
         .organisation
         .map(|it| (header::ORGANISATION, it.to_string()));
+    let onward = profile.onward.then(|| (header::ONWARD, "1".to_owned()));
     let optional = objective.into_iter().chain(work_end).chain(spillable);
     let optional = optional
         .chain(rate_limit)
         .chain(seen_crashes)
-        .chain(organisation);
+        .chain(organisation)
+        .chain(onward);
     for (name, value) in values.into_iter().chain(optional) {
         if let Ok(value) = HeaderValue::from_str(&value) {
             request.headers_mut().insert(name, value);
--- a/components/policy/src/admission.rs
+++ b/components/policy/src/admission.rs
@@ -46,6 +46,8 @@
     pub objective: Option<Time>,
     /// Whether the sender tries another endpoint if this one refuses the request.
     pub spillable: bool,
+    /// Whether an upstream makes the request as part of a run, which is lost if the request is.
+    pub onward: bool,
 }
 
 /// Decision about a request.
--- a/components/simulate/src/entry_call.rs
+++ b/components/simulate/src/entry_call.rs
@@ -192,6 +192,7 @@
     ) {
         let incoming = IncomingRequest {
             organisation: None,
+            onward: profile.onward,
             tag: 0,
             id: self.entry_calls[call_index].id,
             attempt: attempt.number,
--- a/components/traffic/src/entry.rs
+++ b/components/traffic/src/entry.rs
@@ -94,6 +94,9 @@
     request_ages: RequestAges,
     /// Time by which all upstreams have to be done, because the node ends soon after.
     work_end: Option<Time>,
+    /// Whether calls of this node's upstream go before new requests of their rank in a configuration
+    /// without organisations too.
+    prefers_onward: bool,
     /// Whether the node is about to exit, too soon for a retry.
     shutting_down: bool,
 }
@@ -111,10 +114,17 @@
             refused_routes: RefusedRoutes::default(),
             request_ages: RequestAges::default(),
             work_end: None,
+            prefers_onward: false,
             shutting_down: false,
         }
     }
 
+    /// Lets calls of this node's upstream go before new requests of their rank at their owners. In a
+    /// configuration with organisations they always do.
+    pub fn prefer_onward_calls(&mut self) {
+        self.prefers_onward = true;
+    }
+
     /// Number of calls that have not ended.
     pub fn open_calls(&self) -> usize {
         self.calls.len()
@@ -147,6 +157,9 @@
             let age = age.unwrap_or_default();
             call.objective = Some(context.now + objective.saturating_sub(age));
         }
+        let snapshot = context.topology.snapshot.as_ref();
+        let has_organisations = snapshot.is_some_and(|it| it.has_organisations());
+        call.profile.onward &= self.prefers_onward || has_organisations;
         if self.should_shed(context, &call) {
             return refuse(context, not_run_refusal(Reason::ShedEarly));
         }
--- a/components/traffic/src/entry/call.rs
+++ b/components/traffic/src/entry/call.rs
@@ -5,6 +5,7 @@
 
 use crate::entry::Attempt;
 use crate::entry::AttemptReport;
+use crate::entry::Credential;
 use crate::entry::RequestHead;
 use crate::entry::RouteProfile;
 use crate::entry::identify;
@@ -104,6 +105,7 @@
                 idempotent: route.idempotent,
                 objective: route.objective,
                 organisation: organisation.map(|it| it.id),
+                onward: head.credential == Credential::Onward,
             },
             fingerprint: head.fingerprint,
             seen_crashes: 0,
--- a/components/traffic/src/entry/message.rs
+++ b/components/traffic/src/entry/message.rs
@@ -203,4 +203,7 @@
     pub objective: Option<Duration>,
     /// Organisation of the caller; `None` for a public route or a call of an upstream.
     pub organisation: Option<OrganisationId>,
+    /// Whether the owner lets the request go before new requests of its rank, because a run of this node's
+    /// upstream depends on it.
+    pub onward: bool,
 }
--- a/components/traffic/src/owner.rs
+++ b/components/traffic/src/owner.rs
@@ -143,6 +143,7 @@
             expires: deadline,
             objective: incoming.objective,
             spillable: incoming.spillable,
+            onward: incoming.onward,
         };
         let mut decisions = Vec::new();
         self.admission.offer(now, job, &mut decisions);
--- a/components/traffic/src/owner/message.rs
+++ b/components/traffic/src/owner/message.rs
@@ -42,6 +42,8 @@
     pub rank: Rank,
     /// Organisation of the caller, if the request belongs to one.
     pub organisation: Option<OrganisationId>,
+    /// Whether an upstream makes the request as part of a run, which is lost if the request is.
+    pub onward: bool,
     /// Weight of the route among the routes of the same rank.
     pub weight: u32,
     /// Whether the request may run more than once.
--- a/components/traffic/tests/deadly_request.rs
+++ b/components/traffic/tests/deadly_request.rs
@@ -310,6 +310,7 @@
         self.nodes[node].pending.push((tag, sent));
         let incoming = IncomingRequest {
             organisation: None,
+            onward: false,
             tag,
             id: RequestId(u128::from(tag) << 64),
             attempt: sent.attempt,
--- a/components/traffic/tests/entry.rs
+++ b/components/traffic/tests/entry.rs
@@ -41,6 +41,7 @@
 use traffic::entry::Attempt;
 use traffic::entry::AttemptReport;
 use traffic::entry::CallKey;
+use traffic::entry::Credential;
 use traffic::entry::Effect;
 use traffic::entry::Input;
 use traffic::entry::Machine;
@@ -68,6 +69,8 @@
     topology: Arc<Topology>,
     node_id: NodeId,
     generation: u32,
+    /// Credential of all requests.
+    credential: Credential,
 }
 
 impl Harness {
@@ -92,6 +95,7 @@
             topology: Arc::new(topology),
             node_id,
             generation: 0,
+            credential: Credential::None,
         };
         harness.set_nodes(nodes);
         harness
@@ -154,7 +158,7 @@
 
     fn arrive(&mut self, now: u64, method: &str, path: &str) -> Vec<Effect> {
         let head = RequestHead {
-            credential: traffic::entry::Credential::None,
+            credential: self.credential,
             fingerprint: Some(FINGERPRINT),
             id: RequestId(1),
             host: Some("h".to_owned()),
@@ -786,3 +790,21 @@
     let late = delays.iter().filter(|it| **it > 170).count();
     assert!(early >= 2 && late >= 2, "{delays:?}");
 }
+
+/// Guards against deployments without a link rate and organisations whose requests change, and against
+/// callers' requests that go before those of others as if a run depended on them.
+#[rstest]
+#[case::onward_call(true, Credential::Onward, true)]
+#[case::caller(true, Credential::None, false)]
+#[case::not_preferred(false, Credential::Onward, false)]
+fn arrive_onward(#[case] preferred: bool, #[case] credential: Credential, #[case] expected: bool) {
+    let mut harness = Harness::new(1, [2]);
+    if preferred {
+        harness.machine.prefer_onward_calls();
+    }
+    harness.credential = credential;
+    let effects = harness.arrive(0, "GET", "/calm");
+    let is_expected =
+        |it: &Effect| matches!(it, Effect::Forward { route, .. } if route.onward == expected);
+    assert!(effects.iter().any(is_expected), "{effects:?}");
+}
--- a/components/traffic/tests/owner.rs
+++ b/components/traffic/tests/owner.rs
@@ -62,6 +62,7 @@
 fn incoming(tag: u64, attempt: u32, idempotent: bool) -> IncomingRequest {
     IncomingRequest {
         organisation: None,
+        onward: false,
         tag,
         id: ID,
         attempt,
@@ -84,6 +85,7 @@
     let id = RequestId(u128::from(tag));
     IncomingRequest {
         organisation: None,
+        onward: false,
         id,
         ..incoming(tag, 1, true)
     }
@@ -411,6 +413,7 @@
     let deadline = Time(EXPIRES.0 / 2);
     let request = IncomingRequest {
         organisation: None,
+        onward: false,
         deadline,
         ..incoming(1, 1, true)
     };
@@ -432,6 +435,7 @@
     let arrivals = (1..=12).flat_map(|tag| {
         let request = IncomingRequest {
             organisation: None,
+            onward: false,
             rate_limit: RequestRate::from_per_second(2.0),
             ..other_request(tag)
         };
@@ -476,6 +480,7 @@
             tag += 1;
             let request = IncomingRequest {
                 organisation: None,
+                onward: false,
                 expires: Time(now + 500_000),
                 deadline: Time(now + 500_000),
                 rate_limit: RequestRate::from_per_second(limit).filter(|_| restarted),
@@ -520,6 +525,7 @@
     step(&mut owner, 0, Input::UpstreamWarmed { warm: true });
     let request = |tag: u64, fingerprint: u128| IncomingRequest {
         organisation: None,
+        onward: false,
         fingerprint: Some(Fingerprint(fingerprint)),
         ..other_request(tag)
     };
--- a/components/wire/src/header.rs
+++ b/components/wire/src/header.rs
@@ -11,6 +11,9 @@
 pub const SERVICE: &str = "medlar-service";
 /// Identifier of the caller's organisation, 16 hexadecimal digits; absent if the request belongs to none.
 pub const ORGANISATION: &str = "medlar-organisation";
+/// `1` if the upstream of the sender makes the request as part of a run, and the owner lets it go before new
+/// requests of its rank.
+pub const ONWARD: &str = "medlar-onward";
 /// API key of a caller; never passed on.
 pub const KEY: &str = "medlar-key";
 /// Name of the caller's organisation, in requests to upstreams.
