Admit requests by what the link can carry

Cause: an owner knows nothing of response sizes, so it runs downloads whose response its link cannot send in time. They occupy a slot and are cut off at their deadline. Where the settings have a link rate, the owner refuses a request whose response would miss its deadline (LinkBusy, with the time until there is room) or, if it is spillable, its objective; otherwise admission sees deadline and objective less the time of the transfer. The bytes that wait to be sent are an input, 0 until the link is scheduled.

--- a/components/admit/src/fifo.rs
+++ b/components/admit/src/fifo.rs
@@ -154,6 +154,7 @@
             queued_by_rank,
             limit: self.slots,
             least_urgent_accepted: Rank(u8::MAX),
+            link_busy: Duration::ZERO,
         }
     }
 }
--- a/components/admit/src/ranked.rs
+++ b/components/admit/src/ranked.rs
@@ -482,6 +482,7 @@
             queued: u32::try_from(self.queued_count()).unwrap_or(u32::MAX),
             limit: self.limit.get().min(self.concurrency().ceil() as u32),
             least_urgent_accepted: Rank(u8::try_from(least_urgent_accepted).unwrap_or(u8::MAX)),
+            link_busy: Duration::ZERO,
         }
     }
 }
--- a/components/daemon/src/run.rs
+++ b/components/daemon/src/run.rs
@@ -67,6 +67,8 @@
 const DRAIN_LIMIT_RESERVE: Duration = Duration::from_millis(500);
 /// Time before the exit in which calls that still have no answer get one and their connections end.
 const LAST_ANSWERS_TIME: Duration = Duration::from_millis(150);
+/// Bytes a second of a link of 1 Mbit/s.
+const BYTES_PER_SECOND_PER_MBPS: f64 = 125_000.0;
 /// Number of stop requests that can wait: the first starts the drain and the second ends the node at once.
 const STOP_QUEUE_CAPACITY: usize = 2;
 
@@ -145,15 +147,18 @@
     )));
     let (inputs, receiver) = mpsc::channel(INPUT_QUEUE_CAPACITY);
     let mut entry = traffic::entry::Machine::new(plugins.balance, plugins.retry, plugins.health);
-    if settings.link_mbps.is_some() {
+    let mut owner =
+        traffic::owner::Machine::new(node_id, plugins.admission, upstream_end(settings));
+    if let Some(mbps) = settings.link_mbps {
         entry.prefer_onward_calls();
+        owner.set_link_rate(mbps * BYTES_PER_SECOND_PER_MBPS);
     }
     let driver = Arc::new(TrafficDriver::new(TrafficDriverParts {
         node_id,
         clock,
         topology: Arc::clone(&topology),
         entry,
-        owner: traffic::owner::Machine::new(node_id, plugins.admission, upstream_end(settings)),
+        owner,
         metrics: Arc::clone(&metrics),
         control_inputs: inputs.clone(),
     }));
--- a/components/front/src/driver.rs
+++ b/components/front/src/driver.rs
@@ -22,6 +22,7 @@
 use ids::Fingerprint;
 use ids::NodeId;
 use ids::RequestId;
+use ids::RouteId;
 use kernel::Clock;
 use kernel::StateMachine;
 use kernel::Time;
@@ -101,6 +102,8 @@
     calls_ended: Notify,
     metrics: Arc<Metrics>,
     control_inputs: mpsc::Sender<control::Input>,
+    /// Whether the rate of the instance's link is known.
+    has_link_rate: bool,
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -115,6 +118,7 @@
             machine: parts.entry,
             random: SeededRandom::from_os_entropy(),
         };
+        let has_link_rate = parts.owner.has_link_rate();
         let owner = OwnerState {
             machine: parts.owner,
             random: SeededRandom::from_os_entropy(),
@@ -136,6 +140,7 @@
             calls_ended: Notify::new(),
             metrics: parts.metrics,
             control_inputs: parts.control_inputs,
+            has_link_rate,
         }
     }
 
@@ -304,7 +309,19 @@
 
     /// Current load of the owner state machine.
     pub fn load(&self) -> Load {
-        lock(&self.owner).machine.load()
+        lock(&self.owner).machine.load(self.link_backlog())
+    }
+
+    /// Number of bytes of response bodies that wait to be sent from this instance.
+    pub fn link_backlog(&self) -> u64 {
+        0
+    }
+
+    /// Reports the length of a complete response of the upstream. Without a link rate, nothing uses it.
+    pub fn report_response_length(&self, route: RouteId, bytes: u64) {
+        if self.has_link_rate {
+            self.step_owner(owner::Input::ResponseEnded { route, bytes });
+        }
     }
 
     /// Current values for the gauges of the metrics.
@@ -326,6 +343,7 @@
         let (sender, receiver) = oneshot::channel();
         let pending = {
             let mut owner = lock(&self.owner);
+            incoming.link_backlog = self.link_backlog();
             incoming.tag = owner.add_waiter(Waiter::Admission(incoming.id, sender));
             self.step_owner_locked(&mut owner, owner::Input::Arrived(incoming));
             Permit::new(Arc::clone(self), incoming.tag)
--- a/components/http1/src/attempt.rs
+++ b/components/http1/src/attempt.rs
@@ -274,6 +274,7 @@
         rank: profile.rank,
         organisation: profile.organisation,
         onward: profile.onward,
+        link_backlog: 0,
         weight,
         idempotent: profile.idempotent,
         rate_limit: attempt.rate_limit,
@@ -385,7 +386,7 @@
             };
             let shared = Arc::clone(shared);
             let deadline = Instant::from_std(shared.driver.clock().to_instant(attempt.give_up_at));
-            let on_end = move |end| {
+            let on_end = move |end, _| {
                 if let RelayEnd::Complete(Some(connection)) = end {
                     let node_connection = NodeConnection {
                         connection,
--- a/components/http1/src/body.rs
+++ b/components/http1/src/body.rs
@@ -279,7 +279,8 @@
     Dropped,
 }
 
-type OnEnd = Box<dyn FnOnce(RelayEnd) + Send>;
+/// Receives how the relay ended and the number of bytes that were relayed.
+type OnEnd = Box<dyn FnOnce(RelayEnd, u64) + Send>;
 
 /// A response that is relayed until its deadline and calls `on_end` when the relay ends.
 pub(crate) struct RelayedResponse {
@@ -289,6 +290,7 @@
     /// Unconstrained, so that a source that uses up the task's budget of I/O does not keep it from being
     /// checked.
     deadline_timer: Option<Pin<Box<Unconstrained<Sleep>>>>,
+    relayed_bytes: u64,
     on_end: Option<OnEnd>,
 }
 
@@ -296,12 +298,13 @@
     pub(crate) fn new(
         source: RelaySource,
         deadline: Instant,
-        on_end: impl FnOnce(RelayEnd) + Send + 'static,
+        on_end: impl FnOnce(RelayEnd, u64) + Send + 'static,
     ) -> Self {
         Self {
             source: Some(source),
             deadline,
             deadline_timer: None,
+            relayed_bytes: 0,
             on_end: Some(Box::new(on_end)),
         }
     }
@@ -315,6 +318,7 @@
                 Poll::Pending => return self.poll_deadline(context),
                 Poll::Ready(Some(Ok(frame))) if frame.is_trailers() => {}
                 Poll::Ready(Some(Ok(frame))) => {
+                    self.relayed_bytes += frame.data_ref().map_or(0, byte_len);
                     // hyper does not poll a body of known length again after its last byte.
                     if source.is_end_stream() {
                         self.end(None);
@@ -346,13 +350,14 @@
     fn end(&mut self, failure_reason: Option<Reason>) {
         let source = self.source.take();
         if let Some(on_end) = self.on_end.take() {
-            on_end(match (failure_reason, source) {
+            let end = match (failure_reason, source) {
                 (Some(reason), _) => RelayEnd::Failed(reason),
                 (None, Some(RelaySource::Connection { connection, .. })) => {
                     RelayEnd::Complete(Some(connection))
                 }
                 (None, _) => RelayEnd::Complete(None),
-            });
+            };
+            on_end(end, self.relayed_bytes);
         }
     }
 }
@@ -363,7 +368,7 @@
         if self.source.as_ref().is_some_and(RelaySource::is_end_stream) {
             self.end(None);
         } else if let Some(on_end) = self.on_end.take() {
-            on_end(RelayEnd::Dropped);
+            on_end(RelayEnd::Dropped, self.relayed_bytes);
         }
     }
 }
--- a/components/http1/src/caller.rs
+++ b/components/http1/src/caller.rs
@@ -309,7 +309,7 @@
     let shared = Arc::clone(&call_guard.shared);
     let deadline = Instant::from_std(shared.driver.clock().to_instant(attempt.give_up_at));
     let status = parts.status.as_u16();
-    let on_end = move |end| {
+    let on_end = move |end, _| {
         let failure_reason = match end {
             RelayEnd::Complete(_) => None,
             RelayEnd::Failed(reason) => Some(reason),
--- a/components/http1/src/dispatch.rs
+++ b/components/http1/src/dispatch.rs
@@ -39,6 +39,7 @@
 use errors::Reason;
 use errors::Verdict;
 use front::Permit;
+use ids::RouteId;
 use ids::ServiceId;
 use traffic::Refusal;
 use traffic::owner::IncomingRequest;
@@ -75,6 +76,8 @@
     body: Incoming,
     connection: ClientConnection,
     shed: bool,
+    /// Route whose response length the response shows; `None` for a response without its regular body.
+    measured_route: Option<RouteId>,
     deadline: Instant,
 }
 
@@ -138,6 +141,7 @@
         body,
         connection,
         shed,
+        measured_route,
         deadline,
     } = started;
     let source = RelaySource::Connection {
@@ -145,7 +149,7 @@
         body,
         connection,
     };
-    let payload = relay_response(shared, permit, source, shed, deadline);
+    let payload = relay_response(shared, permit, source, (shed, measured_route), deadline);
     Ok(UpstreamResponse {
         response: Response::from_parts(parts, payload),
         stored: false,
@@ -165,6 +169,7 @@
         mut body,
         mut connection,
         shed,
+        measured_route,
         deadline,
     } = started;
     let read =
@@ -190,7 +195,7 @@
             body,
             connection,
         };
-        let payload = relay_response(shared, permit, source, shed, deadline);
+        let payload = relay_response(shared, permit, source, (shed, measured_route), deadline);
         return Ok(UpstreamResponse {
             response: Response::from_parts(parts, payload),
             stored: false,
@@ -205,6 +210,7 @@
             &bytes,
         );
     permit.finish(verdict_of(shed), shed, stored);
+    report_length(shared, measured_route, bytes.len() as u64);
     release_connection(shared, connection, shed);
     Ok(UpstreamResponse {
         response: Response::from_parts(parts, full(bytes)),
@@ -335,6 +341,7 @@
         body,
         connection,
         shed,
+        measured_route: Some(incoming.route).filter(|_| is_served && !upstream_request.head_only),
         deadline,
     };
     Ok((started, permit))
@@ -345,13 +352,14 @@
     shared: &Arc<SharedState>,
     permit: Permit,
     source: RelaySource,
-    shed: bool,
+    (shed, measured_route): (bool, Option<RouteId>),
     deadline: Instant,
 ) -> Payload {
     let shared = Arc::clone(shared);
-    let on_end = move |end| match end {
+    let on_end = move |end, bytes| match end {
         RelayEnd::Complete(connection) => {
             permit.finish(verdict_of(shed), shed, false);
+            report_length(&shared, measured_route, bytes);
             if let Some(connection) = connection {
                 release_connection(&shared, connection, shed);
             }
@@ -361,6 +369,13 @@
     Payload::Relayed(Box::new(RelayedResponse::new(source, deadline, on_end)))
 }
 
+/// Reports the length of a complete response, by which the link admits requests of its route.
+fn report_length(shared: &SharedState, measured_route: Option<RouteId>, bytes: u64) {
+    if let Some(route) = measured_route {
+        shared.driver.report_response_length(route, bytes);
+    }
+}
+
 /// Returns the connection of a complete response to the pool, unless the upstream refused the request. A faulty
 /// upstream can write its refusal once more, which would then be taken for the response to the next request.
 fn release_connection(shared: &SharedState, connection: ClientConnection, shed: bool) {
--- a/components/http1/src/node.rs
+++ b/components/http1/src/node.rs
@@ -154,6 +154,7 @@
         rank: route_config.map_or(Rank(u8::MAX), |route| route.rank),
         organisation,
         onward: headers.contains_key(header::ONWARD),
+        link_backlog: 0,
         weight: route_config.map_or(1, |route| route.weight),
         // A route that this node's configuration does not contain yet is not treated as idempotent.
         idempotent: route_config.is_some_and(|route| route.idempotent),
--- a/components/policy/src/admission.rs
+++ b/components/policy/src/admission.rs
@@ -89,6 +89,9 @@
     pub limit: u32,
     /// Least urgent rank whose requests are accepted at present.
     pub least_urgent_accepted: Rank,
+    /// Time until the link of the instance has carried the large responses that wait or are expected; zero
+    /// without a link rate.
+    pub link_busy: Duration,
 }
 
 /// Decides which requests run, wait or are refused at one upstream.
--- a/components/simulate/src/entry_call.rs
+++ b/components/simulate/src/entry_call.rs
@@ -193,6 +193,7 @@
         let incoming = IncomingRequest {
             organisation: None,
             onward: profile.onward,
+            link_backlog: 0,
             tag: 0,
             id: self.entry_calls[call_index].id,
             attempt: attempt.number,
--- a/components/simulate/src/node.rs
+++ b/components/simulate/src/node.rs
@@ -250,7 +250,7 @@
             verdict: refusal.verdict,
             reason: Some(refusal.reason),
             retry_after: refusal.retry_after,
-            load: Some(self.owners[owner].machine.load()),
+            load: Some(self.owners[owner].machine.load(0)),
             rate_limit: None,
             upstream_failed: false,
         };
@@ -314,7 +314,7 @@
             verdict,
             reason,
             retry_after: Duration::ZERO,
-            load: Some(self.owners[owner].machine.load()),
+            load: Some(self.owners[owner].machine.load(0)),
             rate_limit: None,
             upstream_failed: false,
         };
--- a/components/traffic/src/owner.rs
+++ b/components/traffic/src/owner.rs
@@ -2,6 +2,7 @@
 
 mod crashes;
 mod dedup;
+mod link_admission;
 mod message;
 mod upstream_limit;
 
@@ -15,6 +16,7 @@
 use crate::ledger::Outcome;
 use crate::ledger::RecordState;
 use crate::owner::crashes::Crashes;
+use crate::owner::link_admission::LinkAdmission;
 use crate::owner::upstream_limit::UpstreamLimit;
 use errors::Reason;
 use errors::Verdict;
@@ -66,6 +68,8 @@
     upstream_end: UpstreamEnd,
     upstream_limit: UpstreamLimit,
     crashes: Crashes,
+    /// `None` if the rate of the link is not known.
+    link: Option<LinkAdmission>,
     /// Whether the upstream is known to be warm.
     upstream_warm: bool,
     /// Whether the upstream has responded to a request of this process.
@@ -101,6 +105,7 @@
             upstream_end,
             upstream_limit: UpstreamLimit::default(),
             crashes: Crashes::default(),
+            link: None,
             upstream_warm: false,
             upstream_responded: false,
             work_end: None,
@@ -109,9 +114,24 @@
         }
     }
 
-    /// The current load, which is reported with each answer.
-    pub fn load(&self) -> Load {
-        self.admission.load()
+    /// Sets the rate of the instance's link, by which requests with large responses are admitted.
+    pub fn set_link_rate(&mut self, bytes_per_second: f64) {
+        self.link = Some(LinkAdmission::new(bytes_per_second));
+    }
+
+    /// Whether the rate of the instance's link is known.
+    pub fn has_link_rate(&self) -> bool {
+        self.link.is_some()
+    }
+
+    /// The current load, which is reported with each answer; `link_backlog` is the number of bytes that wait
+    /// to be sent.
+    pub fn load(&self, link_backlog: u64) -> Load {
+        let link_busy = self.link.as_ref().map(|it| it.busy(link_backlog));
+        Load {
+            link_busy: link_busy.unwrap_or_default(),
+            ..self.admission.load()
+        }
     }
 
     fn handle_arrival(&mut self, now: Time, incoming: IncomingRequest, effects: &mut Vec<Effect>) {
@@ -135,7 +155,7 @@
             self.open_requests
                 .insert(index, (incoming.tag, Phase::Queued(request)));
         }
-        let job = Job {
+        let mut job = Job {
             ticket: Ticket(incoming.tag),
             route: incoming.route,
             rank: incoming.rank,
@@ -145,6 +165,13 @@
             spillable: incoming.spillable,
             onward: incoming.onward,
         };
+        let admitted = self
+            .link
+            .as_mut()
+            .map_or(Ok(()), |link| link.admit(now, &incoming, &mut job));
+        if let Err((reason, retry_after)) = admitted {
+            return self.refuse(incoming.tag, reason, retry_after, effects);
+        }
         let mut decisions = Vec::new();
         self.admission.offer(now, job, &mut decisions);
         self.apply_decisions(now, decisions, effects);
@@ -251,6 +278,7 @@
         let Ok(index) = self.position(tag) else {
             return;
         };
+        self.release_link(tag);
         if let Phase::Queued(request) = self.open_requests.remove(index).1 {
             let done = RecordState::Done {
                 verdict: Verdict::NotRun,
@@ -278,6 +306,7 @@
         if let Phase::Dispatched(request) = &self.open_requests[index].1 {
             let request = *request;
             self.open_requests.remove(index);
+            self.release_link(tag);
             let latency = now.since(request.state().dispatched_at);
             let ended = request.finish(verdict);
             let done = RecordState::Done {
@@ -296,6 +325,13 @@
         }
     }
 
+    /// Ends the commitment of the link to the response of a request.
+    fn release_link(&mut self, tag: u64) {
+        if let Some(link) = &mut self.link {
+            link.release(tag);
+        }
+    }
+
     /// Ends a request that ran when the upstream crashed.
     fn handle_crash(&mut self, now: Time, tag: u64, effects: &mut Vec<Effect>) {
         if let Ok(index) = self.position(tag)
@@ -521,6 +557,11 @@
                     self.crashes.record_completion(fingerprint);
                 }
             }
+            Input::ResponseEnded { route, bytes } => {
+                if let Some(link) = &mut self.link {
+                    link.record_length(route, bytes);
+                }
+            }
             Input::EndScheduled { work_end } => self.work_end = Some(work_end),
             Input::Shutdown => self.refuse_all_queued(now, effects),
             Input::Drain => {
--- a/components/traffic/src/owner/message.rs
+++ b/components/traffic/src/owner/message.rs
@@ -54,6 +54,8 @@
     pub fingerprint: Option<Fingerprint>,
     /// Number of upstreams that have crashed while they ran the request for its sender.
     pub seen_crashes: u32,
+    /// Bytes of response bodies that wait on this instance to be sent.
+    pub link_backlog: u64,
 }
 
 /// A query for the outcome of one attempt.
@@ -109,6 +111,8 @@
         /// upstream does not show that the request is harmless: it can end at its deadline before it does harm.
         served: Option<Fingerprint>,
     },
+    /// A response of the route has arrived completely.
+    ResponseEnded { route: RouteId, bytes: u64 },
     /// The node is leaving and accepts requests for a while; none may run beyond `work_end`.
     EndScheduled { work_end: Time },
     /// The node is leaving: it finishes accepted requests and refuses new ones.
--- a/components/traffic/tests/deadly_request.rs
+++ b/components/traffic/tests/deadly_request.rs
@@ -311,6 +311,7 @@
         let incoming = IncomingRequest {
             organisation: None,
             onward: false,
+            link_backlog: 0,
             tag,
             id: RequestId(u128::from(tag) << 64),
             attempt: sent.attempt,
--- a/components/traffic/tests/owner.rs
+++ b/components/traffic/tests/owner.rs
@@ -63,6 +63,7 @@
     IncomingRequest {
         organisation: None,
         onward: false,
+        link_backlog: 0,
         tag,
         id: ID,
         attempt,
@@ -86,6 +87,7 @@
     IncomingRequest {
         organisation: None,
         onward: false,
+        link_backlog: 0,
         id,
         ..incoming(tag, 1, true)
     }
@@ -223,7 +225,7 @@
         [start_effect(2)]
     );
     step(&mut owner, 5, finish_input(2, Verdict::Ran));
-    assert_eq!(owner.load().running, 0);
+    assert_eq!(owner.load(0).running, 0);
 }
 
 /// Guards against a drain that drops accepted requests, accepts new ones, or reports its end early
@@ -350,7 +352,7 @@
     for warm in after {
         step(&mut owner, 0, Input::UpstreamWarmed { warm: *warm });
     }
-    assert_eq!(owner.load().limit, limit);
+    assert_eq!(owner.load(0).limit, limit);
 }
 
 /// Guards against a request that a leaving owner starts for longer than it exists, because it has waited or
@@ -414,6 +416,7 @@
     let request = IncomingRequest {
         organisation: None,
         onward: false,
+        link_backlog: 0,
         deadline,
         ..incoming(1, 1, true)
     };
@@ -436,6 +439,7 @@
         let request = IncomingRequest {
             organisation: None,
             onward: false,
+            link_backlog: 0,
             rate_limit: RequestRate::from_per_second(2.0),
             ..other_request(tag)
         };
@@ -481,6 +485,7 @@
             let request = IncomingRequest {
                 organisation: None,
                 onward: false,
+                link_backlog: 0,
                 expires: Time(now + 500_000),
                 deadline: Time(now + 500_000),
                 rate_limit: RequestRate::from_per_second(limit).filter(|_| restarted),
@@ -526,6 +531,7 @@
     let request = |tag: u64, fingerprint: u128| IncomingRequest {
         organisation: None,
         onward: false,
+        link_backlog: 0,
         fingerprint: Some(Fingerprint(fingerprint)),
         ..other_request(tag)
     };
--- a/components/wire/src/header.rs
+++ b/components/wire/src/header.rs
@@ -1,5 +1,7 @@
 //! Names and values of the HTTP headers that nodes exchange with each other and with upstreams.
 
+use std::time::Duration;
+
 use ids::Rank;
 use policy::Load;
 
@@ -90,5 +92,6 @@
         queued_by_rank,
         limit,
         least_urgent_accepted,
+        link_busy: Duration::ZERO,
     })
 }
