Weigh busy links when an endpoint is chosen

Cause: entries know nothing of the links, so a burst of downloads at one owner stays there while others have room. Change: owners with a link rate state in medlar-load for how long their link is busy (link=MS, only above 0; the form without it is parsed as before). Entries add it to the utilization for routes with large responses. A refusal because of the link is tried elsewhere like that of any full owner. It counts as a lack of capacity for early shedding only for such routes, and only while every link is busy beyond the deadline. In entry.rs, downloads leave an owner with a busy link after its first report, and small requests still reach it.

--- a/components/balance/src/power_of_two_choices.rs
+++ b/components/balance/src/power_of_two_choices.rs
@@ -34,8 +34,12 @@
 #[derive(Clone, Copy, Debug)]
 pub struct PowerOfTwoChoices;
 
+/// Utilization that a busy link adds, in thousandths per millisecond: a link that is busy for 1 s, about the
+/// deadline of a request with a large response, counts as much as an upstream all of whose slots are used.
+const LINK_UTILIZATION_PER_MS: u64 = 1;
+
 /// Returns the unfinished requests of the endpoint, in thousandths of the requests that it should
-/// run at once at its current weight.
+/// run at once at its current weight, and the utilization of its link.
 fn utilization(candidate: &Candidate) -> u64 {
     let (reported, limit) = candidate.load.map_or((0, 0), |load| {
         (load.running.saturating_add(load.queued), load.limit)
@@ -46,7 +50,11 @@
     };
     let unfinished = u64::from(reported.max(candidate.in_flight));
     let weight = u64::from(candidate.weight.clamp(1, FULL_WEIGHT));
-    unfinished * 1_000 * u64::from(FULL_WEIGHT) / (u64::from(capacity.max(1)) * weight)
+    let link_busy = candidate.load.map_or(0, |load| load.link_busy.as_millis());
+    let link_busy = u64::try_from(link_busy).unwrap_or(u64::MAX);
+    let used_slots =
+        unfinished * 1_000 * u64::from(FULL_WEIGHT) / (u64::from(capacity.max(1)) * weight);
+    used_slots.saturating_add(link_busy.saturating_mul(LINK_UTILIZATION_PER_MS))
 }
 
 /// Returns a random position in `pool`, a list of indexes into `candidates`. The lower the weight
--- a/components/balance/tests/power_of_two_choices.rs
+++ b/components/balance/tests/power_of_two_choices.rs
@@ -1,5 +1,7 @@
 //! Tests of power-of-two-choices balancing.
 
+use std::time::Duration;
+
 use rstest::rstest;
 
 use balance::PowerOfTwoChoices;
@@ -70,6 +72,24 @@
     assert_eq!(chosen[expected], 50);
 }
 
+/// Guards against large responses that are sent for to an instance whose link is busy while another one has
+/// room.
+#[rstest]
+#[case::busy_link(400, 0, 1)]
+#[case::less_busy_than_slots(200, 5, 0)]
+fn choose_link(#[case] busy_ms: u64, #[case] other_in_flight: u32, #[case] expected: usize) {
+    let load = Load {
+        link_busy: Duration::from_millis(busy_ms),
+        ..Load::default()
+    };
+    let loaded = Candidate {
+        load: Some(load),
+        ..candidate(1, true, 1)
+    };
+    let mut candidates = [loaded, candidate(2, true, other_in_flight)];
+    assert_eq!(count_choices(&mut candidates, 50, false)[expected], 50);
+}
+
 /// Choices by utilization spread requests almost evenly, unlike purely random choices.
 #[rstest]
 fn choose_spread() {
--- a/components/policy/src/balance.rs
+++ b/components/policy/src/balance.rs
@@ -33,7 +33,8 @@
     /// Number of requests that the endpoint's upstream declares to run at once.
     pub slots: u32,
     /// Load that the endpoint reported, reduced with the age of the report; `None` without a recent
-    /// report. Waiting requests count only if they are at least as urgent as the request to send.
+    /// report. Waiting requests count only if they are at least as urgent as the request to send, and the
+    /// link only if the response to it is large.
     pub load: Option<Load>,
     /// Share of the requests of a fully used endpoint that this one should get, in thousandths;
     /// lower during slow start and after an ejection.
--- a/components/traffic/src/entry.rs
+++ b/components/traffic/src/entry.rs
@@ -229,7 +229,7 @@
             self.node_states.record_load(now, node, load);
         }
         if let Some(reason) = report.reason {
-            self.refused_routes.record(now, call.profile.route, reason);
+            self.refused_routes.record(now, &call.profile, reason);
             if means_unavailable(reason) {
                 let duration = report.retry_after.max(MIN_UNAVAILABLE_TIME);
                 self.node_states.mark_unavailable(now, node, duration);
--- a/components/traffic/src/entry/call.rs
+++ b/components/traffic/src/entry/call.rs
@@ -104,6 +104,7 @@
                 rank: route.rank,
                 idempotent: route.idempotent,
                 objective: route.objective,
+                large_responses: route.large_responses,
                 organisation: organisation.map(|it| it.id),
                 onward: head.credential == Credential::Onward,
             },
--- a/components/traffic/src/entry/message.rs
+++ b/components/traffic/src/entry/message.rs
@@ -201,6 +201,8 @@
     pub idempotent: bool,
     /// Latency objective of the route, if the operator has set one.
     pub objective: Option<Duration>,
+    /// Whether responses are mostly so large that they occupy a link for some time.
+    pub large_responses: bool,
     /// Organisation of the caller; `None` for a public route or a call of an upstream.
     pub organisation: Option<OrganisationId>,
     /// Whether the owner lets the request go before new requests of its rank, because a run of this node's
--- a/components/traffic/src/entry/node_state.rs
+++ b/components/traffic/src/entry/node_state.rs
@@ -73,10 +73,25 @@
         Some(Load {
             running: scale(load.running),
             queued: scale(queued_ahead),
+            link_busy: self.link_busy(now),
             ..load
         })
     }
 
+    /// Time for which the link of the node is still busy, by its latest report.
+    pub(crate) fn link_busy(&self, now: Time) -> Duration {
+        self.load.map_or(Duration::ZERO, |(load, reported_at)| {
+            load.link_busy.saturating_sub(now.since(reported_at))
+        })
+    }
+
+    /// Whether the node has recently reported that its link cannot carry a large response within `time_left`.
+    pub(crate) fn refuses_large_responses(&self, now: Time, time_left: Duration) -> bool {
+        let reported_at = self.load.map(|(_, reported_at)| reported_at);
+        reported_at.is_some_and(|it| now.since(it) < MAX_SHED_REPORT_AGE)
+            && self.link_busy(now) >= time_left
+    }
+
     /// Whether the node has recently reported that it refuses requests of this rank.
     pub(crate) fn refuses_rank(&self, now: Time, rank: Rank) -> bool {
         self.load.is_some_and(|(load, reported_at)| {
--- a/components/traffic/src/entry/selection.rs
+++ b/components/traffic/src/entry/selection.rs
@@ -1,6 +1,7 @@
 //! Selection of an endpoint for an attempt, and the decision to shed a request instead.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use crate::entry::Call;
 use crate::entry::CallKey;
@@ -10,6 +11,7 @@
 use control::EndpointKey;
 use control::Topology;
 use ids::NodeId;
+use ids::Rank;
 use kernel::Time;
 use policy::Candidate;
 
@@ -36,19 +38,26 @@
     }
 
     /// Whether to refuse the call early: every owner in the subset reports that it refuses the
-    /// rank, and the route has recently been refused.
+    /// rank, or that its link is busy for longer than a call with a large response can wait, and the
+    /// route has recently been refused.
     pub(super) fn should_shed(&mut self, context: &mut StepContext<'_>, call: &Call) -> bool {
         let Some(service) = call.find_service_in(context.topology) else {
             return false;
         };
         let subset = self.subsets.endpoints(service);
-        let refuses_rank = |key: &EndpointKey| {
+        let time_left = context.now.until(call.deadline);
+        // Requests of the most urgent rank are never shed early.
+        let waits_for_link = call.profile.large_responses && call.profile.rank != Rank(0);
+        let refuses = |key: &EndpointKey| {
             let endpoint = context.topology.endpoint(*key);
             let state = endpoint.and_then(|endpoint| self.node_states.get(endpoint.node));
-            state.is_some_and(|state| state.refuses_rank(context.now, call.profile.rank))
+            state.is_some_and(|state| {
+                state.refuses_rank(context.now, call.profile.rank)
+                    || (waits_for_link && state.refuses_large_responses(context.now, time_left))
+            })
         };
         !subset.is_empty()
-            && subset.iter().all(refuses_rank)
+            && subset.iter().all(refuses)
             && self
                 .refused_routes
                 .should_shed(context.now, call.profile.route, context.random)
@@ -74,12 +83,17 @@
             let state = self.node_states.get(endpoint.node);
             let slow_start_weight =
                 state.map_or(policy::FULL_WEIGHT, |state| state.slow_start_weight(now));
+            let mut load = state.and_then(|state| state.aged_load(now, rank));
+            if let Some(load) = load.as_mut().filter(|_| !call.profile.large_responses) {
+                // Small responses do not wait for the link.
+                load.link_busy = Duration::ZERO;
+            }
             let candidate = Candidate {
                 node: endpoint.node,
                 same_domain: endpoint.domain == context.topology.domain,
                 in_flight: state.map_or(0, |state| state.in_flight(rank)),
                 slots: endpoint.slots,
-                load: state.and_then(|state| state.aged_load(now, rank)),
+                load,
                 weight: slow_start_weight.min(self.health.weight(now, endpoint.node)),
             };
             options.push((*key, candidate));
--- a/components/traffic/src/entry/shedding.rs
+++ b/components/traffic/src/entry/shedding.rs
@@ -7,6 +7,7 @@
 
 use std::time::Duration;
 
+use crate::entry::RouteProfile;
 use errors::Reason;
 use ids::RouteId;
 use kernel::Random;
@@ -28,14 +29,18 @@
 }
 
 impl RefusedRoutes {
-    /// Records a refusal by an owner if its reason is a lack of capacity.
-    pub(crate) fn record(&mut self, now: Time, route: RouteId, reason: Reason) {
-        if !matches!(
-            reason,
-            Reason::QueueFull | Reason::Displaced | Reason::DeadlineTooShort
-        ) {
+    /// Records a refusal by an owner if its reason is a lack of capacity. The link is a part of the capacity
+    /// only for a route with large responses.
+    pub(crate) fn record(&mut self, now: Time, profile: &RouteProfile, reason: Reason) {
+        let lacks_capacity = match reason {
+            Reason::QueueFull | Reason::Displaced | Reason::DeadlineTooShort => true,
+            Reason::LinkBusy => profile.large_responses,
+            _ => false,
+        };
+        if !lacks_capacity {
             return;
         }
+        let route = profile.route;
         match self.position(route) {
             Ok(index) => self.routes[index].1 = now,
             Err(_) => {
--- a/components/traffic/tests/entry.rs
+++ b/components/traffic/tests/entry.rs
@@ -55,6 +55,7 @@
       - {method: GET, path: /calm, rank: 3, deadline_ms: 2000, idempotent: true}
       - {method: POST, path: /once, rank: 0, deadline_ms: 2000, idempotent: false}
 routes:
+  - {host: h, prefix: /bulk/, rank: 2, deadline_ms: 1200, idempotent: true, large_responses: true, targets: [{service: stock}]}
   - {host: h, prefix: /timed/, rank: 0, deadline_ms: 2000, idempotent: false, objective_ms: 500, targets: [{service: stock}]}
 ";
 const SECOND_US: u64 = 1_000_000;
@@ -808,3 +809,67 @@
         |it: &Effect| matches!(it, Effect::Forward { route, .. } if route.onward == expected);
     assert!(effects.iter().any(is_expected), "{effects:?}");
 }
+
+/// Load: a burst of downloads at one owner while others have room. Guards against an entry that goes on to
+/// send downloads to the owner with the busy link, that gives up after its refusal, or that keeps small
+/// requests away from it.
+#[rstest]
+#[case::large("/bulk/x", false)]
+#[case::small("/calm", true)]
+fn forward_busy_link(#[case] path: &str, #[case] reaches_busy: bool) {
+    let mut harness = Harness::new(99, [1, 2, 3]);
+    let busy = NodeId(1);
+    let mut reached = 0;
+    for request in 0..200 {
+        let (call, attempt) = find_forwarded(&harness.arrive(request, "GET", path));
+        reached += u32::from(request >= 20 && attempt.node == busy);
+        let link_busy = Duration::from_millis(if attempt.node == busy { 900 } else { 0 });
+        let load = Some(Load {
+            limit: 10,
+            least_urgent_accepted: Rank(3),
+            link_busy,
+            ..Load::default()
+        });
+        let mut report = failure_report(Verdict::NotRun, Reason::LinkBusy);
+        report.load = load;
+        if attempt.node != busy || reaches_busy {
+            report.reason = None;
+        }
+        let effects = harness.report_attempt(request, call, report);
+        if report.reason.is_some() {
+            let (_, next) = find_forwarded(&effects);
+            assert_ne!(next.node, busy);
+        }
+        harness.step(request, Input::CallEnded { call });
+    }
+    assert_eq!(reached > 0, reaches_busy, "{reached}");
+}
+
+/// Guards against early shedding of downloads while one link has room, and of requests with small responses
+/// because of busy links.
+#[rstest]
+#[case::all_busy("/bulk/x", [2_000, 2_000, 2_000], true)]
+#[case::one_free("/bulk/x", [2_000, 2_000, 300], false)]
+#[case::small("/calm", [2_000, 2_000, 2_000], false)]
+fn arrive_busy_links(#[case] path: &str, #[case] busy_ms: [u64; 3], #[case] expected: bool) {
+    let mut harness = Harness::new(99, [1, 2, 3]);
+    for request in 0..100 {
+        let (call, attempt) = find_forwarded(&harness.arrive(0, "GET", "/calm"));
+        let mut report = failure_report(Verdict::NotRun, Reason::LinkBusy);
+        report.reason = None;
+        report.load = Some(Load {
+            limit: 10,
+            least_urgent_accepted: Rank(3),
+            link_busy: Duration::from_millis(busy_ms[attempt.node.0 as usize - 1]),
+            ..Load::default()
+        });
+        harness.report_attempt(request, call, report);
+        harness.step(0, Input::CallEnded { call });
+    }
+    let (call, _) = find_forwarded(&harness.arrive(0, "GET", path));
+    harness.report_attempt(0, call, failure_report(Verdict::NotRun, Reason::LinkBusy));
+    let is_shed =
+        |effects: &[Effect]| find_refusal(effects).is_some_and(|it| it.reason == Reason::ShedEarly);
+    let shed = (0..100).filter(|_| is_shed(&harness.arrive(0, "GET", path)));
+    assert_eq!(shed.count() > 80, expected);
+}
--- a/components/wire/src/header.rs
+++ b/components/wire/src/header.rs
@@ -57,20 +57,28 @@
 /// Time after which the owner that refused the request expects to accept it, in milliseconds.
 pub const RETRY_AFTER: &str = "medlar-retry-after-ms";
 /// Load of the owner as comma-separated numbers: running requests, queued requests, concurrency
-/// limit, least urgent rank that is accepted, then the queued requests of each rank.
+/// limit, least urgent rank that is accepted, then the queued requests of each rank. If the link of the
+/// instance is busy, `link=` and the time for which it is, in milliseconds, follow.
 pub const LOAD: &str = "medlar-load";
 /// Prefix of the headers that nodes add to requests and responses. Headers of callers that have this
 /// prefix are removed.
 pub const PREFIX: &str = "medlar-";
 
+/// Beginning of the field of the [`LOAD`] header for the time for which the link is busy.
+const LINK_FIELD: &str = "link=";
+
 /// Formats the value of the [`LOAD`] header.
 pub fn format_load(load: Load) -> String {
     let queued_by_rank = load
         .queued_by_rank
         .map(|count| format!(",{count}"))
         .concat();
+    let link_busy = match load.link_busy.as_millis() {
+        0 => String::new(),
+        millis => format!(",{LINK_FIELD}{millis}"),
+    };
     format!(
-        "{},{},{},{}{queued_by_rank}",
+        "{},{},{},{}{queued_by_rank}{link_busy}",
         load.running, load.queued, load.limit, load.least_urgent_accepted.0
     )
 }
@@ -86,12 +94,19 @@
     for count in &mut queued_by_rank {
         *count = fields.next()?.parse().ok()?;
     }
+    let link_busy = match fields.next() {
+        None => Duration::ZERO,
+        Some(field) => {
+            let millis: u32 = field.strip_prefix(LINK_FIELD)?.parse().ok()?;
+            Duration::from_millis(millis.into())
+        }
+    };
     fields.next().is_none().then_some(Load {
         running,
         queued,
         queued_by_rank,
         limit,
         least_urgent_accepted,
-        link_busy: Duration::ZERO,
+        link_busy,
     })
 }
