--- a/components/front/src/driver.rs
+++ b/components/front/src/driver.rs
@@ -23,6 +23,7 @@
 use ids::Fingerprint;
 use ids::NodeId;
 use ids::RequestId;
+use ids::RouteId;
 use kernel::Clock;
 use kernel::StateMachine;
 use kernel::Time;
@@ -327,7 +328,14 @@
 
     /// Current load of the owner state machine.
     pub fn load(&self) -> Load {
-        lock(&self.owner).machine.load()
+        lock(&self.owner).machine.load(self.link_backlog())
+    }
+
+    /// Reports the length of a complete response of the upstream. Without a link rate, nothing uses it.
+    pub fn report_response_length(&self, route: RouteId, bytes: u64) {
+        if self.link.is_some() {
+            self.step_owner(owner::Input::ResponseEnded { route, bytes });
+        }
     }
 
     /// Current values for the gauges of the metrics.
@@ -349,6 +357,7 @@
         let (sender, receiver) = oneshot::channel();
         let pending = {
             let mut owner = lock(&self.owner);
+            incoming.link_backlog = self.link_backlog();
             incoming.tag = owner.add_waiter(Waiter::Admission(incoming.id, sender));
             self.step_owner_locked(&mut owner, owner::Input::Arrived(incoming));
             Permit::new(Arc::clone(self), incoming.tag)
--- a/components/policy/src/admission.rs
+++ b/components/policy/src/admission.rs
@@ -46,6 +46,8 @@
     pub objective: Option<Time>,
     /// Whether the sender tries another endpoint if this one refuses the request.
     pub spillable: bool,
+    /// Whether an upstream makes the request as part of a run, which is lost if the request is.
+    pub onward: bool,
 }
 
 /// Decision about a request.
@@ -87,6 +89,9 @@
     pub limit: u32,
     /// Least urgent rank whose requests are accepted at present.
     pub least_urgent_accepted: Rank,
+    /// Time until the link of the instance has carried the large responses that wait or are expected; zero
+    /// without a link rate.
+    pub link_busy: Duration,
 }
 
 /// Decides which requests run, wait or are refused at one upstream.
--- a/components/traffic/src/entry/call.rs
+++ b/components/traffic/src/entry/call.rs
@@ -5,6 +5,7 @@
 
 use crate::entry::Attempt;
 use crate::entry::AttemptReport;
+use crate::entry::Credential;
 use crate::entry::RequestHead;
 use crate::entry::RouteProfile;
 use crate::entry::identify;
@@ -103,7 +104,9 @@
                 rank: route.rank,
                 idempotent: route.idempotent,
                 objective: route.objective,
+                large_responses: route.large_responses,
                 organisation: organisation.map(|it| it.id),
+                onward: head.credential == Credential::Onward,
             },
             fingerprint: head.fingerprint,
             seen_crashes: 0,
--- a/components/traffic/tests/deadly_request.rs
+++ b/components/traffic/tests/deadly_request.rs
@@ -310,6 +310,8 @@
         self.nodes[node].pending.push((tag, sent));
         let incoming = IncomingRequest {
             organisation: None,
+            onward: false,
+            link_backlog: 0,
             tag,
             id: RequestId(u128::from(tag) << 64),
             attempt: sent.attempt,
--- a/components/traffic/tests/entry.rs
+++ b/components/traffic/tests/entry.rs
@@ -41,6 +41,7 @@
 use traffic::entry::Attempt;
 use traffic::entry::AttemptReport;
 use traffic::entry::CallKey;
+use traffic::entry::Credential;
 use traffic::entry::Effect;
 use traffic::entry::Input;
 use traffic::entry::Machine;
@@ -54,6 +55,7 @@
       - {method: GET, path: /calm, rank: 3, deadline_ms: 2000, idempotent: true}
       - {method: POST, path: /once, rank: 0, deadline_ms: 2000, idempotent: false}
 routes:
+  - {host: h, prefix: /bulk/, rank: 2, deadline_ms: 1200, idempotent: true, large_responses: true, targets: [{service: stock}]}
   - {host: h, prefix: /timed/, rank: 0, deadline_ms: 2000, idempotent: false, objective_ms: 500, targets: [{service: stock}]}
 ";
 const SECOND_US: u64 = 1_000_000;
@@ -68,6 +70,8 @@
     topology: Arc<Topology>,
     node_id: NodeId,
     generation: u32,
+    /// Credential of all requests.
+    credential: Credential,
 }
 
 impl Harness {
@@ -92,6 +96,7 @@
             topology: Arc::new(topology),
             node_id,
             generation: 0,
+            credential: Credential::None,
         };
         harness.set_nodes(nodes);
         harness
@@ -154,7 +159,7 @@
 
     fn arrive(&mut self, now: u64, method: &str, path: &str) -> Vec<Effect> {
         let head = RequestHead {
-            credential: traffic::entry::Credential::None,
+            credential: self.credential,
             fingerprint: Some(FINGERPRINT),
             id: RequestId(1),
             host: Some("h".to_owned()),
@@ -786,3 +791,85 @@
     let late = delays.iter().filter(|it| **it > 170).count();
     assert!(early >= 2 && late >= 2, "{delays:?}");
 }
+
+/// Guards against deployments without a link rate and organisations whose requests change, and against
+/// callers' requests that go before those of others as if a run depended on them.
+#[rstest]
+#[case::onward_call(true, Credential::Onward, true)]
+#[case::caller(true, Credential::None, false)]
+#[case::not_preferred(false, Credential::Onward, false)]
+fn arrive_onward(#[case] preferred: bool, #[case] credential: Credential, #[case] expected: bool) {
+    let mut harness = Harness::new(1, [2]);
+    if preferred {
+        harness.machine.prefer_onward_calls();
+    }
+    harness.credential = credential;
+    let effects = harness.arrive(0, "GET", "/calm");
+    let is_expected =
+        |it: &Effect| matches!(it, Effect::Forward { route, .. } if route.onward == expected);
+    assert!(effects.iter().any(is_expected), "{effects:?}");
+}
+
+/// Load: a burst of downloads at one owner while others have room. Guards against an entry that goes on to
+/// send downloads to the owner with the busy link, that gives up after its refusal, or that keeps small
+/// requests away from it.
+#[rstest]
+#[case::large("/bulk/x", false)]
+#[case::small("/calm", true)]
+fn forward_busy_link(#[case] path: &str, #[case] reaches_busy: bool) {
+    let mut harness = Harness::new(99, [1, 2, 3]);
+    let busy = NodeId(1);
+    let mut reached = 0;
+    for request in 0..200 {
+        let (call, attempt) = find_forwarded(&harness.arrive(request, "GET", path));
+        reached += u32::from(request >= 20 && attempt.node == busy);
+        let link_busy = Duration::from_millis(if attempt.node == busy { 900 } else { 0 });
+        let load = Some(Load {
+            limit: 10,
+            least_urgent_accepted: Rank(3),
+            link_busy,
+            ..Load::default()
+        });
+        let mut report = failure_report(Verdict::NotRun, Reason::LinkBusy);
+        report.load = load;
+        if attempt.node != busy || reaches_busy {
+            report.reason = None;
+        }
+        let effects = harness.report_attempt(request, call, report);
+        if report.reason.is_some() {
+            let (_, next) = find_forwarded(&effects);
+            assert_ne!(next.node, busy);
+        }
+        harness.step(request, Input::CallEnded { call });
+    }
+    assert_eq!(reached > 0, reaches_busy, "{reached}");
+}
+
+/// Guards against early shedding of downloads while one link has room, and of requests with small responses
+/// because of busy links.
+#[rstest]
+#[case::all_busy("/bulk/x", [2_000, 2_000, 2_000], true)]
+#[case::one_free("/bulk/x", [2_000, 2_000, 300], false)]
+#[case::small("/calm", [2_000, 2_000, 2_000], false)]
+fn arrive_busy_links(#[case] path: &str, #[case] busy_ms: [u64; 3], #[case] expected: bool) {
+    let mut harness = Harness::new(99, [1, 2, 3]);
+    for request in 0..100 {
+        let (call, attempt) = find_forwarded(&harness.arrive(0, "GET", "/calm"));
+        let mut report = failure_report(Verdict::NotRun, Reason::LinkBusy);
+        report.reason = None;
+        report.load = Some(Load {
+            limit: 10,
+            least_urgent_accepted: Rank(3),
+            link_busy: Duration::from_millis(busy_ms[attempt.node.0 as usize - 1]),
+            ..Load::default()
+        });
+        harness.report_attempt(request, call, report);
+        harness.step(0, Input::CallEnded { call });
+    }
+    let (call, _) = find_forwarded(&harness.arrive(0, "GET", path));
+    harness.report_attempt(0, call, failure_report(Verdict::NotRun, Reason::LinkBusy));
+    let is_shed =
+        |effects: &[Effect]| find_refusal(effects).is_some_and(|it| it.reason == Reason::ShedEarly);
+    let shed = (0..100).filter(|_| is_shed(&harness.arrive(0, "GET", path)));
+    assert_eq!(shed.count() > 80, expected);
+}
--- a/components/traffic/tests/owner.rs
+++ b/components/traffic/tests/owner.rs
@@ -62,6 +62,8 @@
 fn incoming(tag: u64, attempt: u32, idempotent: bool) -> IncomingRequest {
     IncomingRequest {
         organisation: None,
+        onward: false,
+        link_backlog: 0,
         tag,
         id: ID,
         attempt,
@@ -84,6 +86,8 @@
     let id = RequestId(u128::from(tag));
     IncomingRequest {
         organisation: None,
+        onward: false,
+        link_backlog: 0,
         id,
         ..incoming(tag, 1, true)
     }
@@ -221,7 +225,7 @@
         [start_effect(2)]
     );
     step(&mut owner, 5, finish_input(2, Verdict::Ran));
-    assert_eq!(owner.load().running, 0);
+    assert_eq!(owner.load(0).running, 0);
 }
 
 /// Guards against a drain that drops accepted requests, accepts new ones, or reports its end early
@@ -348,7 +352,7 @@
     for warm in after {
         step(&mut owner, 0, Input::UpstreamWarmed { warm: *warm });
     }
-    assert_eq!(owner.load().limit, limit);
+    assert_eq!(owner.load(0).limit, limit);
 }
 
 /// Guards against a request that a leaving owner starts for longer than it exists, because it has waited or
@@ -411,6 +415,8 @@
     let deadline = Time(EXPIRES.0 / 2);
     let request = IncomingRequest {
         organisation: None,
+        onward: false,
+        link_backlog: 0,
         deadline,
         ..incoming(1, 1, true)
     };
@@ -432,6 +438,8 @@
     let arrivals = (1..=12).flat_map(|tag| {
         let request = IncomingRequest {
             organisation: None,
+            onward: false,
+            link_backlog: 0,
             rate_limit: RequestRate::from_per_second(2.0),
             ..other_request(tag)
         };
@@ -476,6 +484,8 @@
             tag += 1;
             let request = IncomingRequest {
                 organisation: None,
+                onward: false,
+                link_backlog: 0,
                 expires: Time(now + 500_000),
                 deadline: Time(now + 500_000),
                 rate_limit: RequestRate::from_per_second(limit).filter(|_| restarted),
@@ -520,6 +530,8 @@
     step(&mut owner, 0, Input::UpstreamWarmed { warm: true });
     let request = |tag: u64, fingerprint: u128| IncomingRequest {
         organisation: None,
+        onward: false,
+        link_backlog: 0,
         fingerprint: Some(Fingerprint(fingerprint)),
         ..other_request(tag)
     };
