Attach the priority of a response only where the link is paced

Without link_mbps each response would otherwise take an allocation that nobody reads. The length above which bodies are paced is read without the lock. Further tests: a body without end that is read ahead stays bounded, and request bodies to other nodes count as written.

--- a/components/front/src/link_pacer.rs
+++ b/components/front/src/link_pacer.rs
@@ -35,6 +35,7 @@
 /// Shared handle of the scheduler of the instance's link.
 pub struct LinkPacer {
     clock: MonotonicClock,
+    paced_above: u64,
     /// Held for a step of the scheduler only.
     state: Mutex<PacerState>,
     /// Notified when the scheduler is due earlier than before.
@@ -64,8 +65,10 @@
 impl LinkPacer {
     /// Creates a pacer for a link of this rate.
     pub(crate) fn new(clock: MonotonicClock, rate: Rate) -> Self {
+        let scheduler = Scheduler::new(rate);
+        let paced_above = scheduler.paced_above();
         let state = PacerState {
-            scheduler: Scheduler::new(rate),
+            scheduler,
             wakers: Vec::new(),
             armed: None,
             written_bytes: 0,
@@ -73,6 +76,7 @@
         };
         Self {
             clock,
+            paced_above,
             state: Mutex::new(state),
             due_earlier: Notify::new(),
         }
@@ -80,7 +84,7 @@
 
     /// Length above which a body is paced, in bytes.
     pub fn paced_above(&self) -> u64 {
-        self.lock().scheduler.paced_above()
+        self.paced_above
     }
 
     /// Adds a body that is to be sent in pieces.
--- a/components/http1/src/caller.rs
+++ b/components/http1/src/caller.rs
@@ -309,6 +309,12 @@
     remove_hop_by_hop_headers(&mut parts.headers);
     let shared = Arc::clone(&call_guard.shared);
     let deadline = Instant::from_std(shared.driver.clock().to_instant(attempt.give_up_at));
+    let priority = SendPriority {
+        rank: profile.rank,
+        objective: attempt.objective,
+        deadline: attempt.give_up_at,
+    };
+    priority.attach(&shared, &mut parts.extensions);
     let status = parts.status.as_u16();
     let on_end = move |end| {
         let failure_reason = match end {
@@ -333,11 +339,6 @@
         call_guard.finish();
     };
     let relayed = RelayedResponse::new(RelaySource::Payload(body), deadline, on_end);
-    parts.extensions.insert(SendPriority {
-        rank: profile.rank,
-        objective: attempt.objective,
-        deadline: attempt.give_up_at,
-    });
     Response::from_parts(parts, Payload::Relayed(Box::new(relayed)))
 }
 
--- a/components/http1/src/node.rs
+++ b/components/http1/src/node.rs
@@ -94,12 +94,12 @@
     if upstream_response.stored {
         connection_state.set_stored(incoming.id);
     }
-    let extensions = upstream_response.response.extensions_mut();
-    extensions.insert(SendPriority {
+    let priority = SendPriority {
         rank: incoming.rank,
         objective: incoming.objective,
         deadline: incoming.expires,
-    });
+    };
+    priority.attach(shared, upstream_response.response.extensions_mut());
     Ok(upstream_response.response)
 }
 
--- a/components/http1/src/paced_body.rs
+++ b/components/http1/src/paced_body.rs
@@ -11,6 +11,7 @@
 use hyper::body::Body;
 use hyper::body::Frame;
 use hyper::body::SizeHint;
+use hyper::http::Extensions;
 
 use crate::SharedState;
 use crate::body::BodyError;
@@ -36,6 +37,15 @@
     pub(crate) deadline: Time,
 }
 
+impl SendPriority {
+    /// Attaches the priority to a response if the link is paced.
+    pub(crate) fn attach(self, shared: &SharedState, extensions: &mut Extensions) {
+        if shared.driver.link().is_some() {
+            extensions.insert(self);
+        }
+    }
+}
+
 /// A response body whose bytes are passed on as its connection's link grants them.
 pub(crate) struct PacedBody {
     body: Payload,
--- a/components/http1/tests/endless.rs
+++ b/components/http1/tests/endless.rs
@@ -10,6 +10,7 @@
 use std::time::Instant;
 
 use rstest::rstest;
+use support::Node;
 use support::raw::CallerConnection;
 use support::raw::free_address;
 use support::raw::get_request;
@@ -159,11 +160,21 @@
     assert!(started.elapsed() < DEADLINE + 2 * SLACK);
 }
 
-/// Guards against a node that buffers a body without end for a caller that does not read.
+/// Guards against a node that buffers a body without end for a caller that does not read, also where it reads bodies
+/// ahead of its link.
+#[rstest]
+#[case::relayed(None)]
+#[case::read_ahead(Some(12.0))]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn send_to_endless_upstream_unread() {
+async fn send_to_endless_upstream_unread(#[case] link_mbps: Option<f64>) {
     let (address, record) = start_endless(CHUNKED, LONG_CHUNK, Duration::ZERO).await;
-    let (entry, _owner) = start_entry_and_owner(address, 10, 10).await;
+    let (entry, _owner) = match link_mbps {
+        Some(mbps) => (Node::start_with_link(address, 10, mbps).await, None),
+        None => {
+            let (entry, owner) = start_entry_and_owner(address, 10, 10).await;
+            (entry, Some(owner))
+        }
+    };
     let mut caller = CallerConnection::connect(entry.callers).await;
     caller.send(get_request("/endless").repeat(4)).await;
     tokio::time::sleep(DEADLINE / 2).await;
--- a/components/http1/tests/pacing.rs
+++ b/components/http1/tests/pacing.rs
@@ -11,6 +11,7 @@
 use support::raw::CallerConnection;
 use support::raw::exchange;
 use support::raw::get_request;
+use support::raw::request_with_body;
 use support::raw::wait_until;
 use support::slow_link;
 use support::upstream;
@@ -191,3 +192,16 @@
         assert!(started.elapsed() > Duration::from_millis(600));
     }
 }
+
+/// Guards against request bodies to other nodes that do not count against the link of the node that sends them.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn count_written_bytes_forwarded() {
+    let (address, _) = upstream::start().await;
+    let (entry, owner) = start_nodes(address, true, MBPS).await;
+    let request = request_with_body("POST", "/x", 50_000);
+    let response = exchange(entry.callers, request).await;
+    assert_eq!(response.map(|it| it.body), Some(b"50000".to_vec()));
+    let written = |node: &Node| node.counter_value("medlar_link_written_bytes_total");
+    assert!((50_000..55_000).contains(&written(&entry)));
+    assert!((1..5_000).contains(&written(&owner.unwrap())));
+}
