Read ahead and pace shorter bodies on wide links

With 200 Mbit/s, two pieces are 128 KB, so that a download of the mean length of 90 KB was neither paced nor read ahead, and a slow reader could keep its upstream's slot. Bodies above 64 KB are now paced on any link, and those above 16 KB are read ahead. Adds a test of a drain while a body waits for the link.

--- a/components/http1/src/read_ahead.rs
+++ b/components/http1/src/read_ahead.rs
@@ -28,6 +28,8 @@
 /// Limit on the bytes that all bodies of the process together hold. Beyond it a body is read on only when all
 /// of it that was read has been passed on.
 const MAX_TOTAL_BYTES: usize = 16 * 1024 * 1024;
+/// Longest body that is not read ahead: the socket's buffer takes it whole, however slow its reader is.
+const SHORT_BYTES: u64 = 16 * 1024;
 /// Bytes by which a chunk counts in addition to its length, for its bookkeeping.
 const CHUNK_OVERHEAD_BYTES: usize = 64;
 
@@ -151,10 +153,10 @@
     _reader: AbortOnDropHandle<()>,
 }
 
-/// Starts to read `source` into memory, unless it is known to have at most `short_bytes`.
-pub(crate) fn read_ahead(source: Payload, short_bytes: u64, budget: &Arc<Budget>) -> Payload {
+/// Starts to read `source` into memory, unless it is known to be short.
+pub(crate) fn read_ahead(source: Payload, paced_above: u64, budget: &Arc<Budget>) -> Payload {
     let remaining = source.size_hint().exact();
-    if source.is_end_stream() || remaining.is_some_and(|it| it <= short_bytes) {
+    if source.is_end_stream() || remaining.is_some_and(|it| it <= paced_above.min(SHORT_BYTES)) {
         return source;
     }
     let buffer = Arc::new(Mutex::new(Buffer {
--- a/components/http1/tests/pacing.rs
+++ b/components/http1/tests/pacing.rs
@@ -205,3 +205,22 @@
     assert!((50_000..55_000).contains(&written(&entry)));
     assert!((1..5_000).contains(&written(&owner.unwrap())));
 }
+
+/// Guards against a drain that cuts a response whose upstream is done and that still waits for the link.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn drain_waiting_body() {
+    let (address, _) = upstream::start().await;
+    let node = Node::start_with_link(address, 10, MBPS).await;
+    let mut caller = CallerConnection::connect(node.callers).await;
+    caller.send(get_request("/large")).await;
+    wait_until("open body", || node.driver.link_backlog() > 500_000).await;
+    wait_until("end of the request at the upstream", || {
+        node.driver.load().running == 0
+    })
+    .await;
+    node.driver.drain();
+    node.front_end_stop.cancel();
+    let response = caller.receive().await;
+    assert_eq!(response.map(|it| it.body.len()), Some(LARGE_BYTES));
+    node.front_end_task.await.unwrap();
+}
--- a/components/link/src/scheduler.rs
+++ b/components/link/src/scheduler.rs
@@ -27,7 +27,8 @@
 /// Time for which the kernel still has bytes to send when the next piece is granted. Timers of the runtime have a
 /// resolution of 1 ms, and the link must not fall idle until the piece is written.
 const LOW_WATER_TIME: Duration = Duration::from_millis(2);
-/// Bodies longer than this many pieces are paced.
+/// Bodies longer than this many pieces, or than the longest piece, are paced. Shorter ones are not worth the wait: the link
+/// carries them in 8 ms at most.
 const PACED_PIECES: u64 = 2;
 /// Part of the rate that is used, so that the estimate does not fall behind the kernel. The rest is for datagrams,
 /// control calls and acknowledgements of received data, which are not counted.
@@ -104,7 +105,7 @@
 
     /// Length above which a body is paced, in bytes.
     pub fn paced_above(&self) -> u64 {
-        PACED_PIECES * self.piece_bytes
+        (PACED_PIECES * self.piece_bytes).min(MAX_PIECE_BYTES)
     }
 
     /// Adds a body that is to be sent in pieces.
--- a/components/link/tests/pacing.rs
+++ b/components/link/tests/pacing.rs
@@ -332,3 +332,16 @@
     scheduler.close(key);
     assert_eq!(scheduler.backlog(millis(10)), 0);
 }
+
+/// Guards against pieces and unpaced bodies that occupy a slow link for more than some milliseconds, and against pieces
+/// that are too small to be worth a wake-up.
+#[rstest]
+#[case::slowest(0.1, 4_096, 8_192)]
+#[case::small_instance(12.0, 6_000, 12_000)]
+#[case::large_instance(200.0, 65_536, 65_536)]
+fn piece_rate(#[case] mbps: f64, #[case] piece: u64, #[case] paced_above: u64) {
+    let mut scheduler = Scheduler::new(Rate::from_mbps(mbps));
+    assert_eq!(scheduler.paced_above(), paced_above);
+    let key = scheduler.open(Time(0), body(0, None, FAR));
+    assert_eq!(scheduler.request(Time(0), key), Grant::Send(piece));
+}
