--- a/components/http1/tests/pacing.rs
+++ b/components/http1/tests/pacing.rs
@@ -11,6 +11,7 @@
 use support::raw::CallerConnection;
 use support::raw::exchange;
 use support::raw::get_request;
+use support::raw::request_with_body;
 use support::raw::wait_until;
 use support::slow_link;
 use support::upstream;
@@ -191,3 +192,35 @@
         assert!(started.elapsed() > Duration::from_millis(600));
     }
 }
+
+/// Guards against request bodies to other nodes that do not count against the link of the node that sends them.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn count_written_bytes_forwarded() {
+    let (address, _) = upstream::start().await;
+    let (entry, owner) = start_nodes(address, true, MBPS).await;
+    let request = request_with_body("POST", "/x", 50_000);
+    let response = exchange(entry.callers, request).await;
+    assert_eq!(response.map(|it| it.body), Some(b"50000".to_vec()));
+    let written = |node: &Node| node.counter_value("medlar_link_written_bytes_total");
+    assert!((50_000..55_000).contains(&written(&entry)));
+    assert!((1..5_000).contains(&written(&owner.unwrap())));
+}
+
+/// Guards against a drain that cuts a response whose upstream is done and that still waits for the link.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn drain_waiting_body() {
+    let (address, _) = upstream::start().await;
+    let node = Node::start_with_link(address, 10, MBPS).await;
+    let mut caller = CallerConnection::connect(node.callers).await;
+    caller.send(get_request("/large")).await;
+    wait_until("open body", || node.driver.link_backlog() > 500_000).await;
+    wait_until("end of the request at the upstream", || {
+        node.driver.load().running == 0
+    })
+    .await;
+    node.driver.drain();
+    node.front_end_stop.cancel();
+    let response = caller.receive().await;
+    assert_eq!(response.map(|it| it.body.len()), Some(LARGE_BYTES));
+    node.front_end_task.await.unwrap();
+}
