Replace an unwrap outside a test function in the tests of organisations

Cause: clippy's unwrap_used rejects it, so that clippy with -D warnings fails for crate config. Change: expect with a message; the tests check the same.

--- a/components/config/tests/organisation.rs
+++ b/components/config/tests/organisation.rs
@@ -17,7 +17,7 @@
 }
 
 fn compile_text(organisations: &str) -> Snapshot {
-    compile(&text(organisations), Version(1)).unwrap()
+    compile(&text(organisations), Version(1)).expect("the text is valid")
 }
 
 /// A key that is compared as text, or found under another organisation, would let its holder act for that one.
