Rank and share slot time by organisation

Cause: the priority of an organisation has no effect, and one that floods takes the room of all others. Change: the rank of a request combines the ranks of its organisation and its route, in this order; entry and owner derive it with traffic::Precedence. Requests that belong to no organisation rank with the most urgent ones. The ranked admission adds levels for the ranks in use, and skips empty levels before it computes anything for them. Flows are by route and organisation, weighted by the route's weight and the organisation's rate. medlar-load states the four ranks of today and further ones up to the last in use.

--- a/components/admit/src/fifo.rs
+++ b/components/admit/src/fifo.rs
@@ -144,7 +144,7 @@
 
     fn load(&self) -> Load {
         let queued = u32::try_from(self.queue.len()).unwrap_or(u32::MAX);
-        let mut queued_by_rank = [0; Rank::COUNT];
+        let mut queued_by_rank = [0; Rank::REQUEST_COUNT];
         // A request of any rank waits for all queued requests, so all of them are reported in the
         // most urgent rank.
         queued_by_rank[0] = queued;
--- a/components/admit/src/ranked.rs
+++ b/components/admit/src/ranked.rs
@@ -48,9 +48,6 @@
 /// Number of waiting requests of a level that are not evicted for more urgent requests, so that the
 /// level has requests to run from its share of the slot time.
 const PROTECTED_REQUESTS_PER_LEVEL: usize = 4;
-/// Number of priority levels: one for each rank with the requests that can still meet their
-/// objective, then one for each rank with those that cannot. Level 0 is the most urgent.
-const LEVEL_COUNT: usize = Rank::COUNT * 2;
 /// Minimum fraction of the slot time that more urgent levels are assumed to leave to a level, so
 /// that the estimated wait is finite.
 const MIN_AVAILABLE_FRACTION: f64 = 0.01;
@@ -72,7 +69,7 @@
 struct RunningRequest {
     ticket: Ticket,
     route: RouteId,
-    level: usize,
+    rank: usize,
     /// Slot time that the request is assumed to take at most, in microseconds, or
     /// [`UNMEASURED_COST`].
     worst_case_cost: f64,
@@ -89,8 +86,9 @@
     rate_limit: RateLimit,
     service_times: ServiceTimes,
     low_rank_share: LowRankShare,
-    /// Indexed by level.
-    queues: [LevelQueue; LEVEL_COUNT],
+    /// Priority levels: one for each rank with the requests that can still meet their objective, then one for
+    /// each rank with those that cannot. Level 0 is the most urgent.
+    queues: Vec<LevelQueue>,
     /// Sorted by ticket.
     running: Vec<RunningRequest>,
     /// Position of the round robin that selects the lower level which next uses the share of the
@@ -125,7 +123,9 @@
             low_rank_share: LowRankShare::new(
                 params.u64_or("share", low_rank_share::DEFAULT_PERCENT)?,
             ),
-            queues: Default::default(),
+            queues: std::iter::repeat_with(LevelQueue::default)
+                .take(2 * Rank::COUNT)
+                .collect(),
             running: Vec::new(),
             share_cursor: 0,
             next_objective_miss: None,
@@ -134,6 +134,24 @@
         })
     }
 
+    /// Number of ranks that have levels: those of a configuration without organisations, and more once a
+    /// request has a higher rank.
+    fn rank_count(&self) -> usize {
+        self.queues.len() / 2
+    }
+
+    /// Adds levels up to this rank and to the last one of its organisation.
+    fn add_levels(&mut self, rank: usize) {
+        let old_count = self.rank_count();
+        let new_count = (rank + 1).next_multiple_of(Rank::COUNT);
+        if new_count <= old_count {
+            return;
+        }
+        let levels = || std::iter::repeat_with(LevelQueue::default).take(new_count - old_count);
+        self.queues.splice(old_count..old_count, levels());
+        self.queues.extend(levels());
+    }
+
     /// Number of waiting requests of all levels.
     fn queued_count(&self) -> usize {
         self.queues.iter().map(|queue| queue.requests.len()).sum()
@@ -243,14 +261,14 @@
         if self.next_objective_miss.is_none_or(|due| due > now) {
             return;
         }
-        for rank in 0..Rank::COUNT {
+        for rank in 0..self.rank_count() {
             let mut demoted = Vec::new();
             let latest_objective_start = |waiting: &WaitingRequest| waiting.latest_objective_start;
             self.queues[rank]
                 .requests
                 .extract_due(now, latest_objective_start, &mut demoted);
             for waiting in demoted {
-                let level = rank + Rank::COUNT;
+                let level = rank + self.rank_count();
                 let requests = &self.queues[level].requests;
                 let (job, cost) = (waiting.job, waiting.cost);
                 let work_before = requests.work_before(&job, cost);
@@ -263,7 +281,7 @@
                 }
             }
         }
-        let queues = self.queues[..Rank::COUNT].iter();
+        let queues = self.queues[..self.rank_count()].iter();
         self.next_objective_miss = queues
             .filter_map(|it| it.requests.earliest(|it| it.latest_objective_start))
             .min();
@@ -295,7 +313,7 @@
         if self.queued_count() < self.max_queued {
             return true;
         }
-        let lower_levels = (level + 1..LEVEL_COUNT).rev();
+        let lower_levels = (level + 1..self.queues.len()).rev();
         let mut lower_levels = lower_levels
             .filter(|level| self.queues[*level].requests.len() > PROTECTED_REQUESTS_PER_LEVEL);
         if let Some(evicted) = lower_levels
@@ -353,11 +371,17 @@
     }
 
     fn offer(&mut self, now: Time, job: Job, decisions: &mut Vec<Decision>) {
+        self.add_levels(job.rank.index());
         let cost = self.service_times.cost(job.route);
         let latest_objective_start = self.latest_objective_start(now, &job);
         // A call of an upstream keeps its place, because a late response to it still saves the run.
         let misses_objective = !job.onward && latest_objective_start.is_some_and(|it| it <= now);
-        let level = job.rank.index() + if misses_objective { Rank::COUNT } else { 0 };
+        let late_levels = if misses_objective {
+            self.rank_count()
+        } else {
+            0
+        };
+        let level = job.rank.index() + late_levels;
         let wait = self.estimate_wait(now, level, &job, cost);
         if job.spillable && latest_objective_start.is_some_and(|it| it < now + wait) {
             // Neither demand nor a refusal of the rank, because another upstream gets the request.
@@ -472,12 +496,16 @@
     }
 
     fn load(&self) -> Load {
-        let mut queues = self.queues[..Rank::COUNT].iter();
+        let rank_count = self.rank_count();
+        let mut queues = self.queues[..rank_count].iter();
         let refusing = queues.position(LevelQueue::is_refusing);
-        let least_urgent_accepted = refusing.map_or(Rank::COUNT - 1, |rank| rank.saturating_sub(1));
+        let least_urgent_accepted = refusing.map_or(rank_count - 1, |rank| rank.saturating_sub(1));
         let queued = |queue: &LevelQueue| u32::try_from(queue.requests.len()).unwrap_or(u32::MAX);
         Load {
-            queued_by_rank: std::array::from_fn(|rank| queued(&self.queues[rank])),
+            queued_by_rank: std::array::from_fn(|rank| {
+                let queues = self.queues[..rank_count].get(rank);
+                queues.map_or(0, queued)
+            }),
             running: u32::try_from(self.running.len()).unwrap_or(u32::MAX),
             queued: u32::try_from(self.queued_count()).unwrap_or(u32::MAX),
             limit: self.limit.get().min(self.concurrency().ceil() as u32),
--- a/components/admit/src/ranked/dispatch.rs
+++ b/components/admit/src/ranked/dispatch.rs
@@ -1,11 +1,9 @@
 //! Selection of the waiting request that runs in a free slot.
 
-use crate::ranked::LEVEL_COUNT;
 use crate::ranked::RankedAdmission;
 use crate::ranked::RunningRequest;
 use crate::ranked::deadline_reason;
 use crate::ranked::fair_queue::WaitingRequest;
-use ids::Rank;
 use kernel::Time;
 use policy::Decision;
 
@@ -35,7 +33,7 @@
     pub(super) fn cost_bound(&self, now: Time, level: usize) -> f64 {
         // The two levels of a rank, with requests that meet or miss their objective, have the same
         // bound.
-        let rank = level % Rank::COUNT;
+        let rank = level % self.rank_count();
         let urgent = &self.queues[..rank];
         let demand: f64 = urgent.iter().map(|it| it.demand(now)).sum();
         let urgent_cost = urgent.iter().map(|it| it.mean_cost).fold(0.0, f64::max);
@@ -48,7 +46,7 @@
         let long_running = self
             .running
             .iter()
-            .filter(|it| it.level % Rank::COUNT >= rank && it.worst_case_cost >= long_cost);
+            .filter(|it| it.rank >= rank && it.worst_case_cost >= long_cost);
         let slack = urgent.iter().filter_map(|it| it.mean_slack);
         let patience = slack.reduce(f64::min).unwrap_or_default() * USABLE_SLACK;
         let blocked_share = |cost: f64| (1.0 - patience / cost).max(0.0);
@@ -68,12 +66,15 @@
     /// is reserved for lower levels; `None` if no request may start.
     fn next_level(&self, now: Time) -> Option<(usize, bool)> {
         let next_cost = |level: usize| {
+            if self.queues[level].is_empty() {
+                return None;
+            }
             let cost_bound = self.cost_bound(now, level);
             self.queues[level].requests.next_cost(cost_bound)
         };
-        let urgent = (0..LEVEL_COUNT).find(|level| next_cost(*level).is_some())?;
+        let urgent = (0..self.queues.len()).find(|level| next_cost(*level).is_some())?;
         let contended = self.is_contended(&self.queues[urgent]);
-        let lower_levels = LEVEL_COUNT - urgent - 1;
+        let lower_levels = self.queues.len() - urgent - 1;
         let mut round_robin =
             (0..lower_levels).map(|step| urgent + 1 + (self.share_cursor + step) % lower_levels);
         let low_rank_level = round_robin.find(|level| {
@@ -134,7 +135,7 @@
         self.queues[level].requests.charge(waiting);
         if from_low_rank_share {
             self.low_rank_share.spend(cost);
-            self.share_cursor = self.share_cursor.wrapping_add(1) % LEVEL_COUNT;
+            self.share_cursor = self.share_cursor.wrapping_add(1) % self.queues.len();
         } else if self.queues[level + 1..].iter().any(|it| !it.is_empty()) {
             self.low_rank_share.earn(cost, self.service_times.mean());
         }
@@ -147,7 +148,7 @@
         let running = RunningRequest {
             ticket: job.ticket,
             route: job.route,
-            level,
+            rank: level % self.rank_count(),
             worst_case_cost,
         };
         self.running.insert(index, running);
--- a/components/admit/src/ranked/fair_queue.rs
+++ b/components/admit/src/ranked/fair_queue.rs
@@ -1,6 +1,7 @@
-//! Queue of the waiting requests of one level that is fair between routes.
+//! Queue of the waiting requests of one level that is fair between routes and between the organisations that
+//! use them.
 //!
-//! Each route is a flow, and flows are scheduled by start-time fair queueing: a dispatched request
+//! Each organisation is a flow on each route, and flows are scheduled by start-time fair queueing: a dispatched request
 //! advances the start tag of its flow by its cost over the flow's weight, and the flow with the
 //! lowest start tag is next. A flow that was empty starts at the virtual time of the queue, so that
 //! an idle flow accumulates no credit.
@@ -11,6 +12,7 @@
 
 use std::collections::VecDeque;
 
+use ids::OrganisationId;
 use ids::RouteId;
 use kernel::Time;
 use policy::Job;
@@ -51,6 +53,7 @@
 struct FlowId {
     class: FlowClass,
     route: RouteId,
+    organisation: Option<OrganisationId>,
 }
 
 impl FlowId {
@@ -63,6 +66,7 @@
         Self {
             class,
             route: job.route,
+            organisation: job.organisation,
         }
     }
 }
@@ -77,7 +81,7 @@
     work: f64,
 }
 
-/// Waiting requests of one route.
+/// Waiting requests of one route and organisation.
 #[derive(Debug)]
 struct Flow {
     id: FlowId,
@@ -89,7 +93,7 @@
     requests: VecDeque<WaitingRequest>,
 }
 
-/// Waiting requests of one level, with one flow for each route.
+/// Waiting requests of one level, with one flow for each route and organisation.
 #[derive(Debug, Default)]
 pub(crate) struct FairQueue {
     /// Sorted by identifier.
@@ -245,7 +249,9 @@
         let own_len = self
             .position(id)
             .map_or(0, |flow_index| self.flows[flow_index].requests.len());
-        if own_len as f64 + 1.0 > fair_len(weight) {
+        // There can be more organisations than places, so that the share of a small one is less than a place.
+        let is_first = id.organisation.is_some() && own_len == 0;
+        if !is_first && own_len as f64 + 1.0 > fair_len(weight) {
             return None;
         }
         let excess = |flow: &Flow| flow.requests.len() as f64 - fair_len(flow.weight);
@@ -254,7 +260,7 @@
             .iter()
             .enumerate()
             .filter(|(_, flow)| flow.id != id && flow.id.class == id.class)
-            .filter(|(_, flow)| !flow.requests.is_empty())
+            .filter(|(_, flow)| flow.requests.len() > usize::from(is_first))
             .max_by(|a, b| excess(a.1).total_cmp(&excess(b.1)))?;
         self.pop_last(flow_index)
     }
--- a/components/admit/tests/limit.rs
+++ b/components/admit/tests/limit.rs
@@ -75,6 +75,7 @@
                 objective: None,
                 spillable: false,
                 onward: false,
+                organisation: None,
             };
             admission.offer(Time(now), job, &mut decisions);
         } else {
@@ -220,6 +221,7 @@
                 objective: None,
                 spillable: false,
                 onward: false,
+                organisation: None,
             };
             ranked.offer(Time(now), job, &mut decisions);
         }
@@ -303,6 +305,7 @@
             objective: Some(Time(OBJECTIVE)),
             spillable: false,
             onward: false,
+            organisation: None,
         };
         ranked.offer(Time(0), job, &mut decisions);
     }
--- a/components/admit/tests/mixed_lengths.rs
+++ b/components/admit/tests/mixed_lengths.rs
@@ -99,6 +99,7 @@
                     objective: Some(Time(now + kind.objective)),
                     spillable: false,
                     onward: false,
+                    organisation: None,
                 };
                 ranked.offer(Time(now), job, &mut decisions);
             }
--- a/components/admit/tests/precedence.rs
+++ b/components/admit/tests/precedence.rs
@@ -6,6 +6,7 @@
 use rstest::rstest;
 
 use admit::RankedAdmission;
+use ids::OrganisationId;
 use ids::Rank;
 use ids::RouteId;
 use kernel::Random;
@@ -28,6 +29,7 @@
 struct Kind {
     rank: u8,
     onward: bool,
+    organisation: Option<OrganisationId>,
     service_time: u64,
     objective: u64,
     deadline: u64,
@@ -64,13 +66,14 @@
     let kind = kinds[index];
     Job {
         ticket: Ticket(ticket),
-        route: RouteId(index as u64),
+        route: RouteId(kind.organisation.map_or(index as u64, |_| 0)),
         rank: Rank(kind.rank),
         weight: 1,
         expires: Time(now + kind.deadline),
         objective: Some(Time(now + kind.objective)),
         spillable: false,
         onward: kind.onward,
+        organisation: kind.organisation,
     }
 }
 
@@ -142,6 +145,7 @@
     let calls = Kind {
         rank: 1,
         onward: true,
+        organisation: None,
         service_time: 19_000,
         objective: 80_000,
         deadline: 250_000,
@@ -162,3 +166,49 @@
         assert!(shares.1 >= min_new, "seed {seed}: {shares:?}");
     }
 }
+
+/// Load: an organisation that floods at six times its usual rate beside 20 others on the same route, at an
+/// upstream that its usual load uses to 85% or in full. Guards against a flood that takes the room of the others, and
+/// against one that shuts its own organisation out.
+#[rstest]
+#[case::one_rank(1, 0.85, 0.85)]
+#[case::one_rank_full(1, 1.0, 0.65)]
+#[case::most_urgent_flood(0, 0.85, 0.7)]
+fn simulate_flood(#[case] flood_rank: u8, #[case] usage: f64, #[case] min_least: f64) {
+    const OTHERS: u64 = 20;
+    let usual_rate = usage * f64::from(SLOTS) / 0.077 / (OTHERS + 1) as f64;
+    let kind = |index: u64| Kind {
+        // Organisations with the priorities 0 and 1.
+        rank: if index == 0 { flood_rank } else { 1 } * Rank::COUNT as u8,
+        onward: false,
+        organisation: Some(OrganisationId(index)),
+        service_time: 77_000,
+        objective: 250_000,
+        deadline: 800_000,
+        per_second: if index == 0 {
+            6.0 * usual_rate
+        } else {
+            usual_rate
+        },
+    };
+    let kinds: Vec<Kind> = (0..=OTHERS).map(kind).collect();
+    for seed in 1..=3 {
+        let outcomes = simulate(&kinds, seed);
+        let total = outcomes
+            .iter()
+            .skip(1)
+            .fold(Outcome::default(), |sum, it| Outcome {
+                arrivals: sum.arrivals + it.arrivals,
+                served: sum.served + it.served,
+            });
+        let least = outcomes
+            .iter()
+            .skip(1)
+            .map(|it| it.share())
+            .fold(1.0, f64::min);
+        let result = (outcomes[0].share(), total.share(), least);
+        assert!(result.0 >= 0.25 * total.share(), "seed {seed}: {result:?}");
+        assert!(total.share() >= 0.8, "seed {seed}: {result:?}");
+        assert!(least >= min_least, "seed {seed}: {result:?}");
+    }
+}
--- a/components/admit/tests/ranked.rs
+++ b/components/admit/tests/ranked.rs
@@ -42,6 +42,7 @@
         objective: None,
         spillable: false,
         onward: false,
+        organisation: None,
     }
 }
 
--- a/components/admit/tests/rate_limit.rs
+++ b/components/admit/tests/rate_limit.rs
@@ -101,6 +101,7 @@
             objective: None,
             spillable: false,
             onward: false,
+            organisation: None,
         };
         let mut decisions = Vec::new();
         self.admission.offer(Time(self.now), job, &mut decisions);
--- a/components/admit/tests/spillover.rs
+++ b/components/admit/tests/spillover.rs
@@ -87,6 +87,7 @@
             objective: Some(Time(request.arrived + OBJECTIVE)),
             spillable: request.spills < self.max_spills,
             onward: false,
+            organisation: None,
         };
         let mut decisions = Vec::new();
         self.endpoints[endpoint].offer(Time(now), job, &mut decisions);
--- a/components/config/src/organisation.rs
+++ b/components/config/src/organisation.rs
@@ -42,6 +42,8 @@
     pub(crate) by_id: Vec<(OrganisationId, OrganisationKey)>,
     /// Sorted by digest.
     pub(crate) by_key: Vec<(KeyDigest, OrganisationKey)>,
+    /// Sum and number of the rates of the organisations that have one, in requests a second.
+    rates: (f64, u32),
 }
 
 impl OrganisationTable {
@@ -50,6 +52,7 @@
             organisations: Arena::new(generation),
             by_id: Vec::new(),
             by_key: Vec::new(),
+            rates: (0.0, 0),
         }
     }
 
@@ -63,11 +66,21 @@
         Some(self.by_key[index.ok()?].1)
     }
 
+    /// Mean rate of the organisations that have one; `None` if none has.
+    pub(crate) fn mean_rate(&self) -> Option<f64> {
+        let (sum, count) = self.rates;
+        (count > 0).then(|| sum / f64::from(count))
+    }
+
     /// Adds an organisation; `None` if there is another one with this identifier.
     pub(crate) fn insert(&mut self, organisation: Organisation) -> Option<OrganisationKey> {
         let id = organisation.id;
         let index = self.by_id.binary_search_by_key(&id, |(it, _)| *it);
         let index = index.err()?;
+        if let Some(limit) = organisation.limit {
+            self.rates.0 += limit.per_second;
+            self.rates.1 += 1;
+        }
         let key = self.organisations.insert(organisation);
         self.by_id.insert(index, (id, key));
         Some(key)
--- a/components/config/src/snapshot.rs
+++ b/components/config/src/snapshot.rs
@@ -177,6 +177,11 @@
         self.organisations.organisations.iter()
     }
 
+    /// Mean rate of the organisations that have a limit, in requests a second; `None` if none has one.
+    pub fn mean_organisation_rate(&self) -> Option<f64> {
+        self.organisations.mean_rate()
+    }
+
     /// Finds an organisation by its identifier.
     pub fn find_organisation(&self, id: OrganisationId) -> Option<OrganisationKey> {
         self.organisations.find(id)
--- a/components/http1/src/attempt.rs
+++ b/components/http1/src/attempt.rs
@@ -33,6 +33,7 @@
 use ids::RequestId;
 use kernel::Time;
 use policy::Load;
+use traffic::Precedence;
 use traffic::entry::Attempt;
 use traffic::entry::AttemptReport;
 use traffic::entry::CallKey;
@@ -258,9 +259,11 @@
     };
     let topology = shared.driver.topology();
     let snapshot = topology.snapshot.as_ref();
-    let weight = snapshot
-        .and_then(|it| it.route(it.find_route_by_id(profile.route)?))
-        .map_or(1, |route| route.weight);
+    let precedence = snapshot.and_then(|it| {
+        let route = it.route(it.find_route_by_id(profile.route)?)?;
+        Some(Precedence::find(it, route, profile.organisation))
+    });
+    let weight = precedence.map_or(1, |it| it.weight);
     let incoming = IncomingRequest {
         tag: 0,
         id: outgoing.id,
--- a/components/http1/src/caller.rs
+++ b/components/http1/src/caller.rs
@@ -325,7 +325,7 @@
         match failure_reason {
             None => {
                 let seconds = shared.driver.now().since(log_context.arrived).as_secs_f64();
-                metrics.count_request(profile.rank, seconds);
+                metrics.count_request(profile.rank.of_route(), seconds);
             }
             Some(reason) => metrics.count_drop(reason),
         }
--- a/components/http1/src/node.rs
+++ b/components/http1/src/node.rs
@@ -28,10 +28,10 @@
 use errors::Reason;
 use ids::NodeId;
 use ids::OrganisationId;
-use ids::Rank;
 use ids::RequestId;
 use ids::RouteId;
 use kernel::Time;
+use traffic::Precedence;
 use traffic::Refusal;
 use traffic::owner::IncomingRequest;
 use wire::header;
@@ -137,6 +137,11 @@
     let snapshot = topology.snapshot.as_ref();
     let route_config = snapshot.and_then(|it| it.route(it.find_route_by_id(route)?));
     let organisation = parse_header::<OrganisationId>(headers, header::ORGANISATION);
+    // A route that this node's configuration does not contain yet gets the least urgent rank.
+    let precedence = snapshot.zip(route_config).map_or_else(
+        || Precedence::of_unknown_route(snapshot.map(|it| &**it)),
+        |(snapshot, route)| Precedence::find(snapshot, route, organisation),
+    );
     Some(IncomingRequest {
         tag: 0,
         id: parse_header::<RequestId>(headers, header::REQUEST_ID)?,
@@ -150,12 +155,11 @@
         rate_limit: parse_header(headers, header::RATE_LIMIT),
         fingerprint: parse_header(headers, header::FINGERPRINT),
         seen_crashes: parse_header(headers, header::SEEN_CRASHES).unwrap_or(0),
-        // A route that this node's configuration does not contain yet gets the least urgent rank.
-        rank: route_config.map_or(Rank(u8::MAX), |route| route.rank),
+        rank: precedence.rank,
         organisation,
         onward: headers.contains_key(header::ONWARD),
         link_backlog: 0,
-        weight: route_config.map_or(1, |route| route.weight),
+        weight: precedence.weight,
         // A route that this node's configuration does not contain yet is not treated as idempotent.
         idempotent: route_config.is_some_and(|route| route.idempotent),
     })
--- a/components/ids/src/lib.rs
+++ b/components/ids/src/lib.rs
@@ -240,18 +240,32 @@
     }
 }
 
-/// Urgency rank of a route; 0 is the most urgent.
+/// Urgency rank of a route, an organisation or a request; 0 is the most urgent. The rank of a request combines
+/// those of its organisation and its route.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Rank(pub u8);
 
 impl Rank {
     /// Number of ranks that a configuration can use: 0 to 3.
     pub const COUNT: usize = 4;
+    /// Number of ranks of requests: each rank of an organisation with each rank of a route.
+    pub const REQUEST_COUNT: usize = Self::COUNT * Self::COUNT;
 
-    /// Index of the rank in an array of [`Rank::COUNT`] items; ranks beyond that
+    /// Rank of a request, in which the organisation's rank goes before that of the route.
+    pub fn of_request(organisation: Self, route: Self) -> Self {
+        let limit = |rank: Self| rank.0.min(Self::COUNT as u8 - 1);
+        Self(limit(organisation) * Self::COUNT as u8 + limit(route))
+    }
+
+    /// Rank of the route of a request with this rank.
+    pub fn of_route(self) -> Self {
+        Self(self.0 % Self::COUNT as u8)
+    }
+
+    /// Index of the rank in an array of [`Rank::REQUEST_COUNT`] items; ranks beyond that
     /// share the last index.
     pub fn index(self) -> usize {
-        usize::from(self.0).min(Self::COUNT - 1)
+        usize::from(self.0).min(Self::REQUEST_COUNT - 1)
     }
 }
 
--- a/components/policy/src/admission.rs
+++ b/components/policy/src/admission.rs
@@ -6,6 +6,7 @@
 
 use crate::RequestRate;
 use errors::Reason;
+use ids::OrganisationId;
 use ids::Rank;
 use ids::RouteId;
 use kernel::Plugin;
@@ -37,7 +38,7 @@
     pub route: RouteId,
     /// Priority of the request.
     pub rank: Rank,
-    /// Weight of the route in the slot time of its rank, relative to the other routes.
+    /// Weight of the request's route and organisation in the slot time of its rank, relative to the others.
     pub weight: u32,
     /// Time from which the response is of no use.
     pub expires: Time,
@@ -48,6 +49,8 @@
     pub spillable: bool,
     /// Whether an upstream makes the request as part of a run, which is lost if the request is.
     pub onward: bool,
+    /// Organisation of the request, if it belongs to one.
+    pub organisation: Option<OrganisationId>,
 }
 
 /// Decision about a request.
@@ -84,16 +87,29 @@
     pub queued: u32,
     /// Number of waiting requests of each rank; a request waits for those of its own rank and of
     /// more urgent ones.
-    pub queued_by_rank: [u32; Rank::COUNT],
+    pub queued_by_rank: [u32; Rank::REQUEST_COUNT],
     /// Number of requests that may run at once, or that run on average if the upstream limits their rate.
     pub limit: u32,
-    /// Least urgent rank whose requests are accepted at present.
+    /// Least urgent rank whose requests are accepted at present, or the last rank of those that the owner
+    /// knows.
     pub least_urgent_accepted: Rank,
     /// Time until the link of the instance has carried the large responses that wait or are expected; zero
     /// without a link rate.
     pub link_busy: Duration,
 }
 
+impl Load {
+    /// Whether requests of this rank are accepted at present. An owner that refuses a rank has waiting
+    /// requests of it, so if none waits beyond the last rank of an organisation, that is just the last rank
+    /// that the owner knows.
+    pub fn accepts(&self, rank: Rank) -> bool {
+        let last = self.least_urgent_accepted;
+        let beyond = self.queued_by_rank.iter().skip(last.index() + 1);
+        let is_last_known = last.of_route().index() + 1 == Rank::COUNT;
+        rank <= last || (is_last_known && rank.index() >= Rank::COUNT && beyond.sum::<u32>() == 0)
+    }
+}
+
 /// Decides which requests run, wait or are refused at one upstream.
 pub trait Admission: Send {
     /// Sets the number of requests that the upstream declares to run at once; 0 while it is not
--- a/components/traffic/src/entry/call.rs
+++ b/components/traffic/src/entry/call.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::Precedence;
 use crate::entry::Attempt;
 use crate::entry::AttemptReport;
 use crate::entry::Credential;
@@ -101,7 +102,7 @@
             profile: RouteProfile {
                 route: route.id,
                 service: service.id,
-                rank: route.rank,
+                rank: Precedence::new(snapshot, route, organisation).rank,
                 idempotent: route.idempotent,
                 objective: route.objective,
                 large_responses: route.large_responses,
--- a/components/traffic/src/entry/node_state.rs
+++ b/components/traffic/src/entry/node_state.rs
@@ -33,7 +33,7 @@
     /// was ready before the entry knew the service, or is not in the topology.
     ready_since: Option<Time>,
     /// Requests of this entry that the node has not answered, by rank.
-    in_flight: [u32; Rank::COUNT],
+    in_flight: [u32; Rank::REQUEST_COUNT],
     /// Latest load report and the time of its arrival.
     load: Option<(Load, Time)>,
     /// Rate limit that the upstream named in its latest response, and the time of that response.
@@ -46,7 +46,7 @@
         Self {
             node,
             ready_since: None,
-            in_flight: [0; Rank::COUNT],
+            in_flight: [0; Rank::REQUEST_COUNT],
             load: None,
             rate_limit: None,
             unavailable_until: Time::default(),
@@ -95,7 +95,7 @@
     /// Whether the node has recently reported that it refuses requests of this rank.
     pub(crate) fn refuses_rank(&self, now: Time, rank: Rank) -> bool {
         self.load.is_some_and(|(load, reported_at)| {
-            now.since(reported_at) < MAX_SHED_REPORT_AGE && load.least_urgent_accepted < rank
+            now.since(reported_at) < MAX_SHED_REPORT_AGE && !load.accepts(rank)
         })
     }
 
--- a/components/traffic/src/lib.rs
+++ b/components/traffic/src/lib.rs
@@ -8,8 +8,10 @@
 pub mod entry;
 pub mod ledger;
 pub mod owner;
+mod precedence;
 pub mod request;
 
+pub use precedence::Precedence;
 pub use request::Dispatched;
 pub use request::Finished;
 pub use request::Queued;
--- a/components/traffic/src/owner.rs
+++ b/components/traffic/src/owner.rs
@@ -164,6 +164,7 @@
             objective: incoming.objective,
             spillable: incoming.spillable,
             onward: incoming.onward,
+            organisation: incoming.organisation,
         };
         let admitted = self
             .link
--- a/components/traffic/src/owner/message.rs
+++ b/components/traffic/src/owner/message.rs
@@ -38,13 +38,13 @@
     pub spillable: bool,
     /// Route of the request.
     pub route: RouteId,
-    /// Priority rank of the route.
+    /// Priority rank of the request.
     pub rank: Rank,
     /// Organisation of the caller, if the request belongs to one.
     pub organisation: Option<OrganisationId>,
     /// Whether an upstream makes the request as part of a run, which is lost if the request is.
     pub onward: bool,
-    /// Weight of the route among the routes of the same rank.
+    /// Weight of the request's flow among the flows of its rank.
     pub weight: u32,
     /// Whether the request may run more than once.
     pub idempotent: bool,
--- a/components/wire/src/header.rs
+++ b/components/wire/src/header.rs
@@ -57,7 +57,8 @@
 /// Time after which the owner that refused the request expects to accept it, in milliseconds.
 pub const RETRY_AFTER: &str = "medlar-retry-after-ms";
 /// Load of the owner as comma-separated numbers: running requests, queued requests, concurrency
-/// limit, least urgent rank that is accepted, then the queued requests of each rank. If the link of the
+/// limit, least urgent rank that is accepted, then the queued requests of each rank: of the four of a
+/// configuration without organisations, and of further ones up to the last in use. If the link of the
 /// instance is busy, `link=` and the time for which it is, in milliseconds, follow.
 pub const LOAD: &str = "medlar-load";
 /// Prefix of the headers that nodes add to requests and responses. Headers of callers that have this
@@ -69,10 +70,10 @@
 
 /// Formats the value of the [`LOAD`] header.
 pub fn format_load(load: Load) -> String {
-    let queued_by_rank = load
-        .queued_by_rank
-        .map(|count| format!(",{count}"))
-        .concat();
+    let used = load.queued_by_rank.iter().rposition(|count| *count > 0);
+    let ranks = used.map_or(Rank::COUNT, |last| (last + 1).max(Rank::COUNT));
+    let queued_by_rank = load.queued_by_rank[..ranks].iter();
+    let queued_by_rank: String = queued_by_rank.map(|count| format!(",{count}")).collect();
     let link_busy = match load.link_busy.as_millis() {
         0 => String::new(),
         millis => format!(",{LINK_FIELD}{millis}"),
@@ -90,17 +91,20 @@
     let queued = fields.next()?.parse().ok()?;
     let limit = fields.next()?.parse().ok()?;
     let least_urgent_accepted = Rank(fields.next()?.parse().ok()?);
-    let mut queued_by_rank = [0; Rank::COUNT];
-    for count in &mut queued_by_rank {
-        *count = fields.next()?.parse().ok()?;
-    }
-    let link_busy = match fields.next() {
-        None => Duration::ZERO,
-        Some(field) => {
-            let millis: u32 = field.strip_prefix(LINK_FIELD)?.parse().ok()?;
-            Duration::from_millis(millis.into())
+    let mut queued_by_rank = [0; Rank::REQUEST_COUNT];
+    let mut link_busy = Duration::ZERO;
+    for (index, count) in queued_by_rank.iter_mut().enumerate() {
+        match fields.clone().next() {
+            Some(field) if !field.starts_with(LINK_FIELD) => *count = field.parse().ok()?,
+            _ if index < Rank::COUNT => return None,
+            _ => break,
         }
-    };
+        fields.next();
+    }
+    if let Some(field) = fields.next() {
+        let millis: u32 = field.strip_prefix(LINK_FIELD)?.parse().ok()?;
+        link_busy = Duration::from_millis(millis.into());
+    }
     fields.next().is_none().then_some(Load {
         running,
         queued,
