Test admission by link through the front end

Cause: the lengths of responses pass through dispatch, driver and owner, which the pure tests leave out. Change: a test with a node whose link has a rate, and one without.

--- a/components/http1/tests/support/mod.rs
+++ b/components/http1/tests/support/mod.rs
@@ -133,10 +133,21 @@
 
     /// Starts a node with these plug-ins for admission and health, and these params of its front end.
     pub(crate) async fn start_with_front(
+        upstream: SocketAddr,
+        limits: (u32, u32),
+        plugins: (&str, &str),
+        front: &Params,
+    ) -> Self {
+        Self::start_with_link(upstream, limits, plugins, front, None).await
+    }
+
+    /// Starts a node whose link has this rate in bytes a second.
+    pub(crate) async fn start_with_link(
         upstream: SocketAddr,
         (slots, max_connections): (u32, u32),
         (admission, health): (&str, &str),
         front: &Params,
+        link_rate: Option<f64>,
     ) -> Self {
         let id = NodeId(rand::random());
         let clock = MonotonicClock::new();
@@ -158,13 +169,17 @@
             build("retry", &RETRY_PLUGINS, "budget", &no_params).unwrap(),
             build("health", &HEALTH_PLUGINS, health, &no_params).unwrap(),
         );
+        let mut owner = traffic::owner::Machine::new(id, admission, UpstreamEnd::Leave);
+        if let Some(bytes_per_second) = link_rate {
+            owner.set_link_rate(bytes_per_second);
+        }
         let (control_inputs, control_receiver) = mpsc::channel(CONTROL_QUEUE_CAPACITY);
         let driver = Arc::new(TrafficDriver::new(TrafficDriverParts {
             node_id: id,
             clock,
             topology: Arc::clone(&topology),
             entry,
-            owner: traffic::owner::Machine::new(id, admission, UpstreamEnd::Leave),
+            owner,
             metrics,
             control_inputs,
         }));
