--- a/components/balance/tests/power_of_two_choices.rs
+++ b/components/balance/tests/power_of_two_choices.rs
@@ -7,6 +7,7 @@
 use balance::PowerOfTwoChoices;
 use ids::NodeId;
 use kernel::random::SeededRandom;
+use policy::AVERAGE_SLOWNESS;
 use policy::Balance;
 use policy::Candidate;
 use policy::FULL_WEIGHT;
@@ -20,6 +21,7 @@
         slots: 10,
         load: None,
         weight: FULL_WEIGHT,
+        slowness: AVERAGE_SLOWNESS,
     }
 }
 
--- a/components/policy/src/balance.rs
+++ b/components/policy/src/balance.rs
@@ -20,6 +20,9 @@
     names: || plugin::list_names(&BALANCE_PLUGINS),
 };
 
+/// [`Candidate::slowness`] of an average endpoint, or of one that has not responded yet.
+pub const AVERAGE_SLOWNESS: u32 = 1_000;
+
 /// An endpoint that can be chosen.
 #[derive(Clone, Copy, Debug)]
 pub struct Candidate {
@@ -39,6 +42,8 @@
     /// Share of the requests of a fully used endpoint that this one should get, in thousandths;
     /// lower during slow start and after an ejection.
     pub weight: u32,
+    /// Response time of the endpoint in thousandths of that of an average one, as this sender has seen it.
+    pub slowness: u32,
 }
 
 /// Chooses an endpoint for an attempt.
--- a/components/policy/src/lib.rs
+++ b/components/policy/src/lib.rs
@@ -16,6 +16,7 @@
 pub use admission::Job;
 pub use admission::Load;
 pub use admission::Ticket;
+pub use balance::AVERAGE_SLOWNESS;
 pub use balance::BALANCE_PLUGINS;
 pub use balance::Balance;
 pub use balance::Candidate;
--- a/components/traffic/src/entry.rs
+++ b/components/traffic/src/entry.rs
@@ -8,6 +8,7 @@
 mod request_age;
 mod selection;
 mod shedding;
+mod speeds;
 mod subset;
 
 use std::sync::Arc;
@@ -16,6 +17,7 @@
 use node_state::NodeStates;
 use request_age::RequestAges;
 use shedding::RefusedRoutes;
+use speeds::Speeds;
 use subset::EndpointSubsets;
 
 use crate::Refusal;
@@ -89,6 +91,7 @@
     health: Box<dyn Health>,
     calls: Arena<Call>,
     node_states: NodeStates,
+    speeds: Speeds,
     subsets: EndpointSubsets,
     refused_routes: RefusedRoutes,
     request_ages: RequestAges,
@@ -110,6 +113,7 @@
             health,
             calls: Arena::default(),
             node_states: NodeStates::default(),
+            speeds: Speeds::default(),
             subsets: EndpointSubsets::default(),
             refused_routes: RefusedRoutes::default(),
             request_ages: RequestAges::default(),
@@ -200,7 +204,7 @@
             seen_crashes: call.seen_crashes,
             delay,
         };
-        call.start_attempt(attempt);
+        call.start_attempt(context.now, attempt);
         let route = call.profile;
         self.node_states.add_in_flight(attempt.node, route.rank);
         self.health.record_sent(context.now, attempt.node);
@@ -228,6 +232,10 @@
         if let Some(load) = report.load {
             self.node_states.record_load(now, node, load);
         }
+        if report.reason.is_none() && !report.upstream_failed {
+            let elapsed = now.since(call.attempt_started);
+            self.speeds.record(call.profile.route, node, elapsed);
+        }
         if let Some(reason) = report.reason {
             self.refused_routes.record(now, &call.profile, reason);
             if means_unavailable(reason) {
--- a/components/traffic/src/entry/selection.rs
+++ b/components/traffic/src/entry/selection.rs
@@ -34,6 +34,7 @@
         }
         ready.sort_unstable();
         self.node_states.retain_ready(&ready);
+        self.speeds.retain_ready(&ready);
         self.health.retain_nodes(&ready);
     }
 
@@ -95,6 +96,7 @@
                 slots: endpoint.slots,
                 load,
                 weight: slow_start_weight.min(self.health.weight(now, endpoint.node)),
+                slowness: self.speeds.slowness(endpoint.node),
             };
             options.push((*key, candidate));
         }
