--- a/components/daemon/src/run.rs
+++ b/components/daemon/src/run.rs
@@ -67,8 +67,6 @@
 const DRAIN_LIMIT_RESERVE: Duration = Duration::from_millis(500);
 /// Time before the exit in which calls that still have no answer get one and their connections end.
 const LAST_ANSWERS_TIME: Duration = Duration::from_millis(150);
-/// Bytes a second of a link of 1 Mbit/s.
-const BYTES_PER_SECOND_PER_MBPS: f64 = 125_000.0;
 /// Number of stop requests that can wait: the first starts the drain and the second ends the node at once.
 const STOP_QUEUE_CAPACITY: usize = 2;
 
@@ -149,9 +147,10 @@
     let mut entry = traffic::entry::Machine::new(plugins.balance, plugins.retry, plugins.health);
     let mut owner =
         traffic::owner::Machine::new(node_id, plugins.admission, upstream_end(settings));
-    if let Some(mbps) = settings.link_mbps {
+    let link_rate = settings.link_mbps.map(link::Rate::from_mbps);
+    if let Some(rate) = link_rate {
         entry.prefer_onward_calls();
-        owner.set_link_rate(mbps * BYTES_PER_SECOND_PER_MBPS);
+        owner.set_link_rate(rate);
     }
     let driver = TrafficDriver::new(TrafficDriverParts {
         node_id,
@@ -162,7 +161,6 @@
         metrics: Arc::clone(&metrics),
         control_inputs: inputs.clone(),
     });
-    let link_rate = settings.link_mbps.map(link::Rate::from_mbps);
     let driver = Arc::new(driver.with_link_rate(link_rate));
     // The driver owns the metrics; a strong reference from them to the driver would be a cycle.
     let weak_driver = Arc::downgrade(&driver);
--- a/components/http1/tests/support/mod.rs
+++ b/components/http1/tests/support/mod.rs
@@ -156,7 +156,8 @@
         Self::start_node(upstream, limits, plugins, front, None).await
     }
 
-    async fn start_node(
+    /// Starts a node whose instance has a link of this rate, if one is given.
+    pub(crate) async fn start_node(
         upstream: SocketAddr,
         (slots, max_connections): (u32, u32),
         (admission, health): (&str, &str),
@@ -183,13 +184,17 @@
             build("retry", &RETRY_PLUGINS, "budget", &no_params).unwrap(),
             build("health", &HEALTH_PLUGINS, health, &no_params).unwrap(),
         );
+        let mut owner = traffic::owner::Machine::new(id, admission, UpstreamEnd::Leave);
+        if let Some(rate) = link_rate {
+            owner.set_link_rate(rate);
+        }
         let (control_inputs, control_receiver) = mpsc::channel(CONTROL_QUEUE_CAPACITY);
         let driver = TrafficDriver::new(TrafficDriverParts {
             node_id: id,
             clock,
             topology: Arc::clone(&topology),
             entry,
-            owner: traffic::owner::Machine::new(id, admission, UpstreamEnd::Leave),
+            owner,
             metrics,
             control_inputs,
         });
--- a/components/link/src/room.rs
+++ b/components/link/src/room.rs
@@ -3,6 +3,7 @@
 
 use std::time::Duration;
 
+use crate::Rate;
 use kernel::Time;
 
 /// Share of the link's rate that large responses can use; the rest is for small responses and the messages
@@ -55,9 +56,9 @@
 
 impl Room {
     /// Creates the room of a link with this rate.
-    pub fn new(bytes_per_second: f64) -> Self {
+    pub fn new(rate: Rate) -> Self {
         Self {
-            bytes_per_second: (bytes_per_second * USABLE_SHARE).max(1.0),
+            bytes_per_second: (rate.bytes_per_second() * USABLE_SHARE).max(1.0),
             commitments: Vec::new(),
         }
     }
--- a/components/link/src/scheduler.rs
+++ b/components/link/src/scheduler.rs
@@ -56,6 +56,11 @@
         }
     }
 
+    /// Bytes that the link carries in a second.
+    pub fn bytes_per_second(self) -> f64 {
+        self.bytes_per_second
+    }
+
     /// Bytes that the link carries in `duration`.
     fn bytes_in(self, duration: Duration) -> f64 {
         self.bytes_per_second * duration.as_secs_f64()
--- a/components/link/tests/room.rs
+++ b/components/link/tests/room.rs
@@ -7,6 +7,7 @@
 use kernel::Time;
 use link::Expected;
 use link::Fit;
+use link::Rate;
 use link::Room;
 
 const MS: u64 = 1_000;
@@ -35,7 +36,7 @@
     #[case] deadline: u64,
     #[case] fit: Fit,
 ) {
-    let mut room = Room::new(1_000_000.0);
+    let mut room = Room::new(Rate::from_mbps(8.0));
     for key in 0..committed {
         room.commit(key, expected(900, 1_200), false);
     }
@@ -49,7 +50,7 @@
 /// objective, and against commitments that stay after their request has ended.
 #[rstest]
 fn fit_beside_late() {
-    let mut room = Room::new(1_000_000.0);
+    let mut room = Room::new(Rate::from_mbps(8.0));
     room.commit(1, expected(0, 250), true);
     assert_eq!(room.fit(Time(0), 0, expected(500, 1_200)), Fit::InTime);
     room.commit(2, expected(500, 1_200), false);
--- a/components/traffic/src/entry/call.rs
+++ b/components/traffic/src/entry/call.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::Precedence;
 use crate::entry::Attempt;
 use crate::entry::AttemptReport;
 use crate::entry::Credential;
@@ -49,6 +50,8 @@
     /// Number of upstreams that the request was or may have been sent to.
     upstreams_tried: u32,
     pub(crate) attempt: Option<Attempt>,
+    /// Time at which the current attempt is sent.
+    pub(crate) attempt_started: Time,
     pub(crate) tried_nodes: Vec<NodeId>,
     /// Attempts that their owners refused because the request would have missed its objective there.
     pub(crate) spills: u32,
@@ -101,7 +104,7 @@
             profile: RouteProfile {
                 route: route.id,
                 service: service.id,
-                rank: route.rank,
+                rank: Precedence::new(snapshot, route, organisation).rank,
                 idempotent: route.idempotent,
                 objective: route.objective,
                 large_responses: route.large_responses,
@@ -119,6 +122,7 @@
             outer_retries: head.outer_retries,
             replayable: head.replayable,
             attempt: None,
+            attempt_started: now,
             tried_nodes: Vec::new(),
             spills: 0,
             verdict: Verdict::NotRun,
@@ -164,7 +168,8 @@
     }
 
     /// Makes this the current attempt.
-    pub(crate) fn start_attempt(&mut self, attempt: Attempt) {
+    pub(crate) fn start_attempt(&mut self, now: Time, attempt: Attempt) {
+        self.attempt_started = now + attempt.delay;
         self.attempt = Some(attempt);
         self.tried_nodes.push(attempt.node);
         self.silence_timeouts = 0;
--- a/components/traffic/src/owner.rs
+++ b/components/traffic/src/owner.rs
@@ -115,8 +115,8 @@
     }
 
     /// Sets the rate of the instance's link, by which requests with large responses are admitted.
-    pub fn set_link_rate(&mut self, bytes_per_second: f64) {
-        self.link = Some(LinkAdmission::new(bytes_per_second));
+    pub fn set_link_rate(&mut self, rate: link::Rate) {
+        self.link = Some(LinkAdmission::new(rate));
     }
 
     /// The current load, which is reported with each answer; `link_backlog` is the number of bytes that wait
@@ -159,6 +159,7 @@
             objective: incoming.objective,
             spillable: incoming.spillable,
             onward: incoming.onward,
+            organisation: incoming.organisation,
         };
         let admitted = self
             .link
--- a/components/traffic/src/owner/link_admission.rs
+++ b/components/traffic/src/owner/link_admission.rs
@@ -31,10 +31,10 @@
 }
 
 impl LinkAdmission {
-    pub(crate) fn new(bytes_per_second: f64) -> Self {
+    pub(crate) fn new(rate: link::Rate) -> Self {
         Self {
             sizes: Sizes::default(),
-            room: Room::new(bytes_per_second),
+            room: Room::new(rate),
         }
     }
 
--- a/components/traffic/tests/link_admission.rs
+++ b/components/traffic/tests/link_admission.rs
@@ -83,7 +83,7 @@
         let admission = RankedAdmission::from_params(&Params::default()).expect("valid params");
         let mut owner = Machine::new(NODE_ID, Box::new(admission), UpstreamEnd::Leave);
         if let Some(rate) = link_rate {
-            owner.set_link_rate(rate);
+            owner.set_link_rate(link::Rate::from_mbps(rate * 8.0 / 1e6));
         }
         let mut load = Self {
             owner,
