Add proofs of the newest configuration, by which nodes refuse withdrawn keys in time

Cause: a node that lags behind or is cut off accepted withdrawn keys without limit. Runs only with key_freshness_s and while the configuration lists organisations.

--- a/components/admin/src/view.rs
+++ b/components/admin/src/view.rs
@@ -3,6 +3,8 @@
 //! New versions only add fields, and readers ignore unknown fields and fill in missing ones, so that
 //! `medlarctl` and nodes of different versions work together.
 
+use std::time::Duration;
+
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -58,6 +60,10 @@
     pub store_restores: u64,
     /// Version of the record that was refused last, and why; empty if none was refused.
     pub last_refusal: String,
+    /// Whether the node verifies keys at present: `verified` or `unverified`; empty where keys need not be fresh.
+    pub keys: String,
+    /// Time for which keys are still verified, without a newer proof, in milliseconds.
+    pub keys_valid_ms: u64,
     /// Version of the program that the node runs.
     pub program: String,
 }
@@ -157,6 +163,8 @@
         let own_upstream = topology.own_upstream.as_ref();
         let report = &topology.report;
         let last_refusal = report.last_refusal.as_ref();
+        let has_keys = snapshot.is_some_and(|it| it.has_organisations());
+        let key_time_left = driver.key_time_left().filter(|_| has_keys);
         let live_members = topology.members().iter().filter(|it| it.is_live());
         Self {
             node: topology.node_id.to_string(),
@@ -180,6 +188,8 @@
             last_refusal: last_refusal.map_or_else(String::new, |it| {
                 format!("version {}: {}", it.version, it.message)
             }),
+            keys: describe_keys(key_time_left).to_owned(),
+            keys_valid_ms: key_time_left.map_or(0, |it| it.as_millis() as u64),
             program: env!("CARGO_PKG_VERSION").to_owned(),
         }
     }
@@ -228,6 +238,14 @@
     }
 }
 
+fn describe_keys(time_left: Option<Duration>) -> &'static str {
+    match time_left {
+        None => "",
+        Some(Duration::ZERO) => "unverified",
+        Some(_) => "verified",
+    }
+}
+
 fn describe_node_stage(stage: NodeStage) -> &'static str {
     match stage {
         NodeStage::Joining => "joining",
--- a/components/control/src/lib.rs
+++ b/components/control/src/lib.rs
@@ -3,6 +3,7 @@
 //! Whenever the configuration or the membership changes, [`Machine`] publishes a [`Topology`], an
 //! immutable snapshot of both by which the traffic threads route requests.
 
+mod freshness;
 mod life_cycle;
 mod machine;
 mod message;
--- a/components/control/src/machine.rs
+++ b/components/control/src/machine.rs
@@ -8,11 +8,13 @@
 use crate::Input;
 use crate::NodeStage;
 use crate::Topology;
+use crate::freshness::Freshness;
 use crate::life_cycle::NodeLifecycle;
 use crate::own_upstream::OwnUpstream;
 use crate::suspects::Suspects;
 use ids::Domain;
 use ids::NodeId;
+use ids::Version;
 use kernel::Random;
 use kernel::Time;
 use member::ConfigId;
@@ -35,6 +37,7 @@
 struct Outputs {
     membership: Vec<member::Output>,
     spread: Vec<spread::Output>,
+    freshness: Vec<fresh::Output>,
 }
 
 /// Control state of one node: its membership, configuration, upstream and life cycle.
@@ -45,6 +48,8 @@
     spread: spread::Machine,
     own_upstream: OwnUpstream,
     suspects: Suspects,
+    /// `None` if the settings do not ask for freshness of keys.
+    freshness: Option<Freshness>,
     /// Service of the upstreams on this node's instance, if the settings name it.
     service: Option<Arc<str>>,
     /// `None` only while a transition of the life cycle takes the value.
@@ -54,6 +59,8 @@
     /// Whether anything that a topology contains has changed since the last publication.
     topology_changed: bool,
     last_published: Option<Time>,
+    /// Version of the configuration in the last published topology.
+    published_version: Version,
     /// Generation of the last published topology.
     generation: u32,
 }
@@ -67,11 +74,13 @@
             membership: member::Machine::new(own, contacts, parameters, now),
             spread: spread::Machine::default(),
             own_upstream: OwnUpstream::default(),
+            freshness: None,
             service: None,
             lifecycle: Some(NodeLifecycle::Joining(crate::Node::new())),
             watcher_revision: 0,
             topology_changed: false,
             last_published: None,
+            published_version: Version::NONE,
             generation: 0,
         }
     }
@@ -91,6 +100,15 @@
         self
     }
 
+    /// Refuses withdrawn keys within `limit` of the acknowledgement of their withdrawal. The clock of proofs shows
+    /// `proof_now` at `now` or before.
+    #[must_use]
+    pub fn with_key_freshness(mut self, limit: Duration, now: Time, proof_now: Time) -> Self {
+        let own = self.membership.node_id();
+        self.freshness = Some(Freshness::new(own, limit, now, proof_now));
+        self
+    }
+
     /// Id of this node.
     pub fn id(&self) -> NodeId {
         self.membership.node_id()
@@ -133,7 +151,7 @@
         for output in std::mem::take(&mut out.spread) {
             self.process_spread_output(now, output, &mut out, random, effects);
         }
-        for output in out.membership {
+        for output in std::mem::take(&mut out.membership) {
             match output {
                 member::Output::Send { to, message } => effects.push(Effect::Send { to, message }),
                 member::Output::Sync { to, request } => effects.push(Effect::Sync { to, request }),
@@ -142,6 +160,32 @@
         }
         self.serve_when_ready();
         self.publish_if_due(now, effects);
+        self.update_freshness(now, &mut out.freshness);
+        for output in out.freshness {
+            effects.push(match output {
+                fresh::Output::ReadStore => Effect::ReadConfig,
+                other => Effect::Freshness(other),
+            });
+        }
+    }
+
+    /// Whether the configuration in force lists organisations and the settings ask for freshness of keys.
+    fn has_fresh_keys(&self) -> bool {
+        let current = self.spread.history().current();
+        self.freshness.is_some() && current.is_some_and(|it| it.snapshot().has_organisations())
+    }
+
+    /// Adapts to the configuration in force and to the published one.
+    fn update_freshness(&mut self, now: Time, out: &mut Vec<fresh::Output>) {
+        let is_active = self.has_fresh_keys();
+        let published_version = self.published_version;
+        if let Some(freshness) = &mut self.freshness {
+            if freshness.is_active() != is_active {
+                freshness.set_active(now, is_active, out);
+                self.spread.allow_short_watches(is_active);
+            }
+            freshness.set_version(now, published_version, out);
+        }
     }
 
     fn process_spread_output(
@@ -156,6 +200,9 @@
         let domain = || self.domain.clone();
         match output {
             SpreadOutput::ReadConfig => effects.push(Effect::ReadConfig),
+            SpreadOutput::WatchConfig { after } if self.has_fresh_keys() => {
+                effects.push(Effect::WatchConfigBriefly { after });
+            }
             SpreadOutput::WatchConfig { after } => effects.push(Effect::WatchConfig { after }),
             SpreadOutput::ReadConfigChanges { after } => {
                 effects.push(Effect::ReadConfigChanges { after });
@@ -217,6 +264,7 @@
         self.last_published = Some(now);
         self.generation = self.generation.wrapping_add(1);
         let current = self.spread.history().current();
+        self.published_version = current.map_or(Version::NONE, |it| it.snapshot().version());
         let topology = Topology::new(
             self.membership.node_id(),
             self.domain.clone(),
@@ -336,6 +384,24 @@
                 self.spread
                     .handle_store_event(now, event, random, &mut out.spread)
             }
+            Input::StoreAnswered { sent, event } => {
+                self.spread
+                    .handle_store_event(now, event, random, &mut out.spread);
+                let proved = self.freshness.as_mut().zip(self.spread.proved_version());
+                if let Some((freshness, version)) = proved {
+                    freshness.record_store_answer(now, sent, version, &mut out.freshness);
+                }
+            }
+            Input::Freshness {
+                from,
+                received,
+                message,
+            } => {
+                if let Some(freshness) = &mut self.freshness {
+                    let origin = (from, received);
+                    freshness.handle_message(now, origin, message, random, &mut out.freshness);
+                }
+            }
             Input::Contacts(event) => {
                 let view = (self.membership.table(), &self.domain);
                 self.spread
@@ -414,6 +480,10 @@
         self.announce_upstream(random, &mut out);
         self.membership.wake(now, random, &mut out.membership);
         self.spread.wake(now, random, &mut out.spread);
+        if let Some(freshness) = &mut self.freshness {
+            let table = self.membership.table();
+            freshness.wake(now, table, random, &mut out.freshness);
+        }
         for push in self.suspects.wake(now) {
             let receivers = self.membership.random_live_members(push.fanout, random);
             effects.extend(receivers.into_iter().map(|to| Effect::SendCrashReports {
@@ -431,6 +501,7 @@
             .chain(self.spread.next_wake())
             .chain(self.own_upstream.next_wake())
             .chain(self.suspects.next_wake())
+            .chain(self.freshness.as_ref().and_then(Freshness::next_wake))
             .chain(self.next_publish())
             .min()
     }
--- a/components/control/src/message.rs
+++ b/components/control/src/message.rs
@@ -9,6 +9,7 @@
 use ids::Domain;
 use ids::Fingerprint;
 use ids::Version;
+use kernel::Time;
 use member::ConfigId;
 use member::Message;
 use member::Stage;
@@ -49,6 +50,14 @@
     },
     /// A store call for the configuration key has completed.
     Store(StoreEvent),
+    /// Like [`Input::Store`], for a call that was sent at `sent` by the clock of proofs.
+    StoreAnswered { sent: Time, event: StoreEvent },
+    /// A message about proofs has arrived, at `received` by the clock of proofs.
+    Freshness {
+        from: SocketAddr,
+        received: Time,
+        message: fresh::Message,
+    },
     /// A store call for the contacts has completed.
     Contacts(ContactsEvent),
     /// The upstream of this node has announced its state.
@@ -113,6 +122,8 @@
     ReadConfig,
     /// Wait for the first change of the configuration key after a revision.
     WatchConfig { after: Revision },
+    /// Like [`Effect::WatchConfig`], but end the watch after [`fresh::WATCH_TIME`].
+    WatchConfigBriefly { after: Revision },
     /// Read what has changed of the configuration in the store after the revision.
     ReadConfigChanges { after: Revision },
     /// Cancel the running store call for the configuration key.
@@ -133,6 +144,8 @@
     },
     /// Use this topology for routing from now on.
     Publish(Arc<Topology>),
+    /// Carry out an action that the proof of this node requires.
+    Freshness(fresh::Output),
     /// Report that a configuration record was refused.
     ConfigRefused { version: Version, message: String },
 }
--- a/components/daemon/src/executor.rs
+++ b/components/daemon/src/executor.rs
@@ -19,6 +19,7 @@
 use crate::event_log::log_malformed_contacts;
 use crate::event_log::log_member_changes;
 use crate::event_log::log_store_changes;
+use crate::key_freshness;
 use crate::state_metrics;
 use config::Record;
 use control::CallId;
@@ -27,8 +28,10 @@
 use control::NodeStage;
 use control::Topology;
 use errors::Reason;
+use front::KeyValidity;
 use front::TrafficDriver;
 use ids::Domain;
+use kernel::Clock;
 use kernel::control_loop::EffectExecutor;
 use member::Stage;
 use spread::ContactsEvent;
@@ -66,6 +69,8 @@
     Read,
     ReadChanges(Revision),
     Watch(Revision),
+    /// A watch that ends after [`fresh::WATCH_TIME`].
+    BriefWatch(Revision),
 }
 
 /// Control calls from other nodes that wait for their result from the control thread.
@@ -108,6 +113,8 @@
     /// Running call to the store for the configuration; at most one runs at a time.
     pub(crate) config_call: Option<JoinHandle<()>>,
     pub(crate) store_health: Arc<StoreHealth>,
+    /// `None` if the settings do not ask for freshness of keys.
+    pub(crate) key_validity: Option<KeyValidity>,
 }
 
 impl EffectExecutor<Effect> for ControlExecutor {
@@ -143,6 +150,10 @@
             }
             Effect::ReadConfig => self.start_config_call(ConfigCall::Read),
             Effect::WatchConfig { after } => self.start_config_call(ConfigCall::Watch(after)),
+            Effect::WatchConfigBriefly { after } => {
+                self.start_config_call(ConfigCall::BriefWatch(after));
+            }
+            Effect::Freshness(output) => self.apply_freshness(output),
             Effect::ReadConfigChanges { after } => {
                 self.start_config_call(ConfigCall::ReadChanges(after));
             }
@@ -194,25 +205,38 @@
         }
     }
 
+    fn apply_freshness(&mut self, output: fresh::Output) {
+        if let Some(key_validity) = &self.key_validity {
+            let sender = self.sender.as_ref();
+            key_freshness::apply(output, key_validity, sender, &self.metrics);
+        }
+    }
+
     /// Reads or watches the configuration.
     fn start_config_call(&mut self, config_call: ConfigCall) {
         self.cancel_config_call();
         let store = Arc::clone(&self.store);
         let is_writable = store.is_writable(CONFIG_KEY);
+        // What the answer proves holds from when the call is sent, not from when it is answered.
+        let sent = self.key_validity.as_ref().map(|it| it.clock().now());
         let call = match config_call {
             ConfigCall::Read => StoreCall::Read,
             ConfigCall::ReadChanges(_) => StoreCall::ReadChanges,
-            ConfigCall::Watch(_) => StoreCall::Watch,
+            ConfigCall::Watch(_) | ConfigCall::BriefWatch(_) => StoreCall::Watch,
         };
         let observed = self.observe_store_call(call, CONFIG_KEY, async move {
             match config_call {
                 ConfigCall::Read => store.read(CONFIG_KEY).await.map(WatchOutcome::Changed),
                 ConfigCall::ReadChanges(after) => store.read_changes(CONFIG_KEY, after).await,
                 ConfigCall::Watch(after) => store.watch(CONFIG_KEY, after).await,
+                ConfigCall::BriefWatch(after) => {
+                    let wait = fresh::WATCH_TIME;
+                    store.watch_within(CONFIG_KEY, after, wait).await
+                }
             }
         });
         self.config_call = Some(self.spawn_call(async move {
-            Input::Store(match observed.await {
+            let event = match observed.await {
                 Ok(WatchOutcome::Unchanged(store_revision)) => {
                     StoreEvent::Unchanged { store_revision }
                 }
@@ -222,7 +246,11 @@
                     StoreEvent::HistoryUnavailable
                 }
                 Err(_) => StoreEvent::Failed,
-            })
+            };
+            match sent {
+                Some(sent) => Input::StoreAnswered { sent, event },
+                None => Input::Store(event),
+            }
         }));
     }
 
--- a/components/daemon/src/lib.rs
+++ b/components/daemon/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod event_log;
 mod executor;
+mod key_freshness;
 mod peer;
 mod plugins;
 mod reload;
--- a/components/daemon/src/run.rs
+++ b/components/daemon/src/run.rs
@@ -34,6 +34,7 @@
 use errors::Reason;
 use front::FrontEnd;
 use front::FrontEndAddresses;
+use front::KeyValidity;
 use front::TrafficDriver;
 use front::TrafficDriverParts;
 use ids::Domain;
@@ -144,7 +145,9 @@
         0,
     )));
     let (inputs, receiver) = mpsc::channel(INPUT_QUEUE_CAPACITY);
-    let driver = Arc::new(TrafficDriver::new(TrafficDriverParts {
+    let key_limit = settings.key_freshness_s.map(Duration::from_secs_f64);
+    let key_validity = key_limit.map(|_| KeyValidity::default());
+    let driver = TrafficDriver::new(TrafficDriverParts {
         node_id,
         clock,
         topology: Arc::clone(&topology),
@@ -152,7 +155,11 @@
         owner: traffic::owner::Machine::new(node_id, plugins.admission, upstream_end(settings)),
         metrics: Arc::clone(&metrics),
         control_inputs: inputs.clone(),
-    }));
+    });
+    let driver = Arc::new(match &key_validity {
+        Some(key_validity) => driver.with_key_validity(key_validity.clone()),
+        None => driver,
+    });
     // The driver owns the metrics; a strong reference from them to the driver would be a cycle.
     let weak_driver = Arc::downgrade(&driver);
     metrics.register_gauges(move || {
@@ -163,7 +170,14 @@
     });
     let pending_calls = Arc::new(Mutex::new(PendingCalls::default()));
 
-    let sender = open_transport(settings, plugins.transport.as_ref(), &inputs, &metrics).await?;
+    let sender = open_transport(
+        settings,
+        plugins.transport.as_ref(),
+        &inputs,
+        &metrics,
+        key_validity.clone(),
+    )
+    .await?;
     start_control_calls(settings, &inputs, &pending_calls, &driver).await?;
     start_admin_api(settings, &inputs, &driver).await?;
     let front_end_stop = CancellationToken::new();
@@ -190,11 +204,16 @@
         store_health: Arc::new(StoreHealth::new(Arc::clone(&metrics))),
         metrics,
         config_call: None,
+        key_validity: key_validity.clone(),
     };
     let contacts = settings.contacts.clone();
     let mut machine = Machine::new(own_member, contacts, Parameters::default(), clock.now())
         .with_domains(settings.domains.iter().map(|it| Domain::new(it)).collect())
         .with_service(settings.service.as_deref());
+    if let Some((limit, key_validity)) = key_limit.zip(key_validity) {
+        let proof_now = key_validity.clock().now();
+        machine = machine.with_key_freshness(limit, clock.now(), proof_now);
+    }
     let mut random = SeededRandom::from_os_entropy();
     info!(event = "start", node = node_id.to_string().as_str(); "node started");
     let control_loop = run_control_loop(&mut machine, receiver, &mut executor, &clock, &mut random);
@@ -253,6 +272,7 @@
     transport: &dyn Transport,
     inputs: &mpsc::Sender<Input>,
     metrics: &Arc<Metrics>,
+    key_validity: Option<KeyValidity>,
 ) -> Result<Arc<dyn Sender>, Error> {
     let datagram_inputs = inputs.clone();
     let drop_metrics = Arc::clone(metrics);
@@ -260,6 +280,15 @@
         let input = match datagram {
             Datagram::Membership(message) => Input::Datagram { from, message },
             Datagram::CrashReports(reports) => Input::CrashReports { from, reports },
+            Datagram::Freshness(message) => match &key_validity {
+                // The age in a response counts until the request is read here, not until it is handled.
+                Some(key_validity) => Input::Freshness {
+                    from,
+                    received: key_validity.clock().now(),
+                    message,
+                },
+                None => return drop_metrics.count_drop(Reason::Malformed),
+            },
         };
         if datagram_inputs.try_send(input).is_err() {
             drop_metrics.count_drop(Reason::QueueOverflow);
--- a/components/front/src/driver.rs
+++ b/components/front/src/driver.rs
@@ -13,6 +13,7 @@
 use tokio::sync::oneshot;
 use tokio_util::sync::CancellationToken;
 
+use crate::KeyValidity;
 use crate::Permit;
 use crate::health_log;
 use crate::permit::Admitted;
@@ -101,6 +102,7 @@
     calls_ended: Notify,
     metrics: Arc<Metrics>,
     control_inputs: mpsc::Sender<control::Input>,
+    key_validity: Option<KeyValidity>,
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -136,9 +138,28 @@
             calls_ended: Notify::new(),
             metrics: parts.metrics,
             control_inputs: parts.control_inputs,
+            key_validity: None,
         }
     }
 
+    /// Has the front end refuse requests with keys while these are not verified.
+    #[must_use]
+    pub fn with_key_validity(mut self, key_validity: KeyValidity) -> Self {
+        self.key_validity = Some(key_validity);
+        self
+    }
+
+    /// Whether the configuration is known at this moment to be new enough to accept keys by it. To be called before
+    /// the configuration is read.
+    pub fn keys_are_fresh(&self) -> bool {
+        self.key_validity.as_ref().is_none_or(KeyValidity::is_fresh)
+    }
+
+    /// Time for which keys are still verified, without a newer proof; `None` if keys are not verified on this node.
+    pub fn key_time_left(&self) -> Option<Duration> {
+        self.key_validity.as_ref().map(KeyValidity::time_left)
+    }
+
     /// Identifier of this node.
     pub fn node_id(&self) -> NodeId {
         self.node_id
--- a/components/front/src/lib.rs
+++ b/components/front/src/lib.rs
@@ -7,6 +7,7 @@
 mod agent;
 mod driver;
 mod health_log;
+mod key_validity;
 mod permit;
 mod query;
 mod upstream_log;
@@ -28,6 +29,7 @@
 pub use agent::Agent;
 pub use driver::TrafficDriver;
 pub use driver::TrafficDriverParts;
+pub use key_validity::KeyValidity;
 pub use permit::Permit;
 pub use query::query_outcome;
 
--- a/components/http1/src/caller.rs
+++ b/components/http1/src/caller.rs
@@ -36,6 +36,7 @@
 use crate::request_body::RequestBody;
 use crate::responses;
 use crate::responses::not_run_refusal;
+use control::Topology;
 use errors::Reason;
 use errors::Verdict;
 use ids::Fingerprint;
@@ -48,6 +49,7 @@
 use traffic::entry::Input;
 use traffic::entry::RequestHead;
 use traffic::entry::RouteProfile;
+use traffic::entry::identify;
 
 /// Number of bytes of a response that are read before its turn, so that small responses free their
 /// upstream's slot.
@@ -214,7 +216,12 @@
     if shared.driver.abandoning_calls().is_cancelled() {
         return Err(not_run_refusal(Reason::Draining));
     }
+    // Read before the topology, which is then not older than the one for which keys are verified.
+    let keys_are_fresh = shared.driver.keys_are_fresh();
     let topology = shared.driver.topology();
+    if !keys_are_fresh && depends_on_keys(&topology, &head) {
+        return Err(not_run_refusal(Reason::KeysUnverified));
+    }
     let effects = shared.driver.step_entry(Input::Arrived { topology, head });
     let mut call_guard = CallGuard {
         shared: Arc::clone(shared),
@@ -246,6 +253,16 @@
     ))
 }
 
+/// Whether keys decide if a request is accepted: its route requires one, and it is no call of the upstream.
+fn depends_on_keys(topology: &Topology, head: &RequestHead) -> bool {
+    let Some(snapshot) = &topology.snapshot else {
+        return false;
+    };
+    let route = snapshot.find_route(head.host.as_deref(), &head.method, &head.path);
+    let route = route.and_then(|route| snapshot.route(route));
+    route.is_some_and(|route| !matches!(identify(snapshot, route, head.credential), Ok(None)))
+}
+
 /// Fingerprint of a request: the same whenever a caller repeats the request, at whichever node.
 fn fingerprint(shared: &SharedState, parts: &Parts, body: &RequestBody) -> Fingerprint {
     let host = parts
--- a/components/kernel/src/clock.rs
+++ b/components/kernel/src/clock.rs
@@ -4,6 +4,9 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use rustix::time::ClockId;
+use rustix::time::clock_gettime;
+
 /// A point in time, in microseconds since the [`Clock`] that it was read from started.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Time(pub u64);
@@ -66,3 +69,17 @@
         Time(u64::try_from(self.start.elapsed().as_micros()).unwrap_or(u64::MAX))
     }
 }
+
+/// Clock that includes the time during which the instance was suspended. Its times are since the start of the
+/// instance, so that moments before the start of the process have a time too.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct BootClock;
+
+impl Clock for BootClock {
+    fn now(&self) -> Time {
+        let now = clock_gettime(ClockId::Boottime);
+        let seconds = u64::try_from(now.tv_sec).unwrap_or(0);
+        let micros = u64::try_from(now.tv_nsec).unwrap_or(0) / 1_000;
+        Time(seconds.saturating_mul(1_000_000).saturating_add(micros))
+    }
+}
--- a/components/spread/src/lib.rs
+++ b/components/spread/src/lib.rs
@@ -26,4 +26,6 @@
 pub use revision::Revision;
 pub use store_call::CONFIG_CALL_TIMEOUT;
 pub use store_watch::StoreEvent;
+pub use watcher::WATCHERS_PER_DOMAIN;
 pub use watcher::is_watcher;
+pub use watcher::rank_members;
--- a/components/spread/src/machine.rs
+++ b/components/spread/src/machine.rs
@@ -88,6 +88,7 @@
     store_watch: StoreWatch,
     contacts: ContactsSync,
     pull: PullState,
+    proved_version: Option<Version>,
 }
 
 impl Machine {
@@ -106,6 +107,17 @@
         &self.report
     }
 
+    /// Version that the last answer of the store about the configuration key proves to be the newest, as of the time
+    /// when the call was sent; `Version::NONE` if the key didn't exist, `None` if the answer proves nothing.
+    pub fn proved_version(&self) -> Option<Version> {
+        self.proved_version
+    }
+
+    /// Allows the calls that watches of a second need, or ends that.
+    pub fn allow_short_watches(&mut self, allowed: bool) {
+        self.budget.allow_short_watches(allowed);
+    }
+
     /// Whether a configuration is in force and no newer one is known to exist.
     pub fn is_up_to_date(&self) -> bool {
         self.history.current().is_some() && !self.pull.is_pending()
@@ -184,6 +196,7 @@
             true => (StoreEvent::HistoryUnavailable, None),
             false => (event, newer_record),
         };
+        self.proved_version = self.store_watch.proved_version(&event);
         let budget_and_random = (&mut self.budget, random);
         self.store_watch
             .continue_after(now, &event, newer_record, budget_and_random, out);
--- a/components/spread/src/store_call.rs
+++ b/components/spread/src/store_call.rs
@@ -10,6 +10,9 @@
 /// Bounds the load that a node puts on the store, whatever happens.
 const MAX_CALL_BURST: u32 = 4;
 const CALL_REFILL_INTERVAL: Duration = Duration::from_secs(1);
+/// The same interval where watches end after a second. These and the calls for contacts are more than one call a
+/// second, so that some watches would start up to a second late.
+const SHORT_CALL_REFILL_INTERVAL: Duration = Duration::from_millis(500);
 /// Time after which the answer to a call for the configuration counts as lost. The client of the
 /// store ends each call by itself, by its progress; a limit that is reached sooner would break off a
 /// long transfer.
@@ -66,6 +69,7 @@
     remaining: u32,
     /// Time from which the interval until the next refill counts.
     last_refill: Time,
+    refill_interval: Duration,
 }
 
 impl Default for CallBudget {
@@ -73,20 +77,29 @@
         Self {
             remaining: MAX_CALL_BURST,
             last_refill: Time(0),
+            refill_interval: CALL_REFILL_INTERVAL,
         }
     }
 }
 
 impl CallBudget {
+    /// Allows as many calls as watches of a second need, or ends that.
+    pub(crate) fn allow_short_watches(&mut self, allowed: bool) {
+        self.refill_interval = match allowed {
+            true => SHORT_CALL_REFILL_INTERVAL,
+            false => CALL_REFILL_INTERVAL,
+        };
+    }
+
     /// Spends one call; the error is the time when the next call is allowed.
     pub(crate) fn try_spend(&mut self, now: Time) -> Result<(), Time> {
-        while self.remaining < MAX_CALL_BURST && now.since(self.last_refill) >= CALL_REFILL_INTERVAL
+        while self.remaining < MAX_CALL_BURST && now.since(self.last_refill) >= self.refill_interval
         {
             self.remaining += 1;
-            self.last_refill = self.last_refill + CALL_REFILL_INTERVAL;
+            self.last_refill = self.last_refill + self.refill_interval;
         }
         if self.remaining == 0 {
-            return Err(self.last_refill + CALL_REFILL_INTERVAL);
+            return Err(self.last_refill + self.refill_interval);
         }
         if self.remaining == MAX_CALL_BURST {
             self.last_refill = now;
--- a/components/spread/src/store_watch.rs
+++ b/components/spread/src/store_watch.rs
@@ -7,6 +7,7 @@
 use crate::store_call::CallBudget;
 use crate::store_call::CallState;
 use config::Record;
+use ids::Version;
 use kernel::Random;
 use kernel::Time;
 
@@ -57,6 +58,8 @@
     backoff: Backoff,
     /// Revision after which the last watch waits for a change.
     watched_revision: Revision,
+    /// Version of the record at that revision, `Version::NONE` if there is none; `None` if it is not known.
+    watched_version: Option<Version>,
     /// How the next failure of the running call is handled.
     recovery: Recovery,
 }
@@ -78,6 +81,7 @@
             delayed_call: None,
             backoff: Backoff::for_store_calls(),
             watched_revision: Revision::default(),
+            watched_version: None,
             recovery: Recovery::default(),
         }
     }
@@ -129,6 +133,25 @@
         }
     }
 
+    /// Version of the newest record in the store at the time when the call of this answer was sent; `None` if the
+    /// answer doesn't show that.
+    pub(crate) fn proved_version(&self, event: &StoreEvent) -> Option<Version> {
+        match event {
+            StoreEvent::Value { record, .. } => {
+                Some(record.as_ref().map_or(Version::NONE, |it| it.version))
+            }
+            StoreEvent::Unchanged { store_revision } => {
+                let is_running = matches!(self.call, CallState::InFlight { .. });
+                let is_continued = store_revision.includes(self.watched_revision);
+                self.watched_version.filter(|_| is_running && is_continued)
+            }
+            StoreEvent::Unreadable { .. }
+            | StoreEvent::Written { .. }
+            | StoreEvent::Failed
+            | StoreEvent::HistoryUnavailable => None,
+        }
+    }
+
     fn start_call(
         &mut self,
         now: Time,
@@ -186,6 +209,7 @@
                 return;
             }
         };
+        self.watched_version = self.proved_version(event);
         self.backoff.reset();
         let call = match newer_record {
             Some(record) => {
--- a/components/spread/src/watcher.rs
+++ b/components/spread/src/watcher.rs
@@ -1,13 +1,26 @@
 //! Selection of the nodes that watch the store.
 
+use std::cmp::Reverse;
+
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use ids::Domain;
 use ids::NodeId;
+use member::Member;
 use member::MemberTable;
 use member::Status;
 
 /// Nodes that watch the store in each failure domain.
-const WATCHERS_PER_DOMAIN: usize = 2;
+pub const WATCHERS_PER_DOMAIN: usize = 2;
+
+/// The live members of a failure domain in the order in which they are selected as watchers.
+pub fn rank_members<'a>(table: &'a MemberTable, domain: &Domain) -> Vec<&'a Member> {
+    let members = table.members().iter().map(|it| &**it);
+    let alive = members.filter(|it| it.status == Status::Alive && it.domain == *domain);
+    let mut ranked: Vec<&Member> = alive.collect();
+    ranked.sort_unstable_by_key(|it| Reverse((rendezvous_score(it.id), it.id)));
+    ranked
+}
 
 /// Whether node `id` is one of the watchers of its failure domain, by rendezvous hashing over the
 /// members that are alive. A suspect watcher is replaced before it is declared dead, because an
--- a/components/store/src/etcd.rs
+++ b/components/store/src/etcd.rs
@@ -60,6 +60,29 @@
         Ok(response.into_body())
     }
 
+    /// Reads a key if it has changed. The value can be long and has mostly not changed, so only its revision is read
+    /// first.
+    async fn read_if_changed(&self, key: &str, after: Revision) -> Result<WatchOutcome, Error> {
+        let body = json!({ "key": STANDARD.encode(key), "keys_only": true });
+        let response = self.call("/v3/kv/range", body).await?;
+        let store_revision = parse_revision(&response["header"]["revision"]);
+        let revision = parse_revision(&response["kvs"][0]["mod_revision"]);
+        match store_revision.filter(|it| it.includes(after)) {
+            Some(current) if revision.is_some_and(|it| after.includes(it)) => {
+                Ok(WatchOutcome::Unchanged(current))
+            }
+            _ => self.read(key).await.map(WatchOutcome::Changed),
+        }
+    }
+
+    /// Waits for the first change of a key after a revision.
+    async fn read_watch(&self, key: &str, after: Revision) -> Result<Entry, Error> {
+        let start = after.number.saturating_add(1).to_string();
+        let create = json!({ "key": STANDARD.encode(key), "start_revision": start });
+        let body = json!({ "create_request": create });
+        self.read_watch_event(body, after).await
+    }
+
     /// Reads a watch stream up to the first message with events. Returns the entry of its last event,
     /// which has no value if that event deleted the key.
     async fn read_watch_event(&self, body: Value, after: Revision) -> Result<Entry, Error> {
@@ -157,16 +180,28 @@
 
     fn watch<'a>(&'a self, key: &'a str, after: Revision) -> StoreFuture<'a, WatchOutcome> {
         Box::pin(async move {
-            let start = after.number.saturating_add(1).to_string();
-            let create = json!({ "key": STANDARD.encode(key), "start_revision": start });
-            let body = json!({ "create_request": create });
-            let watch_result = timeout(WATCH_TIMEOUT, self.read_watch_event(body, after)).await;
+            let watch_result = timeout(WATCH_TIMEOUT, self.read_watch(key, after)).await;
             // A timeout is an error, not `Unchanged`: a silent connection may as well be dead.
             watch_result
                 .map(|response| response.map(WatchOutcome::Changed))
                 .unwrap_or_else(|_| Err(timed_out(format!("no change within {WATCH_TIMEOUT:?}"))))
         })
     }
+
+    fn watch_within<'a>(
+        &'a self,
+        key: &'a str,
+        after: Revision,
+        wait: Duration,
+    ) -> StoreFuture<'a, WatchOutcome> {
+        Box::pin(async move {
+            match timeout(wait, self.read_watch(key, after)).await {
+                Ok(outcome) => outcome.map(WatchOutcome::Changed),
+                // Silence does not show that nothing has changed: the connection may be dead.
+                Err(_) => self.read_if_changed(key, after).await,
+            }
+        })
+    }
 }
 
 /// Maps the status of a response to a result.
--- a/components/store/src/lib.rs
+++ b/components/store/src/lib.rs
@@ -11,9 +11,11 @@
 mod transfer;
 
 use std::pin::Pin;
+use std::time::Duration;
 
 use linkme::distributed_slice;
 use quick_error::quick_error;
+use tokio::time::timeout;
 
 use kernel::Plugin;
 use kernel::plugin;
@@ -152,6 +154,22 @@
     /// Waits until a key changes after the revision `after`, or until the watch times out.
     fn watch<'a>(&'a self, key: &'a str, after: Revision) -> StoreFuture<'a, WatchOutcome>;
 
+    /// Like [`Store::watch`], but ends after about `wait`, with an answer that states whether the key has changed.
+    /// Where a watch cannot end with such an answer, the key is read after it.
+    fn watch_within<'a>(
+        &'a self,
+        key: &'a str,
+        after: Revision,
+        wait: Duration,
+    ) -> StoreFuture<'a, WatchOutcome> {
+        Box::pin(async move {
+            match timeout(wait, self.watch(key, after)).await {
+                Ok(outcome) => outcome,
+                Err(_) => self.read_changes(key, after).await,
+            }
+        })
+    }
+
     /// Reads a key if it has changed after the revision `after`. Where the store cannot say that without
     /// waiting, the key is read.
     fn read_changes<'a>(&'a self, key: &'a str, _after: Revision) -> StoreFuture<'a, WatchOutcome> {
--- a/components/telemetry/src/metrics.rs
+++ b/components/telemetry/src/metrics.rs
@@ -56,6 +56,7 @@
     control_messages: Counter<u64>,
     store_calls: Counter<u64>,
     store_failures: Counter<u64>,
+    key_proofs: Counter<u64>,
     latency: Histogram<f64>,
     config_version: Gauge<u64>,
     meter: Meter,
@@ -99,6 +100,7 @@
             control_messages: meter.u64_counter("medlar_control_messages").build(),
             store_calls: meter.u64_counter("medlar_store_calls").build(),
             store_failures: meter.u64_counter("medlar_store_failures").build(),
+            key_proofs: meter.u64_counter("medlar_key_proofs").build(),
             latency: meter
                 .f64_histogram("medlar_latency_seconds")
                 .with_boundaries(LATENCY_BUCKET_BOUNDS.to_vec())
@@ -193,6 +195,11 @@
         self.store_failures.add(1, &labels);
     }
 
+    /// Counts a proof that the configuration is the newest. `result` is what the node did with it.
+    pub fn count_key_proof(&self, result: &'static str) {
+        self.key_proofs.add(1, &[KeyValue::new("result", result)]);
+    }
+
     /// Sets the version of the configuration in force.
     pub fn set_config_version(&self, version: u64) {
         self.config_version.record(version, &[]);
--- a/components/wire/src/lib.rs
+++ b/components/wire/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod control;
 pub mod crash_reports;
 pub mod datagram;
+pub mod freshness;
 pub mod header;
 pub mod sync;
 
