Test freshness of keys in spread, wire, control and with real nodes

Cause: the encoding, the proofs of store answers, the order of publication and proof, and the refusal had no tests. Change: tests for each, with a fake store that can go away.

--- a/components/daemon/tests/support/mod.rs
+++ b/components/daemon/tests/support/mod.rs
@@ -13,6 +13,8 @@
 use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 
@@ -46,18 +48,27 @@
 
 /// Starts a fake store that holds a configuration and never responds to watches.
 pub(crate) async fn start_store() -> SocketAddr {
+    start_store_with(TEXT, Arc::default()).await
+}
+
+/// Starts a fake store that holds the configuration `text` and breaks off all calls while it is away.
+pub(crate) async fn start_store_with(text: &str, is_away: Arc<AtomicBool>) -> SocketAddr {
     let address = free_address();
     let listener = TcpListener::bind(address).await.unwrap();
-    let checked = DraftConfig::new(TEXT).check().unwrap();
+    let checked = DraftConfig::new(text).check().unwrap();
     let record = checked.into_record(Version(1), 1, Digest(0));
     let value = STANDARD.encode(store::encode_record(&record));
-    let entry = json!({ "kvs": [{ "value": value, "mod_revision": "1" }] }).to_string();
+    let kvs = json!([{ "value": value, "mod_revision": "1" }]);
+    let entry = json!({ "header": { "revision": "1" }, "kvs": kvs }).to_string();
     tokio::spawn(async move {
         while let Ok((mut stream, _)) = listener.accept().await {
-            let entry = entry.clone();
+            let (entry, is_away) = (entry.clone(), Arc::clone(&is_away));
             tokio::spawn(async move {
                 let mut buffer = Vec::new();
                 while let Some(message) = read_message(&mut stream, &mut buffer).await {
+                    if is_away.load(Ordering::SeqCst) {
+                        return;
+                    }
                     let request: Value = serde_json::from_slice(&message.body).unwrap();
                     let is_text = request["key"] == STANDARD.encode(store::CONFIG_KEY);
                     let body = match message.path().as_str() {
--- a/components/fresh/src/machine.rs
+++ b/components/fresh/src/machine.rs
@@ -305,7 +305,11 @@
             }
         }
         self.read_at_random(now, &sources, table.live_count(), random, out);
-        self.set_next_ask(now + MIN_ASK_INTERVAL + random_below(ASK_JITTER, random));
+        let interval = match self.is_older(now, READ_AGE) && self.is_valid(now) {
+            true => MIN_ASK_INTERVAL / 2,
+            false => MIN_ASK_INTERVAL,
+        };
+        self.set_next_ask(now + interval + random_below(ASK_JITTER, random));
     }
 
     /// Reads the store with a probability by which the fleet makes a few reads a second.
--- a/components/wire/src/freshness.rs
+++ b/components/wire/src/freshness.rs
@@ -27,7 +27,7 @@
     },
 }
 
-/// Encodes a message; takes 35 bytes at most.
+/// Encodes a message; takes 37 bytes at most.
 pub fn encode(message: Message) -> Vec<u8> {
     let frame = match message {
         Message::Request { nonce } => Frame::Request { nonce },
