--- a/components/fresh/src/machine.rs
+++ b/components/fresh/src/machine.rs
@@ -305,11 +305,18 @@
             }
         }
         self.read_at_random(now, &sources, table.live_count(), random, out);
-        let interval = match self.is_older(now, READ_AGE) && self.is_valid(now) {
-            true => MIN_ASK_INTERVAL / 2,
-            false => MIN_ASK_INTERVAL,
-        };
-        self.set_next_ask(now + interval + random_below(ASK_JITTER, random));
+        self.set_next_ask(now + self.stale_interval(now) + random_below(ASK_JITTER, random));
+    }
+
+    /// Time between two requests while the proof is stale.
+    fn stale_interval(&self, now: Time) -> Duration {
+        match (self.is_valid(now), self.is_older(now, READ_AGE)) {
+            // There is little time left until keys are refused.
+            (true, true) => MIN_ASK_INTERVAL / 2,
+            (true, false) => MIN_ASK_INTERVAL,
+            // In a long outage, a watcher with 24 askers would get 64 requests a second.
+            (false, _) => MIN_ASK_INTERVAL * 2,
+        }
     }
 
     /// Reads the store with a probability by which the fleet makes a few reads a second.
--- a/components/store/tests/etcd.rs
+++ b/components/store/tests/etcd.rs
@@ -217,3 +217,68 @@
     let longest_watch = Duration::from_secs(20);
     assert!(store::longest_call(longest_watch) < spread::CONFIG_CALL_TIMEOUT);
 }
+
+/// Starts a store with silent watches, whose key has the revision `modified` and a value only if that is asked for.
+fn serve_silent_watch(modified: &str, current: &str) -> SocketAddr {
+    let listener = TcpListener::bind("127.33.4.1:0").expect("free port");
+    let address = listener.local_addr().expect("listener has an address");
+    let header = format!(r#"{{"header": {{"revision": "{current}"}}, "kvs": [{{"#);
+    let revision = format!(r#""mod_revision": "{modified}"}}]}}"#);
+    thread::spawn(move || {
+        for stream in listener.incoming() {
+            let mut stream = stream.expect("connection is accepted");
+            let (header, revision) = (header.clone(), revision.clone());
+            thread::spawn(move || {
+                let mut request = [0; 4_096];
+                while let Ok(length) = stream.read(&mut request) {
+                    let request = String::from_utf8_lossy(&request[..length]);
+                    if length == 0 || request.contains("/v3/watch") {
+                        return thread::sleep(Duration::from_secs(5));
+                    }
+                    let value = match request.contains("keys_only") {
+                        true => "",
+                        false => r#""value": "aGk=", "#,
+                    };
+                    let body = format!("{header}{value}{revision}");
+                    let response = http_response("200 OK", &body).expect("a response");
+                    let _ = stream.write_all(response.as_bytes());
+                }
+            });
+        }
+    });
+    address
+}
+
+/// A watch on a dead connection is silent like one without a change: it must not count as proof that nothing has
+/// changed, so the key is asked for. Its value is fetched only if it has changed.
+#[rstest]
+#[case::unchanged("7", "9", Ok(WatchOutcome::Unchanged(Revision::from(9))))]
+#[case::changed("8", "9", Ok(changed_entry(8)))]
+#[case::restored("3", "5", Ok(changed_entry(3)))]
+#[tokio::test]
+async fn watch_within_silent(
+    #[case] modified: &str,
+    #[case] current: &str,
+    #[case] expected: Result<WatchOutcome, Error>,
+) {
+    let store = store_at(serve_silent_watch(modified, current));
+    let wait = Duration::from_millis(100);
+    let outcome = store.watch_within("k", Revision::from(7), wait).await;
+    let outcome = outcome.map(|it| match it {
+        WatchOutcome::Changed(entry) => WatchOutcome::Changed(Entry {
+            store_revision: entry.revision,
+            ..entry
+        }),
+        other => other,
+    });
+    assert_eq!(outcome, expected);
+}
+
+fn changed_entry(revision: u64) -> WatchOutcome {
+    let revision = Revision::from(revision);
+    WatchOutcome::Changed(Entry {
+        value: Some(b"hi".to_vec()),
+        revision,
+        store_revision: revision,
+    })
+}
