--- a/components/http1/src/caller.rs
+++ b/components/http1/src/caller.rs
@@ -220,7 +220,9 @@
     let keys_are_fresh = shared.driver.keys_are_fresh();
     let topology = shared.driver.topology();
     if !keys_are_fresh && depends_on_keys(&topology, &head) {
-        return Err(not_run_refusal(Reason::KeysUnverified));
+        let refusal = not_run_refusal(Reason::KeysUnverified);
+        events::log_refused(shared, &log_context, refusal);
+        return Err(refusal);
     }
     let effects = shared.driver.step_entry(Input::Arrived { topology, head });
     let mut call_guard = CallGuard {
