--- a/components/front/src/lib.rs
+++ b/components/front/src/lib.rs
@@ -7,6 +7,7 @@
 mod agent;
 mod driver;
 mod health_log;
+mod key_validity;
 mod link_pacer;
 mod permit;
 mod query;
@@ -29,6 +30,7 @@
 pub use agent::Agent;
 pub use driver::TrafficDriver;
 pub use driver::TrafficDriverParts;
+pub use key_validity::KeyValidity;
 pub use link_pacer::LinkPacer;
 pub use link_pacer::LinkSlot;
 pub use permit::Permit;
--- a/components/traffic/tests/endpoint_speeds.rs
+++ b/components/traffic/tests/endpoint_speeds.rs
@@ -21,6 +21,7 @@
 use ids::RouteId;
 use ids::Version;
 use kernel::Random;
+
 use kernel::StateMachine as _;
 use kernel::Time;
 use kernel::plugin::Params;
--- a/components/traffic/tests/link_admission.rs
+++ b/components/traffic/tests/link_admission.rs
@@ -12,6 +12,7 @@
 use ids::RequestId;
 use ids::RouteId;
 use kernel::Random;
+
 use kernel::StateMachine as _;
 use kernel::Time;
 use kernel::plugin::Params;
