--- a/components/transport/src/lib.rs
+++ b/components/transport/src/lib.rs
@@ -22,6 +22,7 @@
 use member::Message;
 use quarantine::Report;
 use telemetry::Metrics;
+use wire::rate_limits;
 
 pub use entry_log::log_malformed_entries;
 
@@ -42,6 +43,8 @@
     Membership(Message),
     /// Reports on requests that crash upstreams.
     CrashReports(Vec<Report>),
+    /// Message that keeps the rate limits of organisations.
+    RateLimits(rate_limits::Message),
 }
 
 /// Callback for received datagrams, called with the address of the sender; must not block.
--- a/components/transport/src/udp.rs
+++ b/components/transport/src/udp.rs
@@ -20,6 +20,7 @@
 use wire::Decoded;
 use wire::crash_reports;
 use wire::datagram;
+use wire::rate_limits;
 
 /// Length of the IPv4 and UDP headers in bytes; they are included in the count of control bytes.
 const HEADER_BYTES: usize = 28;
@@ -92,6 +93,11 @@
         let malformed = 0;
         return Some(Decoded { message, malformed });
     }
+    if bytes.first() == Some(&rate_limits::FORMAT) {
+        let message = Datagram::RateLimits(rate_limits::decode(bytes)?);
+        let malformed = 0;
+        return Some(Decoded { message, malformed });
+    }
     let Decoded { message, malformed } = datagram::decode(bytes).ok()?;
     let message = Datagram::Membership(message);
     Some(Decoded { message, malformed })
@@ -102,6 +108,7 @@
         let bytes = match datagram {
             Datagram::Membership(message) => datagram::encode(message),
             Datagram::CrashReports(reports) => crash_reports::encode(reports),
+            Datagram::RateLimits(message) => rate_limits::encode(message),
         };
         match self.socket.try_send_to(&bytes, to) {
             Ok(sent) => self
