Keep rate limits of organisations in the traffic driver and the entry

Change: the driver runs both under a lock of their own, gets datagrams of their format directly from the transport, and gives a token to each request of an organisation before it is forwarded. /status and medlarctl status show at most 16 organisations, those that used most of their limit.

--- a/components/admin/src/lib.rs
+++ b/components/admin/src/lib.rs
@@ -20,6 +20,7 @@
 pub use serve::serve_requests;
 pub use view::EndpointView;
 pub use view::Explanation;
+pub use view::LimitUsage;
 pub use view::MemberView;
 pub use view::RouteView;
 pub use view::Status;
--- a/components/admin/src/view.rs
+++ b/components/admin/src/view.rs
@@ -60,6 +60,21 @@
     pub last_refusal: String,
     /// Version of the program that the node runs.
     pub program: String,
+    /// Organisations of which the node grants tokens, those that use most of their rate limit first; at most 16.
+    /// Left out if there are none.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub organisations: Vec<LimitUsage>,
+}
+
+/// Use of the rate limit of one organisation.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[serde(default)]
+pub struct LimitUsage {
+    /// Name of the organisation.
+    pub name: String,
+    /// Part of its limit that this node has granted over the last seconds, in percent.
+    pub used_percent: u32,
 }
 
 /// One member in the body of `GET /members`.
@@ -181,6 +196,7 @@
                 format!("version {}: {}", it.version, it.message)
             }),
             program: env!("CARGO_PKG_VERSION").to_owned(),
+            organisations: list_limit_usage(driver),
         }
     }
 }
@@ -202,6 +218,19 @@
     }
 }
 
+fn list_limit_usage(driver: &TrafficDriver) -> Vec<LimitUsage> {
+    let usages = driver.list_limit_usage().into_iter();
+    let usages = usages.map(|(name, part)| LimitUsage {
+        name: name.to_string(),
+        used_percent: to_percent(part),
+    });
+    usages.collect()
+}
+
+fn to_percent(part: f64) -> u32 {
+    (part * 100.0).round() as u32
+}
+
 /// Body of `GET /members`.
 pub(crate) fn list_members(topology: &Topology) -> Vec<MemberView> {
     topology
--- a/components/control/src/topology.rs
+++ b/components/control/src/topology.rs
@@ -13,6 +13,7 @@
 use member::Member;
 use member::MemberTable;
 use member::Stage;
+use member::Status;
 use member::Upstream;
 use quarantine::View;
 use spread::DistributionReport;
@@ -141,6 +142,16 @@
         addresses.len()
     }
 
+    /// Number of known instances, counted by peer address. Those whose node is dead are included, since they may be
+    /// cut off only; those whose node has left are not.
+    pub fn count_present_instances(&self) -> usize {
+        let present = self.members.iter().filter(|it| it.status != Status::Left);
+        let mut addresses: Vec<_> = present.map(|it| it.addresses.peer).collect();
+        addresses.sort_unstable();
+        addresses.dedup();
+        addresses.len()
+    }
+
     /// The endpoint with this key; `None` if the key belongs to another topology.
     pub fn endpoint(&self, key: EndpointKey) -> Option<&Endpoint> {
         self.endpoints.get(key)
--- a/components/daemon/src/executor.rs
+++ b/components/daemon/src/executor.rs
@@ -342,6 +342,7 @@
         let own_upstream = topology.own_upstream.clone();
         let leaving = topology.node_stage == NodeStage::Leaving;
         self.topology.store(topology);
+        self.driver.refresh_rate_limits();
         if leaving {
             self.driver.drain();
         }
--- a/components/daemon/src/run.rs
+++ b/components/daemon/src/run.rs
@@ -163,7 +163,16 @@
     });
     let pending_calls = Arc::new(Mutex::new(PendingCalls::default()));
 
-    let sender = open_transport(settings, plugins.transport.as_ref(), &inputs, &metrics).await?;
+    let sender = open_transport(
+        settings,
+        plugins.transport.as_ref(),
+        &inputs,
+        &metrics,
+        &driver,
+    )
+    .await?;
+    let may_be_alone = settings.contacts.is_empty() && settings.domains.len() <= 1;
+    driver.set_transport(Arc::clone(&sender), may_be_alone);
     start_control_calls(settings, &inputs, &pending_calls, &driver).await?;
     start_admin_api(settings, &inputs, &driver).await?;
     let front_end_stop = CancellationToken::new();
@@ -253,13 +262,22 @@
     transport: &dyn Transport,
     inputs: &mpsc::Sender<Input>,
     metrics: &Arc<Metrics>,
+    driver: &Arc<TrafficDriver>,
 ) -> Result<Arc<dyn Sender>, Error> {
     let datagram_inputs = inputs.clone();
     let drop_metrics = Arc::clone(metrics);
+    // The driver owns the sender; a strong reference from the transport to the driver would be a cycle.
+    let weak_driver = Arc::downgrade(driver);
     let on_datagram = Box::new(move |from, datagram| {
         let input = match datagram {
             Datagram::Membership(message) => Input::Datagram { from, message },
             Datagram::CrashReports(reports) => Input::CrashReports { from, reports },
+            Datagram::RateLimits(message) => {
+                if let Some(driver) = weak_driver.upgrade() {
+                    driver.receive_rate_limits(from, &message);
+                }
+                return;
+            }
         };
         if datagram_inputs.try_send(input).is_err() {
             drop_metrics.count_drop(Reason::QueueOverflow);
--- a/components/daemon/tests/support/mod.rs
+++ b/components/daemon/tests/support/mod.rs
@@ -46,9 +46,14 @@
 
 /// Starts a fake store that holds a configuration and never responds to watches.
 pub(crate) async fn start_store() -> SocketAddr {
+    start_store_with(TEXT).await
+}
+
+/// Starts a fake store that holds this configuration and never responds to watches.
+pub(crate) async fn start_store_with(text: &str) -> SocketAddr {
     let address = free_address();
     let listener = TcpListener::bind(address).await.unwrap();
-    let checked = DraftConfig::new(TEXT).check().unwrap();
+    let checked = DraftConfig::new(text).check().unwrap();
     let record = checked.into_record(Version(1), 1, Digest(0));
     let value = STANDARD.encode(store::encode_record(&record));
     let entry = json!({ "kvs": [{ "value": value, "mod_revision": "1" }] }).to_string();
--- a/components/front/src/driver.rs
+++ b/components/front/src/driver.rs
@@ -1,5 +1,6 @@
 //! Runs the entry and owner state machines of a node for all connections of its front end.
 
+use std::net::SocketAddr;
 use std::pin::pin;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -16,6 +17,7 @@
 use crate::Permit;
 use crate::health_log;
 use crate::permit::Admitted;
+use crate::rate_limits::RateLimits;
 use crate::upstream_log;
 use control::Topology;
 use errors::Reason;
@@ -35,6 +37,8 @@
 use traffic::entry;
 use traffic::ledger::Outcome;
 use traffic::owner;
+use transport::Sender;
+use wire::rate_limits::Message;
 
 /// Upper bound on the time between two steps of the owner timers. It also is the retry delay of a
 /// request that the owner state machine drops without a decision.
@@ -101,9 +105,10 @@
     calls_ended: Notify,
     metrics: Arc<Metrics>,
     control_inputs: mpsc::Sender<control::Input>,
+    rate_limits: RateLimits,
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     // A poisoned lock is safe to use: no step panics halfway through a change that matters.
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
@@ -136,6 +141,7 @@
             calls_ended: Notify::new(),
             metrics: parts.metrics,
             control_inputs: parts.control_inputs,
+            rate_limits: RateLimits::new(parts.node_id),
         }
     }
 
@@ -149,6 +155,39 @@
         &self.clock
     }
 
+    /// Sets the transport that carries the messages of the organisations' rate limits. `may_be_alone` states that the
+    /// fleet may be this node only; otherwise a node that knows no other one grants nothing.
+    pub fn set_transport(&self, sender: Arc<dyn Sender>, may_be_alone: bool) {
+        self.rate_limits.set_transport(sender, may_be_alone);
+    }
+
+    /// Takes the limits and members of the topology that was just published.
+    pub fn refresh_rate_limits(&self) {
+        self.rate_limits.refresh(&self.topology());
+    }
+
+    /// Handles a message that keeps the organisations' rate limits.
+    pub fn receive_rate_limits(&self, from: SocketAddr, message: &Message) {
+        self.rate_limits.receive(from, message);
+    }
+
+    /// Names of the organisations of which this node grants tokens, with the used part of their limits, the most used
+    /// first.
+    pub fn list_limit_usage(&self) -> Vec<(Arc<str>, f64)> {
+        let topology = self.topology();
+        let usages = self.rate_limits.list_usage();
+        let named = usages.into_iter().filter_map(|usage| {
+            let snapshot = topology.snapshot.as_ref()?;
+            let key = snapshot.find_organisation(usage.organisation)?;
+            Some((Arc::clone(&snapshot.organisation(key)?.name), usage.part))
+        });
+        named.collect()
+    }
+
+    pub(crate) fn rate_limits(&self) -> &RateLimits {
+        &self.rate_limits
+    }
+
     /// Current time of the process clock.
     pub fn now(&self) -> Time {
         self.clock.now()
@@ -173,6 +212,7 @@
     /// beyond `work_end`, since the process ends soon after that.
     pub fn announce_drain(&self, work_end: Time) {
         self.drain_announced.cancel();
+        self.rate_limits.leave();
         self.step_entry(entry::Input::EndScheduled { work_end });
         self.step_owner(owner::Input::EndScheduled { work_end });
     }
@@ -186,6 +226,7 @@
     pub fn drain(&self) {
         if !self.leaving.is_cancelled() {
             self.leaving.cancel();
+            self.rate_limits.leave();
             self.step_owner(owner::Input::Drain);
         }
     }
@@ -361,8 +402,12 @@
         self.step_owner_locked(&mut owner, input);
     }
 
-    /// Steps the owner state machine whenever one of its timers is due, until the future is dropped.
+    /// Runs the timers of the owner state machine and of the rate limits until the future is dropped.
     pub async fn run_timers(&self) {
+        tokio::join!(self.run_owner_timers(), self.rate_limits.run_timers());
+    }
+
+    async fn run_owner_timers(&self) {
         loop {
             let due = {
                 let mut owner = lock(&self.owner);
--- a/components/front/src/lib.rs
+++ b/components/front/src/lib.rs
@@ -5,10 +5,14 @@
 //! callers, other nodes and the upstream; each front end is a crate of its own.
 
 mod agent;
+mod boot_clock;
 mod driver;
 mod health_log;
+mod limit_log;
 mod permit;
 mod query;
+mod rate_limits;
+mod token;
 mod upstream_log;
 
 use std::io;
@@ -30,6 +34,7 @@
 pub use driver::TrafficDriverParts;
 pub use permit::Permit;
 pub use query::query_outcome;
+pub use token::Token;
 
 /// Registered front end plug-ins.
 #[distributed_slice]
--- a/components/http1/src/caller.rs
+++ b/components/http1/src/caller.rs
@@ -33,6 +33,7 @@
 use crate::headers::validate_request_head;
 use crate::listen::ConnectionState;
 use crate::pipeline::StartedRequest;
+use crate::rate_limit::acquire_token;
 use crate::request_body::RequestBody;
 use crate::responses;
 use crate::responses::not_run_refusal;
@@ -188,7 +189,7 @@
         failed_attempts: String::new(),
     };
     let fingerprint = fingerprint(shared, &parts, &body);
-    let head = RequestHead {
+    let mut head = RequestHead {
         id,
         fingerprint: Some(fingerprint),
         host: read_host(&parts.headers),
@@ -211,6 +212,9 @@
         body,
         sent: false,
     };
+    let token = acquire_token(shared, &mut head)
+        .await
+        .inspect_err(|refusal| events::log_refused(shared, &log_context, *refusal))?;
     if shared.driver.abandoning_calls().is_cancelled() {
         return Err(not_run_refusal(Reason::Draining));
     }
@@ -233,10 +237,14 @@
         () = shared.driver.abandoning_calls().cancelled() => None,
     };
     let result = result.unwrap_or_else(|| Err(abandon(shared, call_guard.call, outgoing.sent)));
-    let (response, profile, attempt) = result.inspect_err(|refusal| {
+    let result = result.inspect_err(|refusal| {
         call_guard.call = None;
         events::log_refused(shared, &log_context, *refusal);
-    })?;
+    });
+    if matches!(&result, Err(refusal) if refusal.verdict == Verdict::NotRun) {
+        token.give_back();
+    }
+    let (response, profile, attempt) = result?;
     Ok(relay_response(
         response,
         call_guard,
--- a/components/http1/src/lib.rs
+++ b/components/http1/src/lib.rs
@@ -17,6 +17,7 @@
 mod node_pool;
 mod peer_clock;
 mod pipeline;
+mod rate_limit;
 mod request_body;
 mod responses;
 mod stored_responses;
--- a/src/cmd/status.rs
+++ b/src/cmd/status.rs
@@ -1,5 +1,6 @@
 //! `status`: shows how many nodes have a configuration version in force.
 
+use std::cmp::Reverse;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -17,11 +18,14 @@
 use crate::output::print_refusal;
 use crate::output::print_result;
 use crate::store_client::read_accepted_record;
+use admin::LimitUsage;
 
 /// Pause between two polls of the fleet with --wait.
 const POLL_INTERVAL: Duration = Duration::from_millis(500);
 /// Maximum number of lagging nodes that are listed by name; the others are only counted.
 const MAX_NAMED_NODES: usize = 10;
+/// Maximum number of organisations that are listed with the use of their rate limit.
+const MAX_NAMED_ORGANISATIONS: usize = 16;
 
 /// Show how many live nodes have the accepted version in force, and list those that lag.
 #[derive(Debug)]
@@ -57,6 +61,8 @@
     /// Ids of the nodes that have reached the version. They are not queried again, because the version
     /// of a node never decreases.
     up_to_date_ids: Vec<String>,
+    /// Use of rate limits that the nodes have reported last, each with the id of its node.
+    limit_usages: Vec<(String, LimitUsage)>,
 }
 
 pub(crate) async fn run(options: &GlobalOptions, args: &Args) -> ExitStatus {
@@ -103,6 +109,7 @@
             lagging: Vec::new(),
             highest_version: 0,
             up_to_date_ids: Vec::new(),
+            limit_usages: Vec::new(),
         }
     }
 
@@ -113,6 +120,7 @@
         self.live_count = members.len();
         members.retain(|member| !self.up_to_date_ids.contains(&member.node));
         let nodes = query_statuses(members).await;
+        nodes.iter().for_each(|node| self.record_limit_usage(node));
         let versions = nodes.iter().filter_map(FleetNode::version);
         self.highest_version = versions.fold(self.highest_version, u64::max);
         let is_up_to_date = |node: &&FleetNode| node.version().is_some_and(|it| it >= self.version);
@@ -127,6 +135,32 @@
         Ok(())
     }
 
+    fn record_limit_usage(&mut self, node: &FleetNode) {
+        let Ok(status) = &node.status else {
+            return;
+        };
+        let id = &node.member.node;
+        self.limit_usages.retain(|(other, _)| other != id);
+        let usages = status.organisations.iter().cloned();
+        self.limit_usages.extend(usages.map(|it| (id.clone(), it)));
+    }
+
+    /// Use of each organisation's limit at all nodes together, the most used first.
+    fn sum_limit_usages(&self) -> Vec<LimitUsage> {
+        let mut usages: Vec<LimitUsage> = self.limit_usages.iter().map(|it| it.1.clone()).collect();
+        usages.sort_by(|one, other| one.name.cmp(&other.name));
+        usages.dedup_by(|next, kept| {
+            let is_same = next.name == kept.name;
+            if is_same {
+                kept.used_percent = kept.used_percent.saturating_add(next.used_percent);
+            }
+            is_same
+        });
+        usages.sort_by_key(|it| Reverse(it.used_percent));
+        usages.truncate(MAX_NAMED_ORGANISATIONS);
+        usages
+    }
+
     fn is_complete(&self) -> bool {
         self.live_count > 0 && self.lagging.is_empty()
     }
@@ -159,14 +193,21 @@
     }
 
     fn report(&self, options: &GlobalOptions) -> ExitStatus {
+        let usages = self.sum_limit_usages();
+        let mut text = self.describe();
+        for usage in &usages {
+            let LimitUsage { name, used_percent } = usage;
+            text += &format!("\norganisation {name} uses {used_percent}% of its rate limit");
+        }
         let value = json!({
             "version": self.version,
             "live": self.live_count,
             "lagging": self.lagging,
             "highest": self.highest_version,
             "complete": self.is_complete(),
+            "organisations": usages,
         });
-        print_result(options.output_format, &self.describe(), &value);
+        print_result(options.output_format, &text, &value);
         if self.is_complete() {
             ExitStatus::Done
         } else {
