Test rate limits under load and failures; count tokens and granter changes

Cause: the bound and the service of the new part were only checked by one load; nothing counted tokens.

--- a/components/front/src/driver.rs
+++ b/components/front/src/driver.rs
@@ -126,6 +126,7 @@
             waiters: Vec::new(),
             last_tag: 0,
         };
+        let rate_limits = RateLimits::new(parts.node_id, Arc::clone(&parts.metrics));
         Self {
             node_id: parts.node_id,
             clock: parts.clock,
@@ -141,7 +142,7 @@
             calls_ended: Notify::new(),
             metrics: parts.metrics,
             control_inputs: parts.control_inputs,
-            rate_limits: RateLimits::new(parts.node_id),
+            rate_limits,
         }
     }
 
--- a/components/front/src/limit_log.rs
+++ b/components/front/src/limit_log.rs
@@ -5,6 +5,7 @@
 use log::info;
 use log::warn;
 
+use errors::Reason;
 use ids::NodeId;
 use quota::Refusal;
 use telemetry::LogLimiter;
@@ -41,13 +42,13 @@
     let Some(suppressed) = REFUSAL_LIMITER.admit() else {
         return;
     };
-    let (event, retry_after) = match refusal {
-        Refusal::Reached(retry_after) => ("limit-reached", retry_after),
-        Refusal::Unknown(retry_after) => ("limit-unknown", retry_after),
+    let (reason, retry_after) = match refusal {
+        Refusal::Reached(retry_after) => (Reason::LimitReached, retry_after),
+        Refusal::Unknown(retry_after) => (Reason::LimitUnknown, retry_after),
     };
     let retry_ms = u64::try_from(retry_after.as_millis()).unwrap_or(u64::MAX);
     info!(
-        event = event, organisation = organisation, retry_ms = retry_ms, held = suppressed;
+        event = "limit-refused", organisation = organisation, reason = reason.name(), retry_ms = retry_ms, held = suppressed;
         "request refused by the rate limit of its organisation"
     );
 }
--- a/components/front/src/rate_limits.rs
+++ b/components/front/src/rate_limits.rs
@@ -36,6 +36,7 @@
 use quota::TokenLease;
 use quota::Usage;
 use quota::View;
+use telemetry::Metrics;
 use transport::Datagram;
 use transport::Sender;
 use wire::rate_limits::Message;
@@ -76,6 +77,7 @@
     compiled: Mutex<Compiled>,
     timer_changed: Notify,
     transport: OnceLock<Transport>,
+    metrics: Arc<Metrics>,
 }
 
 /// Sending side of the transport, and whether the fleet may be this node alone.
@@ -102,7 +104,7 @@
 }
 
 impl RateLimits {
-    pub(crate) fn new(node_id: NodeId) -> Self {
+    pub(crate) fn new(node_id: NodeId, metrics: Arc<Metrics>) -> Self {
         let clock = BootClock::new();
         let state = State {
             holder: Holder::new(node_id, clock.now()),
@@ -118,6 +120,7 @@
             compiled: Mutex::default(),
             timer_changed: Notify::new(),
             transport: OnceLock::new(),
+            metrics,
         }
     }
 
@@ -294,6 +297,8 @@
                         granter,
                         silent,
                     } => {
+                        let state = if silent { "silent" } else { "changed" };
+                        self.metrics.count_state_change("granter", state);
                         limit_log::log_granter(group, granter, silent);
                     }
                 }
--- a/components/front/src/token.rs
+++ b/components/front/src/token.rs
@@ -29,6 +29,7 @@
     /// Returns the token, because the request has certainly not run.
     pub fn give_back(self) {
         if let Some((driver, organisation, lease)) = self.spent {
+            driver.metrics().count_limit_token("returned");
             driver.rate_limits().give_back(organisation, lease);
         }
     }
@@ -64,8 +65,10 @@
         if !self.has_rate_limits() {
             return Ok(Token::unlimited());
         }
-        let spent = |lease| Token {
-            spent: Some((Arc::clone(self), organisation, lease)),
+        let spent = |lease| {
+            self.metrics().count_limit_token("spent");
+            let spent = Some((Arc::clone(self), organisation, lease));
+            Token { spent }
         };
         match self.rate_limits().acquire(organisation, wait) {
             Wait::Unlimited => Ok(Token::unlimited()),
--- a/components/quota/src/granter.rs
+++ b/components/quota/src/granter.rs
@@ -133,8 +133,8 @@
     }
 
     /// Part of the whole that the shares of a group amount to here.
-    pub fn fraction(&self, group: usize) -> f64 {
-        self.groups.get(group).map_or(0.0, |it| it.fraction)
+    pub fn fraction(&self, now: Time, group: usize) -> f64 {
+        self.holders.sum(now, group, self.instances).0
     }
 
     fn grant(&mut self, now: Time, holder: NodeId, ask: &Ask) -> Option<Grant> {
--- a/components/quota/src/share.rs
+++ b/components/quota/src/share.rs
@@ -157,7 +157,7 @@
     /// Part of the whole that the shares of a group amount to, and the time at which the next one ends. The whole is
     /// divided by the largest number of instances that this node or a holder knows, and never by less than the number
     /// of shares, so that member tables that differ do not make more than a whole.
-    fn sum(&self, now: Time, group: usize, instances: u32) -> (f64, Time) {
+    pub(crate) fn sum(&self, now: Time, group: usize, instances: u32) -> (f64, Time) {
         let (mut count, mut whole, mut end) = (0_u32, instances.max(1), Time(u64::MAX));
         for record in &self.records {
             if record.until > now && record.shares.contains(group) {
--- a/components/quota/tests/support/mod.rs
+++ b/components/quota/tests/support/mod.rs
@@ -7,6 +7,8 @@
 
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
+use std::net::IpAddr;
+use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -85,10 +87,14 @@
     next_id: u64,
     /// Organisation and time of each token that was spent and not given back.
     pub(crate) runs: Vec<(usize, u64)>,
+    /// Node and time of each of them.
+    pub(crate) run_nodes: Vec<(usize, u64)>,
     pub(crate) refused: Vec<(usize, u64, Refusal)>,
     pub(crate) messages: u64,
     /// Part of the requests that end as not run and give their token back, in percent.
     pub(crate) give_back_percent: usize,
+    /// Whether the shares are summed up every 10 ms; only if all nodes know the same number of instances.
+    pub(crate) checks_shares: bool,
     /// Whether refused requests come again when they were told to.
     pub(crate) retry: bool,
 }
@@ -119,9 +125,16 @@
 }
 
 fn address(node: usize) -> SocketAddr {
-    format!("10.0.{}.{}:7000", node / 256, node % 256)
-        .parse()
-        .unwrap()
+    let [high, low] = (node as u16).to_be_bytes();
+    SocketAddr::new(Ipv4Addr::new(10, 0, high, low).into(), 7_000)
+}
+
+fn index_of(address: SocketAddr) -> usize {
+    let IpAddr::V4(ip) = address.ip() else {
+        unreachable!()
+    };
+    let [_, _, high, low] = ip.octets();
+    usize::from(high) * 256 + usize::from(low)
 }
 
 impl Fleet {
@@ -149,9 +162,11 @@
             sequence: 0,
             next_id: 1,
             runs: Vec::new(),
+            run_nodes: Vec::new(),
             refused: Vec::new(),
             messages: 0,
             give_back_percent: 0,
+            checks_shares: false,
             retry: false,
         };
         for _ in 0..nodes {
@@ -263,6 +278,9 @@
             .is_some_and(|Reverse((at, _, _))| *at <= end)
         {
             let Reverse((at, _, event)) = self.events.pop().unwrap();
+            if self.checks_shares && at / (10 * MS) > self.now / (10 * MS) {
+                self.check_shares();
+            }
             self.now = self.now.max(at);
             let (Event::Wake(node) | Event::Arrive { node, .. }) = event else {
                 let Event::Deliver(index) = event else {
@@ -337,7 +355,7 @@
     fn apply(&mut self, node: usize, effects: Vec<Effect>) {
         for effect in effects {
             match effect {
-                Effect::Send { to, request } if to == address(node) => {
+                Effect::Send { to, request } if index_of(to) == node => {
                     let now = self.time_of(node);
                     let mut next = Vec::new();
                     if let Some(response) = self.nodes[node].granter.handle(now, &request) {
@@ -385,6 +403,7 @@
             return self.apply(node, effects);
         }
         self.runs.push((organisation, self.now));
+        self.run_nodes.push((node, self.now));
     }
 
     fn refuse(&mut self, organisation: usize, refusal: Refusal) {
@@ -401,7 +420,7 @@
 
     fn transmit(&mut self, from: usize, to: SocketAddr, message: Message) {
         self.messages += 1;
-        let to = (0..self.nodes.len()).find(|it| address(*it) == to).unwrap();
+        let to = index_of(to);
         let cut = self.network.sides[from] != self.network.sides[to];
         if cut || self.random.below(100) < self.network.loss_percent {
             return;
@@ -425,31 +444,52 @@
         self.events.push(Reverse((at, self.sequence, event)));
     }
 
-    /// Checks that no window of 5 s holds more runs of an organisation than its bound allows.
+    /// Checks the bound on windows of 5 s, and on shorter ones what the design promises if nodes agree on the number of
+    /// instances: the burst, and the rate for the window and one token life.
     pub(crate) fn check_bound(&self) {
+        self.check_windows(WINDOW, |limit| {
+            (limit.per_second * 5.0 + limit.burst) * 1.1 + 20.0
+        });
+    }
+
+    pub(crate) fn check_promise(&self) {
+        self.check_bound();
+        for window in [S / 2, S, 3 * S] {
+            let time = window as f64 / S as f64 + quota::TOKEN_LIFE.as_secs_f64();
+            self.check_windows(window, |limit| limit.per_second * time + limit.burst + 5.0);
+        }
+    }
+
+    fn check_windows(&self, window: u64, bound: impl Fn(Limit) -> f64) {
         for (organisation, (_, limit)) in self.organisations.iter().enumerate() {
-            let mut times: Vec<u64> = self
-                .runs
-                .iter()
-                .filter(|it| it.0 == organisation)
-                .map(|it| it.1)
-                .collect();
+            let runs = self.runs.iter().filter(|it| it.0 == organisation);
+            let mut times: Vec<u64> = runs.map(|it| it.1).collect();
             times.sort_unstable();
-            let bound = (limit.per_second * 5.0 + limit.burst) * 1.1 + 20.0;
-            let mut first = 0;
+            let (bound, mut first) = (bound(*limit), 0);
             for (index, at) in times.iter().enumerate() {
-                while *at - times[first] > WINDOW {
+                while *at - times[first] > window {
                     first += 1;
                 }
                 let count = index + 1 - first;
                 assert!(
                     count as f64 <= bound,
-                    "{count} runs of organisation {organisation} in 5 s, {bound} allowed"
+                    "{count} runs of organisation {organisation} in {window} us, {bound} allowed"
                 );
             }
         }
     }
 
+    /// Checks that no share counts at two granters. Processes that have ended count nothing.
+    fn check_shares(&self) {
+        for group in 0..quota::GROUP_COUNT {
+            let alive = (0..self.nodes.len()).filter(|it| self.nodes[*it].alive);
+            let sum: f64 = alive
+                .map(|it| self.nodes[it].granter.fraction(self.time_of(it), group))
+                .sum();
+            assert!(sum <= 1.000_001, "{sum} of the whole is delegated");
+        }
+    }
+
     pub(crate) fn count_runs(&self, organisation: usize, (from, to): (u64, u64)) -> usize {
         self.runs
             .iter()
--- a/components/telemetry/src/metrics.rs
+++ b/components/telemetry/src/metrics.rs
@@ -57,6 +57,7 @@
     store_calls: Counter<u64>,
     store_failures: Counter<u64>,
     latency: Histogram<f64>,
+    limit_tokens: Counter<u64>,
     config_version: Gauge<u64>,
     meter: Meter,
 }
@@ -103,6 +104,7 @@
                 .f64_histogram("medlar_latency_seconds")
                 .with_boundaries(LATENCY_BUCKET_BOUNDS.to_vec())
                 .build(),
+            limit_tokens: meter.u64_counter("medlar_limit_tokens").build(),
             config_version: meter.u64_gauge("medlar_version").build(),
             meter,
             registry,
@@ -193,6 +195,11 @@
         self.store_failures.add(1, &labels);
     }
 
+    /// Counts a token of an organisation's rate limit. `state` is `spent` or `returned`.
+    pub fn count_limit_token(&self, state: &'static str) {
+        self.limit_tokens.add(1, &[KeyValue::new("state", state)]);
+    }
+
     /// Sets the version of the configuration in force.
     pub fn set_config_version(&self, version: u64) {
         self.config_version.record(version, &[]);
