--- a/components/front/src/driver.rs
+++ b/components/front/src/driver.rs
@@ -1,5 +1,6 @@
 //! Runs the entry and owner state machines of a node for all connections of its front end.
 
+use std::net::SocketAddr;
 use std::pin::pin;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -18,6 +19,7 @@
 use crate::Permit;
 use crate::health_log;
 use crate::permit::Admitted;
+use crate::rate_limits::RateLimits;
 use crate::upstream_log;
 use control::Topology;
 use errors::Reason;
@@ -38,6 +40,8 @@
 use traffic::entry;
 use traffic::ledger::Outcome;
 use traffic::owner;
+use transport::Sender;
+use wire::rate_limits::Message;
 
 /// Upper bound on the time between two steps of the owner timers. It also is the retry delay of a
 /// request that the owner state machine drops without a decision.
@@ -107,9 +111,10 @@
     /// `None` if the rate of the instance's link is not known.
     link: Option<Arc<LinkPacer>>,
     key_validity: Option<KeyValidity>,
+    rate_limits: RateLimits,
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     // A poisoned lock is safe to use: no step panics halfway through a change that matters.
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
@@ -127,6 +132,7 @@
             waiters: Vec::new(),
             last_tag: 0,
         };
+        let rate_limits = RateLimits::new(parts.node_id, Arc::clone(&parts.metrics));
         Self {
             node_id: parts.node_id,
             clock: parts.clock,
@@ -144,6 +150,7 @@
             control_inputs: parts.control_inputs,
             link: None,
             key_validity: None,
+            rate_limits,
         }
     }
 
@@ -194,6 +201,39 @@
         &self.clock
     }
 
+    /// Sets the transport that carries the messages of the organisations' rate limits. `may_be_alone` states that the
+    /// fleet may be this node only; otherwise a node that knows no other one grants nothing.
+    pub fn set_transport(&self, sender: Arc<dyn Sender>, may_be_alone: bool) {
+        self.rate_limits.set_transport(sender, may_be_alone);
+    }
+
+    /// Takes the limits and members of the topology that was just published.
+    pub fn refresh_rate_limits(&self) {
+        self.rate_limits.refresh(&self.topology());
+    }
+
+    /// Handles a message that keeps the organisations' rate limits.
+    pub fn receive_rate_limits(&self, from: SocketAddr, message: &Message) {
+        self.rate_limits.receive(from, message);
+    }
+
+    /// Names of the organisations of which this node grants tokens, with the used part of their limits, the most used
+    /// first.
+    pub fn list_limit_usage(&self) -> Vec<(Arc<str>, f64)> {
+        let topology = self.topology();
+        let usages = self.rate_limits.list_usage();
+        let named = usages.into_iter().filter_map(|usage| {
+            let snapshot = topology.snapshot.as_ref()?;
+            let key = snapshot.find_organisation(usage.organisation)?;
+            Some((Arc::clone(&snapshot.organisation(key)?.name), usage.part))
+        });
+        named.collect()
+    }
+
+    pub(crate) fn rate_limits(&self) -> &RateLimits {
+        &self.rate_limits
+    }
+
     /// Current time of the process clock.
     pub fn now(&self) -> Time {
         self.clock.now()
@@ -218,6 +258,7 @@
     /// beyond `work_end`, since the process ends soon after that.
     pub fn announce_drain(&self, work_end: Time) {
         self.drain_announced.cancel();
+        self.rate_limits.leave();
         self.step_entry(entry::Input::EndScheduled { work_end });
         self.step_owner(owner::Input::EndScheduled { work_end });
     }
@@ -231,6 +272,7 @@
     pub fn drain(&self) {
         if !self.leaving.is_cancelled() {
             self.leaving.cancel();
+            self.rate_limits.leave();
             self.step_owner(owner::Input::Drain);
         }
     }
@@ -414,8 +456,12 @@
         self.step_owner_locked(&mut owner, input);
     }
 
-    /// Steps the owner state machine whenever one of its timers is due, until the future is dropped.
+    /// Runs the timers of the owner state machine and of the rate limits until the future is dropped.
     pub async fn run_timers(&self) {
+        tokio::join!(self.run_owner_timers(), self.rate_limits.run_timers());
+    }
+
+    async fn run_owner_timers(&self) {
         loop {
             let due = {
                 let mut owner = lock(&self.owner);
--- a/components/front/src/lib.rs
+++ b/components/front/src/lib.rs
@@ -8,9 +8,12 @@
 mod driver;
 mod health_log;
 mod key_validity;
+mod limit_log;
 mod link_pacer;
 mod permit;
 mod query;
+mod rate_limits;
+mod token;
 mod upstream_log;
 
 use std::io;
@@ -35,6 +38,7 @@
 pub use link_pacer::LinkSlot;
 pub use permit::Permit;
 pub use query::query_outcome;
+pub use token::Token;
 
 /// Registered front end plug-ins.
 #[distributed_slice]
--- a/components/http1/src/lib.rs
+++ b/components/http1/src/lib.rs
@@ -19,6 +19,7 @@
 mod paced_body;
 mod peer_clock;
 mod pipeline;
+mod rate_limit;
 mod read_ahead;
 mod request_body;
 mod responses;
--- a/components/transport/src/lib.rs
+++ b/components/transport/src/lib.rs
@@ -22,6 +22,7 @@
 use member::Message;
 use quarantine::Report;
 use telemetry::Metrics;
+use wire::rate_limits;
 
 pub use entry_log::log_malformed_entries;
 
@@ -44,6 +45,8 @@
     CrashReports(Vec<Report>),
     /// Request for a proof that a configuration is the newest, or its response.
     Freshness(fresh::Message),
+    /// Message that keeps the rate limits of organisations.
+    RateLimits(rate_limits::Message),
 }
 
 /// Callback for received datagrams, called with the address of the sender; must not block.
--- a/components/transport/src/udp.rs
+++ b/components/transport/src/udp.rs
@@ -21,6 +21,7 @@
 use wire::crash_reports;
 use wire::datagram;
 use wire::freshness;
+use wire::rate_limits;
 
 /// Length of the IPv4 and UDP headers in bytes; they are included in the count of control bytes.
 const HEADER_BYTES: usize = 28;
@@ -98,6 +99,11 @@
         let malformed = 0;
         return Some(Decoded { message, malformed });
     }
+    if bytes.first() == Some(&rate_limits::FORMAT) {
+        let message = Datagram::RateLimits(rate_limits::decode(bytes)?);
+        let malformed = 0;
+        return Some(Decoded { message, malformed });
+    }
     let Decoded { message, malformed } = datagram::decode(bytes).ok()?;
     let message = Datagram::Membership(message);
     Some(Decoded { message, malformed })
@@ -109,6 +115,7 @@
             Datagram::Membership(message) => datagram::encode(message),
             Datagram::CrashReports(reports) => crash_reports::encode(reports),
             Datagram::Freshness(message) => freshness::encode(*message),
+            Datagram::RateLimits(message) => rate_limits::encode(message),
         };
         match self.socket.try_send_to(&bytes, to) {
             Ok(sent) => self
--- a/components/wire/src/lib.rs
+++ b/components/wire/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod datagram;
 pub mod freshness;
 pub mod header;
+pub mod rate_limits;
 pub mod sync;
 
 mod compressed_text;
