Announce versions of upstreams and route by the established one

Versions of upstreams were dropped, so that a new version got its full share of requests at once. Announcements now carry the version where the settings enable rollouts, and an endpoint of another version than the established one gets no requests. Members without a version are encoded as before.

--- a/components/admin/src/announcement.rs
+++ b/components/admin/src/announcement.rs
@@ -62,6 +62,7 @@
         let upstream = Upstream {
             service: Arc::from(self.service),
             run_id: None,
+            version: None,
             slots: self.slots,
             max_connections: self.connections,
         };
--- a/components/admin/tests/admin.rs
+++ b/components/admin/tests/admin.rs
@@ -72,6 +72,7 @@
         upstream: Some(Upstream {
             service: Arc::from("reservas"),
             run_id: None,
+            version: None,
             slots: 10,
             max_connections: 100,
         }),
--- a/components/control/src/lib.rs
+++ b/components/control/src/lib.rs
@@ -7,6 +7,7 @@
 mod machine;
 mod message;
 mod own_upstream;
+mod rollouts;
 mod suspects;
 mod topology;
 
--- a/components/control/src/machine.rs
+++ b/components/control/src/machine.rs
@@ -10,6 +10,8 @@
 use crate::Topology;
 use crate::life_cycle::NodeLifecycle;
 use crate::own_upstream::OwnUpstream;
+use crate::rollouts::Outbox;
+use crate::rollouts::Rollouts;
 use crate::suspects::Suspects;
 use ids::Domain;
 use ids::NodeId;
@@ -45,6 +47,7 @@
     spread: spread::Machine,
     own_upstream: OwnUpstream,
     suspects: Suspects,
+    rollouts: Rollouts,
     /// Service of the upstreams on this node's instance, if the settings name it.
     service: Option<Arc<str>>,
     /// `None` only while a transition of the life cycle takes the value.
@@ -67,6 +70,7 @@
             membership: member::Machine::new(own, contacts, parameters, now),
             spread: spread::Machine::default(),
             own_upstream: OwnUpstream::default(),
+            rollouts: Rollouts::default(),
             service: None,
             lifecycle: Some(NodeLifecycle::Joining(crate::Node::new())),
             watcher_revision: 0,
@@ -91,6 +95,13 @@
         self
     }
 
+    /// Sets the bounds of rollouts. Without them, versions of upstreams are ignored and not announced.
+    #[must_use]
+    pub fn with_rollouts(mut self, limits: Option<rollout::Limits>) -> Self {
+        self.rollouts.set_limits(limits);
+        self
+    }
+
     /// Id of this node.
     pub fn id(&self) -> NodeId {
         self.membership.node_id()
@@ -140,7 +151,8 @@
                 member::Output::RoutingChanged => self.topology_changed = true,
             }
         }
-        self.serve_when_ready();
+        self.serve_when_ready(now);
+        self.topology_changed |= self.rollouts.observe(now, self.membership.table());
         self.publish_if_due(now, effects);
     }
 
@@ -193,10 +205,17 @@
     }
 
     /// Ends the joining stage once both the membership and the configuration are known.
-    fn serve_when_ready(&mut self) {
-        let ready = self.membership.is_joined() && self.spread.is_up_to_date();
+    fn serve_when_ready(&mut self, now: Time) {
+        if self.membership.is_joined() {
+            let has_peers = self.membership.table().live_count() > 1;
+            self.rollouts.join(now, has_peers);
+        }
+        let ready = self.membership.is_joined()
+            && self.spread.is_up_to_date()
+            && self.rollouts.is_ready(now);
         if ready && self.node_stage() == NodeStage::Joining {
             self.lifecycle = self.lifecycle.take().map(NodeLifecycle::serve);
+            self.rollouts.serve(now, self.membership.table());
             self.topology_changed = true;
         }
     }
@@ -228,7 +247,8 @@
         let report = self.spread.report().clone();
         let topology = topology
             .with_report(report)
-            .with_suspects(Arc::new(self.suspects.table().view()));
+            .with_suspects(Arc::new(self.suspects.table().view()))
+            .with_rollouts(self.rollouts.view());
         effects.push(Effect::Publish(Arc::new(topology)));
     }
 
@@ -268,7 +288,10 @@
         };
         let identified = latest.upstream.clone().filter(|it| it.run_id.is_some());
         let identified = identified.filter(|it| Some(&it.service) == self.service.as_ref());
-        if let Some(upstream) = identified.filter(|_| latest.stage == Stage::Ready) {
+        if let Some(mut upstream) = identified.filter(|_| latest.stage == Stage::Ready) {
+            if !self.rollouts.is_enabled() {
+                upstream.version = None;
+            }
             self.own_upstream.adopt(now, upstream);
             self.announce_upstream(random, out);
         }
@@ -290,6 +313,22 @@
         self.topology_changed = true;
     }
 
+    fn send_rollouts(
+        &mut self,
+        outbox: Outbox,
+        random: &mut dyn Random,
+        effects: &mut Vec<Effect>,
+    ) {
+        self.topology_changed |= outbox.has_changed;
+        let mut messages = outbox.replies;
+        for (fanout, message) in outbox.pushes {
+            let receivers = self.membership.random_live_members(fanout, random);
+            messages.extend(receivers.into_iter().map(|to| (to, message.clone())));
+        }
+        let messages = messages.into_iter();
+        effects.extend(messages.map(|(to, message)| Effect::SendRollout { to, message }));
+    }
+
     fn handle_input(
         &mut self,
         now: Time,
@@ -343,9 +382,12 @@
             }
             Input::UpstreamAnnounced {
                 stage,
-                upstream,
+                mut upstream,
                 order,
             } => {
+                if !self.rollouts.is_enabled() {
+                    upstream.version = None;
+                }
                 self.own_upstream
                     .handle_announcement(now, stage, upstream, order);
                 self.announce_upstream(random, out);
@@ -374,6 +416,10 @@
                     });
                 }
             }
+            Input::Rollout { from, message } => {
+                let outbox = self.rollouts.handle(now, from, message);
+                self.send_rollouts(outbox, random, effects);
+            }
             Input::Drain => {
                 self.lifecycle = self.lifecycle.take().map(NodeLifecycle::leave);
                 self.own_upstream.drain();
@@ -421,6 +467,8 @@
                 reports: push.reports.clone(),
             }));
         }
+        let outbox = self.rollouts.wake(now);
+        self.send_rollouts(outbox, random, effects);
         self.process_outputs(now, out, random, effects);
     }
 
@@ -431,6 +479,7 @@
             .chain(self.spread.next_wake())
             .chain(self.own_upstream.next_wake())
             .chain(self.suspects.next_wake())
+            .chain(self.rollouts.next_wake())
             .chain(self.next_publish())
             .min()
     }
--- a/components/control/src/message.rs
+++ b/components/control/src/message.rs
@@ -76,6 +76,11 @@
         from: SocketAddr,
         reports: Vec<Report>,
     },
+    /// Another node has sent a message about rollouts.
+    Rollout {
+        from: SocketAddr,
+        message: rollout::Message,
+    },
     /// An operator or a signal asks the node to leave.
     Drain,
     /// The traffic threads have finished all requests.
@@ -92,6 +97,11 @@
         to: SocketAddr,
         reports: Vec<Report>,
     },
+    /// Send a message about rollouts.
+    SendRollout {
+        to: SocketAddr,
+        message: rollout::Message,
+    },
     /// Pull the configuration of a node, unless its id is `have`.
     Pull { from: SocketAddr, have: ConfigId },
     /// Respond to [`Input::PullRequested`].
--- a/components/control/src/topology.rs
+++ b/components/control/src/topology.rs
@@ -35,6 +35,8 @@
     pub stage: Stage,
     /// Maximum number of requests that the node's upstream runs at the same time.
     pub slots: u32,
+    /// Version of the node's upstream, if it announces one.
+    pub version: Option<Arc<str>>,
 }
 
 /// Immutable snapshot of configuration and membership.
@@ -54,6 +56,8 @@
     pub report: DistributionReport,
     /// Requests that are suspect of crashing upstreams.
     pub suspects: Arc<View>,
+    /// Established versions and rollouts.
+    pub rollouts: Arc<rollout::View>,
     /// All known members, sorted by id.
     members: Vec<Arc<Member>>,
     endpoints: Arena<Endpoint>,
@@ -77,9 +81,9 @@
         for member in table.members().iter().filter(|member| member.is_live()) {
             let service = member.upstream.as_ref().and_then(|upstream| {
                 let key = snapshot.as_ref()?.find_service(&upstream.service)?;
-                Some((key, upstream.slots))
+                Some((key, upstream))
             });
-            let Some((service, slots)) = service else {
+            let Some((service, upstream)) = service else {
                 continue;
             };
             let endpoint = endpoints.insert(Endpoint {
@@ -88,7 +92,8 @@
                 peer_address: member.addresses.peer,
                 domain: member.domain.clone(),
                 stage: member.stage,
-                slots,
+                slots: upstream.slots,
+                version: upstream.version.clone(),
             });
             by_service.push((service, endpoint));
         }
@@ -104,6 +109,7 @@
             own_upstream,
             report: DistributionReport::default(),
             suspects: Arc::default(),
+            rollouts: Arc::default(),
             members: table.members().to_vec(),
             endpoints,
             by_service,
@@ -120,6 +126,35 @@
         Self { suspects, ..self }
     }
 
+    /// Returns the topology with these established versions and rollouts.
+    pub fn with_rollouts(self, rollouts: Arc<rollout::View>) -> Self {
+        Self { rollouts, ..self }
+    }
+
+    /// Rollout state of a service.
+    pub fn rollout_of(&self, service: ServiceKey) -> Option<&rollout::ServiceView> {
+        let service = self.snapshot.as_ref()?.service(service)?;
+        self.rollouts.find(&service.name)
+    }
+
+    /// The ready endpoints of a service that get requests without limit: those of the established version, or all
+    /// where none of them is left.
+    pub fn open_endpoints(&self, service: ServiceKey) -> Vec<(EndpointKey, &Endpoint)> {
+        let name = self.snapshot.as_ref().and_then(|it| it.service(service));
+        let name = name.map_or("", |it| &it.name);
+        let mut ready = Vec::new();
+        for (key, endpoint) in self.endpoints_of(service) {
+            let is_open = self.rollouts.is_open(name, endpoint.version.as_deref());
+            let is_open = is_open.filter(|_| endpoint.stage == Stage::Ready);
+            ready.extend(is_open.map(|is_open| (is_open, key, endpoint)));
+        }
+        if ready.iter().any(|(is_open, ..)| *is_open) {
+            ready.retain(|(is_open, ..)| *is_open);
+        }
+        let ready = ready.into_iter();
+        ready.map(|(_, key, endpoint)| (key, endpoint)).collect()
+    }
+
     /// The member with this id, even if it is dead.
     pub fn member(&self, id: NodeId) -> Option<&Member> {
         let position = self.members.binary_search_by_key(&id, |it| it.id);
--- a/components/control/tests/fleet/driver/mod.rs
+++ b/components/control/tests/fleet/driver/mod.rs
@@ -309,6 +309,7 @@
                     let (slots, max_connections) = (10, 100);
                     let upstream = Upstream {
                         run_id: None,
+                        version: None,
                         service,
                         slots,
                         max_connections,
--- a/components/control/tests/upstream.rs
+++ b/components/control/tests/upstream.rs
@@ -82,6 +82,7 @@
         let upstream = Upstream {
             service: Arc::from("planta"),
             run_id: None,
+            version: None,
             slots,
             max_connections: 9,
         };
@@ -218,6 +219,7 @@
     Upstream {
         service: Arc::from("planta"),
         run_id: Some(Arc::from(run_id)),
+        version: None,
         slots: 5,
         max_connections: 9,
     }
@@ -442,6 +444,7 @@
     let upstream = Upstream {
         service: Arc::from("planta"),
         run_id: Some(Arc::from(run_id)),
+        version: None,
         slots: 5,
         max_connections: 9,
     };
--- a/components/daemon/src/executor.rs
+++ b/components/daemon/src/executor.rs
@@ -117,6 +117,9 @@
             Effect::SendCrashReports { to, reports } => {
                 self.sender.send(to, &Datagram::CrashReports(reports));
             }
+            Effect::SendRollout { to, message } => {
+                self.sender.send(to, &Datagram::Rollout(message));
+            }
             Effect::Pull { from, have } => {
                 self.spawn_call(async move {
                     let response = pull_config(from, have).await;
--- a/components/daemon/src/run.rs
+++ b/components/daemon/src/run.rs
@@ -67,6 +67,8 @@
 const DRAIN_LIMIT_RESERVE: Duration = Duration::from_millis(500);
 /// Time before the exit in which calls that still have no answer get one and their connections end.
 const LAST_ANSWERS_TIME: Duration = Duration::from_millis(150);
+/// Value of `rollout_stop_s` where the settings have none.
+const DEFAULT_ROLLOUT_STOP_S: f64 = 5.0;
 /// Number of stop requests that can wait: the first starts the drain and the second ends the node at once.
 const STOP_QUEUE_CAPACITY: usize = 2;
 
@@ -194,7 +196,8 @@
     let contacts = settings.contacts.clone();
     let mut machine = Machine::new(own_member, contacts, Parameters::default(), clock.now())
         .with_domains(settings.domains.iter().map(|it| Domain::new(it)).collect())
-        .with_service(settings.service.as_deref());
+        .with_service(settings.service.as_deref())
+        .with_rollouts(rollout_limits(settings));
     let mut random = SeededRandom::from_os_entropy();
     info!(event = "start", node = node_id.to_string().as_str(); "node started");
     let control_loop = run_control_loop(&mut machine, receiver, &mut executor, &clock, &mut random);
@@ -214,6 +217,16 @@
     Ok(())
 }
 
+/// Bounds of rollouts; `None` if the settings do not enable them.
+fn rollout_limits(settings: &Settings) -> Option<rollout::Limits> {
+    let stop_s = settings.rollout_stop_s.unwrap_or(DEFAULT_ROLLOUT_STOP_S);
+    settings.rollout_share.map(|share| rollout::Limits {
+        share,
+        slack: settings.rollout_slack.unwrap_or_default(),
+        stop: Duration::from_secs_f64(stop_s),
+    })
+}
+
 fn upstream_end(settings: &Settings) -> UpstreamEnd {
     match settings.upstream_end {
         settings::UpstreamEnd::Leave => UpstreamEnd::Leave,
@@ -260,6 +273,7 @@
         let input = match datagram {
             Datagram::Membership(message) => Input::Datagram { from, message },
             Datagram::CrashReports(reports) => Input::CrashReports { from, reports },
+            Datagram::Rollout(message) => Input::Rollout { from, message },
         };
         if datagram_inputs.try_send(input).is_err() {
             drop_metrics.count_drop(Reason::QueueOverflow);
--- a/components/http1/tests/support/mod.rs
+++ b/components/http1/tests/support/mod.rs
@@ -268,6 +268,7 @@
         stage: Stage::Ready,
         upstream: Some(AnnouncedUpstream {
             run_id: None,
+            version: None,
             service: Arc::from("s"),
             slots,
             max_connections,
--- a/components/member/src/endpoint.rs
+++ b/components/member/src/endpoint.rs
@@ -24,6 +24,8 @@
     /// Id of the current run of the upstream program, if the upstream announces one. Each run at the
     /// same address has a different id.
     pub run_id: Option<Arc<str>>,
+    /// Version of the upstream program; `None` where nodes do not announce versions.
+    pub version: Option<Arc<str>>,
     /// Maximum number of requests that the upstream runs at the same time.
     pub slots: u32,
     /// Maximum number of connections that the upstream accepts.
--- a/components/simulate/src/lib.rs
+++ b/components/simulate/src/lib.rs
@@ -281,6 +281,7 @@
                 upstream: Some(Upstream {
                     service: Arc::from("stock"),
                     run_id: None,
+                    version: None,
                     slots: self.plan.slots,
                     max_connections: 100,
                 }),
--- a/components/traffic/src/entry/subset.rs
+++ b/components/traffic/src/entry/subset.rs
@@ -71,9 +71,9 @@
 /// Selects the subset by rendezvous hashing, so that the subsets of all entries cover the endpoints
 /// evenly and the departure of an endpoint changes only the subsets that contain it.
 fn select_subset(topology: &Topology, service: ServiceKey) -> Vec<EndpointKey> {
-    let mut ready: Vec<_> = topology
-        .endpoints_of(service)
-        .filter(|(_, endpoint)| endpoint.stage == Stage::Ready)
+    let open = topology.open_endpoints(service);
+    let mut ready: Vec<_> = open
+        .into_iter()
         .map(|(key, endpoint)| {
             let same_domain = endpoint.domain == topology.domain;
             (
--- a/components/traffic/tests/deadly_request.rs
+++ b/components/traffic/tests/deadly_request.rs
@@ -139,6 +139,7 @@
             upstream: Some(Upstream {
                 service: Arc::from("stock"),
                 run_id: None,
+                version: None,
                 slots: SLOTS,
                 max_connections: 100,
             }),
--- a/components/traffic/tests/entry.rs
+++ b/components/traffic/tests/entry.rs
@@ -115,6 +115,7 @@
                 upstream: Some(Upstream {
                     service: Arc::from("stock"),
                     run_id: None,
+                    version: None,
                     slots: 10,
                     max_connections: 100,
                 }),
--- /dev/null
+++ b/components/traffic/tests/rollout.rs
@@ -0,0 +1,185 @@
+//! Tests of the endpoints that an entry chooses by the versions of their upstreams.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rstest::rstest;
+
+use balance::PowerOfTwoChoices;
+use control::NodeStage;
+use control::Topology;
+use errors::Reason;
+use errors::Verdict;
+use health::OutlierDetection;
+use ids::Domain;
+use ids::Incarnation;
+use ids::NodeId;
+use ids::RequestId;
+use ids::Version;
+
+use kernel::StateMachine as _;
+use kernel::Time;
+use kernel::plugin::Params;
+use kernel::random::SeededRandom;
+use member::ListenAddresses;
+use member::Member;
+use member::MemberTable;
+use member::Stage;
+use member::Status;
+use member::Upstream;
+use retry::RetryBudget;
+use rollout::ServiceView;
+use rollout::View;
+use traffic::entry::Attempt;
+use traffic::entry::AttemptReport;
+use traffic::entry::CallKey;
+use traffic::entry::Credential;
+use traffic::entry::Effect;
+use traffic::entry::Input;
+use traffic::entry::Machine;
+use traffic::entry::RequestHead;
+
+const CONFIG: &str = "services:
+  - name: desk
+    routes:
+      - {method: GET, path: /status, rank: 0, deadline_ms: 2000, idempotent: true}
+";
+
+/// An entry and its topology.
+struct Harness {
+    machine: Machine,
+    random: SeededRandom,
+    topology: Arc<Topology>,
+}
+
+/// Topology of endpoints with these versions; their nodes are numbered from 1.
+fn topology(versions: &[&str], view: View) -> Arc<Topology> {
+    let mut table = MemberTable::default();
+    for (index, version) in versions.iter().enumerate() {
+        let address = SocketAddr::from(([127, 0, 0, 1], 1));
+        table.merge(Member {
+            id: NodeId(1 + index as u64),
+            addresses: ListenAddresses {
+                peer: address,
+                requests: address,
+                admin: address,
+            },
+            domain: Domain::new("d0"),
+            incarnation: Incarnation(1),
+            status: Status::Alive,
+            stage: Stage::Ready,
+            upstream: Some(Upstream {
+                service: Arc::from("desk"),
+                run_id: None,
+                version: Some(Arc::from(*version)),
+                slots: 10,
+                max_connections: 100,
+            }),
+        });
+    }
+    let snapshot = config::compile(CONFIG, Version(1)).expect("the text is valid");
+    let snapshot = Some(Arc::new(snapshot));
+    let (id, domain) = (NodeId(99), Domain::new("d0"));
+    let topology = Topology::new(id, domain, NodeStage::Serving, snapshot, &table, 1);
+    Arc::new(topology.with_rollouts(Arc::new(view)))
+}
+
+fn established(version: &str) -> View {
+    let service = ServiceView {
+        service: Arc::from("desk"),
+        established: Some(Arc::from(version)),
+        trial: None,
+    };
+    View::new(vec![service], false)
+}
+
+impl Harness {
+    fn new(topology: Arc<Topology>) -> Self {
+        let params = Params::default();
+        Self {
+            machine: Machine::new(
+                Box::new(PowerOfTwoChoices),
+                Box::new(RetryBudget::from_params(&params).expect("valid")),
+                Box::new(OutlierDetection::from_params(&params).expect("valid")),
+            ),
+            random: SeededRandom::new(9),
+            topology,
+        }
+    }
+
+    fn step(&mut self, now: Time, input: Input) -> Option<(CallKey, Attempt)> {
+        let mut effects = Vec::new();
+        self.machine
+            .step(now, input, &mut self.random, &mut effects);
+        effects.iter().find_map(|effect| match effect {
+            Effect::Forward { call, attempt, .. } => Some((*call, *attempt)),
+            _ => None,
+        })
+    }
+
+    fn arrive(&mut self, now: Time) -> Option<(CallKey, Attempt)> {
+        let head = RequestHead {
+            credential: Credential::None,
+            fingerprint: None,
+            id: RequestId(1),
+            host: Some("desk".to_owned()),
+            method: "GET".to_owned(),
+            path: "/status".to_owned(),
+            time_left: None,
+            outer_retries: false,
+            replayable: true,
+            allowed_while_leaving: false,
+        };
+        let topology = Arc::clone(&self.topology);
+        self.step(now, Input::Arrived { topology, head })
+    }
+
+    fn fail(&mut self, now: Time, call: CallKey) -> Option<(CallKey, Attempt)> {
+        let report = AttemptReport {
+            verdict: Verdict::NotRun,
+            reason: Some(Reason::ConnectFailed),
+            retry_after: Duration::ZERO,
+            load: None,
+            rate_limit: None,
+            upstream_failed: false,
+        };
+        let topology = Arc::clone(&self.topology);
+        let input = Input::AttemptReported {
+            call,
+            topology,
+            report,
+        };
+        self.step(now, input)
+    }
+}
+
+/// Guards against requests and retries at a version that no order has named, and against refusing a service of
+/// which only such versions are left. The established endpoints fail all the time here.
+#[rstest]
+#[case::other_version(&["v1", "v1", "v2", "v2", "v2"], "v1", &[1, 2])]
+#[case::none_left(&["v2", "v2", "v3"], "v1", &[1, 2, 3])]
+fn arrive_established(#[case] versions: &[&str], #[case] version: &str, #[case] allowed: &[u64]) {
+    let mut harness = Harness::new(topology(versions, established(version)));
+    let mut used = Vec::new();
+    for request in 0..500 {
+        let now = Time(request * 10_000);
+        let mut forwarded = harness.arrive(now);
+        assert!(forwarded.is_some(), "an endpoint is left");
+        while let Some((call, attempt)) = forwarded {
+            used.push(attempt.node.0);
+            forwarded = harness.fail(now, call);
+        }
+    }
+    used.sort_unstable();
+    used.dedup();
+    assert_eq!(used, allowed);
+}
+
+/// Guards against requests at unknown versions from a node that has just started and was not told yet which
+/// version is established.
+#[rstest]
+fn arrive_held() {
+    let mut harness = Harness::new(topology(&["v1", "v2"], View::new(Vec::new(), true)));
+    assert_eq!(harness.arrive(Time(0)), None);
+}
--- a/components/traffic/tests/weighted_targets.rs
+++ b/components/traffic/tests/weighted_targets.rs
@@ -183,6 +183,7 @@
         upstream: Some(Upstream {
             service: Arc::from(service),
             run_id: None,
+            version: None,
             slots: 10,
             max_connections: 100,
         }),
--- a/components/transport/src/lib.rs
+++ b/components/transport/src/lib.rs
@@ -42,6 +42,8 @@
     Membership(Message),
     /// Reports on requests that crash upstreams.
     CrashReports(Vec<Report>),
+    /// Message about rollouts.
+    Rollout(rollout::Message),
 }
 
 /// Callback for received datagrams, called with the address of the sender; must not block.
--- a/components/transport/src/udp.rs
+++ b/components/transport/src/udp.rs
@@ -20,6 +20,7 @@
 use wire::Decoded;
 use wire::crash_reports;
 use wire::datagram;
+use wire::rollouts;
 
 /// Length of the IPv4 and UDP headers in bytes; they are included in the count of control bytes.
 const HEADER_BYTES: usize = 28;
@@ -92,6 +93,11 @@
         let malformed = 0;
         return Some(Decoded { message, malformed });
     }
+    if bytes.first() == Some(&rollouts::FORMAT) {
+        let message = Datagram::Rollout(rollouts::decode(bytes)?);
+        let malformed = 0;
+        return Some(Decoded { message, malformed });
+    }
     let Decoded { message, malformed } = datagram::decode(bytes).ok()?;
     let message = Datagram::Membership(message);
     Some(Decoded { message, malformed })
@@ -102,6 +108,7 @@
         let bytes = match datagram {
             Datagram::Membership(message) => datagram::encode(message),
             Datagram::CrashReports(reports) => crash_reports::encode(reports),
+            Datagram::Rollout(message) => rollouts::encode(message),
         };
         match self.socket.try_send_to(&bytes, to) {
             Ok(sent) => self
--- a/components/wire/src/lib.rs
+++ b/components/wire/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod crash_reports;
 pub mod datagram;
 pub mod header;
+pub mod rollouts;
 pub mod sync;
 
 mod compressed_text;
--- a/components/wire/src/member_entry.rs
+++ b/components/wire/src/member_entry.rs
@@ -39,7 +39,12 @@
     upstream: Option<UpstreamFields>,
 }
 
-/// Encoded form of [`Upstream`]: service, run id, slots and connections.
+/// Separates the service of an upstream from its version in the encoded form. A service without a version is
+/// encoded as by nodes that know no versions; these take a service with a version for one that they do not
+/// know, and send it no requests.
+const VERSION_SEPARATOR: char = '\n';
+
+/// Encoded form of [`Upstream`]: service with version, run id, slots and connections.
 type UpstreamFields = (String, Option<String>, u32, u32);
 
 /// Statuses in the order of their encoded numbers.
@@ -60,8 +65,7 @@
             stage: member.stage as u8,
             upstream: member.upstream.as_ref().map(|it| {
                 let run_id = it.run_id.as_deref().map(str::to_owned);
-                let service = it.service.as_ref().to_owned();
-                (service, run_id, it.slots, it.max_connections)
+                (join_version(it), run_id, it.slots, it.max_connections)
             }),
         }
     }
@@ -78,14 +82,17 @@
             return None;
         }
         let upstream = match self.upstream {
-            Some((service, ..)) if service.len() > MAX_NAME_BYTES => return None,
             Some((_, Some(run_id), ..)) if run_id.len() > MAX_NAME_BYTES => return None,
-            Some((service, run_id, slots, max_connections)) => Some(Upstream {
-                service: Arc::from(service),
-                run_id: run_id.map(Arc::from),
-                slots,
-                max_connections,
-            }),
+            Some((name, run_id, slots, max_connections)) => {
+                let (service, version) = split_version(&name)?;
+                Some(Upstream {
+                    service,
+                    run_id: run_id.map(Arc::from),
+                    version,
+                    slots,
+                    max_connections,
+                })
+            }
             None => None,
         };
         Some(Member {
@@ -103,3 +110,22 @@
         })
     }
 }
+
+fn join_version(upstream: &Upstream) -> String {
+    let service = upstream.service.as_ref();
+    match &upstream.version {
+        Some(version) => format!("{service}{VERSION_SEPARATOR}{version}"),
+        None => service.to_owned(),
+    }
+}
+
+/// Splits the encoded name into service and version; `None` if one of them is too long.
+fn split_version(name: &str) -> Option<(Arc<str>, Option<Arc<str>>)> {
+    let (service, version) = match name.split_once(VERSION_SEPARATOR) {
+        Some((service, version)) => (service, Some(version)),
+        None => (name, None),
+    };
+    let is_valid = service.len() <= MAX_NAME_BYTES
+        && version.is_none_or(|it| (1..=MAX_NAME_BYTES).contains(&it.len()));
+    is_valid.then(|| (Arc::from(service), version.map(Arc::from)))
+}
--- a/components/wire/tests/support/mod.rs
+++ b/components/wire/tests/support/mod.rs
@@ -29,6 +29,7 @@
         upstream: Some(Upstream {
             service: Arc::from("reservas"),
             run_id: None,
+            version: None,
             slots: 10,
             max_connections: 100,
         }),
