Run rollouts: orders from the store, a counted share, outcomes and verdicts

A new version had no way to get a bounded share of requests. The first two live members of the fleet now watch the orders; every step of an order is a compare-and-swap of its state. Entries give the version on trial at most 7 in 100 of their answered requests at few endpoints, and report outcomes by route to the coordinator, which judges them against the established version. A bad version is halted before the verdict is written; succeeded is written once all live nodes route by the promotion and the longest deadline has passed.

The daemon's calls and the control state machine were not run with a real order yet.

--- a/components/control/src/machine.rs
+++ b/components/control/src/machine.rs
@@ -10,7 +10,6 @@
 use crate::Topology;
 use crate::life_cycle::NodeLifecycle;
 use crate::own_upstream::OwnUpstream;
-use crate::rollouts::Outbox;
 use crate::rollouts::Rollouts;
 use crate::suspects::Suspects;
 use ids::Domain;
@@ -22,6 +21,7 @@
 use member::Parameters;
 use member::Stage;
 use member::Status;
+use rollout::Outbox;
 use spread::is_watcher;
 
 /// Number of members to which gossip about a newer configuration or a change of the upstream is sent at
@@ -66,11 +66,11 @@
     pub fn new(own: Member, contacts: Vec<SocketAddr>, parameters: Parameters, now: Time) -> Self {
         Self {
             suspects: Suspects::new(own.id),
+            rollouts: Rollouts::new(own.id),
             domain: own.domain.clone(),
             membership: member::Machine::new(own, contacts, parameters, now),
             spread: spread::Machine::default(),
             own_upstream: OwnUpstream::default(),
-            rollouts: Rollouts::default(),
             service: None,
             lifecycle: Some(NodeLifecycle::Joining(crate::Node::new())),
             watcher_revision: 0,
@@ -98,7 +98,7 @@
     /// Sets the bounds of rollouts. Without them, versions of upstreams are ignored and not announced.
     #[must_use]
     pub fn with_rollouts(mut self, limits: Option<rollout::Limits>) -> Self {
-        self.rollouts.set_limits(limits);
+        self.rollouts.set_limits(Time(0), limits);
         self
     }
 
@@ -153,6 +153,12 @@
         }
         self.serve_when_ready(now);
         self.topology_changed |= self.rollouts.observe(now, self.membership.table());
+        let snapshot = self.spread.history().current().map(|it| it.snapshot());
+        let table = self.membership.table();
+        self.rollouts
+            .configure(now, table, snapshot.map(Arc::as_ref));
+        let outbox = self.rollouts.coordinate(now, table);
+        self.send_rollouts(outbox, random, effects);
         self.publish_if_due(now, effects);
     }
 
@@ -207,15 +213,14 @@
     /// Ends the joining stage once both the membership and the configuration are known.
     fn serve_when_ready(&mut self, now: Time) {
         if self.membership.is_joined() {
-            let has_peers = self.membership.table().live_count() > 1;
-            self.rollouts.join(now, has_peers);
+            self.rollouts.join(now, self.membership.table());
         }
         let ready = self.membership.is_joined()
             && self.spread.is_up_to_date()
             && self.rollouts.is_ready(now);
         if ready && self.node_stage() == NodeStage::Joining {
             self.lifecycle = self.lifecycle.take().map(NodeLifecycle::serve);
-            self.rollouts.serve(now, self.membership.table());
+            self.rollouts.serve(now);
             self.topology_changed = true;
         }
     }
@@ -320,11 +325,16 @@
         effects: &mut Vec<Effect>,
     ) {
         self.topology_changed |= outbox.has_changed;
+        effects.extend(outbox.calls.into_iter().map(Effect::CallRolloutStore));
         let mut messages = outbox.replies;
         for (fanout, message) in outbox.pushes {
             let receivers = self.membership.random_live_members(fanout, random);
             messages.extend(receivers.into_iter().map(|to| (to, message.clone())));
         }
+        for (node, message) in outbox.reports {
+            let member = self.membership.table().get(node);
+            messages.extend(member.map(|it| (it.addresses.peer, message)));
+        }
         let messages = messages.into_iter();
         effects.extend(messages.map(|(to, message)| Effect::SendRollout { to, message }));
     }
@@ -420,6 +430,14 @@
                 let outbox = self.rollouts.handle(now, from, message);
                 self.send_rollouts(outbox, random, effects);
             }
+            Input::RolloutStore { unix_ms, event } => {
+                self.rollouts.handle_store_event(now, unix_ms, event);
+            }
+            Input::RolloutOutcomes {
+                service,
+                order,
+                tallies,
+            } => self.rollouts.record_tallies(&service, order, tallies),
             Input::Drain => {
                 self.lifecycle = self.lifecycle.take().map(NodeLifecycle::leave);
                 self.own_upstream.drain();
--- a/components/control/src/message.rs
+++ b/components/control/src/message.rs
@@ -81,6 +81,17 @@
         from: SocketAddr,
         message: rollout::Message,
     },
+    /// A store call about rollouts has completed, at this time in milliseconds of Unix time.
+    RolloutStore {
+        unix_ms: u64,
+        event: rollout::StoreEvent,
+    },
+    /// The entry has counted these outcomes of a service's requests since an order.
+    RolloutOutcomes {
+        service: Arc<str>,
+        order: rollout::Revision,
+        tallies: Vec<rollout::Tally>,
+    },
     /// An operator or a signal asks the node to leave.
     Drain,
     /// The traffic threads have finished all requests.
@@ -102,6 +113,8 @@
         to: SocketAddr,
         message: rollout::Message,
     },
+    /// Make a store call about rollouts.
+    CallRolloutStore(rollout::StoreCall),
     /// Pull the configuration of a node, unless its id is `have`.
     Pull { from: SocketAddr, have: ConfigId },
     /// Respond to [`Input::PullRequested`].
--- a/components/daemon/src/executor.rs
+++ b/components/daemon/src/executor.rs
@@ -19,6 +19,7 @@
 use crate::event_log::log_malformed_contacts;
 use crate::event_log::log_member_changes;
 use crate::event_log::log_store_changes;
+use crate::rollout_calls;
 use crate::state_metrics;
 use config::Record;
 use control::CallId;
@@ -36,6 +37,7 @@
 use spread::StoreEvent;
 use store::CONFIG_KEY;
 use store::Entry;
+use store::ORDER_PREFIX;
 use store::Store;
 use store::WatchOutcome;
 use store::contacts_key;
@@ -43,6 +45,9 @@
 use store::decode_record;
 use store::encode_contacts;
 use store::encode_record;
+use store::order_key;
+use store::state_key;
+use store::status_key;
 use telemetry::Metrics;
 use transport::Datagram;
 use transport::Sender;
@@ -120,6 +125,7 @@
             Effect::SendRollout { to, message } => {
                 self.sender.send(to, &Datagram::Rollout(message));
             }
+            Effect::CallRolloutStore(call) => self.call_rollout_store(call),
             Effect::Pull { from, have } => {
                 self.spawn_call(async move {
                     let response = pull_config(from, have).await;
@@ -328,6 +334,21 @@
         });
     }
 
+    /// Makes a call about rollouts, of which each service has one at a time, beside one watch.
+    fn call_rollout_store(&self, call: rollout::StoreCall) {
+        let (kind, key) = describe_call(&call);
+        self.metrics.count_store_call(kind.name());
+        let (store, health) = (Arc::clone(&self.store), Arc::clone(&self.store_health));
+        self.spawn_call(async move {
+            let started = Instant::now();
+            let (input, error) = rollout_calls::make_call(store, call).await;
+            if let Some(error) = error {
+                health.record_failure(kind, &key, started.elapsed(), &error);
+            }
+            input
+        });
+    }
+
     fn cancel_config_call(&mut self) {
         if let Some(task) = self.config_call.take() {
             task.abort();
@@ -359,6 +380,17 @@
     }
 }
 
+/// Kind and key of a call about rollouts.
+fn describe_call(call: &rollout::StoreCall) -> (StoreCall, String) {
+    match call {
+        rollout::StoreCall::ReadOrder { service } => (StoreCall::Read, order_key(service)),
+        rollout::StoreCall::WatchOrders { .. } => (StoreCall::Watch, ORDER_PREFIX.to_owned()),
+        rollout::StoreCall::ReadState { service } => (StoreCall::Read, state_key(service)),
+        rollout::StoreCall::WriteState { service, .. } => (StoreCall::Write, state_key(service)),
+        rollout::StoreCall::WriteStatus { service, .. } => (StoreCall::Write, status_key(service)),
+    }
+}
+
 fn decode_store_event(entry: &Entry, is_writable: bool) -> StoreEvent {
     let store_revision = entry.store_revision;
     let record = entry.value.as_deref().map(decode_record);
--- a/components/daemon/src/lib.rs
+++ b/components/daemon/src/lib.rs
@@ -8,6 +8,7 @@
 mod peer;
 mod plugins;
 mod reload;
+mod rollout_calls;
 mod run;
 mod state_metrics;
 
--- a/components/front/src/driver.rs
+++ b/components/front/src/driver.rs
@@ -280,6 +280,20 @@
             self.calls_ended.notify_waiters();
         }
         drop(entry);
+        for effect in &mut effects {
+            if let entry::Effect::OutcomesCounted {
+                service,
+                order,
+                tallies,
+            } = effect
+            {
+                self.report_to_control(control::Input::RolloutOutcomes {
+                    service: Arc::clone(service),
+                    order: *order,
+                    tallies: std::mem::take(tallies),
+                });
+            }
+        }
         for effect in &effects {
             if let entry::Effect::HealthChanged {
                 node,
--- a/components/http1/src/caller.rs
+++ b/components/http1/src/caller.rs
@@ -369,6 +369,7 @@
                 | Effect::Fetch { .. }
                 | Effect::Wait { .. }
                 | Effect::HealthChanged { .. }
+                | Effect::OutcomesCounted { .. }
                 | Effect::Deliver { .. } => {}
             }
         }
--- a/components/rollout/src/message.rs
+++ b/components/rollout/src/message.rs
@@ -5,6 +5,7 @@
 
 use crate::Phase;
 use crate::Revision;
+use crate::Tally;
 use ids::NodeId;
 
 /// A message about rollouts.
@@ -19,6 +20,28 @@
         /// At most [`Notice::MAX_PER_MESSAGE`] services.
         notices: Vec<Notice>,
     },
+    /// Outcomes at one entry, for the coordinator.
+    Report(Report),
+}
+
+/// What a node reports about an order that runs. All numbers are totals since the order, so that a lost or repeated
+/// report changes nothing.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Report {
+    /// Node that reports.
+    pub node: NodeId,
+    /// Name of the service.
+    pub service: Arc<str>,
+    /// Revision of the order in the store.
+    pub order: Revision,
+    /// Revision of the state by which the node routes requests.
+    pub state: Revision,
+    /// Number of the report among those of the node.
+    pub sequence: u64,
+    /// Whether the node knows that the target gets no more requests.
+    pub halted: bool,
+    /// At most [`crate::MAX_TALLIES`] totals.
+    pub tallies: Vec<Tally>,
 }
 
 /// What a node knows of one service.
--- a/components/rollout/src/table.rs
+++ b/components/rollout/src/table.rs
@@ -6,11 +6,16 @@
 use crate::Claim;
 use crate::KnownOrder;
 use crate::Notice;
+use crate::Order;
 use crate::OrderNotice;
 use crate::Phase;
+use crate::Record;
+use crate::Revision;
 use crate::ServiceView;
 use crate::Trial;
 use crate::View;
+use crate::record::is_same_order;
+use ids::NodeId;
 use kernel::Time;
 
 /// Time after the first endpoint of a service in which the established version follows the most ready endpoints.
@@ -20,7 +25,7 @@
 /// cut off comes back sooner as a rule.
 const ABSENCE_LIMIT: Duration = Duration::from_secs(30);
 /// Time for which the state of an order counts after its coordinator has stated it.
-const FRESH_TIME: Duration = Duration::from_secs(2);
+pub(crate) const FRESH_TIME: Duration = Duration::from_secs(2);
 /// A statement that is later by less than this is taken for the same one over another path.
 const MIN_NEWS_INTERVAL: Duration = Duration::from_millis(250);
 /// Maximum number of services that are known; a configuration lists fewer.
@@ -67,6 +72,8 @@
 pub struct Table {
     /// Sorted by name.
     services: Vec<Service>,
+    /// Services about which the coordinator has something to state.
+    news: Vec<Arc<str>>,
 }
 
 impl Table {
@@ -143,14 +150,137 @@
         absences.map(|since| since + ABSENCE_LIMIT).min()
     }
 
+    /// Revision of the newest state that is known of a service.
+    pub(crate) fn order_revision(&self, service: &str) -> Option<Revision> {
+        self.order(service).map(|it| it.revision)
+    }
+
+    /// The established version of a service.
+    pub(crate) fn established(&self, service: &str) -> Option<Arc<str>> {
+        let index = self.position(service).ok()?;
+        let claim = self.services[index].claim.as_ref();
+        claim.map(|it| Arc::clone(&it.version))
+    }
+
+    /// The verdict on an order, if this node knows one.
+    pub(crate) fn known_verdict(&self, service: &str, order: &Order) -> Option<Phase> {
+        let known = self.order(service).filter(|it| it.is_of(order))?;
+        known.phase.is_verdict().then_some(known.phase)
+    }
+
+    /// Time since the coordinator stated the order; `None` if this node has not heard of it.
+    pub(crate) fn coordinator_silence(
+        &self,
+        now: Time,
+        service: &str,
+        order: &Order,
+    ) -> Option<Duration> {
+        let known = self.order(service).filter(|it| it.is_of(order))?;
+        Some(known.age(now))
+    }
+
+    /// Whether this node was the last to state the order as its coordinator.
+    pub(crate) fn is_coordinated_by(&self, service: &str, order: &Order, own_id: NodeId) -> bool {
+        let known = self.order(service).filter(|it| it.is_of(order));
+        known.is_some_and(|it| it.coordinator == own_id)
+    }
+
+    /// Whether the target of the newest order gets no more requests.
+    pub(crate) fn is_halted(&self, service: &str) -> bool {
+        self.order(service).is_some_and(|it| it.halted)
+    }
+
+    /// Ends the requests to the target of the newest order for good.
+    pub(crate) fn halt(&mut self, now: Time, service: &str) {
+        if let Some(order) = self.order_mut(service)
+            && !order.halted
+        {
+            order.halted = true;
+            self.state_again(now, service);
+        }
+    }
+
+    /// States the newest order of a service anew, which other nodes take for news.
+    pub(crate) fn state_again(&mut self, now: Time, service: &str) {
+        if let Ok(index) = self.position(service)
+            && let Some(order) = &mut self.services[index].order
+        {
+            order.fresh_until = now + FRESH_TIME;
+            let name = Arc::clone(&self.services[index].name);
+            if !self.news.contains(&name) {
+                self.news.push(name);
+            }
+        }
+    }
+
+    /// Adopts a state that the coordinator, the node `own_id`, has read or written.
+    pub(crate) fn apply_record(
+        &mut self,
+        now: Time,
+        service: &Arc<str>,
+        revision: Revision,
+        record: &Record,
+        own_id: NodeId,
+    ) {
+        let order = KnownOrder {
+            revision,
+            order: record.order.revision,
+            target: Arc::clone(&record.order.target),
+            phase: record.phase,
+            halted: false,
+            coordinator: own_id,
+            fresh_until: now + FRESH_TIME,
+        };
+        let claim = Claim {
+            version: Arc::clone(record.established_version()),
+            revision,
+            generation: 0,
+            age: Duration::ZERO,
+            known_at: now,
+        };
+        let Some(known) = self.service_mut(service) else {
+            return;
+        };
+        let is_new = known
+            .order
+            .as_ref()
+            .is_none_or(|it| it.revision < revision || it.coordinator != own_id);
+        if !is_new {
+            return;
+        }
+        known.merge_order(now, order);
+        known.merge_claim(now, claim);
+        if let Some(order) = &mut known.order {
+            order.coordinator = own_id;
+        }
+        self.state_again(now, service);
+    }
+
+    /// Services about which this node has to tell others.
+    pub fn take_news(&mut self) -> Vec<Arc<str>> {
+        std::mem::take(&mut self.news)
+    }
+
     /// The state for the traffic threads; see [`View::new`].
-    pub fn view(&self, holds_unknown: bool) -> View {
+    pub fn view(&self, holds_unknown: bool, canary_permille: u32) -> View {
         let services = self.services.iter().map(|it| ServiceView {
             service: Arc::clone(&it.name),
             established: it.claim.as_ref().map(|claim| Arc::clone(&claim.version)),
             trial: it.order.as_ref().map(KnownOrder::to_trial),
         });
-        View::new(services.collect(), holds_unknown)
+        View::new(services.collect(), holds_unknown).with_canary_permille(canary_permille)
+    }
+
+    /// Whether an order has no verdict.
+    pub(crate) fn has_open_order(&self) -> bool {
+        self.open_orders().next().is_some()
+    }
+
+    /// The orders without a verdict, with their services.
+    pub(crate) fn list_open_orders(&self) -> Vec<(Arc<str>, KnownOrder)> {
+        let services = self.services.iter();
+        let orders = services.filter_map(|it| Some((Arc::clone(&it.name), it.order.clone()?)));
+        orders.filter(|(_, it)| !it.phase.is_verdict()).collect()
     }
 
     fn open_orders(&self) -> impl Iterator<Item = &KnownOrder> {
@@ -158,6 +288,16 @@
         orders.filter(|it| !it.phase.is_verdict())
     }
 
+    fn order(&self, service: &str) -> Option<&KnownOrder> {
+        let index = self.position(service).ok()?;
+        self.services[index].order.as_ref()
+    }
+
+    fn order_mut(&mut self, service: &str) -> Option<&mut KnownOrder> {
+        let index = self.position(service).ok()?;
+        self.services[index].order.as_mut()
+    }
+
     fn position(&self, service: &str) -> Result<usize, usize> {
         self.services.binary_search_by(|it| (*it.name).cmp(service))
     }
@@ -216,7 +356,7 @@
         let Some(claim) = &mut self.claim else {
             self.claim = Some(Claim {
                 version: common,
-                revision: crate::Revision::default(),
+                revision: Revision::default(),
                 generation: 0,
                 age: Duration::ZERO,
                 known_at: now,
@@ -225,7 +365,7 @@
         };
         if counts.iter().any(|it| it.version == claim.version) {
             self.absent_since = None;
-            let is_settling = claim.revision == crate::Revision::default()
+            let is_settling = claim.revision == Revision::default()
                 && claim.generation == 0
                 && claim.age_at(now) < SETTLING_TIME;
             if is_settling && claim.version != common {
@@ -272,8 +412,13 @@
         if order.revision < known.revision {
             return Merge::Outdated;
         }
+        let is_same = is_same_order((known.order, &known.target), (order.order, &order.target));
+        // A verdict never changes, not even where the store has returned from an older copy.
+        if is_same && known.phase.is_verdict() && order.phase != known.phase {
+            return Merge::Outdated;
+        }
         if order.revision > known.revision {
-            let halted = known.halted && known.order == order.order;
+            let halted = known.halted && is_same;
             let halted = order.halted || halted;
             self.apply_order(now, KnownOrder { halted, ..order });
             return Merge::News;
@@ -343,6 +488,16 @@
         }
     }
 
+    /// Whether this is the state of `order`.
+    fn is_of(&self, order: &Order) -> bool {
+        is_same_order((self.order, &self.target), (order.revision, &order.target))
+    }
+
+    /// Time since the coordinator stated this.
+    fn age(&self, now: Time) -> Duration {
+        (FRESH_TIME + now.since(self.fresh_until)).saturating_sub(now.until(self.fresh_until))
+    }
+
     fn to_notice(&self, now: Time) -> OrderNotice {
         OrderNotice {
             revision: self.revision,
@@ -351,7 +506,7 @@
             phase: self.phase,
             halted: self.halted,
             coordinator: self.coordinator,
-            age: FRESH_TIME.saturating_sub(now.until(self.fresh_until)),
+            age: self.age(now),
         }
     }
 
--- a/components/rollout/src/view.rs
+++ b/components/rollout/src/view.rs
@@ -50,6 +50,11 @@
         }
     }
 
+    /// The order that has no verdict yet.
+    pub fn open_trial(&self) -> Option<&Trial> {
+        self.trial.as_ref().filter(|it| !it.phase.is_verdict())
+    }
+
     /// The order whose target gets a share of the requests, if one runs.
     pub fn canary(&self) -> Option<&Trial> {
         let trial = self.trial.as_ref()?;
@@ -62,6 +67,7 @@
 pub struct View {
     services: Vec<ServiceView>,
     holds_unknown: bool,
+    canary_permille: u32,
 }
 
 impl View {
@@ -72,9 +78,24 @@
         Self {
             services,
             holds_unknown,
+            canary_permille: 0,
+        }
+    }
+
+    /// Returns the view with this part of a service's requests, in thousandths, for a version on trial.
+    #[must_use]
+    pub fn with_canary_permille(self, canary_permille: u32) -> Self {
+        Self {
+            canary_permille,
+            ..self
         }
     }
 
+    /// Part of a service's requests, in thousandths, for a version on trial.
+    pub fn canary_permille(&self) -> u32 {
+        self.canary_permille
+    }
+
     /// Whether an endpoint of a service gets requests without limit if any endpoint of the service does; `None`
     /// if no endpoint of its version gets requests in any case.
     pub fn is_open(&self, service: &str, version: Option<&str>) -> Option<bool> {
--- a/components/rollout/tests/versions.rs
+++ b/components/rollout/tests/versions.rs
@@ -22,7 +22,7 @@
 }
 
 fn established(table: &Table) -> Option<Arc<str>> {
-    let view = table.view(false);
+    let view = table.view(false, 0);
     view.find("desk").and_then(|it| it.established.clone())
 }
 
@@ -76,5 +76,5 @@
 fn is_open_held(#[case] decides: bool, #[case] version: Option<&str>, #[case] open: Option<bool>) {
     let mut table = Table::default();
     table.observe(Time(0), &counts(&[("v1", 4), ("v2", 2)]), decides);
-    assert_eq!(table.view(true).is_open("desk", version), open);
+    assert_eq!(table.view(true, 0).is_open("desk", version), open);
 }
--- a/components/simulate/src/entry_call.rs
+++ b/components/simulate/src/entry_call.rs
@@ -127,7 +127,9 @@
                     self.end_call(call_index, CallEnd::Refused { reason, verdict });
                 }
                 Effect::Retrying { .. } => self.history.retries += 1,
-                Effect::RetryDenied { .. } | Effect::HealthChanged { .. } => {}
+                Effect::RetryDenied { .. }
+                | Effect::HealthChanged { .. }
+                | Effect::OutcomesCounted { .. } => {}
             }
         }
     }
--- a/components/spread/src/lib.rs
+++ b/components/spread/src/lib.rs
@@ -26,4 +26,5 @@
 pub use revision::Revision;
 pub use store_call::CONFIG_CALL_TIMEOUT;
 pub use store_watch::StoreEvent;
+pub use watcher::fleet_position;
 pub use watcher::is_watcher;
--- a/components/spread/src/watcher.rs
+++ b/components/spread/src/watcher.rs
@@ -27,6 +27,21 @@
     higher_ranked < WATCHERS_PER_DOMAIN
 }
 
+/// Position of node `id` among all members that are alive, by the same order: the first ones of the fleet are
+/// watchers of their failure domains too. `None` if the node is not alive.
+pub fn fleet_position(table: &MemberTable, id: NodeId) -> Option<usize> {
+    let alive = |it: &NodeId| {
+        let member = table.get(*it);
+        member.is_some_and(|it| it.status == Status::Alive)
+    };
+    let own_score = rendezvous_score(id);
+    let members = table.members().iter();
+    let higher_ranked = members
+        .filter(|it| it.status == Status::Alive)
+        .filter(|it| (rendezvous_score(it.id), it.id) > (own_score, id));
+    alive(&id).then(|| higher_ranked.count())
+}
+
 pub(crate) fn rendezvous_score(id: NodeId) -> u64 {
     xxh3_64_with_seed(&id.0.to_le_bytes(), 0)
 }
--- a/components/store/src/lib.rs
+++ b/components/store/src/lib.rs
@@ -8,6 +8,7 @@
 mod etcd;
 mod http;
 mod record;
+mod rollouts;
 mod transfer;
 
 use std::pin::Pin;
@@ -31,6 +32,16 @@
 pub use record::CONFIG_KEY;
 pub use record::decode_record;
 pub use record::encode_record;
+pub use rollouts::ORDER_PREFIX;
+pub use rollouts::STATUS_PREFIX;
+pub use rollouts::decode_order;
+pub use rollouts::decode_state;
+pub use rollouts::decode_status;
+pub use rollouts::encode_state;
+pub use rollouts::encode_status;
+pub use rollouts::order_key;
+pub use rollouts::state_key;
+pub use rollouts::status_key;
 
 /// Registered store plug-ins.
 #[distributed_slice]
@@ -127,6 +138,15 @@
     Unchanged(Revision),
 }
 
+/// Result of a watch of all keys with a prefix.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PrefixChanges {
+    /// The newest entry of each key that has changed.
+    pub entries: Vec<(String, Entry)>,
+    /// Revision of the store up to which these are all changes.
+    pub store_revision: Revision,
+}
+
 /// Future of a call to the store.
 pub type StoreFuture<'a, T> = Pin<Box<dyn Future<Output = Result<T, Error>> + Send + 'a>>;
 
@@ -157,4 +177,18 @@
     fn read_changes<'a>(&'a self, key: &'a str, _after: Revision) -> StoreFuture<'a, WatchOutcome> {
         Box::pin(async move { self.read(key).await.map(WatchOutcome::Changed) })
     }
+
+    /// Waits until a key with the prefix changes after the revision `after`, or until the watch times out. Stores
+    /// that cannot do this run no rollouts.
+    fn watch_prefix<'a>(
+        &'a self,
+        prefix: &'a str,
+        _after: Revision,
+    ) -> StoreFuture<'a, PrefixChanges> {
+        Box::pin(async move {
+            Err(Error::Refused {
+                message: format!("this store watches no prefix, such as {prefix}"),
+            })
+        })
+    }
 }
--- a/components/traffic/src/entry.rs
+++ b/components/traffic/src/entry.rs
@@ -2,6 +2,7 @@
 //! shedding, endpoint selection, retries and outcome queries.
 
 mod call;
+mod canary;
 mod identity;
 mod message;
 mod node_state;
@@ -30,6 +31,8 @@
 use policy::Balance;
 use policy::Health;
 use policy::Retry;
+use rollout::Outcomes;
+use rollout::Shares;
 
 pub use call::Call;
 pub use identity::identify;
@@ -92,6 +95,10 @@
     subsets: EndpointSubsets,
     refused_routes: RefusedRoutes,
     request_ages: RequestAges,
+    shares: Shares,
+    outcomes: Outcomes,
+    /// When the outcomes were last stated to the control thread.
+    outcomes_reported: Time,
     /// Time by which all upstreams have to be done, because the node ends soon after.
     work_end: Option<Time>,
     /// Whether the node is about to exit, too soon for a retry.
@@ -110,6 +117,9 @@
             subsets: EndpointSubsets::default(),
             refused_routes: RefusedRoutes::default(),
             request_ages: RequestAges::default(),
+            shares: Shares::default(),
+            outcomes: Outcomes::default(),
+            outcomes_reported: Time::default(),
             work_end: None,
             shutting_down: false,
         }
@@ -158,7 +168,8 @@
 
     fn forward(&mut self, context: &mut StepContext<'_>, key: CallKey, delay: Duration) {
         let has_alternative = self.count_untried_endpoints(context.now, context.topology, key) > 1;
-        let endpoint_key = self.select_endpoint(context, key);
+        let canary = self.select_canary(context, key);
+        let endpoint_key = canary.or_else(|| self.select_endpoint(context, key));
         let endpoint =
             endpoint_key.and_then(|endpoint_key| context.topology.endpoint(endpoint_key));
         let Some((endpoint, call)) = endpoint.zip(self.calls.get_mut(key)) else {
@@ -187,7 +198,7 @@
             seen_crashes: call.seen_crashes,
             delay,
         };
-        call.start_attempt(attempt);
+        call.start_attempt(context.now, attempt);
         let route = call.profile;
         self.node_states.add_in_flight(attempt.node, route.rank);
         self.health.record_sent(context.now, attempt.node);
@@ -204,6 +215,7 @@
         key: CallKey,
         report: AttemptReport,
     ) {
+        self.count_outcome(context, key, &report);
         let Some(call) = self.calls.get(key) else {
             return;
         };
--- a/components/traffic/src/entry/call.rs
+++ b/components/traffic/src/entry/call.rs
@@ -48,6 +48,8 @@
     /// Number of upstreams that the request was or may have been sent to.
     upstreams_tried: u32,
     pub(crate) attempt: Option<Attempt>,
+    /// When the current attempt was started; it is sent after its delay.
+    pub(crate) attempt_started: Time,
     pub(crate) tried_nodes: Vec<NodeId>,
     /// Attempts that their owners refused because the request would have missed its objective there.
     pub(crate) spills: u32,
@@ -116,6 +118,7 @@
             outer_retries: head.outer_retries,
             replayable: head.replayable,
             attempt: None,
+            attempt_started: now,
             tried_nodes: Vec::new(),
             spills: 0,
             verdict: Verdict::NotRun,
@@ -161,7 +164,8 @@
     }
 
     /// Makes this the current attempt.
-    pub(crate) fn start_attempt(&mut self, attempt: Attempt) {
+    pub(crate) fn start_attempt(&mut self, now: Time, attempt: Attempt) {
+        self.attempt_started = now;
         self.attempt = Some(attempt);
         self.tried_nodes.push(attempt.node);
         self.silence_timeouts = 0;
--- a/components/traffic/src/entry/message.rs
+++ b/components/traffic/src/entry/message.rs
@@ -22,6 +22,8 @@
 use policy::HealthChange;
 use policy::Load;
 use policy::RequestRate;
+use rollout::Revision;
+use rollout::Tally;
 
 /// How a request shows which organisation it belongs to.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -181,6 +183,12 @@
     Retrying { reason: Reason },
     /// A failed attempt is not retried, for this reason; a [`Effect::Refuse`] follows.
     RetryDenied { reason: Reason },
+    /// Outcomes of a service's requests since an order, for the control thread.
+    OutcomesCounted {
+        service: Arc<str>,
+        order: Revision,
+        tallies: Vec<Tally>,
+    },
     /// The health policy has ejected or readmitted an endpoint.
     HealthChanged {
         node: NodeId,
--- a/components/traffic/src/entry/node_state.rs
+++ b/components/traffic/src/entry/node_state.rs
@@ -20,6 +20,9 @@
 const RATE_LIMIT_LIFETIME: Duration = Duration::from_secs(10);
 /// Duration of the slow start, over which the weight of a new endpoint rises to its full value.
 const SLOW_START: Duration = Duration::from_secs(5);
+/// Time after which the speed of a new upstream says something about its version. Known upstreams are at half their
+/// speed for 3 s.
+const COLD_TIME: Duration = Duration::from_secs(4);
 /// Weight of an endpoint at the beginning of its slow start, in thousandths.
 const SLOW_START_MIN_WEIGHT: u32 = 100;
 /// Maximum time for which one refusal makes the entry pass over a node.
@@ -95,6 +98,12 @@
         self.unavailable_until > now
     }
 
+    /// Whether the node has become ready too recently for its upstream to have its full speed.
+    pub(crate) fn is_cold(&self, now: Time) -> bool {
+        self.ready_since
+            .is_some_and(|since| now.since(since) < COLD_TIME)
+    }
+
     /// Weight of the node, in thousandths, by the time since it became ready.
     pub(crate) fn slow_start_weight(&self, now: Time) -> u32 {
         let Some(since) = self.ready_since else {
--- a/components/wire/src/rollouts.rs
+++ b/components/wire/src/rollouts.rs
@@ -8,11 +8,16 @@
 use serde::Serialize;
 
 use ids::NodeId;
+use ids::RouteId;
+use rollout::Counts;
+use rollout::MAX_TALLIES;
 use rollout::Message;
 use rollout::Notice;
 use rollout::OrderNotice;
 use rollout::Phase;
+use rollout::Report;
 use rollout::Revision;
+use rollout::Tally;
 
 /// Number of the format, the first byte of each datagram.
 pub const FORMAT: u8 = 5;
@@ -36,8 +41,20 @@
         is_serving: bool,
         notices: Vec<NoticeFields>,
     },
+    Report {
+        node: u64,
+        service: String,
+        order: RevisionFields,
+        state: RevisionFields,
+        sequence: u64,
+        halted: bool,
+        tallies: Vec<TallyFields>,
+    },
 }
 
+/// Encoded form of [`Tally`]: route, node on trial, requests, failures and slow requests.
+type TallyFields = (u64, Option<u64>, u32, u32, u32);
+
 /// Encoded form of [`Notice`].
 #[derive(Serialize, Deserialize)]
 struct NoticeFields {
@@ -77,6 +94,20 @@
                 .map(NoticeFields::from)
                 .collect(),
         },
+        Message::Report(report) => Frame::Report {
+            node: report.node.0,
+            service: report.service.as_ref().to_owned(),
+            order: revision_fields(report.order),
+            state: revision_fields(report.state),
+            sequence: report.sequence,
+            halted: report.halted,
+            tallies: report
+                .tallies
+                .iter()
+                .take(MAX_TALLIES)
+                .map(tally_fields)
+                .collect(),
+        },
     };
     postcard::to_extend(&frame, vec![FORMAT]).unwrap_or_default()
 }
@@ -103,6 +134,28 @@
                 notices: notices.collect::<Option<Vec<_>>>()?,
             })
         }
+        Frame::Report {
+            node,
+            service,
+            order,
+            state,
+            sequence,
+            halted,
+            tallies,
+        } => {
+            if tallies.len() > MAX_TALLIES {
+                return None;
+            }
+            Some(Message::Report(Report {
+                node: NodeId(node),
+                service: parse_name(&service)?,
+                order: parse_revision(order),
+                state: parse_revision(state),
+                sequence,
+                halted,
+                tallies: tallies.into_iter().map(into_tally).collect(),
+            }))
+        }
     }
 }
 
@@ -159,6 +212,28 @@
     }
 }
 
+fn tally_fields(tally: &Tally) -> TallyFields {
+    let Counts {
+        requests,
+        failures,
+        slow,
+    } = tally.counts;
+    let canary = tally.canary.map(|it| it.0);
+    (tally.route.0, canary, requests, failures, slow)
+}
+
+fn into_tally((route, canary, requests, failures, slow): TallyFields) -> Tally {
+    Tally {
+        route: RouteId(route),
+        canary: canary.map(NodeId),
+        counts: Counts {
+            requests,
+            failures,
+            slow,
+        },
+    }
+}
+
 fn parse_name(name: &str) -> Option<Arc<str>> {
     (1..=Notice::MAX_NAME_BYTES)
         .contains(&name.len())
