--- a/components/rollout/src/job.rs
+++ b/components/rollout/src/job.rs
@@ -74,7 +74,9 @@
     /// Whether the verdict was stated and written for long enough.
     is_finished: bool,
     evidence: Evidence,
-    /// Since when all live nodes have confirmed the promotion.
+    /// State of the promotion, and the members that were live when this node first saw it.
+    promoted_members: Option<(Revision, Vec<NodeId>)>,
+    /// Since when those of them that are live have confirmed the promotion.
     confirmed_since: Option<Time>,
 }
 
@@ -98,6 +100,7 @@
             verdict_at: None,
             is_finished: false,
             evidence: Evidence::default(),
+            promoted_members: None,
             confirmed_since: None,
         }
     }
@@ -348,17 +351,40 @@
                 is_good.then_some(Phase::Promoting)
             }
             _ => {
-                if !self.evidence.is_confirmed(order, revision, fleet.live) {
-                    self.confirmed_since = None;
-                    return None;
-                }
-                // Requests sent before the last node confirmed are still running at the old endpoints.
-                let since = *self.confirmed_since.get_or_insert(now);
-                (now.since(since) >= fleet.longest_deadline).then_some(Phase::Succeeded)
+                let is_due = self.is_confirmed(now, order, revision, fleet);
+                is_due.then_some(Phase::Succeeded)
             }
         }
     }
 
+    /// Whether all live nodes have confirmed the promotion, and the requests that they sent to the old endpoints
+    /// before have ended. A node that has started since asked its peers before it served, so that it does not
+    /// lengthen the wait, but has to confirm too.
+    fn is_confirmed(
+        &mut self,
+        now: Time,
+        order: Revision,
+        state: Revision,
+        fleet: &Fleet<'_>,
+    ) -> bool {
+        let (first_state, first_live) = self
+            .promoted_members
+            .get_or_insert_with(|| (state, fleet.live.to_vec()));
+        if *first_state != state {
+            (*first_state, *first_live) = (state, fleet.live.to_vec());
+            self.confirmed_since = None;
+        }
+        let is_live = |node: &NodeId| fleet.live.binary_search(node).is_ok();
+        let known: Vec<NodeId> = first_live.iter().copied().filter(is_live).collect();
+        if !self.evidence.is_confirmed(order, state, &known) {
+            self.confirmed_since = None;
+            return false;
+        }
+        let since = *self.confirmed_since.get_or_insert(now);
+        now.since(since) >= fleet.longest_deadline
+            && self.evidence.is_confirmed(order, state, fleet.live)
+    }
+
     /// States the order to the other nodes again, if that is due.
     fn state_order(&mut self, now: Time, record: &Record, table: &mut Table) {
         if record.phase.is_verdict() {
--- a/components/rollout/src/outcomes.rs
+++ b/components/rollout/src/outcomes.rs
@@ -71,8 +71,6 @@
     pub duration: Duration,
     /// Latency objective of the route.
     pub objective: Option<Duration>,
-    /// Whether the endpoint has just started, so that its speed says nothing about its version.
-    pub is_cold: bool,
 }
 
 /// Outcomes of one service during one order.
@@ -126,7 +124,7 @@
 
 impl ServiceOutcomes {
     fn record(&mut self, outcome: Outcome) {
-        let is_slow = !outcome.failed && !outcome.is_cold && self.is_slow(&outcome);
+        let is_slow = !outcome.failed && self.is_slow(&outcome);
         if outcome.canary.is_none() && !outcome.failed && !outcome.overdue {
             self.record_duration(&outcome);
         }
--- a/components/rollout/tests/rollouts.rs
+++ b/components/rollout/tests/rollouts.rs
@@ -220,6 +220,20 @@
     assert_eq!(fleet.late_old, 0);
 }
 
+/// Guards against a promotion that never ends because nodes start all the time, and against a verdict without
+/// the confirmation of the newest of them.
+#[rstest]
+fn succeed_while_nodes_start() {
+    let mut fleet = Fleet::new(30, 20, 20, Behaviour::Good, 8);
+    fleet.order("v2", DURATION_MS);
+    for _ in 0..26 {
+        fleet.run(Duration::from_millis(450));
+        fleet.start_node();
+    }
+    assert_eq!(fleet.store.phase("v2"), Some(Phase::Succeeded));
+    assert_eq!(fleet.late_old, 0);
+}
+
 /// Guards against a node that starts during a rollout or after its end and routes by the number of endpoints.
 #[rstest]
 #[case::running(Behaviour::Good, 2_000, "v1")]
--- a/components/rollout/tests/support/mod.rs
+++ b/components/rollout/tests/support/mod.rs
@@ -240,6 +240,15 @@
         view.find("desk").and_then(|it| it.established.clone())
     }
 
+    /// Whether any node routes by a promotion, or the target is established.
+    pub(crate) fn is_promoted(&self) -> bool {
+        let serving = self.nodes.iter().filter(|it| it.node.is_serving());
+        let views = serving.map(|it| it.node.view());
+        views
+            .filter_map(|view| view.find("desk").map(|it| it.is_open(Some("v2"))))
+            .any(|it| it)
+    }
+
     /// Milliseconds since the order.
     pub(crate) fn elapsed_ms(&self) -> u64 {
         self.now.since(self.order_at).as_millis() as u64
@@ -474,7 +483,6 @@
             overdue: duration > DEADLINE,
             duration,
             objective: Some(Duration::from_millis(250)),
-            is_cold: is_new && now.since(self.order_at) < Duration::from_secs(4),
         };
         node.outcomes.record(SERVICE, order, outcome);
         let tallies = node.outcomes.tallies(SERVICE, order).to_vec();
--- a/components/traffic/src/entry/canary.rs
+++ b/components/traffic/src/entry/canary.rs
@@ -46,7 +46,8 @@
         let mut canaries = list_canaries(topology, service, view, trial, permille);
         canaries.retain(|key| {
             let node = topology.endpoint(*key).map(|it| it.node);
-            node.is_some_and(|node| !self.is_unavailable(context.now, node))
+            let state = node.and_then(|node| self.node_states.get(node));
+            state.is_none_or(|it| !it.is_cold(context.now) && !it.is_unavailable(context.now))
         });
         let start = context.random.below(canaries.len());
         canaries.rotate_left(start);
@@ -94,7 +95,6 @@
         let Some((failed, overdue)) = assess_version(report) else {
             return;
         };
-        let state = self.node_states.get(attempt.node);
         let outcome = Outcome {
             route: call.profile.route,
             canary: is_target.then_some(attempt.node),
@@ -102,7 +102,6 @@
             overdue,
             duration: now.since(call.attempt_started + attempt.delay),
             objective: call.profile.objective,
-            is_cold: state.is_some_and(|state| state.is_cold(now)),
         };
         self.outcomes.record(service, order, outcome);
         if now.since(self.outcomes_reported) >= REPORT_INTERVAL || failed {
--- a/components/traffic/src/entry/node_state.rs
+++ b/components/traffic/src/entry/node_state.rs
@@ -20,9 +20,9 @@
 const RATE_LIMIT_LIFETIME: Duration = Duration::from_secs(10);
 /// Duration of the slow start, over which the weight of a new endpoint rises to its full value.
 const SLOW_START: Duration = Duration::from_secs(5);
-/// Time after which the speed of a new upstream says something about its version. Known upstreams are at half their
-/// speed for 3 s.
-const COLD_TIME: Duration = Duration::from_secs(4);
+/// Time for which a new endpoint is not tried, because its speed says nothing about its version. Known upstreams are
+/// at half their speed for 3 s.
+const COLD_TIME: Duration = Duration::from_millis(3_200);
 /// Weight of an endpoint at the beginning of its slow start, in thousandths.
 const SLOW_START_MIN_WEIGHT: u32 = 100;
 /// Maximum time for which one refusal makes the entry pass over a node.
--- a/components/traffic/src/entry/selection.rs
+++ b/components/traffic/src/entry/selection.rs
@@ -98,7 +98,7 @@
         keys.get(index).copied()
     }
 
-    pub(super) fn is_unavailable(&self, now: Time, node: NodeId) -> bool {
+    fn is_unavailable(&self, now: Time, node: NodeId) -> bool {
         self.node_states
             .get(node)
             .is_some_and(|state| state.is_unavailable(now))
--- a/components/traffic/tests/rollout.rs
+++ b/components/traffic/tests/rollout.rs
@@ -1,6 +1,7 @@
 //! Tests of the endpoints that an entry chooses by the versions of their upstreams.
 
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -29,7 +30,10 @@
 use member::Status;
 use member::Upstream;
 use retry::RetryBudget;
+use rollout::Phase;
+use rollout::Revision;
 use rollout::ServiceView;
+use rollout::Trial;
 use rollout::View;
 use traffic::entry::Attempt;
 use traffic::entry::AttemptReport;
@@ -85,6 +89,22 @@
     Arc::new(topology.with_rollouts(Arc::new(view)))
 }
 
+/// A rollout of `v2` while `v1` is established, whose state is fresh until `fresh_until_us`.
+fn running(phase: Phase, halted: bool, fresh_until_us: u64) -> View {
+    let service = ServiceView {
+        service: Arc::from("desk"),
+        established: Some(Arc::from("v1")),
+        trial: Some(Trial {
+            order: Revision { era: 0, number: 5 },
+            target: Arc::from("v2"),
+            phase,
+            halted,
+            fresh_until: Time(fresh_until_us),
+        }),
+    };
+    View::new(vec![service], false).with_canary_permille(70)
+}
+
 fn established(version: &str) -> View {
     let service = ServiceView {
         service: Arc::from("desk"),
@@ -135,6 +155,26 @@
         self.step(now, Input::Arrived { topology, head })
     }
 
+    /// Answers the attempt, with a server error if `upstream_failed`.
+    fn answer(&mut self, now: Time, call: CallKey, upstream_failed: bool) {
+        let report = AttemptReport {
+            verdict: Verdict::Ran,
+            reason: None,
+            retry_after: Duration::ZERO,
+            load: None,
+            rate_limit: None,
+            upstream_failed,
+        };
+        let topology = Arc::clone(&self.topology);
+        let input = Input::AttemptReported {
+            call,
+            topology,
+            report,
+        };
+        self.step(now, input);
+        self.step(now, Input::CallEnded { call });
+    }
+
     fn fail(&mut self, now: Time, call: CallKey) -> Option<(CallKey, Attempt)> {
         let report = AttemptReport {
             verdict: Verdict::NotRun,
@@ -183,3 +223,57 @@
     let mut harness = Harness::new(topology(&["v1", "v2"], View::new(Vec::new(), true)));
     assert_eq!(harness.arrive(Time(0)), None);
 }
+
+/// Guards against a version on trial that gets more than its share of an entry's requests, gets them after a halt, a
+/// silence of the coordinator or a verdict, or spreads them so thinly that its endpoints bear no load.
+#[rstest]
+#[case::running(Phase::Running, false, u64::MAX, 60..=70)]
+#[case::halted(Phase::Running, true, u64::MAX, 0..=0)]
+#[case::silent(Phase::Running, false, 0, 0..=0)]
+#[case::rolled_back(Phase::RolledBack, false, u64::MAX, 0..=0)]
+#[case::promoting(Phase::Promoting, false, 0, 1_000..=1_000)]
+fn arrive_share(
+    #[case] phase: Phase,
+    #[case] halted: bool,
+    #[case] fresh_until_us: u64,
+    #[case] expected: RangeInclusive<usize>,
+) {
+    let versions = ["v1", "v1", "v1", "v1", "v2", "v2", "v2", "v2"];
+    let view = running(phase, halted, fresh_until_us);
+    let mut harness = Harness::new(topology(&versions, view));
+    let mut nodes = Vec::new();
+    for request in 0..1_000 {
+        let now = Time(1 + request * 10_000);
+        let (call, attempt) = harness.arrive(now).expect("an endpoint is left");
+        let is_new = attempt.node.0 > 4;
+        nodes.extend(is_new.then_some(attempt.node));
+        harness.answer(now, call, is_new);
+    }
+    assert!(expected.contains(&nodes.len()), "{}", nodes.len());
+    nodes.sort_unstable();
+    nodes.dedup();
+    assert!(phase == Phase::Promoting || nodes.len() <= 2, "{nodes:?}");
+}
+
+/// Guards against a retry of a request that failed at the version on trial at another endpoint of that version.
+#[rstest]
+fn retry_canary() {
+    let versions = ["v1", "v1", "v2", "v2"];
+    let mut harness = Harness::new(topology(
+        &versions,
+        running(Phase::Running, false, u64::MAX),
+    ));
+    let mut canaries = 0;
+    for request in 0..500 {
+        let now = Time(request * 10_000);
+        let (call, attempt) = harness.arrive(now).expect("an endpoint is left");
+        if attempt.node.0 < 3 {
+            harness.answer(now, call, false);
+            continue;
+        }
+        canaries += 1;
+        let (_, retry) = harness.fail(now, call).expect("the request is retried");
+        assert!(retry.node.0 < 3, "{:?}", retry.node);
+    }
+    assert!(canaries > 20, "{canaries}");
+}
--- a/components/wire/tests/rollouts.rs
+++ b/components/wire/tests/rollouts.rs
@@ -9,11 +9,16 @@
 use support::member;
 
 use ids::NodeId;
+use ids::RouteId;
+use rollout::Counts;
+use rollout::MAX_TALLIES;
 use rollout::Message;
 use rollout::Notice;
 use rollout::OrderNotice;
 use rollout::Phase;
+use rollout::Report;
 use rollout::Revision;
+use rollout::Tally;
 use wire::MemberEntry;
 use wire::datagram;
 use wire::rollouts;
@@ -49,10 +54,33 @@
     }
 }
 
+fn longest_report() -> Message {
+    let notice = longest_notice();
+    let tally = |route| Tally {
+        route: RouteId(u64::MAX - route),
+        canary: Some(NodeId(u64::MAX)),
+        counts: Counts {
+            requests: u32::MAX,
+            failures: u32::MAX,
+            slow: u32::MAX,
+        },
+    };
+    Message::Report(Report {
+        node: NodeId(u64::MAX),
+        service: notice.service,
+        order: notice.revision,
+        state: notice.revision,
+        sequence: u64::MAX,
+        halted: true,
+        tallies: (0..MAX_TALLIES as u64).map(tally).collect(),
+    })
+}
+
 /// Guards against messages that change on the way, or that do not fit into a datagram.
 #[rstest]
 #[case::query(Message::Query)]
 #[case::longest(longest_message())]
+#[case::report(longest_report())]
 fn encode_round_trip(#[case] message: Message) {
     let bytes = rollouts::encode(&message);
     assert!(bytes.len() <= datagram::MAX_BYTES, "{}", bytes.len());
