--- a/components/admin/src/lib.rs
+++ b/components/admin/src/lib.rs
@@ -21,5 +21,6 @@
 pub use view::EndpointView;
 pub use view::Explanation;
 pub use view::MemberView;
+pub use view::RolloutView;
 pub use view::RouteView;
 pub use view::Status;
--- a/components/admin/src/view.rs
+++ b/components/admin/src/view.rs
@@ -14,6 +14,10 @@
 use member::Member;
 use member::Stage;
 use member::Status as Liveness;
+use rollout::Phase;
+
+/// Maximum number of services with their versions in a status.
+const MAX_ROLLOUTS: usize = 256;
 
 /// Body of `GET /status`.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -60,6 +64,26 @@
     pub last_refusal: String,
     /// Version of the program that the node runs.
     pub program: String,
+    /// Services whose established version is known; none where rollouts are not enabled.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub rollouts: Vec<RolloutView>,
+}
+
+/// Established version and newest order of a service.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[serde(default)]
+pub struct RolloutView {
+    /// Name of the service.
+    pub service: String,
+    /// Established version.
+    pub established: String,
+    /// Version that the newest order names; empty if there was none.
+    pub target: String,
+    /// Phase of the order: running, promoting, succeeded or rolled-back; empty if there was none.
+    pub phase: String,
+    /// Whether the target gets no more requests, because it was seen to be bad.
+    pub halted: bool,
 }
 
 /// One member in the body of `GET /members`.
@@ -181,10 +205,35 @@
                 format!("version {}: {}", it.version, it.message)
             }),
             program: env!("CARGO_PKG_VERSION").to_owned(),
+            rollouts: list_rollouts(&topology),
         }
     }
 }
 
+fn list_rollouts(topology: &Topology) -> Vec<RolloutView> {
+    let services = topology.rollouts.services().iter();
+    let services = services.take(MAX_ROLLOUTS).map(|it| {
+        let trial = it.trial.as_ref();
+        RolloutView {
+            service: it.service.to_string(),
+            established: it.established.as_deref().unwrap_or_default().to_owned(),
+            target: trial.map_or_else(String::new, |it| it.target.to_string()),
+            phase: trial.map_or("", |it| describe_phase(it.phase)).to_owned(),
+            halted: trial.is_some_and(|it| it.halted),
+        }
+    });
+    services.collect()
+}
+
+fn describe_phase(phase: Phase) -> &'static str {
+    match phase {
+        Phase::Running => "running",
+        Phase::Promoting => "promoting",
+        Phase::Succeeded => "succeeded",
+        Phase::RolledBack => "rolled-back",
+    }
+}
+
 impl MemberView {
     fn new(member: &Member) -> Self {
         let upstream = member.upstream.as_ref();
--- a/components/daemon/src/executor.rs
+++ b/components/daemon/src/executor.rs
@@ -20,6 +20,7 @@
 use crate::event_log::log_member_changes;
 use crate::event_log::log_store_changes;
 use crate::rollout_calls;
+use crate::rollout_log;
 use crate::state_metrics;
 use config::Record;
 use control::CallId;
@@ -359,6 +360,7 @@
     fn publish(&mut self, topology: Arc<Topology>) {
         let old_topology = self.topology.load_full();
         state_metrics::count_changes(&self.metrics, &old_topology, &topology);
+        rollout_log::record_changes(&self.metrics, &old_topology, &topology);
         log_member_changes(&old_topology, &topology);
         log_store_changes(&old_topology, &topology);
         let old_version = old_topology.snapshot.as_ref().map(|it| it.version());
--- a/components/daemon/src/lib.rs
+++ b/components/daemon/src/lib.rs
@@ -9,6 +9,7 @@
 mod plugins;
 mod reload;
 mod rollout_calls;
+mod rollout_log;
 mod run;
 mod state_metrics;
 
--- /dev/null
+++ b/components/rollout/tests/fleet/main.rs
@@ -0,0 +1,5 @@
+//! Tests of rollouts in a simulated fleet with a store.
+
+mod random;
+mod rollouts;
+mod support;
--- a/components/rollout/tests/random.rs
+++ b/components/rollout/tests/fleet/random.rs
@@ -1,7 +1,5 @@
 //! Property test of rollouts under random orders, losses and deaths.
 
-mod support;
-
 use std::time::Duration;
 
 use proptest::prelude::ProptestConfig;
@@ -9,9 +7,9 @@
 use proptest::prop_assert;
 use proptest::proptest;
 use proptest::test_runner::RngSeed;
-use support::Behaviour;
-use support::Fleet;
 
+use crate::support::Behaviour;
+use crate::support::Fleet;
 use rollout::Role;
 
 /// Something that happens during a run.
--- a/components/rollout/tests/rollouts.rs
+++ b/components/rollout/tests/fleet/rollouts.rs
@@ -1,13 +1,11 @@
 //! Tests of whole rollouts in a simulated fleet with a store.
 
-mod support;
-
 use std::time::Duration;
 
 use rstest::rstest;
-use support::Behaviour;
-use support::Fleet;
 
+use crate::support::Behaviour;
+use crate::support::Fleet;
 use kernel::Time;
 use rollout::Phase;
 use rollout::Role;
--- a/src/cmd/status.rs
+++ b/src/cmd/status.rs
@@ -17,6 +17,7 @@
 use crate::output::print_refusal;
 use crate::output::print_result;
 use crate::store_client::read_accepted_record;
+use admin::RolloutView;
 
 /// Pause between two polls of the fleet with --wait.
 const POLL_INTERVAL: Duration = Duration::from_millis(500);
@@ -57,6 +58,8 @@
     /// Ids of the nodes that have reached the version. They are not queried again, because the version
     /// of a node never decreases.
     up_to_date_ids: Vec<String>,
+    /// Rollouts of services' versions, as the node knows them that answered last.
+    rollouts: Vec<RolloutView>,
 }
 
 pub(crate) async fn run(options: &GlobalOptions, args: &Args) -> ExitStatus {
@@ -103,6 +106,7 @@
             lagging: Vec::new(),
             highest_version: 0,
             up_to_date_ids: Vec::new(),
+            rollouts: Vec::new(),
         }
     }
 
@@ -113,6 +117,10 @@
         self.live_count = members.len();
         members.retain(|member| !self.up_to_date_ids.contains(&member.node));
         let nodes = query_statuses(members).await;
+        let mut statuses = nodes.iter().filter_map(|it| it.status.as_ref().ok());
+        if let Some(status) = statuses.find(|it| !it.rollouts.is_empty()) {
+            self.rollouts = status.rollouts.clone();
+        }
         let versions = nodes.iter().filter_map(FleetNode::version);
         self.highest_version = versions.fold(self.highest_version, u64::max);
         let is_up_to_date = |node: &&FleetNode| node.version().is_some_and(|it| it >= self.version);
@@ -165,8 +173,13 @@
             "lagging": self.lagging,
             "highest": self.highest_version,
             "complete": self.is_complete(),
+            "rollouts": self.rollouts,
         });
-        print_result(options.output_format, &self.describe(), &value);
+        let mut text = self.describe();
+        for rollout in &self.rollouts {
+            text += &describe_rollout(rollout);
+        }
+        print_result(options.output_format, &text, &value);
         if self.is_complete() {
             ExitStatus::Done
         } else {
@@ -175,6 +188,24 @@
     }
 }
 
+/// A line about the established version of a service and its newest order.
+fn describe_rollout(rollout: &RolloutView) -> String {
+    let RolloutView {
+        service,
+        established,
+        target,
+        phase,
+        halted,
+    } = rollout;
+    if target.is_empty() {
+        return format!("\n{service}: version {established} is established");
+    }
+    let halted = if *halted { ", halted" } else { "" };
+    format!(
+        "\n{service}: version {established} is established, rollout of {target} {phase}{halted}"
+    )
+}
+
 fn describe_lagging_node(node: &FleetNode) -> String {
     let state = match &node.status {
         Ok(status) => format!("version {}", status.version),
