Keep verdicts through a restored store, and give up orders nobody states

A store that returns from an older copy could show a rollout with a verdict as running again in its status. Nodes whose coordinators are gone reported and asked without end. A promotion to far too few endpoints was possible. The first state of an order takes a known verdict, an order is given up after 60 s without a statement, and a version with less than a quarter of the established endpoints is not promoted.

--- a/components/rollout/src/job.rs
+++ b/components/rollout/src/job.rs
@@ -243,7 +243,10 @@
         };
         table.apply_record(now, &self.service, revision, &record, own_id);
         self.state_order(now, &record, table);
-        self.write_status(now, &record, calls);
+        let verdict = table.known_verdict(&self.service, &order);
+        if verdict.is_none_or(|verdict| verdict == record.phase) {
+            self.write_status(now, &record, calls);
+        }
         let unix_ms = unix_ms.unwrap_or(record.started_ms);
         let elapsed_ms = unix_ms.saturating_sub(record.started_ms);
         if let Some(phase) = self.decide(now, elapsed_ms, revision, &record, fleet, table)
@@ -304,7 +307,11 @@
         let Some(established) = known.or(stored) else {
             return;
         };
-        let record = first_record(order, &established, self.order_seen_ms);
+        let mut record = first_record(order, &established, self.order_seen_ms);
+        // A store that has returned from an older copy can have lost a verdict that the nodes know.
+        if let Some(verdict) = table.known_verdict(&self.service, order) {
+            record.phase = verdict;
+        }
         let service = Arc::clone(&self.service);
         let call = StoreCall::WriteState {
             service,
@@ -347,7 +354,9 @@
         }
         match record.phase {
             Phase::Running => {
-                let is_good = judgement == Judgement::Good && permille >= EARLIEST_GOOD_PERMILLE;
+                let is_good = judgement == Judgement::Good
+                    && permille >= EARLIEST_GOOD_PERMILLE
+                    && table.can_promote(&self.service, &record.order.target);
                 is_good.then_some(Phase::Promoting)
             }
             _ => {
--- a/components/rollout/src/node.rs
+++ b/components/rollout/src/node.rs
@@ -83,6 +83,7 @@
 }
 
 impl Node {
+    /// Creates the state of the node with this id, for which rollouts are not enabled.
     pub fn new(own_id: NodeId) -> Self {
         Self {
             own_id,
@@ -102,6 +103,7 @@
         }
     }
 
+    /// Enables rollouts with these bounds.
     pub fn set_limits(&mut self, now: Time, limits: Option<Limits>) {
         self.limits = limits;
         if self.is_enabled() {
@@ -109,10 +111,12 @@
         }
     }
 
+    /// Whether rollouts are enabled.
     pub fn is_enabled(&self) -> bool {
         self.limits.is_some()
     }
 
+    /// The state for the traffic threads.
     pub fn view(&self) -> Arc<View> {
         Arc::clone(&self.view)
     }
@@ -311,6 +315,7 @@
         if !self.is_enabled() || self.joined_at.is_none() {
             return out;
         }
+        self.table.abandon_stale(now);
         self.report(now, &mut out);
         let is_missing = !self.is_answered || self.table.has_stale_order(now);
         if !is_missing {
--- a/components/rollout/src/order.rs
+++ b/components/rollout/src/order.rs
@@ -44,4 +44,6 @@
     pub coordinator: NodeId,
     /// Time from which the state is too old to send requests to the target.
     pub fresh_until: Time,
+    /// Whether nothing was heard of the order for so long that it is given up.
+    pub is_abandoned: bool,
 }
--- a/components/rollout/src/table.rs
+++ b/components/rollout/src/table.rs
@@ -26,6 +26,11 @@
 const ABSENCE_LIMIT: Duration = Duration::from_secs(30);
 /// Time for which the state of an order counts after its coordinator has stated it.
 pub(crate) const FRESH_TIME: Duration = Duration::from_secs(2);
+/// Time without a statement after which an order is given up. Its coordinators are gone, or the store has lost it.
+const ABANDON_TIME: Duration = Duration::from_secs(60);
+/// Number of established endpoints whose load one endpoint of a new version can take over at most. With fewer new
+/// endpoints, a promotion would certainly overload them.
+const MAX_LOAD_FACTOR: u32 = 4;
 /// A statement that is later by less than this is taken for the same one over another path.
 const MIN_NEWS_INTERVAL: Duration = Duration::from_millis(250);
 /// Maximum number of services that are known; a configuration lists fewer.
@@ -63,6 +68,8 @@
     order: Option<KnownOrder>,
     /// Time since which no endpoint of the established version is ready.
     absent_since: Option<Time>,
+    /// Number of ready endpoints of each version.
+    ready: Vec<(Arc<str>, u32)>,
     /// When each version was first seen ready.
     seen: Vec<(Arc<str>, Time)>,
 }
@@ -92,6 +99,10 @@
                 .iter()
                 .take_while(|it| it.service == service.name);
             let own: Vec<&ReadyCount> = own.filter(|it| it.endpoints > 0).collect();
+            service.ready.clear();
+            let ready = own.iter();
+            let ready = ready.map(|it| (Arc::clone(&it.version), it.endpoints));
+            service.ready.extend(ready);
             has_changed |= decides && service.determine(now, &own);
         }
         has_changed
@@ -185,6 +196,28 @@
         known.is_some_and(|it| it.coordinator == own_id)
     }
 
+    /// Whether the target has enough ready endpoints to get all requests.
+    pub(crate) fn can_promote(&self, service: &str, target: &str) -> bool {
+        let Ok(index) = self.position(service) else {
+            return false;
+        };
+        let count = |is_target: bool| {
+            let ready = self.services[index].ready.iter();
+            let ready = ready.filter(|(version, _)| (**version == *target) == is_target);
+            ready.map(|(_, endpoints)| endpoints).sum::<u32>()
+        };
+        let (new, old) = (count(true), count(false));
+        new > 0 && new.saturating_mul(MAX_LOAD_FACTOR) >= old
+    }
+
+    /// Gives up the orders of which nothing was heard for long, so that no more is sent about them.
+    pub(crate) fn abandon_stale(&mut self, now: Time) {
+        let orders = self.services.iter_mut().filter_map(|it| it.order.as_mut());
+        for order in orders {
+            order.is_abandoned = now.since(order.fresh_until) >= ABANDON_TIME;
+        }
+    }
+
     /// Whether the target of the newest order gets no more requests.
     pub(crate) fn is_halted(&self, service: &str) -> bool {
         self.order(service).is_some_and(|it| it.halted)
@@ -230,6 +263,7 @@
             halted: false,
             coordinator: own_id,
             fresh_until: now + FRESH_TIME,
+            is_abandoned: false,
         };
         let claim = Claim {
             version: Arc::clone(record.established_version()),
@@ -280,12 +314,13 @@
     pub(crate) fn list_open_orders(&self) -> Vec<(Arc<str>, KnownOrder)> {
         let services = self.services.iter();
         let orders = services.filter_map(|it| Some((Arc::clone(&it.name), it.order.clone()?)));
-        orders.filter(|(_, it)| !it.phase.is_verdict()).collect()
+        let open = orders.filter(|(_, it)| !it.phase.is_verdict() && !it.is_abandoned);
+        open.collect()
     }
 
     fn open_orders(&self) -> impl Iterator<Item = &KnownOrder> {
         let orders = self.services.iter().filter_map(|it| it.order.as_ref());
-        orders.filter(|it| !it.phase.is_verdict())
+        orders.filter(|it| !it.phase.is_verdict() && !it.is_abandoned)
     }
 
     fn order(&self, service: &str) -> Option<&KnownOrder> {
@@ -313,6 +348,7 @@
                     claim: None,
                     order: None,
                     absent_since: None,
+                    ready: Vec::new(),
                     seen: Vec::new(),
                 };
                 self.services.insert(index, service);
@@ -485,6 +521,7 @@
             halted: notice.halted,
             coordinator: notice.coordinator,
             fresh_until: now + FRESH_TIME.saturating_sub(notice.age),
+            is_abandoned: false,
         }
     }
 
--- a/components/rollout/tests/fleet/rollouts.rs
+++ b/components/rollout/tests/fleet/rollouts.rs
@@ -247,6 +247,17 @@
     assert!(fleet.late_old == 0);
 }
 
+/// Guards against a promotion that certainly overloads the few endpoints of the new version.
+#[rstest]
+fn roll_back_without_endpoints() {
+    let mut fleet = Fleet::new(20, 20, 3, Behaviour::Good, 5);
+    fleet.order("v2", DURATION_MS);
+    assert_eq!(
+        fleet.run_to_verdict("v2", PATIENCE),
+        Some(Phase::RolledBack)
+    );
+}
+
 /// Guards against calls to the store that grow with the fleet or go on without an order: one watch in 2 s for each
 /// of the two nodes.
 #[rstest]
