--- a/components/admin/src/lib.rs
+++ b/components/admin/src/lib.rs
@@ -22,5 +22,6 @@
 pub use view::Explanation;
 pub use view::LimitUsage;
 pub use view::MemberView;
+pub use view::RolloutView;
 pub use view::RouteView;
 pub use view::Status;
--- a/components/admin/src/view.rs
+++ b/components/admin/src/view.rs
@@ -16,6 +16,10 @@
 use member::Member;
 use member::Stage;
 use member::Status as Liveness;
+use rollout::Phase;
+
+/// Maximum number of services with their versions in a status.
+const MAX_ROLLOUTS: usize = 256;
 
 /// Body of `GET /status`.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -70,6 +74,9 @@
     /// Left out if there are none.
     #[serde(skip_serializing_if = "Vec::is_empty")]
     pub organisations: Vec<LimitUsage>,
+    /// Services whose established version is known; none where rollouts are not enabled.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub rollouts: Vec<RolloutView>,
 }
 
 /// Use of the rate limit of one organisation.
@@ -83,6 +90,23 @@
     pub used_percent: u32,
 }
 
+/// Established version and newest order of a service.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[serde(default)]
+pub struct RolloutView {
+    /// Name of the service.
+    pub service: String,
+    /// Established version.
+    pub established: String,
+    /// Version that the newest order names; empty if there was none.
+    pub target: String,
+    /// Phase of the order: running, promoting, succeeded or rolled-back; empty if there was none.
+    pub phase: String,
+    /// Whether the target gets no more requests, because it was seen to be bad.
+    pub halted: bool,
+}
+
 /// One member in the body of `GET /members`.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -207,10 +231,35 @@
             keys_valid_ms: key_time_left.map_or(0, |it| it.as_millis() as u64),
             program: env!("CARGO_PKG_VERSION").to_owned(),
             organisations: list_limit_usage(driver),
+            rollouts: list_rollouts(&topology),
         }
     }
 }
 
+fn list_rollouts(topology: &Topology) -> Vec<RolloutView> {
+    let services = topology.rollouts.services().iter();
+    let services = services.take(MAX_ROLLOUTS).map(|it| {
+        let trial = it.trial.as_ref();
+        RolloutView {
+            service: it.service.to_string(),
+            established: it.established.as_deref().unwrap_or_default().to_owned(),
+            target: trial.map_or_else(String::new, |it| it.target.to_string()),
+            phase: trial.map_or("", |it| describe_phase(it.phase)).to_owned(),
+            halted: trial.is_some_and(|it| it.halted),
+        }
+    });
+    services.collect()
+}
+
+fn describe_phase(phase: Phase) -> &'static str {
+    match phase {
+        Phase::Running => "running",
+        Phase::Promoting => "promoting",
+        Phase::Succeeded => "succeeded",
+        Phase::RolledBack => "rolled-back",
+    }
+}
+
 impl MemberView {
     fn new(member: &Member) -> Self {
         let upstream = member.upstream.as_ref();
--- a/components/control/src/lib.rs
+++ b/components/control/src/lib.rs
@@ -8,6 +8,7 @@
 mod machine;
 mod message;
 mod own_upstream;
+mod rollouts;
 mod suspects;
 mod topology;
 
--- a/components/control/src/machine.rs
+++ b/components/control/src/machine.rs
@@ -11,6 +11,7 @@
 use crate::freshness::Freshness;
 use crate::life_cycle::NodeLifecycle;
 use crate::own_upstream::OwnUpstream;
+use crate::rollouts::Rollouts;
 use crate::suspects::Suspects;
 use ids::Domain;
 use ids::NodeId;
@@ -22,6 +23,7 @@
 use member::Parameters;
 use member::Stage;
 use member::Status;
+use rollout::Outbox;
 use spread::is_watcher;
 
 /// Number of members to which gossip about a newer configuration or a change of the upstream is sent at
@@ -50,6 +52,7 @@
     suspects: Suspects,
     /// `None` if the settings do not ask for freshness of keys.
     freshness: Option<Freshness>,
+    rollouts: Rollouts,
     /// Service of the upstreams on this node's instance, if the settings name it.
     service: Option<Arc<str>>,
     /// `None` only while a transition of the life cycle takes the value.
@@ -70,6 +73,7 @@
     pub fn new(own: Member, contacts: Vec<SocketAddr>, parameters: Parameters, now: Time) -> Self {
         Self {
             suspects: Suspects::new(own.id),
+            rollouts: Rollouts::new(own.id),
             domain: own.domain.clone(),
             membership: member::Machine::new(own, contacts, parameters, now),
             spread: spread::Machine::default(),
@@ -109,6 +113,13 @@
         self
     }
 
+    /// Sets the bounds of rollouts. Without them, versions of upstreams are ignored and not announced.
+    #[must_use]
+    pub fn with_rollouts(mut self, limits: Option<rollout::Limits>) -> Self {
+        self.rollouts.set_limits(Time(0), limits);
+        self
+    }
+
     /// Id of this node.
     pub fn id(&self) -> NodeId {
         self.membership.node_id()
@@ -158,7 +169,14 @@
                 member::Output::RoutingChanged => self.topology_changed = true,
             }
         }
-        self.serve_when_ready();
+        self.serve_when_ready(now);
+        self.topology_changed |= self.rollouts.observe(now, self.membership.table());
+        let snapshot = self.spread.history().current().map(|it| it.snapshot());
+        let table = self.membership.table();
+        self.rollouts
+            .configure(now, table, snapshot.map(Arc::as_ref));
+        let outbox = self.rollouts.coordinate(now, table);
+        self.send_rollouts(outbox, random, effects);
         self.publish_if_due(now, effects);
         self.update_freshness(now, &mut out.freshness);
         for output in out.freshness {
@@ -240,10 +258,16 @@
     }
 
     /// Ends the joining stage once both the membership and the configuration are known.
-    fn serve_when_ready(&mut self) {
-        let ready = self.membership.is_joined() && self.spread.is_up_to_date();
+    fn serve_when_ready(&mut self, now: Time) {
+        if self.membership.is_joined() {
+            self.rollouts.join(now, self.membership.table());
+        }
+        let ready = self.membership.is_joined()
+            && self.spread.is_up_to_date()
+            && self.rollouts.is_ready(now);
         if ready && self.node_stage() == NodeStage::Joining {
             self.lifecycle = self.lifecycle.take().map(NodeLifecycle::serve);
+            self.rollouts.serve(now);
             self.topology_changed = true;
         }
     }
@@ -276,7 +300,8 @@
         let report = self.spread.report().clone();
         let topology = topology
             .with_report(report)
-            .with_suspects(Arc::new(self.suspects.table().view()));
+            .with_suspects(Arc::new(self.suspects.table().view()))
+            .with_rollouts(self.rollouts.view());
         effects.push(Effect::Publish(Arc::new(topology)));
     }
 
@@ -316,7 +341,10 @@
         };
         let identified = latest.upstream.clone().filter(|it| it.run_id.is_some());
         let identified = identified.filter(|it| Some(&it.service) == self.service.as_ref());
-        if let Some(upstream) = identified.filter(|_| latest.stage == Stage::Ready) {
+        if let Some(mut upstream) = identified.filter(|_| latest.stage == Stage::Ready) {
+            if !self.rollouts.is_enabled() {
+                upstream.version = None;
+            }
             self.own_upstream.adopt(now, upstream);
             self.announce_upstream(random, out);
         }
@@ -338,6 +366,27 @@
         self.topology_changed = true;
     }
 
+    fn send_rollouts(
+        &mut self,
+        outbox: Outbox,
+        random: &mut dyn Random,
+        effects: &mut Vec<Effect>,
+    ) {
+        self.topology_changed |= outbox.has_changed;
+        effects.extend(outbox.calls.into_iter().map(Effect::CallRolloutStore));
+        let mut messages = outbox.replies;
+        for (fanout, message) in outbox.pushes {
+            let receivers = self.membership.random_live_members(fanout, random);
+            messages.extend(receivers.into_iter().map(|to| (to, message.clone())));
+        }
+        for (node, message) in outbox.reports {
+            let member = self.membership.table().get(node);
+            messages.extend(member.map(|it| (it.addresses.peer, message)));
+        }
+        let messages = messages.into_iter();
+        effects.extend(messages.map(|(to, message)| Effect::SendRollout { to, message }));
+    }
+
     fn handle_input(
         &mut self,
         now: Time,
@@ -409,9 +458,12 @@
             }
             Input::UpstreamAnnounced {
                 stage,
-                upstream,
+                mut upstream,
                 order,
             } => {
+                if !self.rollouts.is_enabled() {
+                    upstream.version = None;
+                }
                 self.own_upstream
                     .handle_announcement(now, stage, upstream, order);
                 self.announce_upstream(random, out);
@@ -440,6 +492,18 @@
                     });
                 }
             }
+            Input::Rollout { from, message } => {
+                let outbox = self.rollouts.handle(now, from, message);
+                self.send_rollouts(outbox, random, effects);
+            }
+            Input::RolloutStore { unix_ms, event } => {
+                self.rollouts.handle_store_event(now, unix_ms, event);
+            }
+            Input::RolloutOutcomes {
+                service,
+                order,
+                tallies,
+            } => self.rollouts.record_tallies(&service, order, tallies),
             Input::Drain => {
                 self.lifecycle = self.lifecycle.take().map(NodeLifecycle::leave);
                 self.own_upstream.drain();
@@ -491,6 +555,8 @@
                 reports: push.reports.clone(),
             }));
         }
+        let outbox = self.rollouts.wake(now);
+        self.send_rollouts(outbox, random, effects);
         self.process_outputs(now, out, random, effects);
     }
 
@@ -502,6 +568,7 @@
             .chain(self.own_upstream.next_wake())
             .chain(self.suspects.next_wake())
             .chain(self.freshness.as_ref().and_then(Freshness::next_wake))
+            .chain(self.rollouts.next_wake())
             .chain(self.next_publish())
             .min()
     }
--- a/components/spread/src/lib.rs
+++ b/components/spread/src/lib.rs
@@ -27,5 +27,6 @@
 pub use store_call::CONFIG_CALL_TIMEOUT;
 pub use store_watch::StoreEvent;
 pub use watcher::WATCHERS_PER_DOMAIN;
+pub use watcher::fleet_position;
 pub use watcher::is_watcher;
 pub use watcher::rank_members;
--- a/components/traffic/src/entry.rs
+++ b/components/traffic/src/entry.rs
@@ -2,6 +2,7 @@
 //! shedding, endpoint selection, retries and outcome queries.
 
 mod call;
+mod canary;
 mod identity;
 mod message;
 mod node_state;
@@ -32,6 +33,8 @@
 use policy::Balance;
 use policy::Health;
 use policy::Retry;
+use rollout::Outcomes;
+use rollout::Shares;
 
 pub use call::Call;
 pub use identity::identify;
@@ -95,6 +98,10 @@
     subsets: EndpointSubsets,
     refused_routes: RefusedRoutes,
     request_ages: RequestAges,
+    shares: Shares,
+    outcomes: Outcomes,
+    /// When the outcomes were last stated to the control thread.
+    outcomes_reported: Time,
     /// Time by which all upstreams have to be done, because the node ends soon after.
     work_end: Option<Time>,
     /// Whether calls of this node's upstream go before new requests of their rank in a configuration
@@ -117,6 +124,9 @@
             subsets: EndpointSubsets::default(),
             refused_routes: RefusedRoutes::default(),
             request_ages: RequestAges::default(),
+            shares: Shares::default(),
+            outcomes: Outcomes::default(),
+            outcomes_reported: Time::default(),
             work_end: None,
             prefers_onward: false,
             shutting_down: false,
@@ -175,7 +185,8 @@
 
     fn forward(&mut self, context: &mut StepContext<'_>, key: CallKey, delay: Duration) {
         let has_alternative = self.count_untried_endpoints(context.now, context.topology, key) > 1;
-        let endpoint_key = self.select_endpoint(context, key);
+        let canary = self.select_canary(context, key);
+        let endpoint_key = canary.or_else(|| self.select_endpoint(context, key));
         let endpoint =
             endpoint_key.and_then(|endpoint_key| context.topology.endpoint(endpoint_key));
         let Some((endpoint, call)) = endpoint.zip(self.calls.get_mut(key)) else {
@@ -221,6 +232,7 @@
         key: CallKey,
         report: AttemptReport,
     ) {
+        self.count_outcome(context, key, &report);
         let Some(call) = self.calls.get(key) else {
             return;
         };
--- a/components/traffic/tests/endpoint_speeds.rs
+++ b/components/traffic/tests/endpoint_speeds.rs
@@ -104,6 +104,7 @@
             status: Status::Alive,
             stage: Stage::Ready,
             upstream: Some(Upstream {
+                version: None,
                 service: Arc::from("s"),
                 run_id: None,
                 slots: SLOTS,
--- a/components/transport/src/lib.rs
+++ b/components/transport/src/lib.rs
@@ -47,6 +47,8 @@
     Freshness(fresh::Message),
     /// Message that keeps the rate limits of organisations.
     RateLimits(rate_limits::Message),
+    /// Message about rollouts.
+    Rollout(rollout::Message),
 }
 
 /// Callback for received datagrams, called with the address of the sender; must not block.
--- a/components/transport/src/udp.rs
+++ b/components/transport/src/udp.rs
@@ -22,6 +22,7 @@
 use wire::datagram;
 use wire::freshness;
 use wire::rate_limits;
+use wire::rollouts;
 
 /// Length of the IPv4 and UDP headers in bytes; they are included in the count of control bytes.
 const HEADER_BYTES: usize = 28;
@@ -104,6 +105,11 @@
         let malformed = 0;
         return Some(Decoded { message, malformed });
     }
+    if bytes.first() == Some(&rollouts::FORMAT) {
+        let message = Datagram::Rollout(rollouts::decode(bytes)?);
+        let malformed = 0;
+        return Some(Decoded { message, malformed });
+    }
     let Decoded { message, malformed } = datagram::decode(bytes).ok()?;
     let message = Datagram::Membership(message);
     Some(Decoded { message, malformed })
@@ -116,6 +122,7 @@
             Datagram::CrashReports(reports) => crash_reports::encode(reports),
             Datagram::Freshness(message) => freshness::encode(*message),
             Datagram::RateLimits(message) => rate_limits::encode(message),
+            Datagram::Rollout(message) => rollouts::encode(message),
         };
         match self.socket.try_send_to(&bytes, to) {
             Ok(sent) => self
--- a/components/wire/src/lib.rs
+++ b/components/wire/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod freshness;
 pub mod header;
 pub mod rate_limits;
+pub mod rollouts;
 pub mod sync;
 
 mod compressed_text;
--- a/src/cmd/status.rs
+++ b/src/cmd/status.rs
@@ -19,6 +19,7 @@
 use crate::output::print_result;
 use crate::store_client::read_accepted_record;
 use admin::LimitUsage;
+use admin::RolloutView;
 
 /// Pause between two polls of the fleet with --wait.
 const POLL_INTERVAL: Duration = Duration::from_millis(500);
@@ -63,6 +64,8 @@
     up_to_date_ids: Vec<String>,
     /// Use of rate limits that the nodes have reported last, each with the id of its node.
     limit_usages: Vec<(String, LimitUsage)>,
+    /// Rollouts of services' versions, as the node knows them that answered last.
+    rollouts: Vec<RolloutView>,
 }
 
 pub(crate) async fn run(options: &GlobalOptions, args: &Args) -> ExitStatus {
@@ -110,6 +113,7 @@
             highest_version: 0,
             up_to_date_ids: Vec::new(),
             limit_usages: Vec::new(),
+            rollouts: Vec::new(),
         }
     }
 
@@ -121,6 +125,10 @@
         members.retain(|member| !self.up_to_date_ids.contains(&member.node));
         let nodes = query_statuses(members).await;
         nodes.iter().for_each(|node| self.record_limit_usage(node));
+        let mut statuses = nodes.iter().filter_map(|it| it.status.as_ref().ok());
+        if let Some(status) = statuses.find(|it| !it.rollouts.is_empty()) {
+            self.rollouts = status.rollouts.clone();
+        }
         let versions = nodes.iter().filter_map(FleetNode::version);
         self.highest_version = versions.fold(self.highest_version, u64::max);
         let is_up_to_date = |node: &&FleetNode| node.version().is_some_and(|it| it >= self.version);
@@ -199,6 +207,9 @@
             let LimitUsage { name, used_percent } = usage;
             text += &format!("\norganisation {name} uses {used_percent}% of its rate limit");
         }
+        for rollout in &self.rollouts {
+            text += &describe_rollout(rollout);
+        }
         let value = json!({
             "version": self.version,
             "live": self.live_count,
@@ -206,6 +217,7 @@
             "highest": self.highest_version,
             "complete": self.is_complete(),
             "organisations": usages,
+            "rollouts": self.rollouts,
         });
         print_result(options.output_format, &text, &value);
         if self.is_complete() {
@@ -216,6 +228,24 @@
     }
 }
 
+/// A line about the established version of a service and its newest order.
+fn describe_rollout(rollout: &RolloutView) -> String {
+    let RolloutView {
+        service,
+        established,
+        target,
+        phase,
+        halted,
+    } = rollout;
+    if target.is_empty() {
+        return format!("\n{service}: version {established} is established");
+    }
+    let halted = if *halted { ", halted" } else { "" };
+    format!(
+        "\n{service}: version {established} is established, rollout of {target} {phase}{halted}"
+    )
+}
+
 fn describe_lagging_node(node: &FleetNode) -> String {
     let state = match &node.status {
         Ok(status) => format!("version {}", status.version),
