Expect the plug-in p2c-speed in the list of balance plug-ins

Cause: the message about an unknown balance plug-in lists the registered ones, of which there is one more. Change: the expected text of run_refused names it; the test compares the whole message as before.

--- a/components/daemon/tests/start.rs
+++ b/components/daemon/tests/start.rs
@@ -38,7 +38,8 @@
         .unwrap_err()
         .to_string();
     let expected = if key == "plugin" {
-        "balance: no balance plug-in is named \"none\"; registered: p2c, round-robin".to_owned()
+        "balance: no balance plug-in is named \"none\"; registered: p2c, p2c-speed, round-robin"
+            .to_owned()
     } else {
         format!("listen.{key}: {taken}: ")
     };
