Take the established version from the state before a new order

A fleet that had restarted as a whole between two orders took the version of most endpoints for the established one when it began the next order, although the store named another one; so did a coordinator whose last write had taken effect after the order was replaced. The state in the store now counts more than an older claim.

--- a/components/rollout/src/job.rs
+++ b/components/rollout/src/job.rs
@@ -301,10 +301,11 @@
             Stored::Known(_, record) => record.as_ref(),
             Stored::Unknown => None,
         };
+        // The state of the order before counts more than an older state, and than what nodes have seen.
         let known = table.established(&self.service);
-        // A state in the store counts more than what this node has seen, unless it has seen it replaced.
+        let known = known.filter(|(_, at)| stored.is_none() || *at >= expected);
         let stored = stored.map(|it| Arc::clone(it.established_version()));
-        let Some(established) = known.or(stored) else {
+        let Some(established) = known.map(|(version, _)| version).or(stored) else {
             return;
         };
         let mut record = first_record(order, &established, self.order_seen_ms);
--- a/components/rollout/src/table.rs
+++ b/components/rollout/src/table.rs
@@ -166,11 +166,11 @@
         self.order(service).map(|it| it.revision)
     }
 
-    /// The established version of a service.
-    pub(crate) fn established(&self, service: &str) -> Option<Arc<str>> {
+    /// The established version of a service, and the revision of the state that names it.
+    pub(crate) fn established(&self, service: &str) -> Option<(Arc<str>, Revision)> {
         let index = self.position(service).ok()?;
         let claim = self.services[index].claim.as_ref();
-        claim.map(|it| Arc::clone(&it.version))
+        claim.map(|it| (Arc::clone(&it.version), it.revision))
     }
 
     /// The verdict on an order, if this node knows one.
--- a/components/rollout/tests/fleet/rollouts.rs
+++ b/components/rollout/tests/fleet/rollouts.rs
@@ -206,6 +206,29 @@
     assert_eq!(fleet.late_old, 0);
 }
 
+/// Guards against a fleet that restarts as a whole between two orders and takes the version of most endpoints for the
+/// established one, whatever the store says.
+#[rstest]
+fn order_after_restart() {
+    let mut fleet = ordered(Behaviour::Fails(0), 5);
+    assert_eq!(
+        fleet.run_to_verdict("v2", PATIENCE),
+        Some(Phase::RolledBack)
+    );
+    let store = std::mem::take(&mut fleet.store);
+    let mut fleet = Fleet::new(20, 0, 30, Behaviour::Fails(0), 6);
+    assert_eq!(fleet.established(0).as_deref(), Some("v2"));
+    fleet.set_endpoints(8, 30);
+    fleet.store = store;
+    fleet.order("v2", DURATION_MS);
+    fleet.run(Duration::from_secs(2));
+    let live = fleet.live();
+    assert!(
+        live.iter()
+            .all(|it| fleet.established(*it).as_deref() == Some("v1"))
+    );
+}
+
 /// Guards against a release of the established version that disturbs a rollout: its endpoints come and go.
 #[rstest]
 fn succeed_beside_release() {
