Count bodies of unknown length in no backlog

Cause: a piece of a body of unknown length was taken from the sum of the bytes that other bodies have left. Change: the sum falls by what the body itself has left less. Measured: backlog_unknown_length fails before (the subtraction overflows) and passes after the change.

--- a/components/link/src/scheduler.rs
+++ b/components/link/src/scheduler.rs
@@ -231,8 +231,10 @@
     fn grant(&mut self, now: Time, key: BodyKey) -> Option<u64> {
         self.stop_waiting(key);
         let body = self.bodies.get_mut(key)?;
+        let ungranted = body.ungranted;
         let bytes = body.take_piece(self.piece_bytes);
-        self.ungranted_bytes -= bytes.min(self.ungranted_bytes);
+        // A body of unknown length is in neither sum.
+        self.ungranted_bytes -= ungranted - body.ungranted;
         let bytes = bytes.max(1);
         self.add_to_kernel(bytes);
         let share_interval = self.share_interval();
--- a/components/link/tests/pacing.rs
+++ b/components/link/tests/pacing.rs
@@ -316,6 +316,26 @@
     assert_eq!(scheduler.next_wake(), None);
 }
 
+/// Guards against a body of unknown length that takes its pieces from the sum of the others, so that the backlog wraps
+/// around and the owner refuses every large response.
+#[rstest]
+fn backlog_unknown_length() {
+    let mut scheduler = Scheduler::new(Rate::from_mbps(12.0));
+    let unknown = Body {
+        bytes: None,
+        ..body(0, None, millis(10_000))
+    };
+    let unknown = scheduler.open(millis(0), unknown);
+    let known = scheduler.open(millis(0), body(0, None, millis(10_000)));
+    for step in 1..100 {
+        scheduler.request(millis(step * 10), unknown);
+        wake(&mut scheduler, millis(step * 10 + 5));
+    }
+    scheduler.close(known);
+    scheduler.close(unknown);
+    assert_eq!(scheduler.backlog(millis(20_000)), 0);
+}
+
 /// Guards against a wrong backlog: it counts what the kernel holds and what open bodies have left, and nothing once
 /// these are closed and the link was idle.
 #[test]
