Schedule the link only where a route has large responses

Change: pacing, admission by link and the preference of onward calls need a route with large_responses in the configuration in force; organisations alone still prefer onward calls.

--- a/components/config/src/compile.rs
+++ b/components/config/src/compile.rs
@@ -90,6 +90,7 @@
             prefix_table: PrefixTable::default(),
             limits: CallerLimits::default(),
             organisations: OrganisationTable::new(generation),
+            has_large_responses: false,
         };
         Self {
             snapshot,
@@ -327,6 +328,12 @@
             self.errors.truncate(MAX_ERRORS);
             return Err(self.errors);
         }
+        let has_large_responses = self
+            .snapshot
+            .routes
+            .iter()
+            .any(|(_, route)| route.large_responses);
+        self.snapshot.has_large_responses = has_large_responses;
         let routes = self.snapshot.routes.iter();
         let mut routes_by_id: Vec<_> = routes.map(|(key, route)| (route.id, key)).collect();
         routes_by_id.sort_unstable();
--- a/components/config/src/snapshot.rs
+++ b/components/config/src/snapshot.rs
@@ -123,6 +123,8 @@
     pub(crate) prefix_table: PrefixTable,
     pub(crate) limits: CallerLimits,
     pub(crate) organisations: OrganisationTable,
+    /// Whether a route has large responses.
+    pub(crate) has_large_responses: bool,
 }
 
 impl Snapshot {
@@ -162,6 +164,11 @@
         self.routes.iter()
     }
 
+    /// Whether a route has large responses, for which the links of instances are scheduled.
+    pub fn has_large_responses(&self) -> bool {
+        self.has_large_responses
+    }
+
     /// Whether the configuration lists organisations, so that requests need keys.
     pub fn has_organisations(&self) -> bool {
         !self.organisations.by_id.is_empty()
--- a/components/front/src/driver.rs
+++ b/components/front/src/driver.rs
@@ -168,6 +168,16 @@
         self.link.as_ref()
     }
 
+    /// Pacer of the instance's link, where the configuration in force asks for it: a route has large responses.
+    pub fn active_link(&self) -> Option<&Arc<LinkPacer>> {
+        let link = self.link.as_ref()?;
+        let topology = self.topology.load();
+        let snapshot = topology.snapshot.as_ref();
+        snapshot
+            .is_some_and(|it| it.has_large_responses())
+            .then_some(link)
+    }
+
     /// Bytes that wait to be sent to other instances; 0 if the rate of the link is not known.
     pub fn link_backlog(&self) -> u64 {
         self.link.as_ref().map_or(0, |link| link.backlog())
@@ -410,7 +420,7 @@
 
     /// Reports the length of a complete response of the upstream. Without a link rate, nothing uses it.
     pub fn report_response_length(&self, route: RouteId, bytes: u64) {
-        if self.link.is_some() {
+        if self.active_link().is_some() {
             self.step_owner(owner::Input::ResponseEnded { route, bytes });
         }
     }
--- a/components/http1/src/dispatch.rs
+++ b/components/http1/src/dispatch.rs
@@ -373,7 +373,7 @@
         RelayEnd::Failed(_) | RelayEnd::Dropped => permit.finish(Verdict::MayHaveRun, shed, false),
     };
     let relayed = Payload::Relayed(Box::new(RelayedResponse::new(source, deadline, on_end)));
-    match shared.driver.link() {
+    match shared.driver.active_link() {
         Some(link) => read_ahead(relayed, link.paced_above(), &shared.read_ahead),
         None => relayed,
     }
--- a/components/http1/src/paced_body.rs
+++ b/components/http1/src/paced_body.rs
@@ -38,9 +38,9 @@
 }
 
 impl SendPriority {
-    /// Attaches the priority to a response if the link is paced.
+    /// Attaches the priority to a response where responses are paced.
     pub(crate) fn attach(self, shared: &SharedState, extensions: &mut Extensions) {
-        if shared.driver.link().is_some() {
+        if shared.driver.active_link().is_some() {
             extensions.insert(self);
         }
     }
--- a/components/http1/tests/support/mod.rs
+++ b/components/http1/tests/support/mod.rs
@@ -70,6 +70,14 @@
       - { method: HEAD, path: "/**", rank: 0, deadline_ms: 3000, idempotent: true }
       - { method: POST, path: "/**", rank: 1, deadline_ms: 3000 }
       - { method: PUT, path: "/**", rank: 1, deadline_ms: 700, idempotent: true }
+routes:
+  - host: large.example
+    prefix: /
+    rank: 0
+    deadline_ms: 3000
+    idempotent: true
+    large_responses: true
+    targets: [{ service: s }]
 "#;
 
 /// Number of facts that can wait for the control thread.
--- a/components/traffic/src/entry.rs
+++ b/components/traffic/src/entry.rs
@@ -133,8 +133,8 @@
         }
     }
 
-    /// Lets calls of this node's upstream go before new requests of their rank at their owners. In a
-    /// configuration with organisations they always do.
+    /// Lets calls of this node's upstream go before new requests of their rank at their owners, in a configuration
+    /// whose routes have large responses. In a configuration with organisations they always do.
     pub fn prefer_onward_calls(&mut self) {
         self.prefers_onward = true;
     }
@@ -173,7 +173,9 @@
         }
         let snapshot = context.topology.snapshot.as_ref();
         let has_organisations = snapshot.is_some_and(|it| it.has_organisations());
-        call.profile.onward &= self.prefers_onward || has_organisations;
+        let schedules_links =
+            self.prefers_onward && snapshot.is_some_and(|it| it.has_large_responses());
+        call.profile.onward &= schedules_links || has_organisations;
         if self.should_shed(context, &call) {
             return refuse(context, not_run_refusal(Reason::ShedEarly));
         }
--- a/components/traffic/tests/entry.rs
+++ b/components/traffic/tests/entry.rs
@@ -58,6 +58,12 @@
   - {host: h, prefix: /bulk/, rank: 2, deadline_ms: 1200, idempotent: true, large_responses: true, targets: [{service: stock}]}
   - {host: h, prefix: /timed/, rank: 0, deadline_ms: 2000, idempotent: false, objective_ms: 500, targets: [{service: stock}]}
 ";
+/// A configuration without large responses and organisations.
+const SMALL_CONFIG: &str = "services:
+  - name: stock
+    routes:
+      - {method: GET, path: /calm, rank: 3, deadline_ms: 2000, idempotent: true}
+";
 const SECOND_US: u64 = 1_000_000;
 /// Fingerprint of all requests.
 const FINGERPRINT: Fingerprint = Fingerprint(7);
@@ -78,8 +84,12 @@
     /// Creates an entry on node `node_id` with these ready endpoints; node ids that are multiples
     /// of four are in the entry's failure domain.
     fn new(node_id: u64, nodes: impl IntoIterator<Item = u64>) -> Self {
+        Self::with_config(CONFIG, node_id, nodes)
+    }
+
+    fn with_config(config: &str, node_id: u64, nodes: impl IntoIterator<Item = u64>) -> Self {
         let params = Params::default();
-        let snapshot = Arc::new(config::compile(CONFIG, Version(1)).expect("the text is valid"));
+        let snapshot = Arc::new(config::compile(config, Version(1)).expect("the text is valid"));
         let node_id = NodeId(node_id);
         let machine = Machine::new(
             Box::new(PowerOfTwoChoices),
@@ -793,14 +803,20 @@
     assert!(early >= 2 && late >= 2, "{delays:?}");
 }
 
-/// Guards against deployments without a link rate and organisations whose requests change, and against
-/// callers' requests that go before those of others as if a run depended on them.
+/// Guards against deployments without a link rate, large responses and organisations whose requests change, and
+/// against callers' requests that go before those of others as if a run depended on them.
 #[rstest]
-#[case::onward_call(true, Credential::Onward, true)]
-#[case::caller(true, Credential::None, false)]
-#[case::not_preferred(false, Credential::Onward, false)]
-fn arrive_onward(#[case] preferred: bool, #[case] credential: Credential, #[case] expected: bool) {
-    let mut harness = Harness::new(1, [2]);
+#[case::onward_call(true, CONFIG, Credential::Onward, true)]
+#[case::caller(true, CONFIG, Credential::None, false)]
+#[case::no_link_rate(false, CONFIG, Credential::Onward, false)]
+#[case::no_large_responses(true, SMALL_CONFIG, Credential::Onward, false)]
+fn arrive_onward(
+    #[case] preferred: bool,
+    #[case] config: &str,
+    #[case] credential: Credential,
+    #[case] expected: bool,
+) {
+    let mut harness = Harness::with_config(config, 1, [2]);
     if preferred {
         harness.machine.prefer_onward_calls();
     }
