--- a/components/http1/src/rate_limit.rs
+++ b/components/http1/src/rate_limit.rs
@@ -12,8 +12,9 @@
 
 /// Shortest limit on the wait for a token: several round trips between failure domains, with slow processors.
 const MIN_WAIT: Duration = Duration::from_millis(60);
-/// Part of the route's latency objective that a request waits at most: one in this number.
-const OBJECTIVE_SHARE: u32 = 4;
+/// Part of the route's latency objective, or of the time left without one, that a request waits at most: one in
+/// this number.
+const USEFUL_TIME_SHARE: u32 = 4;
 
 /// Spends a token for a request whose organisation has a limit. The wait counts against the request's deadline. A
 /// request that shows no organisation, or a wrong one, is left to the entry state machine.
@@ -43,11 +44,11 @@
     let time_left = head
         .time_left
         .map_or(route.deadline, |it| it.min(route.deadline));
-    let objective_part = route
-        .objective
-        .map_or(Duration::ZERO, |it| it / OBJECTIVE_SHARE);
+    let useful_time = route.objective.unwrap_or(time_left);
     let started = driver.now();
-    let wait = objective_part.max(MIN_WAIT).min(time_left);
+    let wait = (useful_time / USEFUL_TIME_SHARE)
+        .max(MIN_WAIT)
+        .min(time_left);
     let token = driver.acquire_token(organisation.id, wait).await?;
     let waited = driver.now().since(started);
     // A token that was at hand leaves the head as the caller sent it.
