Return the token of a request that is refused before it is forwarded

Cause: a request waits for a token of its organisation's rate limit before the node checks whether keys are verified and whether calls are abandoned. A refusal by one of these checks kept the token spent, although the request had not run.

Change: both refusals return the token. A refusal because calls are abandoned is logged like the others.

--- a/components/http1/src/caller.rs
+++ b/components/http1/src/caller.rs
@@ -218,14 +218,17 @@
     let token = acquire_token(shared, &mut head)
         .await
         .inspect_err(|refusal| events::log_refused(shared, &log_context, *refusal))?;
-    if shared.driver.abandoning_calls().is_cancelled() {
-        return Err(not_run_refusal(Reason::Draining));
-    }
     // Read before the topology, which is then not older than the one for which keys are verified.
     let keys_are_fresh = shared.driver.keys_are_fresh();
     let topology = shared.driver.topology();
-    if !keys_are_fresh && depends_on_keys(&topology, &head) {
-        let refusal = not_run_refusal(Reason::KeysUnverified);
+    let refused = if shared.driver.abandoning_calls().is_cancelled() {
+        Some(Reason::Draining)
+    } else {
+        (!keys_are_fresh && depends_on_keys(&topology, &head)).then_some(Reason::KeysUnverified)
+    };
+    if let Some(reason) = refused {
+        token.give_back();
+        let refusal = not_run_refusal(reason);
         events::log_refused(shared, &log_context, refusal);
         return Err(refusal);
     }
--- a/components/http1/tests/support/mod.rs
+++ b/components/http1/tests/support/mod.rs
@@ -26,6 +26,7 @@
 use control::Topology;
 use front::FRONT_END_PLUGINS;
 use front::FrontEndAddresses;
+use front::KeyValidity;
 use front::TrafficDriver;
 use front::TrafficDriverParts;
 
@@ -35,6 +36,7 @@
 use ids::Incarnation;
 use ids::NodeId;
 use ids::Version;
+use kernel::Time;
 use kernel::clock::MonotonicClock;
 use kernel::plugin::Params;
 use kernel::plugin::build;
@@ -115,6 +117,8 @@
     /// Listen address for control calls of other nodes.
     pub(crate) peer: SocketAddr,
     pub(crate) driver: Arc<TrafficDriver>,
+    /// Time until which keys are verified; without an end unless a test changes it.
+    pub(crate) key_validity: KeyValidity,
     pub(crate) front_end_stop: CancellationToken,
     pub(crate) front_end_task: tokio::task::JoinHandle<()>,
     /// Facts that the traffic part reports to the control thread.
@@ -206,7 +210,12 @@
             metrics,
             control_inputs,
         });
-        let driver = Arc::new(driver.with_link_rate(link_rate));
+        let key_validity = KeyValidity::default();
+        key_validity.cell().set_valid_until(Time(u64::MAX));
+        let driver = driver
+            .with_link_rate(link_rate)
+            .with_key_validity(key_validity.clone());
+        let driver = Arc::new(driver);
         let (callers, requests, peer) = (free_address(), free_address(), free_address());
         let front_end_stop = CancellationToken::new();
         let front_end = build("front", &FRONT_END_PLUGINS, "http1", front).unwrap();
@@ -227,6 +236,7 @@
             requests,
             peer,
             driver,
+            key_validity,
             front_end_stop,
             front_end_task,
             control_inputs: Mutex::new(control_receiver),
