Name the interval of a coordinator's statements for what it is

Cause: BEAT is no term of this code; it says statements. Change: STATEMENT_INTERVAL and statement_due. Result: names only; no behaviour changes.

--- a/components/rollout/src/job.rs
+++ b/components/rollout/src/job.rs
@@ -32,7 +32,7 @@
 /// Delay of a call after one that has failed.
 const RETRY_DELAY: Duration = Duration::from_millis(250);
 /// Interval between two statements of the coordinator about an order that runs.
-const BEAT: Duration = Duration::from_millis(500);
+const STATEMENT_INTERVAL: Duration = Duration::from_millis(500);
 /// Time for which a verdict is stated again.
 const VERDICT_REPEAT: Duration = Duration::from_secs(5);
 
@@ -66,7 +66,7 @@
     status_revision: Revision,
     /// Order and phase that the status shows.
     status: Option<(Revision, Phase)>,
-    beat_due: Time,
+    statement_due: Time,
     /// When this node began to wait for the coordinator to act.
     waiting_since: Option<Time>,
     /// When this node first stated the verdict.
@@ -95,7 +95,7 @@
             status_retry_at: Time(0),
             status_revision: Revision::default(),
             status: None,
-            beat_due: Time(0),
+            statement_due: Time(0),
             waiting_since: None,
             verdict_at: None,
             is_finished: false,
@@ -405,8 +405,8 @@
                 return;
             }
         }
-        if self.beat_due <= now {
-            self.beat_due = now + BEAT;
+        if self.statement_due <= now {
+            self.statement_due = now + STATEMENT_INTERVAL;
             table.state_again(now, &self.service);
         }
     }
