--- a/components/control/tests/freshness.rs
+++ b/components/control/tests/freshness.rs
@@ -1,10 +1,13 @@
 //! Tests of the freshness of keys in the control state machine.
 
+mod support;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use rstest::rstest;
+use support::new_member;
 
 use config::NEWEST_FORMAT;
 use config::Record;
@@ -13,19 +16,13 @@
 use control::Machine;
 use fresh::Output;
 use ids::Digest;
-use ids::Domain;
-use ids::Incarnation;
 use ids::NodeId;
 use ids::Version;
 
 use kernel::StateMachine as _;
 use kernel::Time;
 use kernel::random::SeededRandom;
-use member::ListenAddresses;
-use member::Member;
 use member::Parameters;
-use member::Stage;
-use member::Status;
 use spread::Revision;
 use spread::StoreEvent;
 
@@ -35,19 +32,7 @@
 
 fn start_node(key_freshness: bool) -> Machine {
     let address = SocketAddr::from(([127, 31, 8, 1], 1));
-    let own = Member {
-        id: NodeId(1),
-        addresses: ListenAddresses {
-            peer: address,
-            requests: address,
-            admin: address,
-        },
-        domain: Domain::new("huesca"),
-        incarnation: Incarnation(1),
-        status: Status::Alive,
-        stage: Stage::Warming,
-        upstream: None,
-    };
+    let own = new_member(NodeId(1), address);
     let machine = Machine::new(own, Vec::new(), Parameters::default(), Time(0));
     match key_freshness {
         true => machine.with_key_freshness(Duration::from_secs(5), Time(0), Time(0) + AHEAD),
--- a/components/control/tests/rollouts.rs
+++ b/components/control/tests/rollouts.rs
@@ -1,29 +1,27 @@
 //! Tests of rollouts in the control state machine of one node.
 
+mod support;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use rstest::rstest;
+use support::new_member;
 
 use control::Effect;
 use control::Input;
 use control::Machine;
 use control::Topology;
 use ids::Digest;
-use ids::Domain;
-use ids::Incarnation;
 use ids::NodeId;
 use ids::Version;
 
 use kernel::StateMachine as _;
 use kernel::Time;
 use kernel::random::SeededRandom;
-use member::ListenAddresses;
-use member::Member;
 use member::Parameters;
 use member::Stage;
-use member::Status;
 use member::Upstream;
 use rollout::Limits;
 use rollout::Order;
@@ -52,19 +50,7 @@
     /// A node that serves, whose upstream announces the version `v1`.
     fn new(limits: Option<Limits>) -> Self {
         let address = SocketAddr::from(([127, 0, 0, 1], 7_000));
-        let own = Member {
-            id: NodeId(1),
-            addresses: ListenAddresses {
-                peer: address,
-                requests: address,
-                admin: address,
-            },
-            domain: Domain::new("d"),
-            incarnation: Incarnation(1),
-            status: Status::Alive,
-            stage: Stage::Warming,
-            upstream: None,
-        };
+        let own = new_member(NodeId(1), address);
         let machine = Machine::new(own, Vec::new(), Parameters::default(), Time(0));
         let mut node = Self {
             machine: machine.with_rollouts(limits),
--- a/components/control/tests/suspects.rs
+++ b/components/control/tests/suspects.rs
@@ -1,27 +1,24 @@
 //! Tests of how nodes learn which requests crash upstreams.
 
+mod support;
+
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use rstest::rstest;
+use support::new_member;
 
 use control::Effect;
 use control::Input;
 use control::Machine;
-use ids::Domain;
 use ids::Fingerprint;
-use ids::Incarnation;
 use ids::NodeId;
 
 use kernel::Random as _;
 use kernel::StateMachine as _;
 use kernel::Time;
 use kernel::random::SeededRandom;
-use member::ListenAddresses;
-use member::Member;
 use member::Parameters;
-use member::Stage;
-use member::Status;
 
 const DEADLY: Fingerprint = Fingerprint(7);
 /// Delay of each datagram and call between two nodes.
@@ -69,19 +66,7 @@
 
     fn start_node(&mut self) {
         let index = self.machines.len();
-        let own = Member {
-            id: NodeId(1 + index as u64 * 7_919),
-            addresses: ListenAddresses {
-                peer: address(index),
-                requests: address(index),
-                admin: address(index),
-            },
-            domain: Domain::new("d"),
-            incarnation: Incarnation(1),
-            status: Status::Alive,
-            stage: Stage::Warming,
-            upstream: None,
-        };
+        let own = new_member(NodeId(1 + index as u64 * 7_919), address(index));
         let contacts = vec![address(0), address(1)];
         let machine = Machine::new(own, contacts, Parameters::default(), self.now);
         self.machines.push(machine);
--- a/components/control/tests/upstream.rs
+++ b/components/control/tests/upstream.rs
@@ -1,10 +1,13 @@
 //! Tests of the node's own upstream and of the topologies that the node publishes.
 
+mod support;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use rstest::rstest;
+use support::new_member;
 
 use control::AnnouncementOrder;
 use control::Effect;
@@ -12,7 +15,6 @@
 use control::Machine;
 use control::NodeStage;
 use control::Topology;
-use ids::Domain;
 use ids::Incarnation;
 use ids::NodeId;
 
@@ -41,19 +43,7 @@
 impl Node {
     fn new(contacts: &[SocketAddr]) -> Self {
         let address = SocketAddr::from(([127, 31, 6, 1], 1));
-        let own = Member {
-            id: NodeId(1),
-            addresses: ListenAddresses {
-                peer: address,
-                requests: address,
-                admin: address,
-            },
-            domain: Domain::new("huesca"),
-            incarnation: Incarnation(1),
-            status: Status::Alive,
-            stage: Stage::Warming,
-            upstream: None,
-        };
+        let own = new_member(NodeId(1), address);
         Self {
             machine: Machine::new(own, contacts.to_vec(), Parameters::default(), Time(0))
                 .with_service(Some("planta")),
--- a/components/http1/tests/cut_heads.rs
+++ b/components/http1/tests/cut_heads.rs
@@ -12,10 +12,10 @@
 use support::Node;
 use support::free_address;
 use support::raw::exchange;
+use support::raw::listen;
 use support::raw::read_message;
 use support::raw::request_with_body;
 use tokio::io::AsyncWriteExt;
-use tokio::net::TcpListener;
 
 use control::NodeStage;
 use http1::DIALECT_PLUGINS;
@@ -84,22 +84,14 @@
 /// Starts an upstream that writes as many bytes of `response` as the last segment of the path says and closes
 /// the connection.
 async fn start_cutting_upstream(response: &'static str) -> SocketAddr {
-    let address = free_address();
-    let listener = TcpListener::bind(address)
-        .await
-        .expect("the address is free");
-    tokio::spawn(async move {
-        while let Ok((mut stream, _)) = listener.accept().await {
-            tokio::spawn(async move {
-                let mut buffer = Vec::new();
-                let message = read_message(&mut stream, &mut buffer).await?;
-                let length = message.path().rsplit('/').next()?.parse().ok()?;
-                let cut = response.as_bytes().get(..length)?;
-                stream.write_all(cut).await.ok()
-            });
-        }
-    });
-    address
+    listen(move |mut stream| async move {
+        let mut buffer = Vec::new();
+        let message = read_message(&mut stream, &mut buffer).await?;
+        let length = message.path().rsplit('/').next()?.parse().ok()?;
+        let cut = response.as_bytes().get(..length)?;
+        stream.write_all(cut).await.ok()
+    })
+    .await
 }
 
 /// Guards against a response that was cut in its head, or later, and reaches the caller as a whole one.
--- a/components/http1/tests/heads.rs
+++ b/components/http1/tests/heads.rs
@@ -13,11 +13,11 @@
 use support::raw::exchange;
 use support::raw::free_address;
 use support::raw::get_request;
+use support::raw::listen;
 use support::raw::read_message;
 use support::start_entry_and_owner;
 use support::upstream;
 use tokio::io::AsyncWriteExt;
-use tokio::net::TcpListener;
 
 use control::NodeStage;
 use ids::NodeId;
@@ -362,30 +362,23 @@
 
 /// Starts an owner `id` that answers checks of its connections, and each request with `status` and without its load.
 async fn start_owner_without_load(id: NodeId, status: &'static str) -> SocketAddr {
-    let address = free_address();
-    let listener = TcpListener::bind(address).await.expect("listener binds");
-    tokio::spawn(async move {
-        while let Ok((mut stream, _)) = listener.accept().await {
-            tokio::spawn(async move {
-                let mut buffer = Vec::new();
-                while let Some(message) = read_message(&mut stream, &mut buffer).await {
-                    let (status, headers) = match message.path().as_str() {
-                        "/medlar/hello" => {
-                            let headers = format!("medlar-owner: {id}\r\nmedlar-clock-us: 1\r\n");
-                            ("200 OK", headers)
-                        }
-                        _ => (status, String::new()),
-                    };
-                    let response =
-                        format!("HTTP/1.1 {status}\r\n{headers}content-length: 0\r\n\r\n");
-                    if stream.write_all(response.as_bytes()).await.is_err() {
-                        return;
-                    }
+    listen(move |mut stream| async move {
+        let mut buffer = Vec::new();
+        while let Some(message) = read_message(&mut stream, &mut buffer).await {
+            let (status, headers) = match message.path().as_str() {
+                "/medlar/hello" => {
+                    let headers = format!("medlar-owner: {id}\r\nmedlar-clock-us: 1\r\n");
+                    ("200 OK", headers)
                 }
-            });
+                _ => (status, String::new()),
+            };
+            let response = format!("HTTP/1.1 {status}\r\n{headers}content-length: 0\r\n\r\n");
+            if stream.write_all(response.as_bytes()).await.is_err() {
+                return;
+            }
         }
-    });
-    address
+    })
+    .await
 }
 
 /// Checks that a response of a node that lacks its load is not delivered, and counts as not run only if it is one with
--- a/components/http1/tests/invalid_status.rs
+++ b/components/http1/tests/invalid_status.rs
@@ -8,35 +8,27 @@
 use support::Node;
 use support::free_address;
 use support::raw::exchange;
+use support::raw::listen;
 use support::raw::read_message;
 use support::raw::request_with_body;
 use tokio::io::AsyncWriteExt;
-use tokio::net::TcpListener;
 
 use control::NodeStage;
 
 /// Starts an upstream that answers each request with the status line `HTTP/1.1 <last segment of the path> Odd`.
 async fn start_upstream() -> SocketAddr {
-    let address = free_address();
-    let listener = TcpListener::bind(address)
-        .await
-        .expect("the address is free");
-    tokio::spawn(async move {
-        while let Ok((mut stream, _)) = listener.accept().await {
-            tokio::spawn(async move {
-                let mut buffer = Vec::new();
-                while let Some(message) = read_message(&mut stream, &mut buffer).await {
-                    let path = message.path();
-                    let status = path.rsplit('/').next().unwrap_or_default();
-                    let head = format!("HTTP/1.1 {status} Odd\r\ncontent-length: 2\r\n\r\nok");
-                    if stream.write_all(head.as_bytes()).await.is_err() {
-                        return;
-                    }
-                }
-            });
+    listen(|mut stream| async move {
+        let mut buffer = Vec::new();
+        while let Some(message) = read_message(&mut stream, &mut buffer).await {
+            let path = message.path();
+            let status = path.rsplit('/').next().unwrap_or_default();
+            let head = format!("HTTP/1.1 {status} Odd\r\ncontent-length: 2\r\n\r\nok");
+            if stream.write_all(head.as_bytes()).await.is_err() {
+                return;
+            }
         }
-    });
-    address
+    })
+    .await
 }
 
 /// Guards against a caller that gets bytes which are no response in the protocol as the response of the upstream:
--- a/components/http1/tests/support/raw.rs
+++ b/components/http1/tests/support/raw.rs
@@ -27,6 +27,23 @@
     listener.local_addr().unwrap()
 }
 
+/// Starts a server that handles each connection by `serve`, and returns its address.
+pub(crate) async fn listen<F>(serve: impl Fn(TcpStream) -> F + Send + 'static) -> SocketAddr
+where
+    F: Future<Output: Send> + Send + 'static,
+{
+    let address = free_address();
+    let listener = tokio::net::TcpListener::bind(address)
+        .await
+        .expect("the address is free");
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            tokio::spawn(serve(stream));
+        }
+    });
+    address
+}
+
 /// A request or response. `head` holds the lines up to and including the empty line; `body` is
 /// without transfer coding.
 #[derive(Clone, Debug)]
