Measure a delayed retry from when it is sent

Cause: two parts of the entry each added the delay of an attempt to its start, so that during a rollout the duration of a delayed retry was too short by that delay. The established version seemed faster than it is, and a new version was sooner counted as slow beside it.

Change: the count of outcomes uses the start of the attempt as it is.

--- a/components/traffic/src/entry/canary.rs
+++ b/components/traffic/src/entry/canary.rs
@@ -100,7 +100,7 @@
             canary: is_target.then_some(attempt.node),
             failed,
             overdue,
-            duration: now.since(call.attempt_started + attempt.delay),
+            duration: now.since(call.attempt_started),
             objective: call.profile.objective,
         };
         self.outcomes.record(service, order, outcome);
--- a/components/traffic/tests/rollout.rs
+++ b/components/traffic/tests/rollout.rs
@@ -46,8 +46,8 @@
 
 const CONFIG: &str = "services:
   - name: desk
-    routes:
-      - {method: GET, path: /status, rank: 0, deadline_ms: 2000, idempotent: true}
+routes:
+  - {host: desk, prefix: /, rank: 0, deadline_ms: 2000, objective_ms: 50, idempotent: true, targets: [{service: desk}]}
 ";
 
 /// An entry and its topology.
@@ -165,13 +165,7 @@
             rate_limit: None,
             upstream_failed,
         };
-        let topology = Arc::clone(&self.topology);
-        let input = Input::AttemptReported {
-            call,
-            topology,
-            report,
-        };
-        self.step(now, input);
+        self.report(now, call, report);
         self.step(now, Input::CallEnded { call });
     }
 
@@ -184,6 +178,15 @@
             rate_limit: None,
             upstream_failed: false,
         };
+        self.report(now, call, report)
+    }
+
+    fn report(
+        &mut self,
+        now: Time,
+        call: CallKey,
+        report: AttemptReport,
+    ) -> Option<(CallKey, Attempt)> {
         let topology = Arc::clone(&self.topology);
         let input = Input::AttemptReported {
             call,
@@ -277,3 +280,47 @@
     }
     assert!(canaries > 20, "{canaries}");
 }
+
+/// Guards against durations of retries that do not contain all of their attempt: the delay before it counted as part of
+/// the attempt, so that the established version seemed faster than it is and slow answers of it went uncounted.
+#[rstest]
+fn measure_delayed_retry() {
+    let view = running(Phase::Running, false, u64::MAX);
+    // A retry waits only if no other endpoint is left.
+    let mut harness = Harness::new(topology(&["v1", "v2"], view));
+    let now = Time(1_000_000);
+    let (call, _) = harness.arrive(now).expect("an endpoint is left");
+    let refusal = AttemptReport {
+        verdict: Verdict::NotRun,
+        reason: Some(Reason::QueueFull),
+        retry_after: Duration::from_millis(40),
+        load: None,
+        rate_limit: None,
+        upstream_failed: false,
+    };
+    let answer = AttemptReport {
+        verdict: Verdict::Ran,
+        reason: None,
+        ..refusal
+    };
+    let (_, retry) = harness
+        .report(now, call, refusal)
+        .expect("the request is retried");
+    assert!(retry.delay >= Duration::from_millis(20), "{retry:?}");
+    let answered = now + retry.delay + Duration::from_millis(60);
+    let topology = Arc::clone(&harness.topology);
+    let input = Input::AttemptReported {
+        call,
+        topology,
+        report: answer,
+    };
+    let mut effects = Vec::new();
+    harness
+        .machine
+        .step(answered, input, &mut harness.random, &mut effects);
+    let slow = effects.iter().find_map(|effect| match effect {
+        Effect::OutcomesCounted { tallies, .. } => Some(tallies[0].counts.slow),
+        _ => None,
+    });
+    assert_eq!(slow, Some(1));
+}
