--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -362,8 +362,8 @@
         environment = {"PATH": os.environ.get("PATH", ""), "MEDLARUSHER_BOOT": command[-1]}
         machine.process = subprocess.Popen(command, cwd=ROOT, env=environment, stdout=log, stderr=log)
 
-    async def start(self, configuration):
-        """Starts everything and waits until all nodes are ready."""
+    async def start(self, configuration, empty=()):
+        """Starts everything and waits until all nodes are ready; machines in `empty` have no endpoint yet."""
         self.store.put("op/config", json.dumps(configuration).encode())
         for machine in self.machines:
             def handle(reader, writer, name=machine.name):
@@ -371,8 +371,9 @@
             await asyncio.start_server(handle, machine.store_ip, self.ports["store"])
             self.start_node(machine)
         for machine in self.machines:
-            machine.endpoint = Endpoint(self, machine)
-            await machine.endpoint.start()
+            if machine not in empty:
+                machine.endpoint = Endpoint(self, machine)
+                await machine.endpoint.start()
             self.tasks.append(asyncio.create_task(self.probe(machine)))
         for _ in range(300):
             await asyncio.sleep(0.1)
