Log responses that an owner does not relay to their end

Whether a long response ended at the node's deadline, by the receiver's close or by a failure of the upstream could not be told from the log: the owner wrote its last line at the head of the response. The event `response-cut` names the reason, the bytes read and the time.

--- a/components/http1/src/dispatch.rs
+++ b/components/http1/src/dispatch.rs
@@ -43,6 +43,7 @@
 use front::Permit;
 use ids::RouteId;
 use ids::ServiceId;
+use kernel::Time;
 use traffic::Refusal;
 use traffic::owner::IncomingRequest;
 use traffic::owner::Input;
@@ -80,10 +81,17 @@
     parts: Parts,
     body: Incoming,
     connection: ClientConnection,
+    relay: Relay,
+}
+
+/// What the relay of an upstream response needs to know of its request.
+struct Relay {
     shed: bool,
     /// Route whose response length the response shows; `None` for a response without its regular body.
     measured_route: Option<RouteId>,
     deadline: Instant,
+    trace_id: String,
+    sent: Time,
 }
 
 /// Runs a request once it is admitted. Dropping the future cancels a queued request. It cancels a
@@ -145,16 +153,14 @@
         parts,
         body,
         connection,
-        shed,
-        measured_route,
-        deadline,
+        relay,
     } = started;
     let source = RelaySource::Connection {
         prefix: None,
         body,
         connection,
     };
-    let payload = relay_response(shared, permit, source, (shed, measured_route), deadline);
+    let payload = relay_response(shared, permit, source, relay);
     Ok(UpstreamResponse {
         response: Response::from_parts(parts, payload),
         stored: false,
@@ -173,12 +179,10 @@
         parts,
         mut body,
         mut connection,
-        shed,
-        measured_route,
-        deadline,
+        relay,
     } = started;
     let read =
-        tokio::time::timeout_at(deadline, read_up_to_limit(&mut connection, &mut body)).await;
+        tokio::time::timeout_at(relay.deadline, read_up_to_limit(&mut connection, &mut body)).await;
     let (bytes, complete) = match read {
         Ok(Some(read)) => read,
         Ok(None) => {
@@ -200,12 +204,17 @@
             body,
             connection,
         };
-        let payload = relay_response(shared, permit, source, (shed, measured_route), deadline);
+        let payload = relay_response(shared, permit, source, relay);
         return Ok(UpstreamResponse {
             response: Response::from_parts(parts, payload),
             stored: false,
         });
     }
+    let Relay {
+        shed,
+        measured_route,
+        ..
+    } = relay;
     let stored = !shed
         && shared.stored_responses.store(
             incoming.id,
@@ -345,9 +354,14 @@
         parts,
         body,
         connection,
-        shed,
-        measured_route: Some(incoming.route).filter(|_| is_served && !upstream_request.head_only),
-        deadline,
+        relay: Relay {
+            shed,
+            measured_route: Some(incoming.route)
+                .filter(|_| is_served && !upstream_request.head_only),
+            deadline,
+            trace_id,
+            sent: now,
+        },
     };
     Ok((started, permit))
 }
@@ -358,19 +372,31 @@
     shared: &Arc<SharedState>,
     permit: Permit,
     source: RelaySource,
-    (shed, measured_route): (bool, Option<RouteId>),
-    deadline: Instant,
+    Relay {
+        shed,
+        measured_route,
+        deadline,
+        trace_id,
+        sent,
+    }: Relay,
 ) -> Payload {
     let owner = Arc::clone(shared);
-    let on_end = move |end, bytes| match end {
-        RelayEnd::Complete(connection) => {
-            permit.finish(verdict_of(shed), shed, false);
-            report_length(&owner, measured_route, bytes);
-            if let Some(connection) = connection {
-                release_connection(&owner, connection, shed);
+    let on_end = move |end, bytes| {
+        let reason = match end {
+            RelayEnd::Complete(connection) => {
+                permit.finish(verdict_of(shed), shed, false);
+                report_length(&owner, measured_route, bytes);
+                if let Some(connection) = connection {
+                    release_connection(&owner, connection, shed);
+                }
+                return;
             }
-        }
-        RelayEnd::Failed(_) | RelayEnd::Dropped => permit.finish(Verdict::MayHaveRun, shed, false),
+            RelayEnd::Failed(reason) => reason,
+            RelayEnd::Dropped => Reason::CallerLeft,
+        };
+        permit.finish(Verdict::MayHaveRun, shed, false);
+        let elapsed = owner.driver.now().since(sent);
+        events::log_response_cut(&trace_id, reason, bytes, elapsed);
     };
     let relayed = Payload::Relayed(Box::new(RelayedResponse::new(source, deadline, on_end)));
     match shared.driver.active_link() {
--- a/components/http1/src/events.rs
+++ b/components/http1/src/events.rs
@@ -222,6 +222,19 @@
     );
 }
 
+/// Logs that the owner has not relayed a response of its upstream to the end. The reason is `caller-left` if the receiver
+/// closed its connection first.
+pub(crate) fn log_response_cut(trace_id: &str, reason: Reason, bytes: u64, elapsed: Duration) {
+    let Some(suppressed) = OWNER_FAILURE_LIMITER.admit() else {
+        return;
+    };
+    warn!(
+        event = "response-cut", request = trace_id, reason = reason.name(), bytes,
+        run_ms = millis(elapsed), held = suppressed;
+        "response of the upstream not relayed to its end"
+    );
+}
+
 /// Logs the end of a response that was paced. `end` is `complete`, `deadline` or `cut`.
 pub(crate) fn log_paced(
     shared: &SharedState,
