Read started responses ahead so that their deadline holds

What callers saw: requests pipelined behind another one held slots of the upstream and connections for up to 12 s, with a deadline of 3 s, if their caller did not read and their bodies did not end.

Cause: of a response that is ready before its turn 64 KB are read, and nothing polls the rest until its turn, so nothing looks at its deadline.

Change: the rest is read ahead by a task with the response's deadline, within the limit on bytes that the process reads ahead.

--- a/components/http1/src/body.rs
+++ b/components/http1/src/body.rs
@@ -27,7 +27,9 @@
 
 use crate::connection::ClientConnection;
 use crate::paced_body::PacedBody;
+use crate::read_ahead::Budget;
 use crate::read_ahead::ReadAheadBody;
+use crate::read_ahead::read_ahead;
 use errors::Reason;
 
 #[cfg(test)]
@@ -167,12 +169,17 @@
 }
 
 /// Reads a body into memory, so that its source is free before the body is sent. Of a body of more
-/// than `max_bytes`, the rest stays at its source.
-pub(crate) async fn read_into_memory(mut payload: Payload, max_bytes: usize) -> Payload {
+/// than `max_bytes`, the rest is read ahead, so that it ends at its deadline although it is not polled.
+pub(crate) async fn read_into_memory(
+    mut payload: Payload,
+    max_bytes: usize,
+    budget: &Arc<Budget>,
+) -> Payload {
     let mut read = BytesMut::new();
     while !payload.is_end_stream() {
         if read.len() > max_bytes {
-            return Payload::Continued(Some(read.freeze()), Box::new(payload));
+            let rest = read_ahead(payload, 0, budget);
+            return Payload::Continued(Some(read.freeze()), Box::new(rest));
         }
         match poll_fn(|context| Pin::new(&mut payload).poll_frame(context)).await {
             None => break,
--- a/components/http1/src/caller.rs
+++ b/components/http1/src/caller.rs
@@ -122,11 +122,12 @@
         .ok()?;
     shared.driver.metrics().count_pipelined();
     let shared = Arc::clone(shared);
+    let budget = Arc::clone(&shared.read_ahead);
     let own_request = request.clone().map(|()| None);
     let task = tokio::spawn(async move {
         let response = respond(shared, own_request, pipelined, is_local).await;
         let (parts, body) = response.into_parts();
-        let body = read_into_memory(body, MAX_EARLY_BODY_BYTES).await;
+        let body = read_into_memory(body, MAX_EARLY_BODY_BYTES, &budget).await;
         Response::from_parts(parts, body)
     });
     Some(StartedRequest {
--- a/components/http1/tests/slow_callers.rs
+++ b/components/http1/tests/slow_callers.rs
@@ -14,6 +14,7 @@
 use support::endless::start_endless;
 use support::raw::CallerConnection;
 use support::raw::free_address;
+use support::raw::get_request;
 use support::raw::listen;
 use support::raw::read_message;
 use support::raw::wait_until;
@@ -161,6 +162,26 @@
     );
 }
 
+/// Guards against started requests whose long responses nobody reads before their turn, so that they hold slots of the
+/// upstream beyond their deadline.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn end_endless_started_early() {
+    let (address, record) = start_endless(CHUNKED, LONG_CHUNK, Duration::ZERO).await;
+    let node = Node::start(address, 10, 10).await;
+    let mut stream = connect(node.callers).await;
+    let started = Instant::now();
+    // The first response has a deadline of 3 s.
+    let get = get_request("/endless").to_owned();
+    let requests = get + &"GET /endless HTTP/1.1\r\nhost: h\r\n\r\n".repeat(3);
+    stream.write_all(requests.as_bytes()).await.unwrap();
+    wait_until("started requests", || node.driver.load().running == 4).await;
+    wait_until("end of all", || {
+        node.driver.load().running == 0 && record.closed.load(SeqCst) == 4
+    })
+    .await;
+    assert!(started.elapsed() < Duration::from_secs(3) + MAX_LATENESS);
+}
+
 /// Starts an upstream that sends `bytes` at once as the body of each response.
 async fn start_finite(bytes: usize, chunked: bool) -> SocketAddr {
     listen(move |mut stream| async move {
