Leave memory for read-ahead to other responses

What callers saw: while a few callers do not read responses without end, large responses to others are read no faster than they are sent, and hold their slot of the upstream meanwhile.

Cause: the limit of 16 MB on bytes that are read ahead has no share for a body, so bodies without end take all of it until their deadline.

Change: a body may hold a quarter of the bytes that are free.

Why it works: bodies that are never passed on leave four fifths of what was free to those after them.

--- a/components/http1/src/read_ahead.rs
+++ b/components/http1/src/read_ahead.rs
@@ -34,6 +34,9 @@
 /// Limit on the bytes that all bodies of the process together hold. Beyond it a body is read on only when all
 /// of it that was read has been passed on.
 const MAX_TOTAL_BYTES: usize = 16 * 1024 * 1024;
+/// A body may hold one in so many of the bytes that are free, so that bodies which are never passed on leave room for
+/// others.
+const FREE_SHARE: usize = 4;
 /// Longest body that is not read ahead: the socket's buffer takes it whole, however slow its reader is.
 const SHORT_BYTES: u64 = 16 * 1024;
 /// Capacity of a segment, in bytes; less for short chunks.
@@ -49,8 +52,10 @@
 }
 
 impl Budget {
-    fn has_room(&self) -> bool {
-        self.used.load(Ordering::Relaxed) < MAX_TOTAL_BYTES
+    /// Whether a body that holds `held` bytes may hold more.
+    fn has_room(&self, held: usize) -> bool {
+        let free = MAX_TOTAL_BYTES.saturating_sub(self.used.load(Ordering::Relaxed));
+        held < free / FREE_SHARE
     }
 }
 
@@ -61,6 +66,8 @@
     segments: VecDeque<BytesMut>,
     /// Number of bytes in `segments`.
     length: u64,
+    /// Part of the budget that `segments` use, in bytes.
+    cost: usize,
 }
 
 /// What was read of a body and not passed on yet.
@@ -84,6 +91,7 @@
             budget,
             segments: VecDeque::new(),
             length: 0,
+            cost: 0,
         }
     }
 
@@ -107,6 +115,7 @@
         let segment = BytesMut::with_capacity(capacity);
         let cost = cost(&segment);
         self.budget.used.fetch_add(cost, Ordering::Relaxed);
+        self.cost += cost;
         self.segments.push_back(segment);
     }
 
@@ -114,6 +123,7 @@
         let segment = self.segments.pop_front()?;
         let cost = cost(&segment);
         self.budget.used.fetch_sub(cost, Ordering::Relaxed);
+        self.cost -= cost;
         self.length -= segment.len() as u64;
         Some(segment.freeze())
     }
@@ -133,7 +143,7 @@
 
     /// Whether another chunk may be read.
     pub(crate) fn has_room(&self) -> bool {
-        self.is_empty() || self.budget.has_room()
+        self.is_empty() || self.budget.has_room(self.cost)
     }
 }
 
--- a/components/http1/tests/slow_callers.rs
+++ b/components/http1/tests/slow_callers.rs
@@ -228,3 +228,31 @@
     let response = caller.exchange(ENDLESS_REQUEST).await;
     assert_eq!(response.map(|it| it.body.len()), Some(bytes));
 }
+
+/// Guards against responses without end that fill the memory for read-ahead, so that the response to another slow caller
+/// stays at its upstream and takes its slot.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn read_ahead_beside_endless() {
+    let (address, record) = start_endless(CHUNKED, LONG_CHUNK, Duration::ZERO).await;
+    let node = Node::start_with_link(address, 10, 1.0).await;
+    let mut endless = Vec::new();
+    for _ in 0..4 {
+        let mut stream = connect(node.callers).await;
+        let request = get_request("/endless");
+        stream.write_all(request.as_bytes()).await.unwrap();
+        endless.push(stream);
+    }
+    // Nothing more is read once the memory is full.
+    let mut sent = 0;
+    while sent == 0 || sent < record.sent_bytes.load(SeqCst) {
+        sent = record.sent_bytes.load(SeqCst);
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    let mut slow = connect(node.callers).await;
+    let request = get_request("/large");
+    slow.write_all(request.as_bytes()).await.unwrap();
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    assert_eq!(record.closed.load(SeqCst), 0, "the memory is free again");
+    assert_eq!(node.driver.open_calls(), 5);
+    assert_eq!(node.driver.load().running, 4);
+}
--- a/components/http1/tests/support/endless.rs
+++ b/components/http1/tests/support/endless.rs
@@ -32,6 +32,9 @@
     0123456701234567012345670123456701234567012345670123456701234567\
     0123456701234567012345670123456701234567012345670123456701234567\r\n";
 
+/// Length of the large response, in bytes.
+pub(crate) const LARGE_BYTES: usize = 1_000_000;
+
 /// What the endless upstream has seen.
 #[derive(Default)]
 pub(crate) struct Record {
@@ -41,7 +44,7 @@
     pub(crate) closed: AtomicUsize,
 }
 
-/// Starts an upstream that responds to `/x` properly, and to any other path with `start` and then `part`
+/// Starts an upstream that responds to `/x` with 2 bytes, to `/large` with [`LARGE_BYTES`] and to any other path with `start` and then `part`
 /// without end, pausing `pause` between the parts.
 pub(crate) async fn start_endless(
     start: &'static str,
@@ -75,9 +78,14 @@
         if read == 0 {
             return;
         }
-        if request.starts_with(b"GET /x ") {
-            let response = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
-            let sent = stream.write_all(response.as_bytes()).await;
+        if request.starts_with(b"GET /x ") || request.starts_with(b"GET /large ") {
+            let body = if request.starts_with(b"GET /x ") {
+                "ok".to_owned()
+            } else {
+                "l".repeat(LARGE_BYTES)
+            };
+            let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", body.len());
+            let sent = stream.write_all((head + &body).as_bytes()).await;
             sent.expect("the node reads the response");
             continue;
         }
