Limit what an upstream may send before the head of its response

What callers saw: requests to an upstream that sends interim responses without end were answered at their deadline or, beside others, more than a second later (known as send_to_endless_upstream with interim responses).

Cause: hyper discards interim responses one by one, so only the deadline ended them, and the node's processor was busy with them until then.

Change: reads fail once twice the largest head has been read before the head of the final response.

--- a/components/http1/src/connection.rs
+++ b/components/http1/src/connection.rs
@@ -29,10 +29,16 @@
 
 use crate::body::Payload;
 use crate::head;
+use crate::head_limit::Allowance;
+use crate::head_limit::HeadLimitStream;
 use crate::metered_stream::LinkMeter;
 use crate::metered_stream::MeteredStream;
 use front::LinkPacer;
 
+/// Number of heads of the largest size whose bytes are read before a body: interim responses may take as much as the
+/// final one.
+const MAX_HEADS: usize = 2;
+
 /// Counts open connections that share one limit.
 #[derive(Debug, Default)]
 pub(crate) struct ConnectionLimit {
@@ -72,8 +78,11 @@
 /// An open connection to a server.
 pub(crate) struct ClientConnection {
     sender: SendRequest<Payload>,
-    connection: Pin<Box<http1::Connection<MeteredStream, Payload>>>,
+    connection: Pin<Box<http1::Connection<HeadLimitStream, Payload>>>,
     closed: bool,
+    /// Limit on the bytes before a body.
+    head_limit: usize,
+    allowance: Allowance,
     // Fields are dropped in order, so the slots are released after the socket is closed.
     _slots: (ConnectionSlot, Option<ConnectionSlot>),
 }
@@ -90,16 +99,20 @@
         let stream = TcpStream::connect(address).await.ok()?;
         stream.set_nodelay(true).ok()?;
         let meter = LinkMeter::for_stream(pacer, &stream);
+        let metered = MeteredStream::new(stream, meter);
+        let allowance = Allowance::unlimited();
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(response_limits.bytes)
             .max_headers(response_limits.headers)
-            .handshake(MeteredStream::new(stream, meter))
+            .handshake(HeadLimitStream::new(metered, allowance.clone()))
             .await
             .ok()?;
         Some(Self {
             sender,
             connection: Box::pin(connection),
             closed: false,
+            head_limit: MAX_HEADS * response_limits.bytes,
+            allowance,
             _slots: slots,
         })
     }
@@ -113,14 +126,24 @@
             sender,
             connection,
             closed,
+            head_limit,
+            allowance,
             ..
         } = self;
+        allowance.set(*head_limit);
         let mut response = pin!(sender.try_send_request(request));
-        poll_fn(|context| {
+        let response = poll_fn(|context| {
             poll_connection(connection, closed, context);
             response.as_mut().poll(context)
         })
-        .await
+        .await?;
+        allowance.lift();
+        Ok(response)
+    }
+
+    /// Whether the last request failed because the server sent too much before the head of its final response.
+    pub(crate) fn exceeded_head_limit(&self) -> bool {
+        self.allowance.is_used_up()
     }
 
     /// Polls the body of a response, and the connection if the body has no data ready.
--- a/components/http1/src/lib.rs
+++ b/components/http1/src/lib.rs
@@ -12,6 +12,7 @@
 mod dispatch;
 mod events;
 mod head;
+mod head_limit;
 mod headers;
 mod listen;
 mod metered_stream;
--- a/components/http1/src/upstream.rs
+++ b/components/http1/src/upstream.rs
@@ -82,6 +82,9 @@
                 self.responses.fetch_add(1, Ordering::Relaxed);
                 Ok((response, connection))
             }
+            Err(_) if connection.exceeded_head_limit() => {
+                Err((Verdict::MayHaveRun, Reason::Malformed))
+            }
             Err(mut error) => {
                 drop(connection);
                 let verdict = execution_verdict(&mut error);
--- a/components/http1/tests/endless.rs
+++ b/components/http1/tests/endless.rs
@@ -14,9 +14,12 @@
 use support::endless::start_endless;
 use support::raw::CallerConnection;
 use support::raw::get_request;
+use support::raw::listen;
+use support::raw::read_message;
 use support::raw::request_with_body;
 use support::raw::wait_until;
 use support::start_entry_and_owner;
+use tokio::io::AsyncWriteExt;
 
 /// Deadline of the routes in the support configuration, and time for the node to act on it.
 const DEADLINE: Duration = Duration::from_secs(3);
@@ -103,3 +106,62 @@
     })
     .await;
 }
+
+/// Guards against interim responses and empty lines without end, which no limit on a head ends: a node that discards them
+/// until the deadline spends its processor time on them, and the caller waits for nothing.
+#[rstest]
+#[case::interim_responses("HTTP/1.1 103 Early Hints\r\n\r\n")]
+#[case::long_interim_responses("HTTP/1.1 103 Early Hints\r\nlink: </a.css>; rel=preload\r\n\r\n")]
+#[case::empty_lines("\r\n")]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn refuse_endless_start(
+    #[case] part: &'static str,
+    #[values("GET", "POST")] method: &str,
+    #[values(false, true)] forwarded: bool,
+) {
+    let (address, record) = start_endless("", part, Duration::ZERO).await;
+    let (node, _owner) = if forwarded {
+        let (entry, owner) = start_entry_and_owner(address, 10, 10).await;
+        (entry, Some(owner))
+    } else {
+        (Node::start(address, 10, 10).await, None)
+    };
+    let started = Instant::now();
+    let mut caller = CallerConnection::connect(node.callers).await;
+    let request = request_with_body(method, "/endless", 3);
+    caller.send(request).await;
+    wait_until("closed upstream connection", || {
+        record.closed.load(SeqCst) >= 1
+    })
+    .await;
+    assert!(started.elapsed() < DEADLINE / 2, "{:?}", started.elapsed());
+    // A GET request is sent once more after a delay.
+    let response = caller.receive().await.expect("a refusal");
+    assert_eq!(response.status(), 502, "{}", response.head);
+    assert_eq!(response.header("medlar-verdict"), Some("may-have-run"));
+}
+
+/// Guards against a limit on what comes before a head that ends proper interim responses, or counts those of earlier
+/// responses on the connection.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn relay_after_interim_responses() {
+    const INTERIM: &str = "HTTP/1.1 103 Early Hints\r\nlink: </a.css>; rel=preload\r\n\r\n";
+    let address = listen(|mut stream| async move {
+        let mut buffer = Vec::new();
+        while read_message(&mut stream, &mut buffer).await.is_some() {
+            let final_response = "HTTP/1.1 200 OK\r\ncontent-length: 200000\r\n\r\n";
+            let bytes = INTERIM.repeat(500) + final_response + &"a".repeat(200_000);
+            stream
+                .write_all(bytes.as_bytes())
+                .await
+                .expect("the node reads");
+        }
+    })
+    .await;
+    let node = Node::start(address, 1, 1).await;
+    let mut caller = CallerConnection::connect(node.callers).await;
+    for _ in 0..10 {
+        let response = caller.exchange(get_request("/")).await;
+        assert_eq!(response.map(|it| it.body.len()), Some(200_000));
+    }
+}
