Send bodies without end in the soak

One upstream of each plan sends every fourth response without end for up to 3 s, about 16 MB a second each.

--- a/lab/src/scenario/soak/plan.rs
+++ b/lab/src/scenario/soak/plan.rs
@@ -107,10 +107,28 @@
             ));
         }
     }
+    add_endless_bodies(&mut steps, seed, instances, fault_duration);
     steps.sort_by_key(|step| step.at);
     steps
 }
 
+/// Adds a time in which the upstream of one instance sends bodies without end. Its numbers are drawn apart, so that the rest
+/// of a seed's plan does not depend on it.
+fn add_endless_bodies(
+    steps: &mut Vec<Step>,
+    seed: u64,
+    instances: usize,
+    fault_duration: Duration,
+) {
+    let mut random = SeededRandom::new(!seed);
+    let target = random.below(instances);
+    let at = random_duration(&mut random, Duration::ZERO, fault_duration);
+    let duration = random_duration(&mut random, MIN_FAULT_DURATION, MAX_FAULT_DURATION);
+    let set = |endless: bool| Action::Behave(target, json!({ "endless": endless }));
+    steps.push(step(at, set(true)));
+    steps.push(step(at + duration, set(false)));
+}
+
 fn step(at: Duration, action: Action) -> Step {
     Step { at, action }
 }
@@ -225,7 +243,10 @@
             Action::Link(LinkTarget::Callers(index), normal.clone()),
             Action::Link(LinkTarget::Upstream(index), normal.clone()),
             Action::Restart(index),
-            Action::Behave(index, json!({ "factor": 1, "failing": false })),
+            Action::Behave(
+                index,
+                json!({ "factor": 1, "failing": false, "endless": false }),
+            ),
         ]);
     }
     actions
--- a/lab/src/upstream/behaviour.rs
+++ b/lab/src/upstream/behaviour.rs
@@ -10,6 +10,8 @@
 
 /// Upper bound of the time that a request takes and of the delay of health responses.
 const MAX_WORK_TIME: Duration = Duration::from_secs(60);
+/// Number of requests of which one gets a body without end, while the upstream sends such bodies.
+const ONE_ENDLESS_IN: u64 = 4;
 const DEFAULT_RESPONSE_BYTES: usize = 256;
 
 /// How accurate the responses of the upstream to health and load requests are.
@@ -34,6 +36,8 @@
     pub failing: bool,
     /// Minimum size of the response body.
     pub response_bytes: usize,
+    /// Whether the response body has no end.
+    pub endless: bool,
 }
 
 /// Settings of the simulated behaviour, which `POST /lab/behaviour` changes.
@@ -53,6 +57,8 @@
     pub health_reporting: HealthReporting,
     /// Whether each request fails at once with status 500.
     pub failing: bool,
+    /// Whether one in [`ONE_ENDLESS_IN`] responses has a body without end.
+    pub endless: bool,
 }
 
 impl Behaviour {
@@ -75,6 +81,7 @@
             response_bytes: DEFAULT_RESPONSE_BYTES,
             health_reporting: HealthReporting::Accurate,
             failing: false,
+            endless: false,
         })
     }
 
@@ -87,6 +94,9 @@
         if let Some(failing) = body["failing"].as_bool() {
             self.failing = failing;
         }
+        if let Some(endless) = body["endless"].as_bool() {
+            self.endless = endless;
+        }
         if let Some(lag) = body["lag_ms"].as_u64() {
             self.health_reporting =
                 HealthReporting::Delayed(Duration::from_millis(lag).min(MAX_WORK_TIME));
@@ -100,8 +110,8 @@
         Ok(())
     }
 
-    /// Plans a request that arrives `age` after the start of the upstream.
-    pub fn plan(&self, path: &str, age: Duration) -> RequestPlan {
+    /// Plans the request with this number that arrives `age` after the start of the upstream.
+    pub fn plan(&self, path: &str, request_number: u64, age: Duration) -> RequestPlan {
         let prefix_work_time = self
             .work_time_by_prefix
             .iter()
@@ -120,6 +130,7 @@
             onward: onward.map(|(_, target)| target.clone()),
             failing: self.failing,
             response_bytes: self.response_bytes,
+            endless: self.endless && request_number.is_multiple_of(ONE_ENDLESS_IN),
         }
     }
 }
--- a/lab/src/upstream/mod.rs
+++ b/lab/src/upstream/mod.rs
@@ -3,6 +3,7 @@
 
 mod announce;
 pub mod behaviour;
+mod endless;
 pub mod ledger;
 
 use std::net::SocketAddr;
@@ -20,6 +21,8 @@
 use argh::FromArgs;
 use behaviour::Behaviour;
 use behaviour::HealthReporting;
+use endless::EndlessBody;
+use http_body_util::BodyExt;
 use hyper::Request;
 use hyper::Response;
 use hyper::StatusCode;
@@ -235,7 +238,9 @@
             .record_start(&id, request_number, &self.args.service, path);
         http::read_body(body).await?;
         let began = Instant::now();
-        let plan = self.behaviour().plan(path, self.started.elapsed());
+        let plan = self
+            .behaviour()
+            .plan(path, request_number, self.started.elapsed());
         if plan.failing {
             execution.finish();
             return Ok(text_response(
@@ -259,6 +264,9 @@
             None => String::new(),
         };
         execution.finish();
+        if plan.endless {
+            return Ok(Response::new(EndlessBody::default().boxed()));
+        }
         let size = plan.response_bytes;
         Ok(build_response(
             &self.args.service,
--- a/lab/tests/soak.rs
+++ b/lab/tests/soak.rs
@@ -62,6 +62,7 @@
         "change",
         "cut",
         "delay_us",
+        "endless",
         "factor",
         "failing",
         "hold_back",
