--- a/components/http1/src/listen.rs
+++ b/components/http1/src/listen.rs
@@ -72,7 +72,9 @@
     meter: Option<Arc<LinkMeter>>,
     stored_request: Mutex<Option<RequestId>>,
     activity: Mutex<Activity>,
+    /// The response that is being sent.
     delivery: Arc<delivery::Slot>,
+    /// Set if the connection is to be reset when it is dropped.
     reset: ResetFlag,
     /// Requests that were started before hyper has read them.
     pub(crate) started_requests: Arc<StartedQueue>,
@@ -97,8 +99,8 @@
         *self.activity.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Waits until the response that is being sent cannot be completed and no other response is held up by the
-    /// connection.
+    /// Reads ahead of the peer until the response that is being sent cannot be completed. Never completes if the caller
+    /// pipelines, as hyper may still hold complete responses to earlier requests.
     async fn wait_for_failed_response(&self) {
         poll_fn(|context| {
             ready!(self.delivery.poll_ahead(context));
