--- a/components/http1/tests/slow_callers.rs
+++ b/components/http1/tests/slow_callers.rs
@@ -10,6 +10,7 @@
 use rstest::rstest;
 use support::Node;
 use support::endless::CHUNKED;
+use support::endless::LARGE_BYTES;
 use support::endless::LONG_CHUNK;
 use support::endless::start_endless;
 use support::raw::CallerConnection;
@@ -256,3 +257,36 @@
     assert_eq!(node.driver.open_calls(), 5);
     assert_eq!(node.driver.load().running, 4);
 }
+
+/// Guards against complete responses that are lost because a later one on their connection fails at its deadline before the
+/// caller has read them.
+#[rstest]
+#[case::large("/large", LARGE_BYTES)]
+#[case::small("/x", 2)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn deliver_before_endless(
+    #[case] path: &str,
+    #[case] bytes: usize,
+    #[values(false, true)] forwarded: bool,
+) {
+    let (address, _) = start_endless(CHUNKED, LONG_CHUNK, Duration::ZERO).await;
+    let (node, _owner) = start_nodes(address, forwarded, None).await;
+    let mut stream = connect(node.callers).await;
+    let requests = get_request(path).repeat(5) + ENDLESS_REQUEST;
+    stream.write_all(requests.as_bytes()).await.unwrap();
+    tokio::time::sleep(Duration::from_secs(3) + MAX_LATENESS).await;
+    let (mut buffer, mut received) = (vec![0; 16_384], Vec::new());
+    while let Ok(read @ 1..) = stream.read(&mut buffer).await {
+        received.extend_from_slice(&buffer[..read]);
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+    let text = String::from_utf8_lossy(&received);
+    let lengths = text
+        .matches(&format!("content-length: {bytes}\r\n"))
+        .count();
+    let letters = text.matches('l').count();
+    assert_eq!(lengths, 5, "complete responses");
+    if bytes == LARGE_BYTES {
+        assert!(letters >= 5 * bytes, "{letters} bytes of bodies");
+    }
+}
