--- a/components/http1/tests/slow_callers.rs
+++ b/components/http1/tests/slow_callers.rs
@@ -28,8 +28,9 @@
 
 use control::NodeStage;
 
-/// Deadline of the PUT route in the support configuration.
+/// Deadlines of the PUT and GET routes in the support configuration.
 const DEADLINE: Duration = Duration::from_millis(700);
+const GET_DEADLINE: Duration = Duration::from_secs(3);
 /// Time after its deadline by which a request has to end.
 const MAX_LATENESS: Duration = Duration::from_millis(500);
 /// Receive buffer of the callers, in bytes, so that little of a response is on its way when the node ends it.
@@ -171,16 +172,14 @@
     let node = Node::start(address, 10, 10).await;
     let mut stream = connect(node.callers).await;
     let started = Instant::now();
-    // The first response has a deadline of 3 s.
-    let get = get_request("/endless").to_owned();
-    let requests = get + &"GET /endless HTTP/1.1\r\nhost: h\r\n\r\n".repeat(3);
+    let requests = get_request("/endless").repeat(4);
     stream.write_all(requests.as_bytes()).await.unwrap();
     wait_until("started requests", || node.driver.load().running == 4).await;
     wait_until("end of all", || {
         node.driver.load().running == 0 && record.closed.load(SeqCst) == 4
     })
     .await;
-    assert!(started.elapsed() < Duration::from_secs(3) + MAX_LATENESS);
+    assert!(started.elapsed() < GET_DEADLINE + MAX_LATENESS);
 }
 
 /// Starts an upstream that sends `bytes` at once as the body of each response.
@@ -274,7 +273,7 @@
     let mut stream = connect(node.callers).await;
     let requests = get_request(path).repeat(5) + ENDLESS_REQUEST;
     stream.write_all(requests.as_bytes()).await.unwrap();
-    tokio::time::sleep(Duration::from_secs(3) + MAX_LATENESS).await;
+    tokio::time::sleep(GET_DEADLINE + MAX_LATENESS).await;
     let (mut buffer, mut received) = (vec![0; 16_384], Vec::new());
     while let Ok(read @ 1..) = stream.read(&mut buffer).await {
         received.extend_from_slice(&buffer[..read]);
