--- a/components/http1/src/connection.rs
+++ b/components/http1/src/connection.rs
@@ -35,8 +35,7 @@
 use crate::metered_stream::MeteredStream;
 use front::LinkPacer;
 
-/// Number of heads of the largest size whose bytes are read before a body: interim responses may take as much as the
-/// final one.
+/// Limit on the bytes before a body, in heads of the largest size: interim responses may take as much as the final one.
 const MAX_HEADS: usize = 2;
 
 /// Counts open connections that share one limit.
@@ -80,8 +79,9 @@
     sender: SendRequest<Payload>,
     connection: Pin<Box<http1::Connection<HeadLimitStream, Payload>>>,
     closed: bool,
-    /// Limit on the bytes before a body.
+    /// Number of bytes that may be read before the body of each response.
     head_limit: usize,
+    /// What is left of `head_limit` while a response is awaited.
     allowance: Allowance,
     // Fields are dropped in order, so the slots are released after the socket is closed.
     _slots: (ConnectionSlot, Option<ConnectionSlot>),
--- a/components/http1/src/delivery.rs
+++ b/components/http1/src/delivery.rs
@@ -38,6 +38,7 @@
     end: Option<Option<BodyError>>,
     /// Whether hyper polled the body last and got nothing, so that it is woken when the source has more.
     awaited: bool,
+    /// Timer of the deadline, once nothing more may be read before it.
     timer: Option<Timer>,
 }
 
@@ -103,6 +104,7 @@
 #[derive(Default)]
 pub(crate) struct Slot {
     response: Mutex<Option<Response>>,
+    /// Whether a response has ended before it was complete.
     failed: AtomicBool,
 }
 
--- a/components/http1/src/dispatch.rs
+++ b/components/http1/src/dispatch.rs
@@ -90,7 +90,9 @@
     /// Route whose response length the response shows; `None` for a response without its regular body.
     measured_route: Option<RouteId>,
     deadline: Instant,
+    /// Identifier of the request in log lines.
     trace_id: String,
+    /// When the request was sent to the upstream.
     sent: Time,
 }
 
--- a/components/http1/src/read_ahead.rs
+++ b/components/http1/src/read_ahead.rs
@@ -34,7 +34,7 @@
 /// Limit on the bytes that all bodies of the process together hold. Beyond it a body is read on only when all
 /// of it that was read has been passed on.
 const MAX_TOTAL_BYTES: usize = 16 * 1024 * 1024;
-/// A body may hold one in so many of the bytes that are free, so that bodies which are never passed on leave room for
+/// Reciprocal of the share of the free bytes that one body may hold. Bodies that are never passed on thus leave room for
 /// others.
 const FREE_SHARE: usize = 4;
 /// Longest body that is not read ahead: the socket's buffer takes it whole, however slow its reader is.
