--- a/components/http1/tests/pacing.rs
+++ b/components/http1/tests/pacing.rs
@@ -9,6 +9,9 @@
 use rstest::rstest;
 use support::CONFIG_TEXT;
 use support::Node;
+use support::endless::CHUNKED;
+use support::endless::LONG_CHUNK;
+use support::endless::start_endless;
 use support::raw::CallerConnection;
 use support::raw::exchange;
 use support::raw::get_request;
@@ -242,3 +245,24 @@
     assert_eq!(response.map(|it| it.body.len()), Some(LARGE_BYTES));
     node.front_end_task.await.unwrap();
 }
+
+/// Guards against a body that takes pieces of the link while its caller reads nothing, so that other bodies get only a part
+/// of the link. Three bodies of 1 MB take 1 s if the link carries nothing else.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn large_beside_stalled() {
+    let (address, _) = start_endless(CHUNKED, LONG_CHUNK, Duration::ZERO).await;
+    let node = Node::start_with_link(address, 10, 2.0 * MBPS).await;
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.set_recv_buffer_size(4_096).unwrap();
+    let mut stalled = CallerConnection::from_stream(socket.connect(node.callers).await.unwrap());
+    stalled.send(get_request("/endless")).await;
+    // The link fills the buffers of the connection in this time.
+    tokio::time::sleep(Duration::from_millis(1_300)).await;
+    let started = Instant::now();
+    for _ in 0..3 {
+        let response = exchange(node.callers, get_request("/large")).await;
+        assert_eq!(response.map(|it| it.body.len()), Some(LARGE_BYTES));
+    }
+    let elapsed = started.elapsed();
+    assert!(elapsed < Duration::from_millis(1_400), "{elapsed:?}");
+}
--- a/components/http1/tests/slow_callers.rs
+++ b/components/http1/tests/slow_callers.rs
@@ -271,7 +271,7 @@
     let (address, _) = start_endless(CHUNKED, LONG_CHUNK, Duration::ZERO).await;
     let (node, _owner) = start_nodes(address, forwarded, None).await;
     let mut stream = connect(node.callers).await;
-    let requests = get_request(path).repeat(5) + ENDLESS_REQUEST;
+    let requests = get_request(path).repeat(5) + &get_request("/endless");
     stream.write_all(requests.as_bytes()).await.unwrap();
     tokio::time::sleep(GET_DEADLINE + MAX_LATENESS).await;
     let (mut buffer, mut received) = (vec![0; 16_384], Vec::new());
