--- a/components/http1/src/read_ahead/tests.rs
+++ b/components/http1/src/read_ahead/tests.rs
@@ -1,14 +1,24 @@
 //! Tests of the bytes that are read ahead and of their limit.
 
+use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
+use std::task::Context;
+use std::task::Poll;
+use std::task::Waker;
 
+use bytes::Bytes;
+use hyper::body::Body;
 use rstest::rstest;
 
+use crate::body::BodyError;
+use crate::body::Payload;
 use crate::read_ahead::Budget;
 use crate::read_ahead::Chunks;
 use crate::read_ahead::MAX_SEGMENT_BYTES;
 use crate::read_ahead::MAX_TOTAL_BYTES;
+use crate::read_ahead::read_ahead;
+use errors::Reason;
 
 /// Guards against bytes that are lost, repeated or reordered between the segments, and against a budget that bodies do not
 /// give back.
@@ -61,3 +71,19 @@
     assert!(other.len() >= min_bytes, "{} bytes", other.len());
     assert!(budget.used.load(Ordering::Relaxed) < MAX_TOTAL_BYTES);
 }
+
+/// Guards against a slow receiver that goes on getting bytes of a response which has failed meanwhile.
+#[tokio::test]
+async fn poll_next_frame_failed() {
+    let budget = Arc::new(Budget::default());
+    let error = BodyError::LimitExceeded(Reason::DeadlinePassed);
+    let failed = Box::new(Payload::Failed(Some(error)));
+    let source = Payload::Continued(Some(Bytes::from_static(b"part")), failed);
+    let mut body = read_ahead(source, 0, &budget);
+    // Lets the task that reads run to its end.
+    tokio::task::yield_now().await;
+    let mut context = Context::from_waker(Waker::noop());
+    let polled = Pin::new(&mut body).poll_frame(&mut context);
+    assert!(matches!(polled, Poll::Ready(Some(Err(_)))));
+    assert_eq!(budget.used.load(Ordering::Relaxed), 0);
+}
